Set up the module, its tools, and the types that packages share

Cause: a new project; the packages need one verdict type, one document and one set of ports before they can be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Every target runs from a fresh clone; the tools are pinned in tools/go.mod.
+BIN := bin
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+
+.PHONY: all build demo test fmt-check lint vet unit generate generate-check measure soak clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/sassafrasreach ./cmd/sassafrasreach
+
+# The main job: control and entry processes on loopback, stand-in endpoints,
+# one document and a request of each kind through them.
+demo: build
+	./scripts/demo.sh
+
+test: fmt-check vet lint generate-check build unit
+
+fmt-check:
+	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); \
+	if [ -n "$$out" ]; then echo "gofmt: these files need formatting:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(TOOL) golangci-lint run --allow-parallel-runners ./...
+
+unit:
+	$(GO) test -race ./...
+
+generate:
+	./scripts/generate.sh api
+
+generate-check:
+	./scripts/generate-check.sh
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/sassafrasreach/main.go
@@ -0,0 +1,4 @@
+// Command sassafrasreach steers requests from callers to endpoints.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/core/document/types.go
@@ -0,0 +1,154 @@
+package document
+
+import "time"
+
+// Document is the whole configuration that operators apply.
+type Document struct {
+	// Regions are the regions of the operation.
+	Regions []Region `yaml:"regions" json:"regions"`
+	// Places are the failure domains, each in one region.
+	Places []Place `yaml:"places" json:"places"`
+	// Links bound the traffic between two regions.
+	Links []Link `yaml:"links,omitempty" json:"links,omitempty"`
+	// Services are what callers ask for.
+	Services []Service `yaml:"services" json:"services"`
+	// Rules say which traffic may shift where. Without a matching rule a
+	// request stays in its place.
+	Rules []Rule `yaml:"rules,omitempty" json:"rules,omitempty"`
+	// Drains take places out of use.
+	Drains []Drain `yaml:"drains,omitempty" json:"drains,omitempty"`
+	// Operators may change the document.
+	Operators []Operator `yaml:"operators,omitempty" json:"operators,omitempty"`
+}
+
+// Region is a group of places that are near each other.
+type Region struct {
+	// Name identifies the region.
+	Name string `yaml:"name" json:"name"`
+	// ReservePercent is the part of the region's slots that spilled-in work
+	// may not use; 0 to 100.
+	ReservePercent int `yaml:"reserve_percent" json:"reserve_percent"`
+}
+
+// Place is a failure domain with its own entry VMs and endpoints.
+type Place struct {
+	// Name identifies the place.
+	Name string `yaml:"name" json:"name"`
+	// Region names the place's region.
+	Region string `yaml:"region" json:"region"`
+	// Clients are the client blocks (CIDR) whose requests originate here.
+	Clients []string `yaml:"clients,omitempty" json:"clients,omitempty"`
+	// Entries are the entry VMs of the place.
+	Entries []Entry `yaml:"entries" json:"entries"`
+}
+
+// Entry is one entry VM.
+type Entry struct {
+	// Name identifies the entry among all places.
+	Name string `yaml:"name" json:"name"`
+	// Caller is the IP:port that callers and endpoints use (HTTP).
+	Caller string `yaml:"caller" json:"caller"`
+	// Peer is the IP:port that other VMs of the system use (gRPC).
+	Peer string `yaml:"peer" json:"peer"`
+}
+
+// Link is the network between two regions, one direction.
+type Link struct {
+	// From and To name regions.
+	From string `yaml:"from" json:"from"`
+	To   string `yaml:"to" json:"to"`
+	// MbitPerS is the capacity in megabits per second.
+	MbitPerS int `yaml:"mbit_per_s" json:"mbit_per_s"`
+	// FillPercent is the part of the capacity that steering may use; 1 to 100.
+	FillPercent int `yaml:"fill_percent" json:"fill_percent"`
+}
+
+// Service is one service that endpoints announce.
+type Service struct {
+	// Name identifies the service.
+	Name string `yaml:"name" json:"name"`
+	// IdempotentMethods are the HTTP methods that may run more than once; all
+	// others are once-only.
+	IdempotentMethods []string `yaml:"idempotent_methods" json:"idempotent_methods"`
+	// Deadline is the default time a request may take.
+	Deadline Duration `yaml:"deadline" json:"deadline"`
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64 `yaml:"max_body_bytes" json:"max_body_bytes"`
+	// MaxAnswerBytes bounds an answer's body.
+	MaxAnswerBytes int64 `yaml:"max_answer_bytes" json:"max_answer_bytes"`
+	// Places name where the service has endpoints.
+	Places []string `yaml:"places" json:"places"`
+	// Workers is the number of endpoints expected in all places together.
+	Workers int `yaml:"workers" json:"workers"`
+	// Slots is the number of requests that one endpoint runs at once.
+	Slots int `yaml:"slots" json:"slots"`
+	// Connections is the number of connections that one endpoint accepts.
+	Connections int `yaml:"connections" json:"connections"`
+}
+
+// Rule permits a shift of traffic and caps it.
+type Rule struct {
+	// Name identifies the rule.
+	Name string `yaml:"name" json:"name"`
+	// Service names the service; empty means every service.
+	Service string `yaml:"service,omitempty" json:"service,omitempty"`
+	// From and To each name a place or a region.
+	From string `yaml:"from" json:"from"`
+	To   string `yaml:"to" json:"to"`
+	// RequestsPerS caps the requests moved in any window of one second.
+	RequestsPerS int `yaml:"requests_per_s" json:"requests_per_s"`
+	// Ramp is the time in which a shift grows from a tenth to the whole cap.
+	Ramp Duration `yaml:"ramp,omitempty" json:"ramp,omitempty"`
+	// Shares split the cap over the destination's entries; empty means evenly.
+	Shares []Share `yaml:"shares,omitempty" json:"shares,omitempty"`
+}
+
+// Share is an entry's fixed part of a cap.
+type Share struct {
+	// Entry names an entry of the rule's destination.
+	Entry string `yaml:"entry" json:"entry"`
+	// Percent is the part of the cap; all shares of a rule sum to 100.
+	Percent int `yaml:"percent" json:"percent"`
+}
+
+// Drain takes a place out of use for one service or for all.
+type Drain struct {
+	// Place names the place.
+	Place string `yaml:"place" json:"place"`
+	// Service names the service; empty means every service.
+	Service string `yaml:"service,omitempty" json:"service,omitempty"`
+	// Reason is shown to other operators.
+	Reason string `yaml:"reason" json:"reason"`
+}
+
+// Operator is a person or a program that may change the document.
+type Operator struct {
+	// Name identifies the operator in the audit trail.
+	Name string `yaml:"name" json:"name"`
+	// TokenSHA256 is the hex SHA-256 of the operator's token.
+	TokenSHA256 string `yaml:"token_sha256" json:"token_sha256"`
+}
+
+// Duration is a time.Duration written as text such as "800ms".
+type Duration time.Duration
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalYAML implements yaml.Marshaler.
+func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
--- /dev/null
+++ b/internal/port/request.go
@@ -0,0 +1,93 @@
+package port
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"sassafrasreach/internal/core/verdict"
+)
+
+// Request is a caller's request on its way to an endpoint.
+type Request struct {
+	// ID identifies this attempt; an answer must echo it.
+	ID string
+	// Service names the service that is asked for.
+	Service string
+	// Origin names the place that the caller belongs to.
+	Origin string
+	// Method and Target are the HTTP method and the path with its query as the
+	// endpoint sees them.
+	Method string
+	Target string
+	// Header holds the end-to-end headers.
+	Header http.Header
+	// Body is held whole; it is bounded by the service's MaxBodyBytes.
+	Body []byte
+	// OnceOnly says that the request must not run twice.
+	OnceOnly bool
+	// Key is the once-only key; empty for idempotent requests.
+	Key string
+	// Deadline is the moment after which the answer is of no use, on this VM's
+	// clock. Between VMs it travels as the remaining time.
+	Deadline time.Time
+	// MaxAnswerBytes bounds the answer's body.
+	MaxAnswerBytes int64
+}
+
+// Response is an endpoint's answer. It exists only when the request ran.
+type Response struct {
+	// Status is the HTTP status.
+	Status int
+	// Header holds the end-to-end headers.
+	Header http.Header
+	// Body is the whole body, or its first part when Rest is set.
+	Body []byte
+	// Rest is the part of a large body that isn't held; nil when Body is the
+	// whole. A reader must treat any error but io.EOF as a truncated answer.
+	Rest io.ReadCloser
+}
+
+// Endpoint is the address of one endpoint and the incarnation that answered
+// there.
+type Endpoint struct {
+	// ID identifies the endpoint.
+	ID string
+	// Incarnation changes at each start of the endpoint.
+	Incarnation uint64
+	// Address is its IP:port.
+	Address string
+	// Connections bounds the connections that may be open to it.
+	Connections int
+}
+
+// EndpointCaller sends one request to one endpoint.
+//
+// A nil error means Ran, whatever the status. Every error is a *verdict.Error:
+// NotRun only on proof that the endpoint did not start the request (the dial
+// failed, nothing was written, or the endpoint's explicit shed answer), and
+// MayHaveRun for all else.
+type EndpointCaller interface {
+	Call(ctx context.Context, to Endpoint, req *Request) (*Response, error)
+}
+
+// Clock gives the time; tests pass their own.
+type Clock interface {
+	Now() time.Time
+}
+
+// ClockFunc adapts a function to Clock.
+type ClockFunc func() time.Time
+
+// Now implements Clock.
+func (f ClockFunc) Now() time.Time { return f() }
+
+// Answer pairs a response with its error, for queues and tests.
+type Answer struct {
+	Response *Response
+	Err      error
+}
+
+// Verdict returns the verdict of the answer.
+func (a Answer) Verdict() verdict.Verdict { return verdict.Of(a.Err) }
