--- /dev/null
+++ b/internal/core/document/duration.go
@@ -0,0 +1,48 @@
+package document
+
+import (
+	"fmt"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Duration is a time.Duration written as text such as "800ms".
+type Duration time.Duration
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalYAML implements yaml.Marshaler.
+func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
+
+// UnmarshalYAML implements yaml.Unmarshaler; its error names the line.
+func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
+	if n.Kind != yaml.ScalarNode {
+		return durationError(n)
+	}
+	if err := d.UnmarshalText([]byte(n.Value)); err != nil {
+		return durationError(n)
+	}
+	return nil
+}
+
+func durationError(n *yaml.Node) error {
+	message := fmt.Sprintf("line %d: a duration such as 800ms or 2s is wanted, got %q", n.Line, n.Value)
+	return &yaml.TypeError{Errors: []string{message}}
+}
--- a/internal/core/document/types.go
+++ b/internal/core/document/types.go
@@ -1,7 +1,5 @@
 package document
 
-import "time"
-
 // Document is the whole configuration that operators apply.
 type Document struct {
 	// Regions are the regions of the operation.
@@ -84,6 +82,10 @@
 	Slots int `yaml:"slots" json:"slots"`
 	// Connections is the number of connections that one endpoint accepts.
 	Connections int `yaml:"connections" json:"connections"`
+	// RequestBytes and AnswerBytes are the expected sizes of a request and of
+	// its answer on a link; caps in requests are weighed against links by them.
+	RequestBytes int64 `yaml:"request_bytes" json:"request_bytes"`
+	AnswerBytes  int64 `yaml:"answer_bytes" json:"answer_bytes"`
 }
 
 // Rule permits a shift of traffic and caps it.
@@ -98,7 +100,7 @@
 	// RequestsPerS caps the requests moved in any window of one second.
 	RequestsPerS int `yaml:"requests_per_s" json:"requests_per_s"`
 	// Ramp is the time in which a shift grows from a tenth to the whole cap.
-	Ramp Duration `yaml:"ramp,omitempty" json:"ramp,omitempty"`
+	Ramp Duration `yaml:"ramp" json:"ramp"`
 	// Shares split the cap over the destination's entries; empty means evenly.
 	Shares []Share `yaml:"shares,omitempty" json:"shares,omitempty"`
 }
@@ -128,27 +130,3 @@
 	// TokenSHA256 is the hex SHA-256 of the operator's token.
 	TokenSHA256 string `yaml:"token_sha256" json:"token_sha256"`
 }
-
-// Duration is a time.Duration written as text such as "800ms".
-type Duration time.Duration
-
-// Std returns the duration as a time.Duration.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return err
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// MarshalYAML implements yaml.Marshaler.
-func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
--- /dev/null
+++ b/internal/core/strictyaml/decode_test.go
@@ -0,0 +1,54 @@
+package strictyaml_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/strictyaml"
+)
+
+type item struct {
+	Name  string   `yaml:"name"`
+	Count int      `yaml:"count"`
+	Tags  []string `yaml:"tags"`
+}
+
+type sample struct {
+	Items []item `yaml:"items"`
+	On    bool   `yaml:"on"`
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	cases := []struct{ name, text, want string }{
+		{"empty", "", "line 1: the text is empty"},
+		{"unknown field", "items:\n- name: a\n  colour: red\n", "line 3: items[0].colour: unknown field"},
+		{"unknown field at the top", "extra: 1\n", "line 1: extra: unknown field"},
+		{"number", "items:\n- name: a\n- {name: b, count: many}\n", `line 3: items[1].count: a whole number is wanted, got text "many"`},
+		{"long value", "items:\n- count: a long text here\n", `line 2: items[0].count: a whole number is wanted, got text "a long ..."`},
+		{"list", "items:\n- tags: x\n", `line 2: items[0].tags: a list is wanted, got text "x"`},
+		{"mapping", "items:\n- 7\n", `line 2: items[0]: a mapping is wanted, got the number "7"`},
+		{"flag", "on: 3\n", `line 1: on: true or false is wanted, got the number "3"`},
+		{"twice", "on: true\non: false\n", `line 2: on: mapping key "on" already defined at line 1`},
+		{"second document", "on: true\n---\non: false\n", "line 2: a second document follows the first"},
+		{"two problems", "on: 3\nx: 1\n", `line 1: on: true or false is wanted, got the number "3"; line 2: x: unknown field`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			err := strictyaml.Decode([]byte(c.text), &sample{})
+			var e *strictyaml.Error
+			is.True(errors.As(err, &e))
+			is.Equal(err.Error(), c.want)
+		})
+	}
+}
+
+func TestIndexLine(t *testing.T) {
+	is := is.New(t)
+	index := strictyaml.NewIndex([]byte("on: true\nitems:\n- name: a\n- name: b\n"))
+	is.Equal(index.Line("items[1].name"), 4)
+	is.Equal(index.Line("items[1].count"), 4)
+	is.Equal(index.Line("missing"), 1)
+}
