--- a/internal/core/document/validate.go
+++ b/internal/core/document/validate.go
@@ -89,9 +89,14 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
 
+// ValidName says whether text can be the name of anything in a document.
+func ValidName(text string) bool {
+	return len(text) <= MaxNameBytes && namePattern.MatchString(text)
+}
+
 // name reports a name that is malformed or was seen before.
 func (v *validator) name(path, name string, seen map[string]string) {
-	if len(name) > MaxNameBytes || !namePattern.MatchString(name) {
+	if !ValidName(name) {
 		v.fault(path, "%q isn't a name of 1 to %d letters a-z, digits and inner hyphens", name, MaxNameBytes)
 		return
 	}
--- a/internal/core/document/validate_rule.go
+++ b/internal/core/document/validate_rule.go
@@ -164,7 +164,7 @@
 	for i, o := range v.doc.Operators {
 		path := fmt.Sprintf("operators[%d]", i)
 		v.name(path+".name", o.Name, names)
-		if !validTokenHash(o.TokenSHA256) {
+		if !ValidTokenHash(o.TokenSHA256) {
 			v.fault(path+".token_sha256", "the lower-case hex SHA-256 of a token that isn't empty is needed")
 			continue
 		}
@@ -175,7 +175,9 @@
 // sha256HexBytes is the length of a SHA-256 in hex.
 const sha256HexBytes = 64
 
-func validTokenHash(text string) bool {
+// ValidTokenHash says whether text is the lower-case hex SHA-256 of a token that
+// isn't empty.
+func ValidTokenHash(text string) bool {
 	_, err := hex.DecodeString(text)
 	return err == nil && len(text) == sha256HexBytes && text == strings.ToLower(text) && text != Digest(nil)
 }
--- a/internal/core/strictyaml/decode.go
+++ b/internal/core/strictyaml/decode.go
@@ -77,7 +77,9 @@
 	linePrefix   = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
 	unknownField = regexp.MustCompile(`^field (\S+) not found in type \S+$`)
 	doubleKey    = regexp.MustCompile(`^mapping key "(.*)" already defined`)
-	wrongType    = regexp.MustCompile("^cannot unmarshal !!(\\w+)(?: `(?s:(.*))`)? into (\\S+)$")
+	// parserError matches the errors for which the library counts lines from 0.
+	parserError = regexp.MustCompile(`^did not find expected (<.*>|node content|key|'-' indicator|',' or '.')$`)
+	wrongType   = regexp.MustCompile("^cannot unmarshal !!(\\w+)(?: `(?s:(.*))`)? into (\\S+)$")
 )
 
 // explain turns an error of the YAML library into an *Error with paths.
@@ -115,6 +117,9 @@
 		p.Message = fmt.Sprintf("%s is wanted, got %s %q", kindName(m[3]), yamlName(m[1]), m[2])
 		return p
 	}
+	if parserError.MatchString(p.Message) {
+		p.Line = min(p.Line+1, index.last)
+	}
 	p.Field = index.value(p.Line, "")
 	return p
 }
--- a/internal/core/strictyaml/decode_test.go
+++ b/internal/core/strictyaml/decode_test.go
@@ -32,6 +32,9 @@
 		{"flag", "on: 3\n", `line 1: on: true or false is wanted, got the number "3"`},
 		{"twice", "on: true\non: false\n", `line 2: on: mapping key "on" already defined at line 1`},
 		{"second document", "on: true\n---\non: false\n", "line 2: a second document follows the first"},
+		{"open list", "on: true\nitems: [\non: false\n", "line 2: did not find expected ',' or ']'"},
+		{"open list on the first line", "items: [", "line 1: did not find expected node content"},
+		{"bad character", "on: true\nitems: @\n", "line 2: found character that cannot start any token"},
 		{"two problems", "on: 3\nx: 1\n", `line 1: on: true or false is wanted, got the number "3"; line 2: x: unknown field`},
 	}
 	for _, c := range cases {
--- a/internal/core/strictyaml/index.go
+++ b/internal/core/strictyaml/index.go
@@ -1,6 +1,7 @@
 package strictyaml
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 
@@ -11,6 +12,7 @@
 type Index struct {
 	spots []spot
 	lines map[string]int
+	last  int
 }
 
 // spot is one field or list element.
@@ -21,7 +23,8 @@
 
 // NewIndex returns the index of a text. A text that isn't YAML has an empty one.
 func NewIndex(text []byte) *Index {
-	index := &Index{lines: make(map[string]int)}
+	index := &Index{lines: make(map[string]int), last: 1}
+	index.last += bytes.Count(bytes.TrimRight(text, "\n"), []byte("\n"))
 	var root yaml.Node
 	if yaml.Unmarshal(text, &root) != nil || len(root.Content) == 0 {
 		return index
