Serve the operators' interface over HTTP

Change: operatorhttp reads, validates, compares and replaces the document over port.ConfigStore, edits drains, and lists the audit trail; problem+json with typed codes; bearer tokens are judged by a quorum's newest document. Weighed: judging tokens by the newest document known locally would let an isolated control VM serve a removed operator; so no quorum, no access, but status and health need no token. A base above the version that judged the token is a conflict, so that a revoked token can't ride on a version to come. A drain's resend takes its first outcome from the audit trail before the document is edited, because the document may have moved on. Shown: TestContractGood, TestContractBad, TestNothingWithoutToken, TestBootstrapNeedsItsToken, TestLostAnswerThenResend.

--- /dev/null
+++ b/internal/adapter/operatorhttp/auth.go
@@ -0,0 +1,89 @@
+package operatorhttp
+
+import (
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/port"
+)
+
+// BootstrapOperator is the operator's name in the audit trail of the change
+// that was made with the bootstrap token.
+const BootstrapOperator = "bootstrap"
+
+// session is an authenticated request's operator, and the document in the
+// register that says so.
+type session struct {
+	operator string
+	config   port.Config
+}
+
+// authenticated calls next for requests that carry the token of an operator.
+// The token is judged by a quorum's newest document, never by a stale one: a
+// removed operator stays removed on an isolated VM.
+func (h *handler) authenticated(next func(http.ResponseWriter, *http.Request, session)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, ok := bearer(r)
+		if !ok {
+			writeProblem(w, newProblem(http.StatusUnauthorized, CodeUnauthorized, "a bearer token is needed"))
+			return
+		}
+		s, problem := h.authenticate(r, token)
+		if problem != nil {
+			writeProblem(w, problem)
+			return
+		}
+		next(w, r, s)
+	}
+}
+
+// authenticate finds the operator of a token.
+func (h *handler) authenticate(r *http.Request, token string) (session, *Problem) {
+	config, err := h.Store.Current(r.Context())
+	if err != nil {
+		return session{}, readProblem(err)
+	}
+	operator := h.operatorOf(config, document.Digest([]byte(token)))
+	if operator == "" {
+		h.Logger.Warn("operator's token refused", "remote", r.RemoteAddr, "path", r.URL.Path)
+		return session{}, newProblem(http.StatusUnauthorized, CodeUnauthorized,
+			"the token isn't of an operator in the document in force; a resend of a change that replaced the token needs the new token and the same change ID")
+	}
+	return session{operator: operator, config: config}, nil
+}
+
+// operatorOf returns the name of the operator whose token has the hash, or an
+// empty name. Hashes are compared in constant time.
+func (h *handler) operatorOf(config port.Config, hash string) string {
+	if config.Version == 0 {
+		if h.BootstrapTokenSHA256 != "" && equalHash(h.BootstrapTokenSHA256, hash) {
+			return BootstrapOperator
+		}
+		return ""
+	}
+	doc, err := document.Parse(config.Document)
+	if err != nil {
+		h.Logger.Error("document in the register can't be read", "version", config.Version, "error", err)
+		return ""
+	}
+	name := ""
+	for _, o := range doc.Operators {
+		if equalHash(o.TokenSHA256, hash) {
+			name = o.Name
+		}
+	}
+	return name
+}
+
+func equalHash(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
+
+// bearer returns the request's bearer token (RFC 6750, section 2.1).
+func bearer(r *http.Request) (string, bool) {
+	scheme, token, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	token = strings.TrimSpace(token)
+	return token, ok && strings.EqualFold(scheme, "Bearer") && token != ""
+}
--- /dev/null
+++ b/internal/adapter/operatorhttp/contract_test.go
@@ -0,0 +1,206 @@
+package operatorhttp_test
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/adapter/operatorhttp"
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/port/porttest"
+)
+
+const token = "demo-token"
+
+// demo returns the text of the small example.
+func demo(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../../examples/demo.yaml")
+	is.New(t).NoErr(err)
+	return string(text)
+}
+
+func newHandler(store port.ConfigStore) http.Handler {
+	return operatorhttp.New(operatorhttp.Options{
+		Store:                store,
+		BootstrapTokenSHA256: document.Digest([]byte("first")),
+		Logger:               slog.New(slog.DiscardHandler),
+	})
+}
+
+// call sends one request and returns the recorded answer.
+func call(h http.Handler, method, target, token, id, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	if id != "" {
+		r.Header.Set(operatorhttp.HeaderChangeID, id)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// started returns a store that has the demo document as version 1.
+func started(t *testing.T) (*porttest.Store, http.Handler) {
+	t.Helper()
+	store := &porttest.Store{}
+	h := newHandler(store)
+	w := call(h, "PUT", "/v1/document?base=0", "first", "start", demo(t))
+	is.New(t).Equal(w.Code, http.StatusOK)
+	return store, h
+}
+
+func code(t *testing.T, w *httptest.ResponseRecorder) operatorhttp.Code {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(w.Header().Get("Content-Type"), "application/problem+json")
+	var p operatorhttp.Problem
+	is.NoErr(json.Unmarshal(w.Body.Bytes(), &p))
+	is.Equal(p.Status, w.Code)
+	is.True(strings.HasSuffix(p.Type, string(p.Code)))
+	return p.Code
+}
+
+func TestContractGood(t *testing.T) {
+	drain := `{"place":"norte-a","reason":"repair"}`
+	cases := []struct {
+		name, method, target, id, body string
+		status                         int
+		contains                       string
+	}{
+		{"health", "GET", "/healthz", "", "", 200, "true"},
+		{"readiness", "GET", "/readyz", "", "", 200, "true"},
+		{"status", "GET", "/v1/status", "", "", 200, `"version":1`},
+		{"document", "GET", "/v1/document", "", "", 200, "belt-control"},
+		{"replace", "PUT", "/v1/document?base=1", "x", "DEMO", 200, `"state":"accepted","version":2`},
+		{"resend", "PUT", "/v1/document?base=0", "start", "DEMO", 200, `"state":"accepted","version":1`},
+		{"validate", "POST", "/v1/validate", "", "DEMO", 200, `"entries":4`},
+		{"diff", "POST", "/v1/diff", "", "DEMO", 200, `"differences":[]`},
+		{"audit", "GET", "/v1/audit", "", "", 200, `"operator":"bootstrap"`},
+		{"drain", "POST", "/v1/drains", "x", drain, 200, `"version":2`},
+		{"lift", "DELETE", "/v1/quarantine/abc", "", "", 204, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, h := started(t)
+			w := call(h, c.method, c.target, token, c.id, strings.Replace(c.body, "DEMO", demo(t), 1))
+			is.Equal(w.Code, c.status)
+			is.True(strings.Contains(w.Body.String(), c.contains)) // w.Body
+		})
+	}
+}
+
+func TestContractBad(t *testing.T) {
+	drain := `{"place":"norte-a","reason":"repair"}`
+	noQuorum := func(s *porttest.Store) { s.NoQuorum = true }
+	lost := func(s *porttest.Store) { s.LoseAnswers = 1 }
+	cases := []struct {
+		name, method, target, id, body string
+		fault                          func(*porttest.Store)
+		status                         int
+		code                           operatorhttp.Code
+	}{
+		{"no such path", "GET", "/v2/document", "", "", nil, 404, operatorhttp.CodeNotFound},
+		{"no such method", "PATCH", "/v1/document", "", "", nil, 405, operatorhttp.CodeMethod},
+		{"no base", "PUT", "/v1/document", "x", "DEMO", nil, 400, operatorhttp.CodeBadRequest},
+		{"no change ID", "PUT", "/v1/document?base=1", "", "DEMO", nil, 400, operatorhttp.CodeBadRequest},
+		{"bad change ID", "PUT", "/v1/document?base=1", "a b", "DEMO", nil, 400, operatorhttp.CodeBadRequest},
+		{"older base", "PUT", "/v1/document?base=0", "x", "DEMO", nil, 409, operatorhttp.CodeConflict},
+		{"base to come", "PUT", "/v1/document?base=2", "x", "DEMO", nil, 409, operatorhttp.CodeConflict},
+		{"faults", "PUT", "/v1/document?base=1", "x", "regions: []\n", nil, 422, operatorhttp.CodeInvalid},
+		{"not YAML", "PUT", "/v1/document?base=1", "x", "{", nil, 422, operatorhttp.CodeInvalid},
+		{"too large", "PUT", "/v1/document?base=1", "x", strings.Repeat("#", document.MaxTextBytes+1), nil, 413, operatorhttp.CodeTooLarge},
+		{"no quorum", "PUT", "/v1/document?base=1", "x", "DEMO", noQuorum, 503, operatorhttp.CodeNoQuorum},
+		{"answer lost", "PUT", "/v1/document?base=1", "x", "DEMO", lost, 504, operatorhttp.CodeUnknown},
+		{"not ready", "GET", "/readyz", "", "", noQuorum, 503, operatorhttp.CodeNoQuorum},
+		{"read without quorum", "GET", "/v1/document", "", "", noQuorum, 503, operatorhttp.CodeNoQuorum},
+		{"validate faults", "POST", "/v1/validate", "", "regions: []\n", nil, 422, operatorhttp.CodeInvalid},
+		{"diff of no YAML", "POST", "/v1/diff", "", "{", nil, 422, operatorhttp.CodeInvalid},
+		{"drain of no place", "POST", "/v1/drains", "x", `{"place":"norte-z","reason":"r"}`, nil, 422, operatorhttp.CodeInvalid},
+		{"drain without reason", "POST", "/v1/drains", "x", `{"place":"norte-a"}`, nil, 422, operatorhttp.CodeInvalid},
+		{"drain with more", "POST", "/v1/drains", "x", `{"place":"norte-a","until":"8"}`, nil, 400, operatorhttp.CodeBadRequest},
+		{"two drains", "POST", "/v1/drains", "x", drain + drain, nil, 400, operatorhttp.CodeBadRequest},
+		{"no drain", "DELETE", "/v1/drains?place=norte-a", "x", "", nil, 404, operatorhttp.CodeNotFound},
+		{"lift without quorum", "DELETE", "/v1/quarantine/abc", "", "", noQuorum, 503, operatorhttp.CodeNoQuorum},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			store, h := started(t)
+			if c.fault != nil {
+				c.fault(store)
+			}
+			w := call(h, c.method, c.target, token, c.id, strings.Replace(c.body, "DEMO", demo(t), 1))
+			is.Equal(w.Code, c.status)
+			is.Equal(code(t, w), c.code)
+		})
+	}
+}
+
+// TestNothingWithoutToken sends every request that reads or changes the
+// document without a token, with a wrong one, and with the bootstrap token
+// after there is a document.
+func TestNothingWithoutToken(t *testing.T) {
+	requests := []struct{ method, target string }{
+		{"GET", "/v1/document"}, {"PUT", "/v1/document?base=1"}, {"POST", "/v1/validate"},
+		{"POST", "/v1/diff"}, {"GET", "/v1/audit"}, {"POST", "/v1/drains"},
+		{"DELETE", "/v1/drains?place=norte-a"}, {"DELETE", "/v1/quarantine/abc"},
+	}
+	for _, r := range requests {
+		for _, wrong := range []string{"", "other", "first", document.Digest([]byte(token))} {
+			t.Run(r.method+r.target+wrong, func(t *testing.T) {
+				is := is.New(t)
+				store, h := started(t)
+				w := call(h, r.method, r.target, wrong, "x", demo(t))
+				is.Equal(w.Code, http.StatusUnauthorized)
+				is.Equal(code(t, w), operatorhttp.CodeUnauthorized)
+				config, err := store.Current(t.Context())
+				is.NoErr(err)
+				is.Equal(config.Version, uint64(1))
+				is.Equal(len(store.Lifted), 0)
+			})
+		}
+	}
+}
+
+func TestBootstrapNeedsItsToken(t *testing.T) {
+	is := is.New(t)
+	store := &porttest.Store{}
+	w := call(newHandler(store), "PUT", "/v1/document?base=0", token, "x", demo(t))
+	is.Equal(w.Code, http.StatusUnauthorized)
+	without := operatorhttp.New(operatorhttp.Options{Store: store, Logger: slog.New(slog.DiscardHandler)})
+	w = call(without, "PUT", "/v1/document?base=0", "first", "x", demo(t))
+	is.Equal(w.Code, http.StatusUnauthorized)
+	_, err := io.Copy(io.Discard, w.Body)
+	is.NoErr(err)
+}
+
+// TestLostAnswerThenResend checks that a resend gets the first outcome, of a
+// whole document and of a drain whose document has moved on.
+func TestLostAnswerThenResend(t *testing.T) {
+	is := is.New(t)
+	store, h := started(t)
+	store.LoseAnswers = 1
+	drain := `{"place":"norte-a","reason":"repair"}`
+	is.Equal(call(h, "POST", "/v1/drains", token, "d1", drain).Code, http.StatusGatewayTimeout)
+	is.Equal(call(h, "DELETE", "/v1/drains?place=norte-a", token, "d2", "").Code, http.StatusOK)
+	w := call(h, "POST", "/v1/drains", token, "d1", drain)
+	is.Equal(w.Code, http.StatusOK)
+	var outcome port.Outcome
+	is.NoErr(json.Unmarshal(w.Body.Bytes(), &outcome))
+	is.Equal(outcome.Version, uint64(2))
+	config, err := store.Current(t.Context())
+	is.NoErr(err)
+	is.Equal(config.Version, uint64(3))
+}
--- /dev/null
+++ b/internal/adapter/operatorhttp/drain.go
@@ -0,0 +1,123 @@
+package operatorhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/go-chi/chi/v5"
+
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/port"
+)
+
+// maxDrainBytes bounds the body of a DrainRequest.
+const maxDrainBytes = 4 << 10
+
+func (h *handler) addDrain(w http.ResponseWriter, r *http.Request, s session) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDrainBytes))
+	decoder.DisallowUnknownFields()
+	var request DrainRequest
+	if err := decoder.Decode(&request); err != nil {
+		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the body isn't a drain: "+err.Error()))
+		return
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the body goes on after the drain"))
+		return
+	}
+	h.edit(w, r, s, func(doc *document.Document) *Problem {
+		for _, d := range doc.Drains {
+			if d.Place == request.Place && d.Service == request.Service {
+				return newProblem(http.StatusConflict, CodeConflict, "the place is already drained: "+d.Reason)
+			}
+		}
+		doc.Drains = append(doc.Drains, document.Drain(request))
+		return nil
+	})
+}
+
+func (h *handler) removeDrain(w http.ResponseWriter, r *http.Request, s session) {
+	place := r.URL.Query().Get(QueryPlace)
+	service := r.URL.Query().Get(QueryService)
+	h.edit(w, r, s, func(doc *document.Document) *Problem {
+		before := len(doc.Drains)
+		doc.Drains = slices.DeleteFunc(doc.Drains, func(d document.Drain) bool {
+			return d.Place == place && d.Service == service
+		})
+		if len(doc.Drains) == before {
+			return newProblem(http.StatusNotFound, CodeNotFound, "there is no such drain")
+		}
+		return nil
+	})
+}
+
+// edit submits the document in force with one alteration. A resend whose first
+// outcome stands in the audit trail gets that one, because the document it
+// would be made from may have moved on since.
+func (h *handler) edit(w http.ResponseWriter, r *http.Request, s session, alter func(*document.Document) *Problem) {
+	id := r.Header.Get(HeaderChangeID)
+	first, found, err := h.firstOutcome(r, id)
+	if err != nil {
+		writeProblem(w, readProblem(err))
+		return
+	}
+	if found {
+		writeOutcome(w, first)
+		return
+	}
+	doc, err := currentDocument(s.config)
+	if err != nil {
+		writeProblem(w, newProblem(http.StatusInternalServerError, CodeInternal, err.Error()))
+		return
+	}
+	if problem := alter(doc); problem != nil {
+		writeProblem(w, problem)
+		return
+	}
+	text, err := document.Marshal(doc)
+	if err != nil {
+		writeProblem(w, newProblem(http.StatusInternalServerError, CodeInternal, err.Error()))
+		return
+	}
+	h.submit(w, r, port.Change{ID: id, Operator: s.operator, BaseVersion: s.config.Version, Document: text})
+}
+
+// firstOutcome looks a change up in the audit trail.
+func (h *handler) firstOutcome(r *http.Request, id string) (port.Outcome, bool, error) {
+	records, err := h.Store.Audit(r.Context())
+	if err != nil {
+		return port.Outcome{}, false, err
+	}
+	for _, record := range records {
+		if record.ChangeID == id {
+			return port.Outcome{
+				ChangeID: id,
+				State:    record.State,
+				Version:  record.To,
+				Digest:   record.Digest,
+				Operator: record.Operator,
+			}, true, nil
+		}
+	}
+	return port.Outcome{}, false, nil
+}
+
+func writeOutcome(w http.ResponseWriter, outcome port.Outcome) {
+	if problem := outcomeProblem(outcome); problem != nil {
+		writeProblem(w, problem)
+		return
+	}
+	writeJSON(w, outcome)
+}
+
+func (h *handler) liftQuarantine(w http.ResponseWriter, r *http.Request, s session) {
+	fingerprint := chi.URLParam(r, "fingerprint")
+	if err := h.Store.LiftQuarantine(r.Context(), s.operator, fingerprint); err != nil {
+		writeProblem(w, readProblem(err))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/adapter/operatorhttp/handler.go
@@ -0,0 +1,134 @@
+package operatorhttp
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"sassafrasreach/internal/port"
+)
+
+// DefaultTimeout bounds the work on one request.
+const DefaultTimeout = 10 * time.Second
+
+// Options are what the handler works with.
+type Options struct {
+	// Store is the register of the document.
+	Store port.ConfigStore
+	// BootstrapTokenSHA256 is the hex SHA-256 of the token that may apply the
+	// first document; empty means that nobody may. It counts only while there
+	// is no document.
+	BootstrapTokenSHA256 string
+	// Clock gives the time.
+	Clock port.Clock
+	// Logger takes the log; nil means slog.Default.
+	Logger *slog.Logger
+	// Timeout bounds the work on one request; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// RecordRefused puts a change with faults, which is never submitted, into
+	// the audit trail; nil means that it is only logged.
+	RecordRefused func(ctx context.Context, change port.Change) error
+}
+
+// Handler answers operators.
+type handler struct {
+	Options
+}
+
+// New returns the operators' interface.
+func New(options Options) http.Handler {
+	if options.Logger == nil {
+		options.Logger = slog.Default()
+	}
+	if options.Clock == nil {
+		options.Clock = port.ClockFunc(time.Now)
+	}
+	if options.Timeout == 0 {
+		options.Timeout = DefaultTimeout
+	}
+	h := &handler{Options: options}
+	r := chi.NewRouter()
+	r.Use(h.bounded)
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, "there is nothing at "+r.URL.Path))
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, newProblem(http.StatusMethodNotAllowed, CodeMethod, r.URL.Path+" has no "+r.Method))
+	})
+	r.Get("/healthz", h.healthz)
+	r.Get("/readyz", h.readyz)
+	r.Get("/v1/status", h.status)
+	r.Get("/v1/document", h.authenticated(h.getDocument))
+	r.Put("/v1/document", h.authenticated(h.putDocument))
+	r.Post("/v1/validate", h.authenticated(h.validate))
+	r.Post("/v1/diff", h.authenticated(h.diff))
+	r.Get("/v1/audit", h.authenticated(h.audit))
+	r.Post("/v1/drains", h.authenticated(h.addDrain))
+	r.Delete("/v1/drains", h.authenticated(h.removeDrain))
+	r.Delete("/v1/quarantine/{fingerprint}", h.authenticated(h.liftQuarantine))
+	return r
+}
+
+// bounded gives each request the handler's timeout.
+func (h *handler) bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), h.Timeout)
+		defer cancel()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func (h *handler) healthz(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, struct {
+		Healthy bool `json:"healthy"`
+	}{true})
+}
+
+// readyz says whether changes can be decided through this VM.
+func (h *handler) readyz(w http.ResponseWriter, r *http.Request) {
+	status, err := h.Store.Status(r.Context())
+	if err != nil {
+		writeProblem(w, readProblem(err))
+		return
+	}
+	if !status.Quorum {
+		writeProblem(w, readProblem(port.ErrNoQuorum))
+		return
+	}
+	writeJSON(w, struct {
+		Ready bool `json:"ready"`
+	}{true})
+}
+
+func (h *handler) status(w http.ResponseWriter, r *http.Request) {
+	status, err := h.Store.Status(r.Context())
+	if err != nil {
+		writeProblem(w, readProblem(err))
+		return
+	}
+	writeJSON(w, status)
+}
+
+func (h *handler) audit(w http.ResponseWriter, r *http.Request, _ session) {
+	records, err := h.Store.Audit(r.Context())
+	if err != nil {
+		writeProblem(w, readProblem(err))
+		return
+	}
+	if records == nil {
+		records = []port.AuditRecord{}
+	}
+	writeJSON(w, records)
+}
+
+// readProblem is the problem of a read that failed.
+func readProblem(err error) *Problem {
+	if errors.Is(err, port.ErrNoQuorum) || errors.Is(err, context.DeadlineExceeded) {
+		return newProblem(http.StatusServiceUnavailable, CodeNoQuorum, "too few control VMs answer: "+err.Error())
+	}
+	return newProblem(http.StatusInternalServerError, CodeInternal, err.Error())
+}
--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -37,7 +37,7 @@
 // *Error that tells the first fault.
 func LoadControl(path string) (Control, error) {
 	c := Control{LogLevel: DefaultLogLevel}
-	if err := load(path, &c, func() []Fault { return c.Validate() }); err != nil {
+	if err := load(path, &c, c.Validate); err != nil {
 		return Control{}, err
 	}
 	return c, nil
@@ -47,7 +47,7 @@
 // *Error that tells the first fault.
 func LoadEntry(path string) (Entry, error) {
 	e := Entry{LogLevel: DefaultLogLevel, DrainLimit: Duration(DefaultDrainLimit)}
-	if err := load(path, &e, func() []Fault { return e.Validate() }); err != nil {
+	if err := load(path, &e, e.Validate); err != nil {
 		return Entry{}, err
 	}
 	return e, nil
--- a/internal/adapter/settings/validate.go
+++ b/internal/adapter/settings/validate.go
@@ -83,7 +83,7 @@
 }
 
 // Validate returns all faults of the settings.
-func (c Control) Validate() []Fault {
+func (c *Control) Validate() []Fault {
 	var fs faults
 	fs.name("name", c.Name)
 	fs.needed("data_dir", c.DataDir)
@@ -100,7 +100,7 @@
 	return fs
 }
 
-func (c Control) members(fs *faults) {
+func (c *Control) members(fs *faults) {
 	if !slices.Contains(memberCounts, len(c.Members)) {
 		fs.add("members", "there are %d members; 3 or 5 are needed", len(c.Members))
 		return
@@ -126,7 +126,7 @@
 }
 
 // Validate returns all faults of the settings.
-func (e Entry) Validate() []Fault {
+func (e *Entry) Validate() []Fault {
 	var fs faults
 	fs.name("name", e.Name)
 	fs.name("place", e.Place)
--- a/internal/core/document/fault.go
+++ b/internal/core/document/fault.go
@@ -28,7 +28,7 @@
 
 // Faults is all that is wrong with a document. It is an error that wraps
 // ErrInvalid.
-type Faults []Fault
+type Faults []Fault //nolint:errname // a list that is also an error
 
 // Error implements error.
 func (fs Faults) Error() string {
--- a/internal/core/document/lookup.go
+++ b/internal/core/document/lookup.go
@@ -62,3 +62,23 @@
 	}
 	return false
 }
+
+// EntryCount returns the number of entries of all places.
+func (d *Document) EntryCount() int {
+	count := 0
+	for i := range d.Places {
+		count += len(d.Places[i].Entries)
+	}
+	return count
+}
+
+// EntryNames returns the names of all entries in the document's order.
+func (d *Document) EntryNames() []string {
+	names := make([]string, 0, d.EntryCount())
+	for i := range d.Places {
+		for _, e := range d.Places[i].Entries {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/port/porttest/store.go
@@ -0,0 +1,121 @@
+package porttest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/port"
+)
+
+// Store is a port.ConfigStore in memory with faults to switch on. Its fields
+// may be set between requests, before other goroutines use it.
+type Store struct {
+	// NoQuorum makes every decision fail with port.ErrNoQuorum.
+	NoQuorum bool
+	// LoseAnswers is the number of changes whose outcome gets lost on the way
+	// back; they are decided all the same.
+	LoseAnswers int
+	// Entries are what Status reports.
+	Entries []port.EntryStatus
+	// Lifted are the fingerprints that were lifted, with the operator.
+	Lifted []string
+
+	mu       sync.Mutex
+	current  port.Config
+	audit    []port.AuditRecord
+	outcomes map[string]port.Outcome
+}
+
+var _ port.ConfigStore = (*Store)(nil)
+
+// Current implements port.ConfigStore.
+func (s *Store) Current(context.Context) (port.Config, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.NoQuorum {
+		return port.Config{}, port.ErrNoQuorum
+	}
+	return s.current, nil
+}
+
+// Submit implements port.ConfigStore.
+func (s *Store) Submit(_ context.Context, change port.Change) (port.Outcome, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.NoQuorum {
+		return port.Outcome{}, port.ErrNoQuorum
+	}
+	outcome, resent := s.outcomes[change.ID]
+	if !resent {
+		outcome = s.decide(change)
+	}
+	if s.LoseAnswers > 0 {
+		s.LoseAnswers--
+		return port.Outcome{ChangeID: change.ID, State: port.ChangeUnknown}, nil
+	}
+	return outcome, nil
+}
+
+// decide must be called with mu held.
+func (s *Store) decide(change port.Change) port.Outcome {
+	outcome := port.Outcome{ChangeID: change.ID, State: port.ChangeConflict}
+	from := s.current.Version
+	if change.BaseVersion == from {
+		outcome.State = port.ChangeAccepted
+		outcome.Operator = change.Operator
+		s.current = port.Config{Version: from + 1, Digest: document.Digest(change.Document), Document: change.Document}
+	} else if len(s.audit) > 0 {
+		outcome.Operator = s.audit[len(s.audit)-1].Operator
+	}
+	outcome.Version = s.current.Version
+	outcome.Digest = s.current.Digest
+	s.audit = append(s.audit, port.AuditRecord{
+		Time: time.Unix(int64(len(s.audit)), 0).UTC(), Operator: change.Operator, ChangeID: change.ID,
+		From: change.BaseVersion, To: outcome.Version, Digest: outcome.Digest, State: outcome.State,
+	})
+	if s.outcomes == nil {
+		s.outcomes = make(map[string]port.Outcome)
+	}
+	s.outcomes[change.ID] = outcome
+	return outcome
+}
+
+// Audit implements port.ConfigStore.
+func (s *Store) Audit(context.Context) ([]port.AuditRecord, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.NoQuorum {
+		return nil, port.ErrNoQuorum
+	}
+	return append([]port.AuditRecord(nil), s.audit...), nil
+}
+
+// Status implements port.ConfigStore.
+func (s *Store) Status(context.Context) (port.ControlStatus, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return port.ControlStatus{
+		Member: "c1", Quorum: !s.NoQuorum, Version: s.current.Version, Digest: s.current.Digest,
+		Entries: append([]port.EntryStatus(nil), s.Entries...),
+	}, nil
+}
+
+// LiftQuarantine implements port.ConfigStore.
+func (s *Store) LiftQuarantine(_ context.Context, operator, fingerprint string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.NoQuorum {
+		return port.ErrNoQuorum
+	}
+	s.Lifted = append(s.Lifted, operator+" "+fingerprint)
+	return nil
+}
+
+// SetEntries replaces what Status reports; it may be called at any time.
+func (s *Store) SetEntries(entries []port.EntryStatus) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Entries = entries
+}
