Add the ranking of places and the admission of a group

Cause: an entry must answer look-ups from local state, and the owner of a group must decide on each request at once, whatever endpoints report.

Ruled out: granting by reported load (it lags and lies) and deriving the order from a random draw (the same view must give the same ranking).

--- /dev/null
+++ b/internal/core/admission/property_test.go
@@ -0,0 +1,181 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrasreach/internal/core/admission"
+	"sassafrasreach/internal/port"
+)
+
+// model checks a group against what was announced, offered and cancelled.
+type model struct {
+	t         *rapid.T
+	g         *admission.Group
+	now       time.Time
+	nextID    uint64
+	sequence  uint64
+	live      map[string]admission.Announcement // newest ready report
+	left      map[string]uint64                 // highest incarnation that left
+	inFlight  map[string]int                    // per endpoint and incarnation
+	flights   map[uint64]string
+	queued    map[uint64]bool
+	withdrawn map[uint64]bool // cancelled or expired
+}
+
+func key(id string, incarnation uint64) string { return fmt.Sprintf("%s/%d", id, incarnation) }
+
+func (m *model) granted(ticket uint64, to port.Endpoint) {
+	if m.withdrawn[ticket] {
+		m.t.Fatalf("ticket %d granted after it was cancelled or expired", ticket)
+	}
+	if to.Incarnation <= m.left[to.ID] {
+		m.t.Fatalf("ticket %d granted to %v, which left", ticket, to)
+	}
+	k := key(to.ID, to.Incarnation)
+	m.inFlight[k]++
+	if slots := m.live[to.ID].Slots; m.inFlight[k] > slots {
+		m.t.Fatalf("%d requests on %v, which has %d slots", m.inFlight[k], to, slots)
+	}
+	delete(m.queued, ticket)
+	m.flights[ticket] = k
+}
+
+func (m *model) grants(grants []admission.Grant) {
+	for _, grant := range grants {
+		m.granted(grant.Ticket, grant.Endpoint)
+	}
+}
+
+func (m *model) announce(t *rapid.T) {
+	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+	m.sequence++
+	a := admission.Announcement{
+		ID:          id,
+		Incarnation: uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")),
+		Sequence:    m.sequence,
+		Slots:       rapid.IntRange(0, 4).Draw(t, "slots"),
+		State:       admission.State(rapid.IntRange(0, 2).Draw(t, "state")),
+		Load:        rapid.Float64Range(0, 1).Draw(t, "load"),
+	}
+	if rapid.Bool().Draw(t, "old") {
+		a.Sequence = uint64(rapid.IntRange(0, int(m.sequence)).Draw(t, "sequence"))
+	}
+	m.g.Announce(m.now, a)
+	if a.State == admission.Leaving && a.Incarnation >= m.live[id].Incarnation {
+		m.left[id] = max(m.left[id], a.Incarnation)
+	}
+	last, ok := m.live[id]
+	newer := a.Incarnation > last.Incarnation ||
+		a.Incarnation == last.Incarnation && a.Sequence > last.Sequence
+	if !ok || newer {
+		m.live[id] = a
+	}
+}
+
+func (m *model) offer(t *rapid.T) {
+	m.nextID++
+	ticket := admission.Ticket{
+		ID:       m.nextID,
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond),
+		Own:      rapid.Bool().Draw(t, "own"),
+	}
+	if rapid.Bool().Draw(t, "retry") {
+		ticket.Exclude = []string{"a"}
+	}
+	d := m.g.Offer(m.now, ticket)
+	switch d.Kind {
+	case admission.Granted:
+		m.granted(ticket.ID, d.Endpoint)
+	case admission.Queued:
+		m.queued[ticket.ID] = true
+	case admission.Refused:
+		m.withdrawn[ticket.ID] = true
+	}
+}
+
+func (m *model) done(t *rapid.T) {
+	for id, k := range m.flights { // any order: the draw below decides the result
+		if id != m.lowestFlight() {
+			continue
+		}
+		delete(m.flights, id)
+		m.inFlight[k]--
+		r := admission.Result{
+			Kind:    admission.ResultKind(rapid.IntRange(0, 4).Draw(t, "kind")),
+			Latency: time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * time.Millisecond,
+		}
+		m.grants(m.g.Done(m.now, id, r))
+		return
+	}
+}
+
+func (m *model) lowestFlight() uint64 { return lowest(m.flights) }
+
+func lowest[V any](set map[uint64]V) uint64 {
+	least := ^uint64(0)
+	for id := range set {
+		least = min(least, id)
+	}
+	return least
+}
+
+func (m *model) cancel(_ *rapid.T) {
+	id := lowest(m.queued)
+	removed := m.g.Cancel(m.now, id)
+	if removed != m.queued[id] {
+		m.t.Fatalf("cancel of %d: removed %v, was queued %v", id, removed, m.queued[id])
+	}
+	delete(m.queued, id)
+	m.withdrawn[id] = true
+}
+
+func (m *model) tick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "step")) * time.Millisecond)
+	grants, expired := m.g.Tick(m.now)
+	m.grants(grants)
+	for _, id := range expired {
+		if !m.queued[id] {
+			m.t.Fatalf("ticket %d expired but was not queued", id)
+		}
+		delete(m.queued, id)
+		m.withdrawn[id] = true
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	s := m.g.Stats(m.now)
+	if s.Queued > len(m.queued) {
+		t.Fatalf("%d queued, want at most %d", s.Queued, len(m.queued))
+	}
+}
+
+// TestGroupKeepsItsPromises runs random interleavings of announcements (also
+// late and crossed ones), offers, ends, cancels, losses and the passing of time.
+func TestGroupKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			t:         t,
+			g:         admission.NewGroup(admission.Config{ReservePercent: 30}),
+			now:       time.Unix(1_800_000_000, 0),
+			live:      map[string]admission.Announcement{},
+			left:      map[string]uint64{},
+			inFlight:  map[string]int{},
+			flights:   map[uint64]string{},
+			queued:    map[uint64]bool{},
+			withdrawn: map[uint64]bool{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": m.announce,
+			"offer":    m.offer,
+			"offer2":   m.offer,
+			"done":     m.done,
+			"cancel":   m.cancel,
+			"tick":     m.tick,
+			"":         m.check,
+		})
+	})
+}
--- /dev/null
+++ b/internal/core/steering/rank.go
@@ -0,0 +1,249 @@
+package steering
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// staleAfter is the age from which a group's state no longer counts as
+	// known.
+	staleAfter = 5 * time.Second
+	// waitPart is the part of a service's deadline (one over it) that a request
+	// may wait for a slot in its own place before other places come first.
+	waitPart = 8
+	// defaultDeadline stands in for a service without one.
+	defaultDeadline = time.Second
+	// headroomSteps is the number of classes of headroom; groups of one class
+	// count as equal, so that small differences in late views don't send all
+	// traffic to one place.
+	headroomSteps = 5
+	// nearRoundTrip and farRoundTrip stand in for a round trip that was not
+	// measured, inside a region and between regions.
+	nearRoundTrip = 2 * time.Millisecond
+	farRoundTrip  = 100 * time.Millisecond
+	// roundTripStep is the difference of round trips that matters for ranking.
+	roundTripStep = 10 * time.Millisecond
+)
+
+// Choice is one place that may answer a request.
+type Choice struct {
+	// Place names the place.
+	Place string
+	// Rules names every rule of the document that the request crosses; it needs
+	// a token of each. Empty for the place of origin.
+	Rules []string
+	// Links are the bounded links that the request crosses: the one that
+	// carries its body, then the one that carries the answer. A link that the
+	// document doesn't bound is left out.
+	Links []LinkID
+}
+
+// tier orders candidates before all else.
+type tier uint8
+
+const (
+	tierOrigin   tier = iota // the place of origin, in good state
+	tierNear                 // the same region
+	tierFar                  // other regions
+	tierBusy                 // the place of origin, overloaded
+	tierStale                // known only from old reports
+	tierDraining             // the place of origin, drained
+)
+
+// candidate is a permitted place with what orders it.
+type candidate struct {
+	choice   Choice
+	tier     tier
+	headroom int // class, higher is better
+	distance int // class, lower is better
+	spread   uint64
+}
+
+// Rank returns the places that may answer a request, best first. The place of
+// origin leads unless it is drained, dead or overloaded; an overloaded or
+// drained origin that still has endpoints comes after the places that rules
+// permit. Other drained places, places whose reserve forbids more spilled-in
+// work and dead places are not named. The result is empty when the service is
+// unknown or nothing can answer. The same view gives the same result.
+func (t *Table) Rank(service, origin string, view View) []Choice {
+	s, ok := t.services[service]
+	if !ok {
+		return nil
+	}
+	trustOld := t.mostlyStale(s, view)
+	candidates := make([]candidate, 0, len(s.doc.Places))
+	for _, name := range s.doc.Places {
+		group, ok := view.Group(service, name)
+		if !ok || !group.usable() {
+			continue
+		}
+		if trustOld {
+			group.Age = 0
+		}
+		c, ok := t.candidate(s, origin, name, group)
+		if ok {
+			candidates = append(candidates, c)
+		}
+	}
+	slices.SortFunc(candidates, compare)
+	choices := make([]Choice, len(candidates))
+	for i := range candidates {
+		choices[i] = candidates[i].choice
+	}
+	return choices
+}
+
+// mostlyStale says whether over half of the service's known groups are stale.
+// That is a fault of measurement, so the last state is kept.
+func (t *Table) mostlyStale(s *service, view View) bool {
+	known, stale := 0, 0
+	for _, name := range s.doc.Places {
+		group, ok := view.Group(s.doc.Name, name)
+		if !ok || !group.usable() {
+			continue
+		}
+		known++
+		if group.Age > staleAfter {
+			stale++
+		}
+	}
+	return 2*stale > known
+}
+
+func (t *Table) candidate(s *service, origin, name string, group GroupView) (candidate, bool) {
+	if name == origin {
+		return t.originCandidate(s, origin, group), true
+	}
+	if t.Drained(s.doc.Name, name) {
+		return candidate{}, false
+	}
+	rules := t.rules(s, origin, name)
+	if len(rules) == 0 {
+		return candidate{}, false
+	}
+	own := t.Own(origin, name)
+	if !t.roomFor(name, group, own) {
+		return candidate{}, false
+	}
+	c := candidate{
+		choice:   Choice{Place: name, Rules: rules, Links: t.crossed(origin, name)},
+		tier:     tierFar,
+		headroom: int(group.headroom() * headroomSteps),
+		distance: int(roundTrip(group, own) / roundTripStep),
+		spread:   spread(s.doc.Name, origin, name),
+	}
+	if own {
+		c.tier = tierNear
+	}
+	if group.Age > staleAfter {
+		c.tier = tierStale
+	}
+	return c, true
+}
+
+func (t *Table) originCandidate(s *service, origin string, group GroupView) candidate {
+	c := candidate{choice: Choice{Place: origin}, tier: tierOrigin}
+	deadline := s.doc.Deadline.Std()
+	if deadline <= 0 {
+		deadline = defaultDeadline
+	}
+	switch {
+	case t.Drained(s.doc.Name, origin):
+		c.tier = tierDraining
+	case group.wait() > deadline/waitPart:
+		c.tier = tierBusy
+	}
+	return c
+}
+
+// roomFor says whether a group may take one more request from another place.
+// Work from another region stays below the region's reserve.
+func (t *Table) roomFor(name string, group GroupView, own bool) bool {
+	limit := group.Slots
+	if !own {
+		limit = SpillSlots(group.Slots, t.places[t.indexes[name]].reserve)
+	}
+	return group.taken() < limit
+}
+
+// SpillSlots returns how many of a group's slots spilled-in work may use, with
+// the given reserve in percent.
+func SpillSlots(slots, reservePercent int) int {
+	return slots * (100 - reservePercent) / 100
+}
+
+// rules returns the names of all rules that a request from origin to place
+// crosses, or nil when none matches or one of them moves nothing.
+func (t *Table) rules(s *service, origin, place string) []string {
+	var names []string
+	for i := range s.rules {
+		rule := &s.rules[i]
+		if !t.within(origin, rule.From) || !t.within(place, rule.To) {
+			continue
+		}
+		if rule.RequestsPerS <= 0 {
+			return nil
+		}
+		names = append(names, rule.Name)
+	}
+	return names
+}
+
+// within says whether a place is, or lies in, what a rule names.
+func (t *Table) within(place, name string) bool {
+	if place == name {
+		return true
+	}
+	region, ok := t.Region(place)
+	return ok && region == name
+}
+
+// crossed returns the bounded links between the regions of two places.
+func (t *Table) crossed(origin, place string) []LinkID {
+	from, _ := t.Region(origin)
+	to, _ := t.Region(place)
+	if from == to {
+		return nil
+	}
+	var links []LinkID
+	for _, id := range []LinkID{{from, to}, {to, from}} {
+		if _, ok := t.links[id]; ok {
+			links = append(links, id)
+		}
+	}
+	return links
+}
+
+func roundTrip(group GroupView, own bool) time.Duration {
+	switch {
+	case group.RoundTrip > 0:
+		return group.RoundTrip
+	case own:
+		return nearRoundTrip
+	default:
+		return farRoundTrip
+	}
+}
+
+// spread orders equal places differently for each origin (rendezvous hashing,
+// Thaler and Ravishankar 1998), so that origins don't all pick the same one.
+func spread(service, origin, place string) uint64 {
+	h := fnv.New64a()
+	for _, part := range []string{service, "\x00", origin, "\x00", place} {
+		_, _ = h.Write([]byte(part))
+	}
+	return h.Sum64()
+}
+
+func compare(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.tier, b.tier),
+		cmp.Compare(a.distance, b.distance),
+		cmp.Compare(b.headroom, a.headroom),
+		cmp.Compare(a.spread, b.spread),
+		cmp.Compare(a.choice.Place, b.choice.Place),
+	)
+}
--- /dev/null
+++ b/internal/core/steering/table.go
@@ -0,0 +1,194 @@
+package steering
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+
+	"sassafrasreach/internal/core/document"
+)
+
+// Errors of NewTable.
+var (
+	// ErrUnknownPlace means that the document names a place it doesn't have.
+	ErrUnknownPlace = errors.New("unknown place")
+	// ErrUnknownRegion means that a place names a region that the document
+	// doesn't have.
+	ErrUnknownRegion = errors.New("unknown region")
+	// ErrBlock means that a client block can't be read.
+	ErrBlock = errors.New("bad client block")
+	// ErrTooManyPlaces means that the document has more than 65,535 places.
+	ErrTooManyPlaces = errors.New("too many places")
+)
+
+// maxPlaces keeps the index of a place in 16 bits.
+const maxPlaces = math.MaxUint16
+
+// LinkID names the network between two regions, in one direction.
+type LinkID struct {
+	// From and To name regions.
+	From, To string
+}
+
+// Table is an immutable snapshot of a document, safe for concurrent use.
+type Table struct {
+	places   []place
+	indexes  map[string]uint16
+	services map[string]*service
+	links    map[LinkID]struct{}
+	drained  map[drainKey]struct{}
+	blocks   *blockTable
+}
+
+// place is what ranking needs to know of a document.Place.
+type place struct {
+	name    string
+	region  string
+	reserve int // percent
+}
+
+// service is a document.Service with the rules that apply to it.
+type service struct {
+	doc   *document.Service
+	rules []document.Rule
+}
+
+// drainKey names a drain; an empty service means every service.
+type drainKey struct {
+	service, place string
+}
+
+// NewTable builds the snapshot of a validated document. The table keeps doc's
+// services; the caller must not change them afterwards. The error wraps one of
+// the package's sentinel errors.
+func NewTable(doc *document.Document) (*Table, error) {
+	t := &Table{
+		indexes:  make(map[string]uint16, len(doc.Places)),
+		services: make(map[string]*service, len(doc.Services)),
+		links:    make(map[LinkID]struct{}, len(doc.Links)),
+		drained:  make(map[drainKey]struct{}, len(doc.Drains)),
+	}
+	if err := t.addPlaces(doc); err != nil {
+		return nil, err
+	}
+	for i := range doc.Services {
+		if err := t.addService(&doc.Services[i], doc.Rules); err != nil {
+			return nil, err
+		}
+	}
+	for _, link := range doc.Links {
+		t.links[LinkID{link.From, link.To}] = struct{}{}
+	}
+	for _, drain := range doc.Drains {
+		t.drained[drainKey{drain.Service, drain.Place}] = struct{}{}
+	}
+	return t, t.addBlocks(doc.Places)
+}
+
+func (t *Table) addPlaces(doc *document.Document) error {
+	if len(doc.Places) > maxPlaces {
+		return fmt.Errorf("%w: %d", ErrTooManyPlaces, len(doc.Places))
+	}
+	reserves := make(map[string]int, len(doc.Regions))
+	for _, region := range doc.Regions {
+		reserves[region.Name] = region.ReservePercent
+	}
+	for i, p := range doc.Places {
+		reserve, ok := reserves[p.Region]
+		if !ok {
+			return fmt.Errorf("%w: %q of place %q", ErrUnknownRegion, p.Region, p.Name)
+		}
+		t.places = append(t.places, place{p.Name, p.Region, reserve})
+		t.indexes[p.Name] = uint16(i) //nolint:gosec // bounded by maxPlaces
+	}
+	return nil
+}
+
+func (t *Table) addService(doc *document.Service, rules []document.Rule) error {
+	s := &service{doc: doc}
+	for _, name := range doc.Places {
+		if _, ok := t.indexes[name]; !ok {
+			return fmt.Errorf("%w: %q of service %q", ErrUnknownPlace, name, doc.Name)
+		}
+	}
+	for _, rule := range rules {
+		if rule.Service == "" || rule.Service == doc.Name {
+			s.rules = append(s.rules, rule)
+		}
+	}
+	t.services[doc.Name] = s
+	return nil
+}
+
+func (t *Table) addBlocks(places []document.Place) error {
+	blocks := newBlockTable()
+	for i, p := range places {
+		for _, text := range p.Clients {
+			prefix, err := netip.ParsePrefix(text)
+			if err != nil {
+				return fmt.Errorf("%w: %q of place %q: %w", ErrBlock, text, p.Name, err)
+			}
+			blocks.insert(prefix, uint16(i)) //nolint:gosec // bounded by maxPlaces
+		}
+	}
+	t.blocks = blocks
+	return nil
+}
+
+// PlaceOf returns the place whose longest client block holds the address.
+func (t *Table) PlaceOf(client netip.Addr) (string, bool) {
+	index, ok := t.blocks.lookup(client.Unmap())
+	if !ok {
+		return "", false
+	}
+	return t.places[index].name, true
+}
+
+// Service returns a service of the document.
+func (t *Table) Service(name string) (*document.Service, bool) {
+	s, ok := t.services[name]
+	if !ok {
+		return nil, false
+	}
+	return s.doc, true
+}
+
+// Region returns the region of a place.
+func (t *Table) Region(place string) (string, bool) {
+	index, ok := t.indexes[place]
+	if !ok {
+		return "", false
+	}
+	return t.places[index].region, true
+}
+
+// Reserve returns the percentage of a place's slots that spilled-in work may
+// not use.
+func (t *Table) Reserve(place string) (int, bool) {
+	index, ok := t.indexes[place]
+	if !ok {
+		return 0, false
+	}
+	return t.places[index].reserve, true
+}
+
+// Own says whether work from origin counts as a place's own traffic for its
+// region's reserve: both are in one region.
+func (t *Table) Own(origin, place string) bool {
+	from, ok := t.Region(origin)
+	if !ok {
+		return false
+	}
+	to, ok := t.Region(place)
+	return ok && from == to
+}
+
+// Drained says whether a place is out of use for a service.
+func (t *Table) Drained(service, place string) bool {
+	if _, ok := t.drained[drainKey{"", place}]; ok {
+		return true
+	}
+	_, ok := t.drained[drainKey{service, place}]
+	return ok
+}
