Hold client blocks in sorted arrays in place of a trie

Cause: the target is under 64 MB for 3.2 million blocks.

Change: a segment holds first address, length and index: 7 bytes for IPv4 and 11 for IPv6; a nested block costs up to two. Blocks longer than /64 stay in bart.Table.

--- a/internal/core/steering/table.go
+++ b/internal/core/steering/table.go
@@ -122,17 +122,17 @@
 }
 
 func (t *Table) addBlocks(places []document.Place) error {
-	blocks := newBlockTable()
+	var blocks blockBuilder
 	for i, p := range places {
 		for _, text := range p.Clients {
 			prefix, err := netip.ParsePrefix(text)
 			if err != nil {
 				return fmt.Errorf("%w: %q of place %q: %w", ErrBlock, text, p.Name, err)
 			}
-			blocks.insert(prefix, uint16(i)) //nolint:gosec // bounded by maxPlaces
+			blocks.add(prefix, uint16(i)) //nolint:gosec // bounded by maxPlaces
 		}
 	}
-	t.blocks = blocks
+	t.blocks = blocks.build()
 	return nil
 }
 
