--- a/internal/core/admission/endpoint.go
+++ b/internal/core/admission/endpoint.go
@@ -15,6 +15,8 @@
 	// minSamples is the number of results after which what requests show
 	// replaces what the endpoint reports.
 	minSamples = 8
+	// unknownFirst multiplies the cost of an idle endpoint without samples.
+	unknownFirst = 1e-6
 	// slowFactor is how many times its peers' latency makes an endpoint slow.
 	slowFactor = 1.5
 	// verySlowFactor is the multiple from which an endpoint loses slots.
@@ -150,11 +152,16 @@
 	return ratio
 }
 
-// cost orders endpoints; the lowest gets the next request.
+// cost orders endpoints; the lowest gets the next request. An idle endpoint of
+// which little is known comes first, one request at a time: without samples of
+// its peers a slow endpoint can't be told from a fast one.
 func (e *endpoint) cost(now time.Time, peers float64) float64 {
 	used := float64(e.inFlight+1) / float64(e.slots())
 	if e.samples < minSamples {
 		used *= 1 + e.load
+		if e.inFlight == 0 && e.failures == 0 && e.sheds == 0 {
+			used *= unknownFirst
+		}
 	}
 	reliability := max(e.success, minSuccess)
 	return used * e.slowness(now, peers) / (reliability * reliability)
