Add membership tables and budget ledgers

Cause: entries need to know which of them are live, who owns a group of endpoints and how much of a cap each may use, from local state only.

Membership: push-pull rows with incarnation and counter, cells of at most eight members followed whole, other cells and places followed by bounded samples; owner by rendezvous hashing, with a lease that ends when the own loop stalls or the cell no longer acknowledges.

Budget: fixed shares per entry, a sliding window that never refills ahead, loans whose term the borrower counts from sending and the lender from its answer, raises of a share only when nobody may still use more than the document gives.

Tests so far: one owner and take-over after the lease; a static share in any window of one second.

--- /dev/null
+++ b/internal/core/budget/budget_test.go
@@ -0,0 +1,49 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/budget"
+	"sassafrasreach/internal/core/document"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// wait covers the wait after a start and the window after it.
+const wait = 7 * time.Second
+
+func pair(cap int) *document.Document {
+	return &document.Document{
+		Regions: []document.Region{{Name: "west"}, {Name: "east"}},
+		Places: []document.Place{
+			{Name: "w", Region: "west"},
+			{Name: "e", Region: "east", Entries: []document.Entry{{Name: "e1"}, {Name: "e2"}}},
+		},
+		Links: []document.Link{{From: "west", To: "east", MbitPerS: 8, FillPercent: 50}},
+		Rules: []document.Rule{{Name: "r", From: "w", To: "e", RequestsPerS: cap}},
+	}
+}
+
+func TestStaticShareInAnyWindow(t *testing.T) {
+	is := is.New(t)
+	l := budget.NewLedger(budget.Owner{Entry: "e1", Incarnation: 1}, budget.Config{}, epoch)
+	l.SetDocument(epoch, 1, pair(100))
+	charge := budget.Charge{Rules: []string{"r"}}
+	is.True(!l.Take(epoch.Add(time.Second), charge)) // just started
+	now := epoch.Add(wait)
+	l.SetVersions(now.Add(-2*time.Second), map[string]uint64{"e2": 1})
+	var admitted []time.Time
+	for range 3000 {
+		if l.Take(now, charge) {
+			admitted = append(admitted, now)
+		}
+		now = now.Add(time.Millisecond)
+	}
+	is.True(len(admitted) >= 145) // nearly three windows of 50
+	for i := 50; i < len(admitted); i++ {
+		is.True(admitted[i].Sub(admitted[i-50]) > time.Second)
+	}
+}
--- /dev/null
+++ b/internal/core/membership/gossip.go
@@ -0,0 +1,220 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// remoteSample bounds the rows of the own cell sent to another place.
+	remoteSample = 4
+	// receiveFactor bounds the rows read of one heartbeat, in MaxRows.
+	receiveFactor = 4
+)
+
+// Tick advances the own counter and returns the heartbeats of this period. It
+// is called every Period; a gap longer than the lease counts as a stall.
+func (t *Table) Tick(now time.Time) []Target {
+	t.begin(now)
+	t.wake(now)
+	t.lastTick = now
+	t.self.Counter++
+	t.sentAt[t.self.Counter%historyTicks] = now
+	t.noteHearing(now)
+	t.dropGroups(now)
+	peers := t.nextTargets(now)
+	targets := make([]Target, 0, len(peers))
+	for _, peer := range peers {
+		targets = append(targets, Target{Peer: peer, Heartbeat: t.compose(now, peer.Name, nil)})
+	}
+	return targets
+}
+
+// Receive merges a heartbeat and returns the reply to it: rows that the sender
+// lacks. A reply is merged in the same way, and its own reply is ignored.
+func (t *Table) Receive(now time.Time, hb Heartbeat) Heartbeat {
+	t.begin(now)
+	t.wake(now)
+	place := ""
+	if len(hb.Members) > 0 {
+		place = hb.Members[0].Place
+	}
+	limit := min(len(hb.Members), receiveFactor*t.cfg.MaxRows)
+	for _, row := range hb.Members[:limit] {
+		if row.Place == "" {
+			row.Place = place
+		}
+		t.mergeMember(now, hb.From, row)
+	}
+	groups := min(len(hb.Groups), receiveFactor*t.cfg.MaxGroups)
+	for _, row := range hb.Groups[:groups] {
+		t.mergeGroup(now, hb.From, row)
+	}
+	t.noteHearing(now)
+	return t.compose(now, hb.From, &hb)
+}
+
+// mergeMember takes a row over if it is newer than what is known.
+func (t *Table) mergeMember(now time.Time, from string, row MemberRow) {
+	if row.Name == t.self.Name {
+		t.mergeSelf(now, from, row)
+		return
+	}
+	if peer, ok := t.dir.Peer(row.Name); ok {
+		row.Place = peer.Place
+	}
+	s, known := t.members[row.Name]
+	switch {
+	case row.Name == "" || row.Place == "":
+	case !known:
+		if t.mayAdd(row.Name) {
+			t.members[row.Name] = &state{row: row, heard: now, since: now, source: from}
+		}
+	case row.Incarnation > s.row.Incarnation:
+		*s = state{row: row, heard: now, since: now, source: from}
+	case row.Incarnation == s.row.Incarnation:
+		t.mergeCounter(now, from, s, row)
+	}
+}
+
+// mergeCounter merges a row of the incarnation that is known.
+func (t *Table) mergeCounter(now time.Time, from string, s *state, row MemberRow) {
+	leaving := s.row.Leaving || row.Leaving
+	if row.Counter > s.row.Counter {
+		if !t.alive(now, s) {
+			s.since = now
+		}
+		row.Version = max(row.Version, s.row.Version)
+		s.row = row
+		s.heard = now
+		s.source = from
+	}
+	s.row.Leaving = leaving
+}
+
+// mergeSelf reads what another entry knows of this one.
+func (t *Table) mergeSelf(now time.Time, from string, row MemberRow) {
+	switch {
+	case row.Incarnation > t.self.Incarnation:
+		t.successor = max(t.successor, row.Incarnation)
+	case row.Incarnation < t.self.Incarnation:
+	case row.Counter > t.self.Counter:
+		t.successor = max(t.successor, row.Incarnation)
+	default:
+		t.acknowledge(now, from, row.Counter)
+	}
+}
+
+// mayAdd says whether there is room for a new name.
+func (t *Table) mayAdd(name string) bool {
+	if _, listed := t.dir.byName[name]; listed {
+		return true
+	}
+	return len(t.members) < len(t.dir.byName)+t.cfg.MaxUnlisted
+}
+
+// compose makes a heartbeat for the entry to. For a reply, request holds what
+// that entry has just sent.
+func (t *Table) compose(now time.Time, to string, request *Heartbeat) Heartbeat {
+	hb := Heartbeat{From: t.self.Name, Members: []MemberRow{t.self}}
+	if s, ok := t.members[to]; ok {
+		hb.Members = append(hb.Members, t.pack(s.row))
+	}
+	for _, s := range t.candidates(now, to, request) {
+		s.sent = t.self.Counter
+		hb.Members = append(hb.Members, t.pack(s.row))
+	}
+	hb.Groups = t.groupRows(now, to, request)
+	return hb
+}
+
+// pack leaves the place out of a row of the own place.
+func (t *Table) pack(row MemberRow) MemberRow {
+	if row.Place == t.self.Place {
+		row.Place = ""
+	}
+	return row
+}
+
+// candidates picks the rows that are of most use to the entry to: those of the
+// own cell, then those that were passed on longest ago.
+func (t *Table) candidates(now time.Time, to string, request *Heartbeat) []*state {
+	room := t.cfg.MaxRows - 2
+	has := countersOf(request)
+	var list []*state
+	for name, s := range t.members {
+		if name == to || s.source == to || !t.worthPassing(now, s) {
+			continue
+		}
+		if known, ok := has[name]; ok && known.covers(s.row) {
+			continue
+		}
+		list = append(list, s)
+	}
+	mate := t.dir.sameCell(t.self.Name, to)
+	slices.SortFunc(list, func(a, b *state) int { return t.compareRows(mate, a, b) })
+	if len(list) > room {
+		list = list[:room]
+	}
+	return t.sample(mate, len(t.members) > room, list)
+}
+
+// compareRows orders rows for passing on.
+func (t *Table) compareRows(mate bool, a, b *state) int {
+	if mate {
+		inA := t.dir.sameCell(t.self.Name, a.row.Name)
+		inB := t.dir.sameCell(t.self.Name, b.row.Name)
+		if inA != inB {
+			return cmp.Compare(boolRank(inB), boolRank(inA))
+		}
+	}
+	if c := cmp.Compare(a.sent, b.sent); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.row.Name, b.row.Name)
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// sample cuts rows for an entry outside the cell when the system is large.
+func (t *Table) sample(mate, large bool, list []*state) []*state {
+	if mate || !large || len(list) <= remoteSample {
+		return list
+	}
+	return list[:remoteSample]
+}
+
+// worthPassing says whether a row is recent enough to be passed on.
+func (t *Table) worthPassing(now time.Time, s *state) bool {
+	return now.Sub(s.heard) < t.cfg.SuspectAfter/2 || s.row.Leaving && t.alive(now, s)
+}
+
+// rowOrder is the incarnation and counter of a row.
+type rowOrder struct {
+	incarnation, counter uint64
+	leaving              bool
+}
+
+func (o rowOrder) covers(row MemberRow) bool {
+	if o.incarnation != row.Incarnation {
+		return o.incarnation > row.Incarnation
+	}
+	return o.counter >= row.Counter && o.leaving == row.Leaving
+}
+
+func countersOf(hb *Heartbeat) map[string]rowOrder {
+	if hb == nil {
+		return nil
+	}
+	has := make(map[string]rowOrder, len(hb.Members))
+	for _, row := range hb.Members {
+		has[row.Name] = rowOrder{row.Incarnation, row.Counter, row.Leaving}
+	}
+	return has
+}
--- /dev/null
+++ b/internal/core/membership/types.go
@@ -0,0 +1,134 @@
+package membership
+
+import "time"
+
+// Member is one entry as the table knows it.
+type Member struct {
+	// Name and Place identify the entry.
+	Name, Place string
+	// Incarnation rises at each start of the entry.
+	Incarnation uint64
+	// Version is the version of the document in force there.
+	Version uint64
+	// Leaving says that the entry is stopping; it never reverts within an
+	// incarnation.
+	Leaving bool
+}
+
+// Peer is an entry that heartbeats may be sent to.
+type Peer struct {
+	// Name identifies the entry; it may be empty for a seed.
+	Name string
+	// Place and Region say where the entry is; they may be empty for a seed.
+	Place, Region string
+	// Address is its IP:port for peers.
+	Address string
+}
+
+// MemberRow is what a heartbeat says of one entry.
+type MemberRow struct {
+	// Name identifies the entry.
+	Name string
+	// Place is the entry's place; empty means the place of the heartbeat's
+	// first row, which is the sender's own.
+	Place string
+	// Incarnation and Counter order the rows of one entry.
+	Incarnation, Counter uint64
+	// Version is the version of the document in force there.
+	Version uint64
+	// Leaving says that the entry is stopping.
+	Leaving bool
+}
+
+// GroupRow is what an owner says of its group of endpoints.
+type GroupRow struct {
+	// Service and Place identify the group.
+	Service, Place string
+	// Owner and OwnerIncarnation name the entry that says so.
+	Owner            string
+	OwnerIncarnation uint64
+	// Counter orders the rows of one owner.
+	Counter uint64
+	// Endpoints, Slots, Busy and Queued are counts.
+	Endpoints, Slots, Busy, Queued int
+	// Latency is the group's usual time to answer.
+	Latency time.Duration
+}
+
+// Heartbeat is one message between two entries.
+type Heartbeat struct {
+	// From names the sender.
+	From string
+	// Members holds the sender's own row first.
+	Members []MemberRow
+	// Groups holds rows of groups.
+	Groups []GroupRow
+}
+
+// Target is a heartbeat and the peer that it goes to.
+type Target struct {
+	Peer      Peer
+	Heartbeat Heartbeat
+}
+
+const (
+	defaultPeriod       = 500 * time.Millisecond
+	defaultSuspectAfter = 2 * time.Second
+	defaultLease        = 1500 * time.Millisecond
+	defaultFanOut       = 3
+	defaultCellFanOut   = 2
+	defaultCellSize     = 8
+	defaultMaxRows      = 16
+	defaultMaxGroups    = 12
+	defaultMaxUnlisted  = 64
+)
+
+// Config holds the times and bounds of a table; zero fields get defaults.
+type Config struct {
+	// Period is the time between two calls of Tick.
+	Period time.Duration
+	// SuspectAfter is the silence after which a member of the own cell is no
+	// longer live.
+	SuspectAfter time.Duration
+	// Lease is the time that an entry may act as an owner after its last sign
+	// of health; it is below SuspectAfter.
+	Lease time.Duration
+	// FanOut is the number of heartbeats per period.
+	FanOut int
+	// CellFanOut is how many of them go to the own cell when there are others.
+	CellFanOut int
+	// CellSize bounds the members of a cell.
+	CellSize int
+	// MaxRows and MaxGroups bound the rows of one heartbeat.
+	MaxRows, MaxGroups int
+	// MaxUnlisted bounds the members kept that aren't among the peers.
+	MaxUnlisted int
+}
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.Period, defaultPeriod)
+	setDuration(&c.SuspectAfter, defaultSuspectAfter)
+	setDuration(&c.Lease, defaultLease)
+	if c.Lease >= c.SuspectAfter {
+		c.Lease = c.SuspectAfter * 3 / 4
+	}
+	setInt(&c.FanOut, defaultFanOut)
+	setInt(&c.CellFanOut, defaultCellFanOut)
+	setInt(&c.CellSize, defaultCellSize)
+	setInt(&c.MaxRows, defaultMaxRows)
+	setInt(&c.MaxGroups, defaultMaxGroups)
+	setInt(&c.MaxUnlisted, defaultMaxUnlisted)
+	return c
+}
+
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+func setInt(field *int, value int) {
+	if *field <= 0 {
+		*field = value
+	}
+}
