Add once-only claims and request fingerprints

Cause: a once-only request must not run twice, and a resend must get the first answer, with no quorum on its way. Ruled out: letting a successor start keys of a stopped home. Two hand-overs of one home, or a late one to a restarted successor, would start a key twice; a successor that never starts may say NotRun as often as it likes.

--- /dev/null
+++ b/internal/core/claims/key.go
@@ -0,0 +1,101 @@
+package claims
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// MaxKeyBytes bounds the text of a key.
+	MaxKeyBytes = 256
+	// MaxUniqueBytes bounds the part of a key that the caller chooses.
+	MaxUniqueBytes = 64
+
+	keySeparator = "."
+	hexBase      = 16
+)
+
+// ErrBadKey is returned by ParseKey for text that is no key.
+var ErrBadKey = errors.New("bad once-only key")
+
+// Home is the one incarnation of an entry that may start a key.
+type Home struct {
+	// Entry is the entry's name.
+	Entry string
+	// Incarnation changes at each start of the entry.
+	Incarnation uint64
+}
+
+// Key identifies a once-only request.
+type Key struct {
+	// Home is the only process that may start the key.
+	Home Home
+	// Minted is when the home gave out the token, by its clock, in whole
+	// seconds.
+	Minted time.Time
+	// Unique is the caller's part.
+	Unique string
+}
+
+// NewToken returns the text that keys of the home begin with. A caller appends
+// a dot and its unique part of letters, digits, hyphens and underscores.
+func NewToken(h Home, minted time.Time) string {
+	return strings.Join([]string{
+		h.Entry,
+		strconv.FormatUint(h.Incarnation, hexBase),
+		strconv.FormatInt(minted.Unix(), hexBase),
+	}, keySeparator)
+}
+
+// String returns the text form of the key.
+func (k Key) String() string {
+	return NewToken(k.Home, k.Minted) + keySeparator + k.Unique
+}
+
+// ParseKey reads the text form of a key. Only the form that String gives is
+// taken; any other text gives an error that wraps ErrBadKey.
+func ParseKey(text string) (Key, error) {
+	if len(text) > MaxKeyBytes {
+		return Key{}, fmt.Errorf("%w: %d bytes long", ErrBadKey, len(text))
+	}
+	rest, unique := cutLast(text)
+	rest, mintedText := cutLast(rest)
+	entry, incarnationText := cutLast(rest)
+	incarnation, errIncarnation := strconv.ParseUint(incarnationText, hexBase, 64)
+	minted, errMinted := strconv.ParseInt(mintedText, hexBase, 64)
+	k := Key{
+		Home:   Home{Entry: entry, Incarnation: incarnation},
+		Minted: time.Unix(minted, 0).UTC(),
+		Unique: unique,
+	}
+	valid := errIncarnation == nil && errMinted == nil && minted >= 0 &&
+		validName(entry, true) && validName(unique, false) &&
+		len(unique) <= MaxUniqueBytes && k.String() == text
+	if !valid {
+		return Key{}, fmt.Errorf("%w: %.80q", ErrBadKey, text)
+	}
+	return k, nil
+}
+
+// cutLast splits text at its last separator; without one before is empty.
+func cutLast(text string) (before, after string) {
+	i := strings.LastIndex(text, keySeparator)
+	if i < 0 {
+		return "", text
+	}
+	return text[:i], text[i+1:]
+}
+
+func validName(name string, dots bool) bool {
+	for _, c := range []byte(name) {
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		other := '0' <= c && c <= '9' || c == '-' || c == '_'
+		if !letter && !other && !(dots && c == '.') {
+			return false
+		}
+	}
+	return name != ""
+}
--- /dev/null
+++ b/internal/core/fingerprint/fingerprint.go
@@ -0,0 +1,50 @@
+package fingerprint
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash"
+)
+
+// ErrBad is returned by Parse for text that is no fingerprint.
+var ErrBad = errors.New("bad fingerprint")
+
+// Fingerprint is the SHA-256 of a request's service, method, target and body.
+type Fingerprint [sha256.Size]byte
+
+// Of returns the fingerprint of a request. Each part is preceded by its length,
+// so that no two requests share an encoding.
+func Of(service, method, target string, body []byte) Fingerprint {
+	h := sha256.New()
+	addPart(h, []byte(service))
+	addPart(h, []byte(method))
+	addPart(h, []byte(target))
+	addPart(h, body)
+	var f Fingerprint
+	h.Sum(f[:0])
+	return f
+}
+
+func addPart(h hash.Hash, part []byte) {
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+	_, _ = h.Write(size[:])
+	_, _ = h.Write(part)
+}
+
+// String returns the fingerprint in hex.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Parse reads the text form; its error wraps ErrBad.
+func Parse(text string) (Fingerprint, error) {
+	var f Fingerprint
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(f) {
+		return f, fmt.Errorf("%w: %.80q", ErrBad, text)
+	}
+	copy(f[:], raw)
+	return f, nil
+}
