Add the quarantine of requests that crash endpoints

Cause: a resent request that crashes each endpoint would take them all down. Ruled out: counting confirmed deaths alone. An endpoint is known to be gone only seconds after its connection broke, and a resend is faster than that, so lost runs hold a fingerprint back too. Ruled out: one run at a time for every fingerprint, which would queue popular look-ups behind each other. Change: runs, deaths and blame per fingerprint; wider failures don't count.

--- a/internal/core/claims/handover.go
+++ b/internal/core/claims/handover.go
@@ -31,9 +31,12 @@
 // undone. Attempts under way still finish, and resends get their answers.
 func (t *Table) Seal() { t.sealed = true }
 
-// Complete reports whether the table is sealed and no attempt is under way, so
-// that an Export holds everything that this home ever started.
-func (t *Table) Complete() bool { return t.sealed && t.running == 0 }
+// Complete reports whether an Export made now holds everything that this home
+// ever started: the table is sealed, no attempt is under way, and no claim was
+// evicted before its time by a clock that has since been set back.
+func (t *Table) Complete(now time.Time) bool {
+	return t.sealed && t.running == 0 && now.Sub(t.floor) >= t.cfg.Retention
+}
 
 // Export returns the unexpired claims of this home.
 func (t *Table) Export(now time.Time) []Row { return t.rows(now, t.self) }
@@ -41,7 +44,7 @@
 // HandOvers returns the claims of this home and of the former homes whose
 // claims were imported here, for a planned stop.
 func (t *Table) HandOvers(now time.Time) []HandOver {
-	all := []HandOver{{From: t.self, Complete: t.Complete(), Rows: t.Export(now)}}
+	all := []HandOver{{From: t.self, Complete: t.Complete(now), Rows: t.Export(now)}}
 	for home, former := range t.former {
 		if now.Before(former.until) {
 			all = append(all, HandOver{From: home, Complete: former.complete, Rows: t.rows(now, home)})
--- /dev/null
+++ b/internal/core/quarantine/table.go
@@ -0,0 +1,301 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"sassafrasreach/internal/core/fingerprint"
+)
+
+// maxDeaths is the number of endpoint incarnations that one fingerprint may
+// take down.
+const maxDeaths = 2
+
+// Config sets the times and bounds of a Table.
+type Config struct {
+	// Hold is how long a fingerprint stays in quarantine after it was last
+	// asked for, and how long a death is remembered.
+	Hold time.Duration
+	// Blame is how long after a run was lost a death is blamed on it. It must
+	// be longer than it takes to notice that an endpoint is gone.
+	Blame time.Duration
+	// Proven is how long after an answer a fingerprint counts as harmless.
+	Proven time.Duration
+	// Window is the time in which deaths belong to one wider failure.
+	Window time.Duration
+	// WiderDeaths is the number of deaths without the fingerprint, within
+	// Window, that make a failure a wider one.
+	WiderDeaths int
+	// MaxEntries bounds the fingerprints that are remembered as suspects, and
+	// likewise those remembered as proven.
+	MaxEntries int
+}
+
+// DefaultConfig returns the settings that entries use.
+func DefaultConfig() Config {
+	return Config{
+		Hold:        5 * time.Minute,
+		Blame:       5 * time.Second,
+		Proven:      time.Minute,
+		Window:      2 * time.Second,
+		WiderDeaths: 3,
+		MaxEntries:  10_000,
+	}
+}
+
+// End says how a run ended.
+type End uint8
+
+const (
+	// Lost means that nobody knows how the run ended: its connection failed, or
+	// it was given up. It is the zero value.
+	Lost End = iota
+	// Answered means that the endpoint answered.
+	Answered
+	// NotStarted means that the endpoint certainly did not start the request.
+	NotStarted
+)
+
+// Admission says whether a run may start.
+type Admission uint8
+
+const (
+	// Refused means that the fingerprint is in quarantine or held back. It is
+	// the zero value.
+	Refused Admission = iota
+	// Wait means that as many runs are under way as may be; when one ends the
+	// request may be tried again.
+	Wait
+	// Admitted means that the run has started and must be ended by Ended.
+	Admitted
+)
+
+// Change lists the fingerprints whose state changed and must be spread to the
+// other entries.
+type Change struct {
+	// Suspected have their first death.
+	Suspected []fingerprint.Fingerprint
+	// Quarantined went into quarantine.
+	Quarantined []fingerprint.Fingerprint
+	// Lifted are free of blame again.
+	Lifted []fingerprint.Fingerprint
+}
+
+// Entry is one fingerprint in quarantine.
+type Entry struct {
+	Fingerprint fingerprint.Fingerprint
+	// Service is the service that was asked for; empty when another entry
+	// reported the fingerprint.
+	Service string
+	// Remaining is how long the quarantine lasts, counted from the listing.
+	Remaining time.Duration
+}
+
+// incarnation is one life of an endpoint.
+type incarnation struct {
+	endpoint string
+	number   uint64
+}
+
+// run is one request on one endpoint.
+type run struct {
+	on      incarnation
+	started time.Time
+	// lost is when the run's end was lost; zero while it is under way.
+	lost time.Time
+}
+
+// blame is a death that happened with the fingerprint in flight.
+type blame struct {
+	on incarnation
+	at time.Time
+}
+
+// record is what is known of one fingerprint that isn't idle.
+type record struct {
+	service string
+	runs    []run
+	deaths  []blame
+	// countFrom is the earliest start of runs that a death may be blamed on.
+	countFrom time.Time
+	// until is the end of the quarantine; spread says that another entry asked
+	// for it, and suspectUntil the end of the hold for another entry's suspect.
+	until        time.Time
+	spread       bool
+	suspectUntil time.Time
+}
+
+// death is one endpoint incarnation that died.
+type death struct {
+	on     incarnation
+	at     time.Time
+	blamed []fingerprint.Fingerprint
+}
+
+// Table remembers runs, deaths and blame. It isn't safe for concurrent use.
+type Table struct {
+	cfg     Config
+	records map[fingerprint.Fingerprint]*record
+	proven  map[fingerprint.Fingerprint]time.Time
+	deaths  []death
+}
+
+// NewTable returns an empty table.
+func NewTable(cfg Config) *Table {
+	return &Table{
+		cfg:     cfg,
+		records: make(map[fingerprint.Fingerprint]*record),
+		proven:  make(map[fingerprint.Fingerprint]time.Time),
+	}
+}
+
+// Check reports whether f is in quarantine and for how long it still would be.
+// Each call with a positive result lengthens the quarantine to Hold: it lasts
+// while callers go on asking.
+func (t *Table) Check(now time.Time, f fingerprint.Fingerprint) (remaining time.Duration, quarantined bool) {
+	r := t.records[f]
+	if r == nil || !now.Before(r.until) {
+		return 0, false
+	}
+	remaining = r.until.Sub(now)
+	r.until = later(r.until, now.Add(t.cfg.Hold))
+	return remaining, true
+}
+
+// Started asks for a run of f on an endpoint and records it when admitted.
+func (t *Table) Started(now time.Time, endpoint string, number uint64, f fingerprint.Fingerprint, service string) Admission {
+	if _, quarantined := t.Check(now, f); quarantined {
+		return Refused
+	}
+	if t.held(now, f) {
+		return Refused
+	}
+	r := t.record(f)
+	t.dropOldRuns(now, r)
+	if !t.isProven(now, f) || len(r.deaths) > 0 {
+		if a := r.admission(t.countDeaths(f, r)); a != Admitted {
+			return a
+		}
+	}
+	r.service = service
+	r.runs = append(r.runs, run{on: incarnation{endpoint, number}, started: now})
+	return Admitted
+}
+
+// held reports whether another entry's suspicion keeps f from starting here.
+func (t *Table) held(now time.Time, f fingerprint.Fingerprint) bool {
+	r := t.records[f]
+	return r != nil && now.Before(r.suspectUntil) && !t.isProven(now, f)
+}
+
+// admission decides from the runs under way or lost and the counted deaths.
+func (r *record) admission(deaths int) Admission {
+	if deaths+len(r.runs) < maxDeaths {
+		return Admitted
+	}
+	if r.underWay() > 0 {
+		return Wait
+	}
+	return Refused
+}
+
+func (r *record) underWay() int {
+	n := 0
+	for _, x := range r.runs {
+		if x.lost.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// Ended records the end of an admitted run. An answer clears f of all blame
+// that is no quarantine yet.
+func (t *Table) Ended(now time.Time, endpoint string, number uint64, f fingerprint.Fingerprint, end End) Change {
+	r := t.records[f]
+	on := incarnation{endpoint, number}
+	if r == nil {
+		return Change{}
+	}
+	i := slices.IndexFunc(r.runs, func(x run) bool { return x.on == on && x.lost.IsZero() })
+	if i < 0 {
+		return Change{}
+	}
+	if end == Lost && len(t.records) <= t.cfg.MaxEntries {
+		r.runs[i].lost = now
+		return Change{}
+	}
+	r.runs = slices.Delete(r.runs, i, i+1)
+	var c Change
+	if end == Answered {
+		c = t.answered(now, f, r)
+	}
+	t.forgetIdle(now, f, r)
+	return c
+}
+
+// answered takes the blame from f, unless it is in quarantine already.
+func (t *Table) answered(now time.Time, f fingerprint.Fingerprint, r *record) Change {
+	if now.Before(r.until) {
+		return Change{}
+	}
+	t.prove(now, f)
+	r.runs = slices.DeleteFunc(r.runs, func(x run) bool { return !x.lost.IsZero() })
+	suspected := len(r.deaths) > 0
+	r.deaths = nil
+	r.countFrom = time.Time{}
+	if suspected {
+		return Change{Lifted: []fingerprint.Fingerprint{f}}
+	}
+	return Change{}
+}
+
+// Add puts f into quarantine for d, as another entry or an operator asks.
+func (t *Table) Add(now time.Time, f fingerprint.Fingerprint, d time.Duration) {
+	r := t.record(f)
+	r.until = later(r.until, now.Add(d))
+	r.spread = true
+	delete(t.proven, f)
+}
+
+// Suspect holds f back for d because an endpoint died with it at another entry,
+// which alone may try it again. A fingerprint that is proven here isn't held.
+func (t *Table) Suspect(now time.Time, f fingerprint.Fingerprint, d time.Duration) {
+	r := t.record(f)
+	r.suspectUntil = later(r.suspectUntil, now.Add(d))
+}
+
+// Lift takes f out of quarantine and forgets all blame.
+func (t *Table) Lift(f fingerprint.Fingerprint) {
+	r := t.records[f]
+	if r == nil {
+		return
+	}
+	r.until = time.Time{}
+	r.suspectUntil = time.Time{}
+	r.spread = false
+	r.deaths = nil
+	r.countFrom = time.Time{}
+	r.runs = slices.DeleteFunc(r.runs, func(x run) bool { return !x.lost.IsZero() })
+}
+
+// List returns the fingerprints in quarantine, in the order of their bytes.
+func (t *Table) List(now time.Time) []Entry {
+	var all []Entry
+	for f, r := range t.records {
+		if now.Before(r.until) {
+			all = append(all, Entry{Fingerprint: f, Service: r.service, Remaining: r.until.Sub(now)})
+		}
+	}
+	slices.SortFunc(all, func(a, b Entry) int {
+		return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
+	})
+	return all
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
