Add the operators' client

Change: ctl get, diff, apply, validate, audit, status, drain, undrain and lift, with exit codes that tell refused from may have been accepted. get writes the version above the document and apply takes its base from there, because a base read at the time of apply would overwrite what others changed since the file was made. A resend keeps the change ID, also at the next control VM; once an attempt may have been accepted, only a reply that tells the change's outcome is believed. Shown: TestCommands, TestResendKeepsTheChangeID, TestRefusalAfterLostAnswer, TestRace, TestAppliedOnceInForce.

--- a/internal/adapter/operatorhttp/problem.go
+++ b/internal/adapter/operatorhttp/problem.go
@@ -38,7 +38,7 @@
 )
 
 // Problem is the body of an error (RFC 9457).
-type Problem struct {
+type Problem struct { //nolint:errname // the term of RFC 9457
 	// Type is the URI of the code.
 	Type string `json:"type"`
 	// Title is the text of the HTTP status.
--- /dev/null
+++ b/internal/cli/ctl/ctl_test.go
@@ -0,0 +1,229 @@
+package ctl_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/adapter/operatorhttp"
+	"sassafrasreach/internal/cli/ctl"
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/port/porttest"
+)
+
+// bench is a control VM over a store in memory, and files for the client.
+type bench struct {
+	t          *testing.T
+	store      *porttest.Store
+	handler    http.Handler
+	url        string
+	dir        string
+	file       string
+	outs, errs bytes.Buffer
+}
+
+const entries = "norte-a-1 norte-a-2 norte-b-1 norte-b-2"
+
+func newBench(t *testing.T) *bench {
+	is := is.New(t)
+	b := &bench{t: t, store: &porttest.Store{}, dir: t.TempDir()}
+	b.handler = operatorhttp.New(operatorhttp.Options{
+		Store:                b.store,
+		BootstrapTokenSHA256: document.Digest([]byte("demo-token")),
+		Logger:               slog.New(slog.DiscardHandler),
+	})
+	b.url = b.serve(b.handler)
+	b.inForce(entries, 1000)
+	b.write("token", "demo-token\n")
+	b.write("other", "other\n")
+	b.write("empty", "\n")
+	b.write("faults.yaml", "regions: []\n")
+	demo, err := os.ReadFile("../../../examples/demo.yaml")
+	is.NoErr(err)
+	b.file = b.write("demo.yaml", string(demo))
+	is.Equal(b.run("apply", b.file), 0)
+	return b
+}
+
+func (b *bench) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	b.t.Cleanup(server.Close)
+	return server.URL
+}
+
+func (b *bench) write(name, text string) string {
+	path := filepath.Join(b.dir, name)
+	is.New(b.t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func (b *bench) inForce(names string, version uint64) {
+	var out []port.EntryStatus
+	for name := range strings.FieldsSeq(names) {
+		out = append(out, port.EntryStatus{Name: name, Version: version})
+	}
+	b.store.SetEntries(out)
+}
+
+// run runs the client; $URL and $DIR in the arguments are the bench's own, and
+// later flags win over the ones set here.
+func (b *bench) run(args ...string) int {
+	b.outs.Reset()
+	b.errs.Reset()
+	all := []string{"-control", b.url, "-token-file", filepath.Join(b.dir, "token")}
+	for _, a := range args {
+		all = append(all, strings.NewReplacer("$URL", b.url, "$DIR", b.dir).Replace(a))
+	}
+	return ctl.Main(b.t.Context(), all, &b.outs, &b.errs)
+}
+
+func (b *bench) version() uint64 {
+	config, err := b.store.Current(b.t.Context())
+	is.New(b.t).NoErr(err)
+	return config.Version
+}
+
+func TestCommands(t *testing.T) {
+	const dead = "http://127.0.0.1:1"
+	noQuorum := func(b *bench) { b.store.NoQuorum = true }
+	drained := func(b *bench) { b.run("drain", "norte-a", "-reason", "repair") }
+	late := func(b *bench) { b.inForce("norte-a-1 norte-a-2 norte-b-1", 1000) }
+	cases := []struct {
+		name     string
+		before   func(*bench)
+		args     string
+		code     ctl.ExitCode
+		contains string
+	}{
+		{"help", nil, "-help", 0, "Exit codes"},
+		{"help of a command", nil, "apply -help", 0, "-change-id"},
+		{"no command", nil, "", 2, "a command is needed"},
+		{"unknown command", nil, "reload", 2, `no command "reload"`},
+		{"unknown flag", nil, "get -quick", 2, "-quick"},
+		{"unknown format", nil, "get -o xml", 2, "xml"},
+		{"no file", nil, "apply", 2, "usage: ctl apply FILE"},
+		{"missing file", nil, "apply $DIR/none", 2, "none"},
+		{"bad URL", nil, "get -control 127.0.0.1:1", 2, "isn't a URL"},
+		{"no URL", nil, "get -control ,", 2, "at least one URL"},
+		{"bad base", nil, "apply $DIR/demo.yaml -base one", 2, "isn't a version"},
+		{"no token file", nil, "get -token-file $DIR/none", 2, "none"},
+		{"empty token file", nil, "get -token-file $DIR/empty", 2, "is empty"},
+		{"wrong token", nil, "get -token-file $DIR/other", 1, "unauthorized"},
+		{"get", nil, "get", 0, "# document version 1, digest"},
+		{"get JSON", nil, "get -o json", 0, `"version": 1`},
+		{"get from the second", nil, "get -control " + dead + ",$URL", 0, "belt-control"},
+		{"get from none", nil, "get -control " + dead, 3, "no control VM decides"},
+		{"get without quorum", noQuorum, "get", 3, "no-quorum"},
+		{"status", nil, "status", 0, "norte-b-2"},
+		{"status without quorum", noQuorum, "status", 0, "quorum false"},
+		{"validate", nil, "validate $DIR/demo.yaml", 0, "valid"},
+		{"validate faults", nil, "validate $DIR/faults.yaml", 1, "services: at least one"},
+		{"validate JSON", nil, "validate $DIR/faults.yaml -o json", 1, `"path": "places"`},
+		{"diff", drained, "diff $DIR/demo.yaml", 0, `drains[norte-a]: {"place":"norte-a","reason":"repair"} -> (none)`},
+		{"apply faults", nil, "apply $DIR/faults.yaml", 1, "faults.yaml: regions"},
+		{"apply", nil, "apply $DIR/demo.yaml -base 1", 0, "in force at every entry"},
+		{"apply from an older version", nil, "apply $DIR/demo.yaml", 1, "nothing was changed"},
+		{"apply without quorum", noQuorum, "apply $DIR/demo.yaml -base 1", 3, "none took the change"},
+		{"apply to none", nil, "apply $DIR/demo.yaml -base 1 -control " + dead, 3, "none took the change"},
+		{"apply, one entry late", late, "apply $DIR/demo.yaml -base 1 -timeout 300ms", 4, "not in force at norte-b-2 (never heard of)"},
+		{"apply, not waiting", late, "apply $DIR/demo.yaml -base 1 -wait=false", 0, "accepted as version 2"},
+		{"drain", nil, "drain norte-a -reason repair", 0, "accepted as version 2"},
+		{"drain, one entry late", late, "drain norte-a -reason repair -timeout 300ms", 4, "not in force at norte-b-2"},
+		{"drain of no place", nil, "drain norte-z -reason repair", 1, "no place is named"},
+		{"undrain", drained, "undrain norte-a", 0, "accepted as version 3"},
+		{"undrain of nothing", nil, "undrain norte-a", 1, "no such drain"},
+		{"lift", nil, "lift abc", 0, "abc is lifted"},
+		{"audit", drained, "audit", 0, "trial"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			if c.before != nil {
+				c.before(b)
+			}
+			got := b.run(strings.Fields(c.args)...)
+			is.Equal(ctl.ExitCode(got), c.code)
+			text := b.outs.String() + b.errs.String()
+			if !strings.Contains(text, c.contains) {
+				t.Fatalf("%q isn't in the output:\n%s", c.contains, text)
+			}
+		})
+	}
+}
+
+// TestResendKeepsTheChangeID cuts the connection after the decision, then lets
+// the outcome get lost, and checks that one version was made of one change.
+func TestResendKeepsTheChangeID(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	cut := b.serve(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		b.handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}))
+	is.Equal(b.run("apply", b.file, "-base", "1", "-control", cut+","+b.url), 0)
+	is.Equal(b.version(), uint64(2))
+
+	b.store.LoseAnswers = 2
+	is.Equal(b.run("apply", b.file, "-base", "2"), 0)
+	is.Equal(b.version(), uint64(3))
+
+	b.store.LoseAnswers = 1000
+	is.Equal(b.run("apply", b.file, "-base", "3", "-change-id", "again", "-timeout", "2s"), int(ctl.ExitUnknown))
+	is.True(strings.Contains(b.errs.String(), "-change-id again"))
+	b.store.LoseAnswers = 0
+	is.Equal(b.run("apply", b.file, "-base", "3", "-change-id", "again"), 0)
+	is.Equal(b.version(), uint64(4))
+}
+
+// TestRefusalAfterLostAnswer checks that a refusal that tells no outcome isn't
+// believed once the change may have been accepted.
+func TestRefusalAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.store.LoseAnswers = 1
+	stranger := b.serve(operatorhttp.New(operatorhttp.Options{Store: &porttest.Store{}, Logger: slog.New(slog.DiscardHandler)}))
+	code := b.run("apply", b.file, "-base", "1", "-control", b.url+","+stranger, "-timeout", "250ms")
+	is.Equal(code, int(ctl.ExitUnknown))
+	is.Equal(b.version(), uint64(2))
+}
+
+// TestRace lets two operators apply files that were made from one version.
+func TestRace(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	is.Equal(b.run("get"), 0)
+	mine := b.write("mine.yaml", b.outs.String()+"# mine\n")
+	theirs := b.write("theirs.yaml", b.outs.String()+"# theirs\n")
+	is.Equal(b.run("apply", theirs), 0)
+	is.Equal(b.run("apply", mine), int(ctl.ExitRefused))
+	is.True(strings.Contains(b.errs.String(), "made by trial"))
+	is.Equal(b.run("get"), 0)
+	is.True(strings.HasSuffix(b.outs.String(), "# theirs\n"))
+	is.Equal(strings.Count(b.outs.String(), "# document version"), 1)
+}
+
+func TestAppliedOnceInForce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.inForce(entries, 1)
+	time.AfterFunc(50*time.Millisecond, func() { b.inForce(entries, 2) })
+	is.Equal(b.run("apply", b.file, "-base", "1", "-o", "json"), 0)
+	var result struct {
+		Outcome port.Outcome `json:"outcome"`
+		InForce bool         `json:"in_force"`
+	}
+	is.NoErr(json.Unmarshal(b.outs.Bytes(), &result))
+	is.True(result.InForce)
+	is.Equal(result.Outcome.Version, uint64(2))
+}
--- /dev/null
+++ b/internal/cli/ctl/exit.go
@@ -0,0 +1,35 @@
+package ctl
+
+import "fmt"
+
+// ExitCode is the status that the client ends with.
+type ExitCode int
+
+const (
+	// ExitOK means that all was done.
+	ExitOK ExitCode = 0
+	// ExitRefused means that the request was refused; nothing was changed.
+	ExitRefused ExitCode = 1
+	// ExitUsage means that the arguments or the files they name are wrong;
+	// nothing was sent.
+	ExitUsage ExitCode = 2
+	// ExitUnknown means that no control VM gave a decision: a change may have
+	// been accepted, and a resend with the same change ID tells.
+	ExitUnknown ExitCode = 3
+	// ExitNotInForce means that the change was accepted but isn't in force at
+	// every entry yet.
+	ExitNotInForce ExitCode = 4
+)
+
+// exitError is an error with the code that it ends the client with.
+type exitError struct {
+	code ExitCode
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func failf(code ExitCode, format string, args ...any) error {
+	return &exitError{code: code, err: fmt.Errorf(format, args...)}
+}
