Keep the document in a replicated register between control VMs

Cause: nothing held the operators' document. It has to survive isolated, frozen and restarted control VMs and disks lost one after the other.

Change: a CASPaxos-like register (internal/core/register), its records on disk (internal/adapter/disk), its protocol over gRPC, and the control VM's node, which implements port.ConfigStore and serves entries.

Ruled out: a leader with a log (a leader can be isolated, a log has to be replayed); two slots written in place (a torn write and a damaged newest slot look alike, and falling back to the older one would forget a promise); the repair by a fence alone (a promise for a ballot above the fence, given before the disk was lost, still completes a quorum): the fence is also the member's generation, and proposers discard answers of an older one.

Shown by: go test -race ./internal/app/control (three members over gRPC on loopback: five changes, each resent through another member, audit verified).

--- /dev/null
+++ b/internal/app/control/join.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"sassafrasreach/internal/core/register"
+)
+
+// joinInterval is the pause between two tries to get a vote.
+const joinInterval = 50 * time.Millisecond
+
+// join gets a vote for a member that has none, as a founder or by a repair, and
+// goes on for as long as it takes.
+func (n *Node) join(ctx context.Context) {
+	var start *register.Start
+	for {
+		state := n.snapshot()
+		switch {
+		case state.Voting:
+			start = nil
+		case start == nil || !start.Of(state):
+			start = register.NewStart(n.group, n.self, state)
+		}
+		if start != nil {
+			n.tryJoin(ctx, start)
+		}
+		if !pause(ctx, joinInterval) {
+			return
+		}
+	}
+}
+
+func (n *Node) tryJoin(ctx context.Context, start *register.Start) {
+	probe := start.Probe()
+	round[register.ProbeReply]{
+		remote: func(ctx context.Context, to Remote) (register.ProbeReply, error) { return to.Probe(ctx, probe) },
+		sender: func(m register.ProbeReply) register.MemberID { return m.Member },
+		take:   func(m register.ProbeReply) bool { start.Reply(m); return false },
+	}.run(ctx, n)
+	if founders, ok := start.Founders(); ok {
+		n.found(founders)
+		return
+	}
+	if start.CanRepair() {
+		n.repair(ctx)
+	}
+}
+
+func (n *Node) found(founders [register.MaxMembers]uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return
+	}
+	n.acceptor.Found(founders)
+	if n.saveBoth() == nil {
+		n.logger.Info("member votes: all members were empty")
+	}
+}
+
+// repair fences the other members and takes over what they accepted.
+func (n *Node) repair(ctx context.Context) {
+	repair := register.NewRepair(n.group, n.self, n.nextBallot(register.Ballot{}))
+	fence := repair.Fence()
+	round[register.Fenced]{
+		remote: func(ctx context.Context, to Remote) (register.Fenced, error) { return to.Fence(ctx, fence) },
+		sender: func(m register.Fenced) register.MemberID { return m.Member },
+		take:   repair.Fenced,
+	}.run(ctx, n)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ballots.Observe(repair.Seen())
+	if n.failed != nil || !repair.Done() {
+		return
+	}
+	n.acceptor.Repaired(repair.Result())
+	if n.saveBoth() == nil {
+		n.logger.Info("member votes: repaired", "ballot", fence.Ballot.Round)
+	}
+}
--- /dev/null
+++ b/internal/app/control/member.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"sassafrasreach/internal/core/register"
+)
+
+// Prepare implements registergrpc.Member.
+func (n *Node) Prepare(m register.Prepare) (register.Promise, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return register.Promise{}, n.failed
+	}
+	answer, changed := n.acceptor.Prepare(m)
+	if changed {
+		if err := n.saveState(); err != nil {
+			return register.Promise{}, err
+		}
+	}
+	return answer, nil
+}
+
+// Accept implements registergrpc.Member.
+func (n *Node) Accept(m register.Accept) (register.Accepted, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return register.Accepted{}, n.failed
+	}
+	answer, changed := n.acceptor.Accept(m)
+	if changed {
+		if err := n.saveValue(); err != nil {
+			return register.Accepted{}, err
+		}
+	}
+	return answer, nil
+}
+
+// Learn implements registergrpc.Member.
+func (n *Node) Learn(m register.Learn) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return n.failed
+	}
+	if !n.acceptor.Learn(m) {
+		return nil
+	}
+	return n.saveState()
+}
+
+// learnValue takes over a value that is known to be chosen.
+func (n *Node) learnValue(h register.Holding) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return n.failed
+	}
+	if n.acceptor.Learn(register.Learn{Ballot: h.Accepted}) {
+		return n.saveState()
+	}
+	if !n.acceptor.LearnValue(h.Accepted, h.Value) {
+		return nil
+	}
+	return n.saveBoth()
+}
+
+// Query implements registergrpc.Member.
+func (n *Node) Query(m register.Query) (register.Report, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return register.Report{}, n.failed
+	}
+	return n.acceptor.Query(m), nil
+}
+
+// Probe implements registergrpc.Member.
+func (n *Node) Probe(m register.Probe) (register.ProbeReply, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return register.ProbeReply{}, n.failed
+	}
+	return n.acceptor.Probe(m), nil
+}
+
+// Fence implements registergrpc.Member.
+func (n *Node) Fence(m register.Fence) (register.Fenced, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return register.Fenced{}, n.failed
+	}
+	answer, changed := n.acceptor.Fence(m)
+	if changed {
+		if err := n.saveState(); err != nil {
+			return register.Fenced{}, err
+		}
+	}
+	return answer, nil
+}
+
+// snapshot returns the member's state.
+func (n *Node) snapshot() register.State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.acceptor.State()
+}
+
+// held returns what the member accepted, as the start of an attempt.
+func (n *Node) held() register.Holding {
+	s := n.snapshot()
+	return register.Holding{Accepted: s.Accepted, Value: s.Value, Committed: s.Accepted == s.Committed}
+}
+
+// nextBallot returns a ballot above all that the member has seen.
+func (n *Node) nextBallot(seen register.Ballot) register.Ballot {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ballots.Observe(seen)
+	n.observe(n.acceptor.State())
+	return n.ballots.Next()
+}
--- /dev/null
+++ b/internal/app/control/propose.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"sassafrasreach/internal/core/audit"
+	"sassafrasreach/internal/core/register"
+	"sassafrasreach/internal/port"
+)
+
+const (
+	// MaxDocumentBytes bounds a document; a larger one is invalid.
+	MaxDocumentBytes = 4 << 20
+	// submitTimeout bounds Submit when its context has no earlier deadline.
+	submitTimeout = 5 * time.Second
+	// backoffMin and backoffMax bound the random pause before another attempt.
+	backoffMin = 5 * time.Millisecond
+	backoffMax = 100 * time.Millisecond
+)
+
+// Submit implements port.ConfigStore. Besides port.ErrNoQuorum the error may be
+// register.ErrChangeIDReused. A refused change is in the audit trail too.
+func (n *Node) Submit(ctx context.Context, change port.Change) (port.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	proposal := register.Proposal{
+		Change: change, Digest: audit.Digest(change.Document), Invalid: n.faulty(change.Document), Time: n.clock.Now(),
+	}
+	out, proposed, err := n.propose(ctx, func(v *register.Value) (*register.Value, port.Outcome, error) {
+		return register.Apply(v, proposal)
+	})
+	if err == nil {
+		return out, nil
+	}
+	if proposed {
+		return n.unknown(change.ID), nil
+	}
+	return port.Outcome{}, err
+}
+
+func (n *Node) faulty(document []byte) bool {
+	return len(document) > MaxDocumentBytes || n.validate(document) != nil
+}
+
+func (n *Node) unknown(id string) port.Outcome {
+	out := port.Outcome{ChangeID: id, State: port.ChangeUnknown}
+	if v := n.snapshot().CommittedValue; v != nil {
+		out.Version, out.Digest, out.Operator = v.Version, v.Digest, v.Operator
+	}
+	return out
+}
+
+// settle finds out the newest chosen value by making a quorum accept it again.
+func (n *Node) settle(ctx context.Context) (*register.Value, error) {
+	var newest *register.Value
+	_, _, err := n.propose(ctx, func(v *register.Value) (*register.Value, port.Outcome, error) {
+		newest = v
+		return register.Keep(v)
+	})
+	return newest, err
+}
+
+// propose makes attempts until one ends the matter or ctx ends. The flag says
+// whether a value that decide returned may have been, or may yet be, chosen
+// when the error isn't nil.
+func (n *Node) propose(ctx context.Context, decide register.Decide) (port.Outcome, bool, error) {
+	select {
+	case n.turn <- struct{}{}:
+		defer func() { <-n.turn }()
+	case <-ctx.Done():
+		return port.Outcome{}, false, port.ErrNoQuorum
+	}
+	proposed := false
+	seen := register.Ballot{}
+	for ctx.Err() == nil && n.failure() == nil {
+		began := n.clock.Now()
+		a := register.NewAttempt(n.group, n.nextBallot(seen), n.held(), decide)
+		n.attempt(ctx, a)
+		switch out, err := a.Outcome(); {
+		case a.Phase() == register.Chosen:
+			n.announce(a)
+			n.noteQuorum(began)
+			return out, true, nil
+		case err != nil:
+			return port.Outcome{}, proposed, err
+		}
+		proposed = proposed || a.Value() != nil
+		seen = a.Seen()
+		pause(ctx, backoffMin+rand.N(backoffMax-backoffMin))
+	}
+	return port.Outcome{}, proposed, port.ErrNoQuorum
+}
+
+// attempt runs the two rounds of one attempt.
+func (n *Node) attempt(ctx context.Context, a *register.Attempt) {
+	prepare := a.Prepare()
+	round[register.Promise]{
+		local:  func() (register.Promise, error) { return n.Prepare(prepare) },
+		remote: func(ctx context.Context, to Remote) (register.Promise, error) { return to.Prepare(ctx, prepare) },
+		sender: func(m register.Promise) register.MemberID { return m.Member },
+		take: func(m register.Promise) bool {
+			a.Promise(m)
+			return a.Phase() != register.Preparing
+		},
+	}.run(ctx, n)
+	if a.Phase() != register.Accepting {
+		return
+	}
+	accept := a.Accept()
+	round[register.Accepted]{
+		local:  func() (register.Accepted, error) { return n.Accept(accept) },
+		remote: func(ctx context.Context, to Remote) (register.Accepted, error) { return to.Accept(ctx, accept) },
+		sender: func(m register.Accepted) register.MemberID { return m.Member },
+		take: func(m register.Accepted) bool {
+			a.Accepted(m)
+			return a.Phase() != register.Accepting
+		},
+	}.run(ctx, n)
+}
+
+// announce tells every member that the attempt's value was chosen.
+func (n *Node) announce(a *register.Attempt) {
+	learn := a.Learn()
+	_ = n.learnValue(register.Holding{Accepted: a.Ballot(), Value: a.Value(), Committed: true})
+	for _, to := range n.remotes {
+		if to != nil {
+			n.send(func() { _ = to.Learn(n.life, learn) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/control/state.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"sassafrasreach/internal/adapter/disk"
+	"sassafrasreach/internal/adapter/registergrpc"
+	"sassafrasreach/internal/core/register"
+)
+
+const (
+	stateRecord = "state"
+	valueRecord = "value"
+)
+
+// open loads the node's state. A folder that is empty, or whose records don't
+// verify, gives a state that doesn't vote, under a new nonce.
+func (n *Node) open(cfg Config) error {
+	folder, err := disk.Open(cfg.Files, cfg.DataDir)
+	if err != nil {
+		return err
+	}
+	n.folder = folder
+	state, stateErr := folder.Load(stateRecord)
+	value, valueErr := folder.Load(valueRecord)
+	for _, err := range []error{stateErr, valueErr} {
+		if errors.Is(err, disk.ErrFailed) {
+			return err
+		}
+	}
+	if stateErr == nil && valueErr == nil {
+		return n.restore(state, value)
+	}
+	damaged := n.damaged(state, stateErr, valueErr)
+	n.logger.Warn("data folder holds no usable state", "damaged", damaged, "state", stateErr, "value", valueErr)
+	return n.reset(damaged)
+}
+
+func (n *Node) restore(state, value []byte) error {
+	s, err := registergrpc.UnmarshalState(state, value, n.groupID)
+	if err != nil {
+		return err
+	}
+	n.acceptor = register.NewAcceptor(n.self, s)
+	n.observe(s)
+	return nil
+}
+
+// damaged says whether a folder without a usable state held one before: only a
+// folder without records, or with the first record of an interrupted first
+// start, did not.
+func (n *Node) damaged(state []byte, stateErr, valueErr error) bool {
+	if !errors.Is(valueErr, disk.ErrMissing) {
+		return true
+	}
+	if errors.Is(stateErr, disk.ErrMissing) {
+		return false
+	}
+	s, err := registergrpc.UnmarshalState(state, nil, n.groupID)
+	return stateErr != nil || err != nil || s.Voting || s.Damaged
+}
+
+// reset makes the folder one that never voted, or was damaged. The state goes
+// first: until the value is saved too, the folder holds no usable state. Must
+// hold mu, or be called from New.
+func (n *Node) reset(damaged bool) error {
+	nonce, err := newNonce()
+	if err != nil {
+		return n.fail(err)
+	}
+	n.acceptor = register.NewAcceptor(n.self, register.State{Nonce: nonce, Damaged: damaged})
+	if err := n.saveState(); err != nil {
+		return err
+	}
+	return n.saveValue()
+}
+
+func newNonce() (uint64, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, fmt.Errorf("draw nonce: %w", err)
+	}
+	return binary.BigEndian.Uint64(b[:]) | 1, nil
+}
+
+func (n *Node) observe(s register.State) {
+	n.ballots.Observe(s.Promised)
+	n.ballots.Observe(s.Accepted)
+	n.ballots.Observe(s.Committed)
+}
+
+// saveState makes promises durable; must hold mu, or be called from New.
+func (n *Node) saveState() error {
+	record, err := registergrpc.MarshalState(n.acceptor.State(), n.groupID)
+	if err != nil {
+		return n.fail(err)
+	}
+	return n.fail(n.folder.Save(stateRecord, record))
+}
+
+// saveValue makes the accepted and the committed value durable; must hold mu,
+// or be called from New.
+func (n *Node) saveValue() error {
+	record, err := registergrpc.MarshalValue(n.acceptor.State())
+	if err != nil {
+		return n.fail(err)
+	}
+	return n.fail(n.folder.Save(valueRecord, record))
+}
+
+// saveBoth makes the whole state durable. The value goes first: a state that
+// votes must not be found with an older value. Must hold mu.
+func (n *Node) saveBoth() error {
+	if err := n.saveValue(); err != nil {
+		return err
+	}
+	return n.saveState()
+}
+
+// fail stops the member for good when err is not nil; must hold mu, or be
+// called from New.
+func (n *Node) fail(err error) error {
+	if err == nil || n.failed != nil {
+		return n.failed
+	}
+	n.failed = err
+	close(n.stopped)
+	n.logger.Error("data folder failed: the member gives no more answers", "cause", err)
+	return err
+}
--- /dev/null
+++ b/internal/core/register/read.go
@@ -0,0 +1,78 @@
+package register
+
+// Read collects the reports of one query round. A quorum of reports shows the
+// newest chosen value without a ballot when its highest accepted value is
+// known to be chosen. It is not safe for concurrent use.
+type Read struct {
+	group   Group
+	reports tally
+	holders [MaxMembers]Ballot
+	highest Holding
+	have    Holding
+	known   Holding
+}
+
+// NewRead returns a query round of an asker that holds have already.
+func NewRead(g Group, have Holding) *Read {
+	return &Read{group: g, have: have, highest: have}
+}
+
+// Query returns the message to every member.
+func (r *Read) Query() Query { return Query{Have: r.have.Accepted} }
+
+// Report takes a member's answer.
+func (r *Read) Report(m Report) {
+	if !m.Voting {
+		return
+	}
+	r.reports.add(m.Standing)
+	r.holders[m.Member] = m.Accepted
+	if m.Accepted == r.have.Accepted {
+		m.Value = r.have.Value
+	}
+	if m.Committed && r.known.Accepted.Less(m.Accepted) {
+		r.known = m.Holding
+	}
+	switch c := r.highest.Accepted.Compare(m.Accepted); {
+	case c < 0:
+		r.highest = m.Holding
+	case c == 0:
+		r.highest.Committed = r.highest.Committed || m.Committed
+	}
+}
+
+// Quorum says whether a quorum reported.
+func (r *Read) Quorum() bool { return r.reports.count() >= r.group.Quorum() }
+
+// Chosen returns the newest chosen value, the empty Holding of an empty
+// register included. It returns false without a quorum of reports, and when
+// the highest accepted value isn't known to be chosen: an Attempt with Keep
+// finds out then.
+func (r *Read) Chosen() (Holding, bool) {
+	if !r.Quorum() {
+		return Holding{}, false
+	}
+	if r.highest.Committed {
+		return r.highest, true
+	}
+	n := 0
+	for i, b := range r.holders {
+		if r.reports.agreed[i] && b == r.highest.Accepted {
+			n++
+		}
+	}
+	r.highest.Committed = n >= r.group.Quorum()
+	return r.highest, r.highest.Committed
+}
+
+// Known returns the highest value that some member knows to be chosen, without
+// regard to a quorum; it need not be the newest.
+func (r *Read) Known() (Holding, bool) {
+	if h, chosen := r.Chosen(); chosen {
+		return h, true
+	}
+	return r.known, r.known.Committed
+}
+
+// Fences returns the newest fences that the reports name.
+func (r *Read) Fences() Ballots { return r.reports.fences }
