--- /dev/null
+++ b/internal/adapter/callerhttp/problem.go
@@ -0,0 +1,68 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"sassafrasreach/internal/core/verdict"
+)
+
+// Problem is a problem document (RFC 9457) with the verdict of the request.
+type Problem struct {
+	// Type is a URN made of the reason.
+	Type string `json:"type"`
+	// Title is the reason.
+	Title string `json:"title"`
+	// Status is the HTTP status.
+	Status int `json:"status"`
+	// Detail is for people.
+	Detail string `json:"detail"`
+	// Verdict says whether the request may have run.
+	Verdict string `json:"verdict"`
+}
+
+// statusOf maps a reason to its HTTP status.
+func statusOf(reason verdict.Reason) int {
+	switch reason {
+	case verdict.ReasonBadRequest:
+		return http.StatusBadRequest
+	case verdict.ReasonUnknownService, verdict.ReasonUnknownPlace:
+		return http.StatusNotFound
+	case verdict.ReasonDeadline, verdict.ReasonCanceled:
+		return http.StatusGatewayTimeout
+	case verdict.ReasonNoKey:
+		return http.StatusPreconditionRequired
+	case verdict.ReasonKeyReused, verdict.ReasonKeyExpired, verdict.ReasonHomeLost:
+		return http.StatusConflict
+	case verdict.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.ReasonQuarantined:
+		return http.StatusUnprocessableEntity
+	case verdict.ReasonDial, verdict.ReasonConnection, verdict.ReasonBadAnswer, verdict.ReasonPeer:
+		return http.StatusBadGateway
+	case verdict.ReasonInternal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// writeProblem answers with the problem document of err.
+func writeProblem(w http.ResponseWriter, err error) {
+	reason := verdict.ReasonOf(err)
+	problem := Problem{
+		Type:    "urn:sassafrasreach:" + string(reason),
+		Title:   string(reason),
+		Status:  statusOf(reason),
+		Detail:  err.Error(),
+		Verdict: verdict.Of(err).String(),
+	}
+	body, marshalErr := json.Marshal(problem)
+	if marshalErr != nil {
+		body = []byte(`{"title":"internal","status":500}`)
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set(HeaderVerdict, problem.Verdict)
+	w.WriteHeader(problem.Status)
+	_, _ = w.Write(body)
+}
--- a/internal/adapter/endpointhttp/errors.go
+++ b/internal/adapter/endpointhttp/errors.go
@@ -39,7 +39,7 @@
 
 // mayHaveRun is the failure of a request that was sent, wholly or in part.
 func mayHaveRun(ctx context.Context, reason verdict.Reason, err error) error {
-	return verdict.NewError(verdict.MayHaveRun, reasonOf(ctx, reason), cause(ctx, err))
+	return verdict.NewError(verdict.MayHaveRun, reasonOf(ctx, reason), cause(ctx, connectionLost(err)))
 }
 
 // reasonOf returns why ctx ended, or else the given reason.
--- /dev/null
+++ b/internal/adapter/metrics/meter.go
@@ -0,0 +1,85 @@
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
+)
+
+const (
+	// sampleSize and sampleAlpha shape the reservoir of a histogram: about a
+	// thousand samples, biased to the last five minutes.
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Meter implements port.Meter.
+type Meter struct {
+	registry gometrics.Registry
+}
+
+var _ port.Meter = (*Meter)(nil)
+
+// New returns a meter with a registry of its own.
+func New() *Meter { return &Meter{registry: gometrics.NewRegistry()} }
+
+// Handler serves the registry as JSON.
+func (m *Meter) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		gometrics.WriteJSONOnce(m.registry, w)
+	})
+}
+
+func (m *Meter) count(name string) {
+	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+func (m *Meter) set(name string, value int64) {
+	gometrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
+func (m *Meter) observe(name string, value int64) {
+	histogram := m.registry.GetOrRegister(name, newHistogram).(gometrics.Histogram)
+	histogram.Update(value)
+}
+
+func newHistogram() gometrics.Histogram {
+	return gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
+
+// Request implements port.Meter.
+func (m *Meter) Request(service string, v verdict.Verdict, reason verdict.Reason, took time.Duration) {
+	m.observe("request.latency_us."+service, took.Microseconds())
+	m.count("request.verdict." + v.String())
+	if reason != "" {
+		m.count("request.reason." + string(reason))
+	}
+}
+
+// Group implements port.Meter.
+func (m *Meter) Group(service, place string, slots, busy, queued int) {
+	name := service + "." + place
+	m.set("group.slots."+name, int64(slots))
+	m.set("group.busy."+name, int64(busy))
+	m.set("group.queued."+name, int64(queued))
+	m.set("group.headroom."+name, int64(max(0, slots-busy)))
+}
+
+// Version implements port.Meter.
+func (m *Meter) Version(version uint64) { m.set("document.version", int64(version)) }
+
+// Moved implements port.Meter.
+func (m *Meter) Moved(rule string) {
+	gometrics.GetOrRegisterMeter("cap.moved."+rule, m.registry).Mark(1)
+}
+
+// Quarantined implements port.Meter.
+func (m *Meter) Quarantined(count int) { m.set("quarantine.fingerprints", int64(count)) }
+
+// Drained implements port.Meter.
+func (m *Meter) Drained(took time.Duration) { m.set("stop.drain_ms", took.Milliseconds()) }
--- /dev/null
+++ b/internal/adapter/peergrpc/client.go
@@ -0,0 +1,190 @@
+package peergrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	peerv1 "sassafrasreach/api/peer/v1"
+	"sassafrasreach/internal/core/claims"
+	"sassafrasreach/internal/core/membership"
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
+)
+
+// Client calls other entries. It implements port.PeerClient.
+type Client struct {
+	conns *conns
+	clock port.Clock
+}
+
+var _ port.PeerClient = (*Client)(nil)
+
+// NewClient returns a client without connections.
+func NewClient(clock port.Clock) *Client {
+	return &Client{conns: newConns(clock), clock: clock}
+}
+
+// Close closes every connection.
+func (c *Client) Close() { c.conns.closeAll() }
+
+// call runs one unary call. A call that ran into its deadline makes the
+// connection suspect: the next one starts on a new connection.
+func (c *Client) call(ctx context.Context, address string, do func(peerv1.PeerServiceClient) error) error {
+	conn, err := c.conns.get(ctx, address, false)
+	if err != nil {
+		return err
+	}
+	defer conn.release()
+	if err := do(peerv1.NewPeerServiceClient(conn.cc)); err != nil {
+		c.suspect(address, conn, err)
+		return fmt.Errorf("peer %s: %w", address, err)
+	}
+	conn.hear(c.clock.Now())
+	return nil
+}
+
+// suspect drops a connection that failed or stayed silent.
+func (c *Client) suspect(address string, conn *conn, err error) {
+	switch status.Code(err) {
+	case codes.DeadlineExceeded, codes.Unavailable:
+		c.conns.drop(address, conn)
+	}
+}
+
+// Heartbeat sends a heartbeat and returns the peer's.
+func (c *Client) Heartbeat(ctx context.Context, address string, hb membership.Heartbeat) (membership.Heartbeat, error) {
+	var reply membership.Heartbeat
+	err := c.call(ctx, address, func(peer peerv1.PeerServiceClient) error {
+		response, err := peer.Heartbeat(ctx, heartbeatToProto(hb))
+		if err == nil {
+			reply = heartbeatFromReply(response)
+		}
+		return err
+	})
+	return reply, err
+}
+
+// Announce passes announcements on.
+func (c *Client) Announce(ctx context.Context, address string, batch []port.Announcement) error {
+	return c.call(ctx, address, func(peer peerv1.PeerServiceClient) error {
+		_, err := peer.Announce(ctx, announcementsToProto(batch))
+		return err
+	})
+}
+
+// FetchDocument returns the peer's document when it is newer than have.
+func (c *Client) FetchDocument(ctx context.Context, address string, have uint64) (port.Config, error) {
+	var config port.Config
+	err := c.call(ctx, address, func(peer peerv1.PeerServiceClient) error {
+		response, err := peer.FetchDocument(ctx, &peerv1.FetchDocumentRequest{HaveVersion: have})
+		if err == nil {
+			config = port.Config{
+				Version:  response.GetVersion(),
+				Digest:   response.GetDigest(),
+				Document: response.GetDocument(),
+			}
+		}
+		return err
+	})
+	return config, err
+}
+
+// HandOver gives claims to the peer.
+func (c *Client) HandOver(ctx context.Context, address string, h claims.HandOver) error {
+	return c.call(ctx, address, func(peer peerv1.PeerServiceClient) error {
+		_, err := peer.HandOver(ctx, handOverToProto(h))
+		return err
+	})
+}
+
+// Quarantine spreads fingerprints.
+func (c *Client) Quarantine(ctx context.Context, address string, rows []port.QuarantineRow) error {
+	return c.call(ctx, address, func(peer peerv1.PeerServiceClient) error {
+		_, err := peer.Quarantine(ctx, quarantineToProto(rows))
+		return err
+	})
+}
+
+// Borrow asks for a loan.
+func (c *Client) Borrow(ctx context.Context, address string, r port.LoanRequest) (port.LoanGrant, error) {
+	var grant port.LoanGrant
+	err := c.call(ctx, address, func(peer peerv1.PeerServiceClient) error {
+		response, err := peer.Borrow(ctx, loanToProto(r))
+		if err == nil {
+			grant = port.LoanGrant{Units: response.GetUnits(), Term: millis(response.GetTermMillis())}
+		}
+		return err
+	})
+	return grant, err
+}
+
+// Forward carries a request to the peer. Every error is a *verdict.Error.
+func (c *Client) Forward(ctx context.Context, address string, f port.Forward) (*port.Response, error) {
+	conn, err := c.conns.get(ctx, address, f.Request.OnceOnly)
+	if err != nil {
+		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonPeer,
+			fmt.Errorf("%w: %s: %w", port.ErrPeerUnreachable, address, err))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	end := func() {
+		cancel()
+		conn.release()
+	}
+	stream, err := peerv1.NewPeerServiceClient(conn.cc).Forward(ctx, forwardToProto(f, c.clock.Now()))
+	if err != nil {
+		c.suspect(address, conn, err)
+		end()
+		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonPeer, err)
+	}
+	response, err := c.receive(stream, end)
+	if err != nil {
+		c.suspect(address, conn, err)
+		end()
+		return nil, forwardError(err)
+	}
+	conn.hear(c.clock.Now())
+	return response, nil
+}
+
+// receive reads the head and as much of the body as is held whole. It calls
+// end when the stream has ended, unless the rest of the body is handed on.
+func (c *Client) receive(stream forwardStream, end func()) (*port.Response, error) {
+	head, err := receiveHead(stream)
+	if err != nil {
+		return nil, err
+	}
+	response := &port.Response{Status: int(head.GetStatus()), Header: headerFromProto(head.GetHeader())}
+	body := &bodyReader{stream: stream, end: end}
+	response.Body, err = io.ReadAll(io.LimitReader(body, holdBytes))
+	if err != nil {
+		return nil, err
+	}
+	if !body.ended {
+		if err := body.fill(); err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+	}
+	if body.ended && len(body.buf) == 0 {
+		end()
+		return response, nil
+	}
+	response.Rest = body
+	return response, nil
+}
+
+// forwardError gives every failure of a forwarded request its verdict.
+func forwardError(err error) error {
+	var failure *verdict.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	if code := status.Code(err); code == codes.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded) {
+		return verdict.NewError(verdict.MayHaveRun, verdict.ReasonDeadline, err)
+	}
+	return verdict.NewError(verdict.MayHaveRun, verdict.ReasonPeer, err)
+}
--- /dev/null
+++ b/internal/adapter/peergrpc/control.go
@@ -0,0 +1,66 @@
+package peergrpc
+
+import (
+	"context"
+	"fmt"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	registerv1 "sassafrasreach/api/register/v1"
+	"sassafrasreach/internal/port"
+)
+
+// ControlClient asks control VMs for the document. It implements
+// port.ControlClient.
+type ControlClient struct {
+	conns *conns
+	clock port.Clock
+}
+
+var _ port.ControlClient = (*ControlClient)(nil)
+
+// NewControlClient returns a client without connections.
+func NewControlClient(clock port.Clock) *ControlClient {
+	return &ControlClient{conns: newConns(clock), clock: clock}
+}
+
+// Fetch asks one control VM for a newer document and reports entries to it.
+func (c *ControlClient) Fetch(ctx context.Context, address string, q port.FetchQuery) (port.FetchAnswer, error) {
+	conn, err := c.conns.get(ctx, address, false)
+	if err != nil {
+		return port.FetchAnswer{}, fmt.Errorf("control VM %s: %w", address, err)
+	}
+	defer conn.release()
+	response, err := registerv1.NewConfigServiceClient(conn.cc).Fetch(ctx, fetchToProto(q))
+	if err != nil {
+		if code := status.Code(err); code == codes.DeadlineExceeded || code == codes.Unavailable {
+			c.conns.drop(address, conn)
+		}
+		return port.FetchAnswer{}, fmt.Errorf("control VM %s: %w", address, err)
+	}
+	conn.hear(c.clock.Now())
+	return port.FetchAnswer{
+		Config: port.Config{
+			Version:  response.GetVersion(),
+			Digest:   response.GetDigest(),
+			Document: response.GetDocument(),
+		},
+		Quorum:            response.GetQuorum(),
+		LiftedQuarantines: response.GetLiftedQuarantines(),
+	}, nil
+}
+
+func fetchToProto(q port.FetchQuery) *registerv1.FetchRequest {
+	entries := make([]*registerv1.EntryReport, len(q.Entries))
+	for i, report := range q.Entries {
+		entries[i] = &registerv1.EntryReport{
+			Name:        report.Name,
+			Place:       report.Place,
+			Incarnation: report.Incarnation,
+			Version:     report.Version,
+			Quarantined: report.Quarantined,
+		}
+	}
+	return &registerv1.FetchRequest{HaveVersion: q.Have, Entries: entries}
+}
--- /dev/null
+++ b/internal/app/entry/announce.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"sassafrasreach/internal/core/admission"
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/port"
+)
+
+// maxAnnounceSlots bounds what an endpoint may claim.
+const maxAnnounceSlots = 100_000
+
+// Announce takes an endpoint's report and passes it to the owner of its group
+// and to the owner's backup.
+func (e *Entry) Announce(_ context.Context, a port.Announcement) (port.AnnounceAnswer, error) {
+	s, err := e.current()
+	if err != nil {
+		return port.AnnounceAnswer{}, err
+	}
+	if err := checkAnnouncement(s, a); err != nil {
+		return port.AnnounceAnswer{}, err
+	}
+	e.takeAnnouncement(a)
+	e.passAnnouncement(s, a)
+	return port.AnnounceAnswer{
+		Entries:        e.announceEntries(s, a.Place),
+		IntervalMillis: announceInterval.Milliseconds(),
+	}, nil
+}
+
+func checkAnnouncement(s *snapshot, a port.Announcement) error {
+	if _, ok := s.table.Service(a.Service); !ok {
+		return unknownService(a.Service)
+	}
+	if _, ok := s.regions[a.Place]; !ok {
+		return verdict.NewError(verdict.NotRun, verdict.ReasonUnknownPlace, fmt.Errorf("place %q", a.Place))
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return verdict.NewError(verdict.NotRun, verdict.ReasonBadRequest, err)
+	}
+	known := a.State == port.EndpointStarting || a.State == port.EndpointReady || a.State == port.EndpointLeaving
+	inRange := a.Slots >= 1 && a.Slots <= maxAnnounceSlots && a.Connections >= 1 && a.Incarnation > 0
+	if a.ID == "" || !known || !inRange {
+		return verdict.NewError(verdict.NotRun, verdict.ReasonBadRequest,
+			fmt.Errorf("announcement of endpoint %q is incomplete or out of range", a.ID))
+	}
+	return nil
+}
+
+// takeAnnouncement applies a report here. Every entry that hears one keeps it,
+// so that a new owner knows its endpoints.
+func (e *Entry) takeAnnouncement(a port.Announcement) {
+	now := e.clock.Now()
+	key := groupKey{a.Service, a.Place}
+	g := e.groups.get(key, e.admissionConfig(key))
+	former, replaced := g.announce(now, admission.Announcement{
+		ID:          a.ID,
+		Incarnation: a.Incarnation,
+		Sequence:    a.Sequence,
+		Address:     a.Address,
+		Slots:       a.Slots,
+		Connections: a.Connections,
+		State:       admissionState(a.State),
+		Load:        a.Load,
+	})
+	if replaced {
+		e.endpointDied(a.ID, former, key)
+	}
+}
+
+func admissionState(state port.EndpointState) admission.State {
+	switch state {
+	case port.EndpointReady:
+		return admission.Ready
+	case port.EndpointLeaving:
+		return admission.Leaving
+	default:
+		return admission.Starting
+	}
+}
+
+// passAnnouncement queues the report for the owner and its backup. One that
+// leaves is passed on at once.
+func (e *Entry) passAnnouncement(s *snapshot, a port.Announcement) {
+	now := e.clock.Now()
+	key := groupKey{a.Service, a.Place}
+	owner, okOwner := e.members.owner(now, key)
+	backup, okBackup := e.members.backup(now, key)
+	if okOwner {
+		e.queueAnnouncement(s, owner.Name, a)
+	}
+	if okBackup {
+		e.queueAnnouncement(s, backup.Name, a)
+	}
+	if a.State == port.EndpointLeaving {
+		event.Log(context.Background(), e.logger, event.EndpointLeaving, slog.String("endpoint", a.ID))
+		e.outbox.wake()
+	}
+}
+
+func (e *Entry) queueAnnouncement(s *snapshot, to string, a port.Announcement) {
+	address, ok := s.entries[to]
+	if !ok || to == e.config.Name {
+		return
+	}
+	e.outbox.add(address.peer, a)
+}
+
+// announceEntries lists the entries that the endpoint may announce to.
+func (e *Entry) announceEntries(s *snapshot, place string) []string {
+	var addresses []string
+	for _, member := range e.members.live(e.clock.Now(), place) {
+		if address, ok := s.entries[member.Name]; ok && !member.Leaving {
+			addresses = append(addresses, address.caller)
+		}
+	}
+	return addresses
+}
+
+// HandleAnnounce implements port.PeerHandler.
+func (e *Entry) HandleAnnounce(batch []port.Announcement) {
+	s := e.snapshot.Load()
+	if s == nil {
+		return
+	}
+	for _, a := range batch {
+		if checkAnnouncement(s, a) == nil {
+			e.takeAnnouncement(a)
+		}
+	}
+}
+
+// tickLoop expires queued requests and silent endpoints.
+func (e *Entry) tickLoop(ctx context.Context) {
+	every(ctx, tickPeriod, func() {
+		now := e.clock.Now()
+		for _, g := range e.groups.all() {
+			g.tick(now)
+		}
+	})
+}
+
+const (
+	// tickPeriod is the time between the expiries of queues.
+	tickPeriod = 20 * time.Millisecond
+	// expirePeriod is the time between the expiries of claims and suspects.
+	expirePeriod = time.Second
+)
+
+// expireLoop forgets claims and suspects whose time is over.
+func (e *Entry) expireLoop(ctx context.Context) {
+	every(ctx, expirePeriod, func() {
+		now := e.clock.Now()
+		e.claims.expire(now)
+		e.suspects.expire(now)
+	})
+}
--- /dev/null
+++ b/internal/app/entry/pull.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/core/membership"
+	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/port"
+)
+
+const (
+	// pullPeriod is the time between looks for a newer document.
+	pullPeriod = 500 * time.Millisecond
+	// backupPullPeriod is how often an entry asks control VMs itself when
+	// another entry of its place does so each pullPeriod.
+	backupPullPeriod = 5 * time.Second
+	// cutOffGrace is how long a starting entry waits for a control quorum
+	// before it takes the newest version of the peers in reach.
+	cutOffGrace = 2 * time.Second
+)
+
+// errDigest means that a document doesn't match its digest.
+var errDigest = errors.New("document doesn't match its digest")
+
+// puller is the state of the search for newer documents.
+type puller struct {
+	mu       sync.Mutex // serialises apply
+	started  time.Time
+	lastOwn  time.Time // when this entry last asked a control VM itself
+	next     int       // index of the control VM to ask
+	lost     bool      // no control VM answered last time
+	quorumOK bool      // a control quorum answered since the start
+}
+
+// pullLoop looks for newer documents.
+func (e *Entry) pullLoop(ctx context.Context) {
+	e.pull.started = e.clock.Now()
+	e.pullOnce(ctx)
+	every(ctx, pullPeriod, func() { e.pullOnce(ctx) })
+}
+
+func (e *Entry) pullOnce(ctx context.Context) {
+	if e.snapshot.Load() == nil {
+		e.bootstrap(ctx)
+		return
+	}
+	e.pullFromPeer(ctx)
+	now := e.clock.Now()
+	if e.speaksForPlace(now) || now.Sub(e.pull.lastOwn) >= backupPullPeriod {
+		e.pull.lastOwn = now
+		e.pullFromControl(ctx)
+	}
+}
+
+// bootstrap finds the first document of this process: what a control quorum
+// has, or after the grace the newest of what peers and single control VMs have.
+func (e *Entry) bootstrap(ctx context.Context) {
+	best, quorum := e.askAllControl(ctx)
+	if quorum {
+		e.pull.quorumOK = true
+	}
+	if quorum && best.Version > 0 {
+		e.apply(ctx, best)
+		return
+	}
+	if quorum || e.clock.Now().Sub(e.pull.started) < cutOffGrace {
+		return
+	}
+	for _, address := range e.config.Seeds {
+		config, err := e.fetchFromPeer(ctx, address, best.Version)
+		if err == nil && config.Version > best.Version {
+			best = config
+		}
+	}
+	if best.Version > 0 && e.apply(ctx, best) {
+		event.Log(ctx, e.logger, event.ServingCutOff, slog.Uint64("version", best.Version))
+	}
+}
+
+// askAllControl asks every control VM; quorum says that at least one answer
+// comes from a quorum.
+func (e *Entry) askAllControl(ctx context.Context) (best port.Config, quorum bool) {
+	answers := make(chan port.FetchAnswer, len(e.config.Control))
+	var wg sync.WaitGroup
+	for _, address := range e.config.Control {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			answer, err := e.control.Fetch(ctx, address, port.FetchQuery{Entries: e.reports(e.clock.Now())})
+			if err == nil {
+				answers <- answer
+			}
+		})
+	}
+	wg.Wait()
+	close(answers)
+	for answer := range answers {
+		quorum = quorum || answer.Quorum
+		if answer.Config.Version > best.Version {
+			best = answer.Config
+		}
+	}
+	return best, quorum
+}
+
+// pullFromPeer asks the nearest entry that has a newer version.
+func (e *Entry) pullFromPeer(ctx context.Context) {
+	now := e.clock.Now()
+	var (
+		from  membership.Member
+		newer bool
+	)
+	e.members.with(func(t *membership.Table) { _, from, newer = t.NewestVersion(now) })
+	if !newer {
+		return
+	}
+	address, ok := e.snapshot.Load().entries[from.Name]
+	if !ok {
+		return
+	}
+	config, err := e.fetchFromPeer(ctx, address.peer, e.version())
+	if err == nil {
+		e.apply(ctx, config)
+	}
+}
+
+func (e *Entry) fetchFromPeer(ctx context.Context, address string, have uint64) (port.Config, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return e.peers.FetchDocument(ctx, address, have)
+}
+
+// pullFromControl asks one control VM, and the next ones when it doesn't
+// answer. It reports the entries of this place.
+func (e *Entry) pullFromControl(ctx context.Context) {
+	query := port.FetchQuery{Have: e.version(), Entries: e.reports(e.clock.Now())}
+	for range e.config.Control {
+		address := e.config.Control[e.pull.next%len(e.config.Control)]
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		answer, err := e.control.Fetch(ctx, address, query)
+		cancel()
+		if err != nil || !answer.Quorum {
+			e.pull.next++
+		}
+		if err == nil {
+			e.takeAnswer(ctx, answer)
+		}
+		if err == nil && answer.Quorum {
+			e.noteControl(ctx, false)
+			return
+		}
+	}
+	e.noteControl(ctx, true)
+}
+
+func (e *Entry) takeAnswer(ctx context.Context, answer port.FetchAnswer) {
+	if len(answer.Config.Document) > 0 {
+		e.apply(ctx, answer.Config)
+	}
+	if len(answer.LiftedQuarantines) == 0 {
+		return
+	}
+	rows := make([]port.QuarantineRow, len(answer.LiftedQuarantines))
+	for i, f := range answer.LiftedQuarantines {
+		rows[i] = port.QuarantineRow{Fingerprint: f, Lifted: true}
+	}
+	e.HandleQuarantine(rows)
+	for _, address := range e.livePeers() {
+		e.inBackground(ctx, func(ctx context.Context) { _ = e.peers.Quarantine(ctx, address, rows) })
+	}
+}
+
+// noteControl logs when the control quorum is lost or found again.
+func (e *Entry) noteControl(ctx context.Context, lost bool) {
+	if lost == e.pull.lost {
+		return
+	}
+	e.pull.lost = lost
+	if lost {
+		event.Log(ctx, e.logger, event.ControlLost)
+		return
+	}
+	event.Log(ctx, e.logger, event.ControlFound)
+}
+
+// apply puts a document in force if it is newer than the present one.
+func (e *Entry) apply(ctx context.Context, config port.Config) bool {
+	e.pull.mu.Lock()
+	defer e.pull.mu.Unlock()
+	if config.Version <= e.version() {
+		return false
+	}
+	s, err := checkedSnapshot(config)
+	if err != nil {
+		event.Log(ctx, e.logger, event.DocumentRefused,
+			slog.Uint64("version", config.Version), slog.String("error", err.Error()))
+		return false
+	}
+	now := e.clock.Now()
+	e.ledger.setDocument(now, s)
+	e.snapshot.Store(s)
+	e.members.with(func(t *membership.Table) {
+		t.SetPeers(now, s.peers)
+		t.SetVersion(config.Version)
+	})
+	for _, g := range e.groups.all() {
+		g.configure(e.admissionConfig(g.key))
+	}
+	e.meter.Version(config.Version)
+	event.Log(ctx, e.logger, event.DocumentApplied,
+		slog.Uint64("version", config.Version), slog.String("digest", config.Digest))
+	e.wakeBeat()
+	return true
+}
+
+func checkedSnapshot(config port.Config) (*snapshot, error) {
+	if document.Digest(config.Document) != config.Digest {
+		return nil, errDigest
+	}
+	return newSnapshot(config)
+}
+
+// version returns the version in force; 0 without a document.
+func (e *Entry) version() uint64 {
+	s := e.snapshot.Load()
+	if s == nil {
+		return 0
+	}
+	return s.config.Version
+}
+
+// speaksForPlace says whether this entry asks control VMs for its place.
+func (e *Entry) speaksForPlace(now time.Time) bool {
+	speaks := true
+	e.members.with(func(t *membership.Table) {
+		speaker, ok := t.Representative(now, e.config.Place)
+		speaks = !ok || speaker.Name == e.config.Name
+	})
+	return speaks
+}
+
+// reports tells of this entry and of the live ones of its place.
+func (e *Entry) reports(now time.Time) []port.EntryReport {
+	self := port.EntryReport{
+		Name:        e.config.Name,
+		Place:       e.config.Place,
+		Incarnation: e.config.Incarnation,
+		Version:     e.version(),
+	}
+	for _, entry := range e.suspects.list(now) {
+		self.Quarantined = append(self.Quarantined, entry.Fingerprint.String())
+	}
+	reports := []port.EntryReport{self}
+	for _, member := range e.members.live(now, e.config.Place) {
+		if member.Name == e.config.Name {
+			continue
+		}
+		reports = append(reports, port.EntryReport{
+			Name:        member.Name,
+			Place:       member.Place,
+			Incarnation: member.Incarnation,
+			Version:     member.Version,
+		})
+	}
+	return reports
+}
+
+// HandleFetchDocument implements port.PeerHandler.
+func (e *Entry) HandleFetchDocument(have uint64) port.Config {
+	s := e.snapshot.Load()
+	if s == nil || s.config.Version <= have {
+		return port.Config{}
+	}
+	return s.config
+}
--- /dev/null
+++ b/internal/app/entry/route.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"time"
+
+	"sassafrasreach/internal/core/steering"
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
+)
+
+const (
+	// maxPlaces is the number of places that one request tries: the first and
+	// one spill.
+	maxPlaces = 2
+	// ownerRetryDelay is the wait before a group without an owner is tried again.
+	ownerRetryDelay = 50 * time.Millisecond
+	// peerGrace is how much longer than the deadline a forwarded request is
+	// waited for, so that the owner's own verdict arrives.
+	peerGrace = 50 * time.Millisecond
+)
+
+// errNoChoice means that no place may serve the request.
+var errNoChoice = errors.New("no place may serve the request")
+
+// route finds the places for a request and sends it to the owner of the first
+// that admits it. It moves on only on NotRun, and spills once.
+func (e *Entry) route(ctx context.Context, req *port.Request) (*port.Response, error) {
+	s, err := e.current()
+	if err != nil {
+		return nil, err
+	}
+	if err := e.checkDeadline(req); err != nil {
+		return nil, err
+	}
+	choices := s.table.Rank(req.Service, req.Origin, view{e.members, e.clock.Now()})
+	if len(choices) == 0 {
+		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonNoEndpoint, errNoChoice)
+	}
+	var failure error
+	for _, choice := range choices[:min(len(choices), maxPlaces)] {
+		response, err := e.toPlace(ctx, req, choice)
+		if err == nil {
+			return response, nil
+		}
+		failure = err
+		if !e.mayTryAgain(req, err) {
+			break
+		}
+	}
+	return nil, failure
+}
+
+// mayTryAgain says whether a failed request may go to another place: always
+// when it did not run, and within the retry budget when it is idempotent.
+func (e *Entry) mayTryAgain(req *port.Request, err error) bool {
+	if e.remaining(req) <= 0 {
+		return false
+	}
+	switch verdict.ReasonOf(err) {
+	case verdict.ReasonQuarantined, verdict.ReasonCanceled:
+		return false
+	}
+	if verdict.Of(err) == verdict.NotRun {
+		return true
+	}
+	return !req.OnceOnly && e.retries.withdraw(e.clock.Now())
+}
+
+// toPlace sends the request to the owner of the place's group, which is this
+// entry or another one. While the group has no owner it waits for one.
+func (e *Entry) toPlace(ctx context.Context, req *port.Request, choice steering.Choice) (*port.Response, error) {
+	key := groupKey{req.Service, choice.Place}
+	for {
+		response, err := e.toOwner(ctx, req, key)
+		if err == nil || verdict.Of(err) != verdict.NotRun || !ownerMissing(err) {
+			return response, err
+		}
+		if e.remaining(req) < 2*ownerRetryDelay {
+			return nil, err
+		}
+		if !sleep(ctx, ownerRetryDelay) {
+			return nil, err
+		}
+	}
+}
+
+// ownerMissing says whether the group's owner wasn't found or reached.
+func ownerMissing(err error) bool {
+	return verdict.ReasonOf(err) == verdict.ReasonNoOwner || errors.Is(err, port.ErrPeerUnreachable)
+}
+
+func (e *Entry) toOwner(ctx context.Context, req *port.Request, key groupKey) (*port.Response, error) {
+	now := e.clock.Now()
+	if e.members.ownsSelf(now, key) {
+		return e.own(ctx, req, key)
+	}
+	owner, ok := e.members.owner(now, key)
+	if !ok || owner.Name == e.config.Name {
+		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonNoOwner, nil)
+	}
+	address, ok := e.snapshot.Load().entries[owner.Name]
+	if !ok {
+		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonNoOwner, nil)
+	}
+	attempt := *req
+	attempt.ID = rand.Text()
+	return e.forward(ctx, address.peer, port.Forward{Hop: port.HopOwner, Place: key.place, Request: &attempt})
+}
+
+// forward passes a request to another entry, with a little more time than its
+// deadline.
+func (e *Entry) forward(ctx context.Context, address string, f port.Forward) (*port.Response, error) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), f.Request.Deadline.Add(peerGrace))
+	response, err := e.peers.Forward(ctx, address, f)
+	if err != nil || response.Rest == nil {
+		cancel()
+		return response, err
+	}
+	response.Rest = &closer{ReadCloser: response.Rest, after: cancel}
+	return response, nil
+}
+
+// sleep waits for d; false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/app/entry/serve.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
+)
+
+// Serve carries a caller's request to an endpoint. Every error is a
+// *verdict.Error.
+func (e *Entry) Serve(ctx context.Context, req *port.Request) (*port.Response, error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	start := e.clock.Now()
+	response, err := e.serve(ctx, req)
+	e.meter.Request(req.Service, verdict.Of(err), reasonFor(err), e.clock.Now().Sub(start))
+	return response, err
+}
+
+func (e *Entry) serve(ctx context.Context, req *port.Request) (*port.Response, error) {
+	if _, err := e.current(); err != nil {
+		return nil, err
+	}
+	if req.OnceOnly {
+		return e.serveOnce(ctx, req, true)
+	}
+	if err := e.checkQuarantine(req); err != nil {
+		return nil, err
+	}
+	return e.route(ctx, req)
+}
+
+// HandleForward serves a request that another entry passed on.
+func (e *Entry) HandleForward(ctx context.Context, f port.Forward) (*port.Response, error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	ctx, cancel := context.WithDeadline(ctx, f.Request.Deadline)
+	defer cancel()
+	if _, err := e.current(); err != nil {
+		return nil, err
+	}
+	switch f.Hop {
+	case port.HopHome:
+		return e.serveOnce(ctx, f.Request, false)
+	case port.HopOwner:
+		return e.handleOwner(ctx, f)
+	default:
+		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonBadRequest, nil)
+	}
+}
+
+// handleOwner admits a forwarded request once, however often it arrives.
+func (e *Entry) handleOwner(ctx context.Context, f port.Forward) (*port.Response, error) {
+	if !e.attempts.first(e.clock.Now(), f.Request.ID) {
+		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonPeer, errAttemptRepeated)
+	}
+	return e.own(ctx, f.Request, groupKey{f.Request.Service, f.Place})
+}
+
+// checkDeadline refuses a request whose deadline has passed, as after a freeze
+// of this process.
+func (e *Entry) checkDeadline(req *port.Request) error {
+	if e.clock.Now().Before(req.Deadline) {
+		return nil
+	}
+	return verdict.NewError(verdict.NotRun, verdict.ReasonDeadline, nil)
+}
+
+func reasonFor(err error) verdict.Reason {
+	if err == nil {
+		return ""
+	}
+	return verdict.ReasonOf(err)
+}
+
+// remaining returns the time until the deadline of req.
+func (e *Entry) remaining(req *port.Request) time.Duration {
+	return req.Deadline.Sub(e.clock.Now())
+}
--- /dev/null
+++ b/internal/app/entry/snapshot.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/core/membership"
+	"sassafrasreach/internal/core/steering"
+	"sassafrasreach/internal/port"
+)
+
+// snapshot is one version of the document, prepared for look-ups. It is never
+// changed.
+type snapshot struct {
+	config  port.Config
+	doc     *document.Document
+	table   *steering.Table
+	entries map[string]entryAddress
+	peers   []membership.Peer
+	regions map[string]regionOfPlace
+}
+
+// regionOfPlace is what a place takes from its region.
+type regionOfPlace struct {
+	name           string
+	reservePercent int
+}
+
+// entryAddress is where an entry is reached.
+type entryAddress struct {
+	place  string
+	caller string
+	peer   string
+}
+
+// newSnapshot prepares a document; the error tells what is wrong with it.
+func newSnapshot(config port.Config) (*snapshot, error) {
+	doc, err := document.ParseValid(config.Document)
+	if err != nil {
+		return nil, err
+	}
+	table, err := steering.NewTable(doc)
+	if err != nil {
+		return nil, err
+	}
+	s := &snapshot{
+		config:  config,
+		doc:     doc,
+		table:   table,
+		entries: make(map[string]entryAddress),
+		regions: make(map[string]regionOfPlace),
+	}
+	for _, place := range doc.Places {
+		if region := doc.RegionByName(place.Region); region != nil {
+			s.regions[place.Name] = regionOfPlace{region.Name, region.ReservePercent}
+		}
+		for _, entry := range place.Entries {
+			s.entries[entry.Name] = entryAddress{place: place.Name, caller: entry.Caller, peer: entry.Peer}
+			s.peers = append(s.peers, membership.Peer{
+				Name:    entry.Name,
+				Place:   place.Name,
+				Region:  place.Region,
+				Address: entry.Peer,
+			})
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/cli/caller.go
@@ -0,0 +1,84 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"sassafrasreach/internal/port"
+)
+
+// lookupTimeout bounds one look-up at one entry.
+const lookupTimeout = time.Second
+
+// errNoEntry means that no entry answered.
+var errNoEntry = errors.New("no entry answered")
+
+// lookup asks the entries in turn until one answers.
+func lookup(ctx context.Context, entries []string, service, place string) (port.LookupAnswer, error) {
+	failure := errNoEntry
+	for _, address := range entries {
+		answer, err := lookupAt(ctx, address, service, place)
+		if err == nil {
+			return answer, nil
+		}
+		failure = fmt.Errorf("%w: %w", failure, err)
+	}
+	return port.LookupAnswer{}, failure
+}
+
+func lookupAt(ctx context.Context, address, service, place string) (port.LookupAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	var answer port.LookupAnswer
+	query := url.Values{"service": {service}}
+	if place != "" {
+		query.Set("place", place)
+	}
+	target := "http://" + address + "/v1/lookup?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return answer, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 4<<10))
+		return answer, fmt.Errorf("entry %s: %s: %s", address, response.Status, text)
+	}
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer, err
+}
+
+// runLookup prints the answer of one look-up.
+func runLookup(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := newFlags("lookup", "-entry IP:PORT[,...] -service S [-place P]", stderr)
+	entries := flags.String("entry", "", "IP:ports of entries to ask, comma-separated")
+	service := flags.String("service", "", "service to look up")
+	place := flags.String("place", "", "the caller's place; empty derives it from its address")
+	if code, done := parse(flags, args); done {
+		return code
+	}
+	if *entries == "" || *service == "" {
+		return fail(stderr, exitUsage, errors.New("-entry and -service are needed"))
+	}
+	answer, err := lookup(ctx, strings.Split(*entries, ","), *service, *place)
+	if err != nil {
+		return fail(stderr, exitFailure, err)
+	}
+	encoder := json.NewEncoder(stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(answer); err != nil {
+		return fail(stderr, exitFailure, err)
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"sassafrasreach/internal/cli/ctl"
+)
+
+// Exit codes of every subcommand but ctl.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// command is one subcommand.
+type command struct {
+	name    string
+	summary string
+	run     func(ctx context.Context, args []string, stdout, stderr io.Writer) int
+}
+
+func commands() []command {
+	return []command{
+		{"control", "run a control VM", runControl},
+		{"entry", "run an entry VM", runEntry},
+		{"ctl", "read and change the document, for operators", ctl.Main},
+		{"lookup", "ask which entries to use for a service", runLookup},
+		{"call", "send one request, as a caller does", runCall},
+		{"standin", "run a small endpoint for trials", runStandin},
+	}
+}
+
+// Main runs the subcommand named by args and returns its exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		usage(stderr)
+		return exitUsage
+	}
+	switch args[0] {
+	case "-h", "-help", "--help", "help":
+		usage(stdout)
+		return exitOK
+	case "-version", "--version", "version":
+		_, _ = fmt.Fprintln(stdout, "sassafrasreach", Version())
+		return exitOK
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(ctx, args[1:], stdout, stderr)
+		}
+	}
+	_, _ = fmt.Fprintf(stderr, "sassafrasreach: unknown command %q\n\n", args[0])
+	usage(stderr)
+	return exitUsage
+}
+
+func usage(w io.Writer) {
+	_, _ = fmt.Fprint(w, "Usage: sassafrasreach COMMAND [options]\n\nCommands:\n")
+	for _, c := range commands() {
+		_, _ = fmt.Fprintf(w, "  %-8s  %s\n", c.name, c.summary)
+	}
+	_, _ = fmt.Fprint(w, "\nsassafrasreach COMMAND -help tells a command's options; -version tells the version.\n")
+}
+
+// Version returns the version of the binary, from its build information.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
+
+// newFlags returns a flag set that reports errors and help to stderr.
+func newFlags(name, synopsis string, stderr io.Writer) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() {
+		_, _ = fmt.Fprintf(stderr, "Usage: sassafrasreach %s %s\n\nOptions:\n", name, synopsis)
+		flags.PrintDefaults()
+	}
+	return flags
+}
+
+// parse reads the arguments; done says that the command ends with code.
+func parse(flags *flag.FlagSet, args []string) (code int, done bool) {
+	err := flags.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK, true
+	}
+	if err != nil {
+		return exitUsage, true
+	}
+	return exitOK, false
+}
+
+// fail prints an error and returns its code.
+func fail(stderr io.Writer, code int, err error) int {
+	_, _ = fmt.Fprintln(stderr, "sassafrasreach:", err)
+	return code
+}
--- /dev/null
+++ b/internal/cli/control.go
@@ -0,0 +1,129 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"sassafrasreach/internal/adapter/operatorhttp"
+	"sassafrasreach/internal/adapter/peergrpc"
+	"sassafrasreach/internal/adapter/settings"
+	"sassafrasreach/internal/app/control"
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/port"
+)
+
+// controlStopLimit bounds the time in which a control VM's calls end.
+const controlStopLimit = 5 * time.Second
+
+// runControl runs a control VM until SIGTERM or SIGINT.
+func runControl(ctx context.Context, args []string, _, stderr io.Writer) int {
+	flags := newFlags("control", "-settings FILE", stderr)
+	path := flags.String("settings", "", "file with the control VM's settings (YAML)")
+	if code, done := parse(flags, args); done {
+		return code
+	}
+	config, err := settings.LoadControl(*path)
+	if err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	logger := newLogger(stderr, config.LogLevel, "control", config.Name)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := serveControl(ctx, config, logger); err != nil {
+		return fail(stderr, exitFailure, err)
+	}
+	return exitOK
+}
+
+func serveControl(ctx context.Context, config settings.Control, logger *slog.Logger) error {
+	node, err := newNode(config, logger)
+	if err != nil {
+		return err
+	}
+	peers := peergrpc.NewGRPCServer()
+	node.Register(peers)
+	operators := &http.Server{
+		Handler: operatorhttp.New(operatorhttp.Options{
+			Store:                node,
+			BootstrapTokenSHA256: config.BootstrapTokenSHA256,
+			Clock:                port.ClockFunc(time.Now),
+			Logger:               logger,
+		}),
+		IdleTimeout:       callerIdleTimeout,
+		ReadHeaderTimeout: callerHeaderTimeout,
+	}
+	failed := make(chan error, 3)
+	if err := listenControl(ctx, config, peers, operators, failed); err != nil {
+		return err
+	}
+	go func() { failed <- node.Run(ctx) }()
+	event.Log(ctx, logger, event.Started)
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	}
+	stopControl(ctx, peers, operators)
+	event.Log(ctx, logger, event.Stopped)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func newNode(config settings.Control, logger *slog.Logger) (*control.Node, error) {
+	members := make([]control.Peer, len(config.Members))
+	for i, member := range config.Members {
+		members[i] = control.Peer{Name: member.Name, Address: member.Address}
+	}
+	return control.New(control.Config{
+		Name:        config.Name,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Peers:       members,
+		DataDir:     config.DataDir,
+		Validate:    validate,
+		Clock:       port.ClockFunc(time.Now),
+		Logger:      logger,
+	})
+}
+
+// validate returns the faults of a document as an error.
+func validate(text []byte) error {
+	_, err := document.ParseValid(text)
+	return err
+}
+
+func listenControl(ctx context.Context, config settings.Control, peers *grpc.Server, operators *http.Server, failed chan<- error) error {
+	var lc net.ListenConfig
+	peerListener, err := lc.Listen(ctx, "tcp", config.PeerListen)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	operatorListener, err := lc.Listen(ctx, "tcp", config.OperatorListen)
+	if err != nil {
+		_ = peerListener.Close()
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	go func() { failed <- peers.Serve(peerListener) }()
+	go func() { failed <- operators.Serve(operatorListener) }()
+	return nil
+}
+
+// stopControl ends the listeners after the calls in progress.
+func stopControl(ctx context.Context, peers *grpc.Server, operators *http.Server) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlStopLimit)
+	defer cancel()
+	_ = operators.Shutdown(ctx)
+	stopGracefully(ctx, peers)
+	peers.Stop()
+}
--- /dev/null
+++ b/internal/cli/entry.go
@@ -0,0 +1,214 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"sassafrasreach/internal/adapter/callerhttp"
+	"sassafrasreach/internal/adapter/endpointhttp"
+	"sassafrasreach/internal/adapter/metrics"
+	"sassafrasreach/internal/adapter/peergrpc"
+	"sassafrasreach/internal/adapter/settings"
+	"sassafrasreach/internal/app/entry"
+	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/port"
+)
+
+const (
+	// callerIdleTimeout closes callers' connections that carry nothing, before
+	// something on the way loses track of them.
+	callerIdleTimeout = 30 * time.Second
+	// callerHeaderTimeout bounds the time to read a request's head.
+	callerHeaderTimeout = 5 * time.Second
+	// callerReadTimeout bounds the time to read a whole request.
+	callerReadTimeout = 30 * time.Second
+	// sweepPeriod is the time between the closings of idle endpoint connections.
+	sweepPeriod = time.Second
+)
+
+// runEntry runs an entry VM until a planned stop has ended.
+func runEntry(ctx context.Context, args []string, _, stderr io.Writer) int {
+	flags := newFlags("entry", "-settings FILE", stderr)
+	path := flags.String("settings", "", "file with the entry's settings (YAML)")
+	if code, done := parse(flags, args); done {
+		return code
+	}
+	config, err := settings.LoadEntry(*path)
+	if err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	logger := newLogger(stderr, config.LogLevel, "entry", config.Name)
+	if err := serveEntry(ctx, config, logger); err != nil {
+		return fail(stderr, exitFailure, err)
+	}
+	return exitOK
+}
+
+// entryProcess is a running entry with its listeners.
+type entryProcess struct {
+	entry     *entry.Entry
+	callers   *http.Server
+	peers     *grpc.Server
+	endpoints *endpointhttp.Caller
+	logger    *slog.Logger
+	failed    chan error
+}
+
+func serveEntry(ctx context.Context, config settings.Entry, logger *slog.Logger) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	p := newEntryProcess(config, logger)
+	if err := p.listen(ctx, config); err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go p.entry.Run(running)
+	go p.sweep(running)
+	select {
+	case err := <-p.failed:
+		return err
+	case <-ctx.Done():
+	case <-signals:
+	}
+	p.stop(ctx, signals, config.DrainLimit.Std())
+	return nil
+}
+
+func newEntryProcess(config settings.Entry, logger *slog.Logger) *entryProcess {
+	clock := port.ClockFunc(time.Now)
+	incarnation := uint64(time.Now().UnixNano())
+	meter := metrics.New()
+	endpoints := endpointhttp.New(endpointhttp.Options{Clock: clock})
+	e := entry.New(entry.Config{
+		Name:        config.Name,
+		Place:       config.Place,
+		Incarnation: incarnation,
+		Control:     config.Control,
+		Seeds:       config.Seeds,
+	}, entry.Ports{
+		Clock:     clock,
+		Logger:    logger,
+		Peers:     peergrpc.NewClient(clock),
+		Control:   peergrpc.NewControlClient(clock),
+		Endpoints: endpoints,
+		Meter:     meter,
+	})
+	handler := callerhttp.New(callerhttp.Options{
+		Entry:    e,
+		Name:     config.Name,
+		Clock:    clock,
+		Metrics:  meter.Handler(),
+		Stopping: e.Stopping,
+	})
+	p := &entryProcess{
+		entry:     e,
+		endpoints: endpoints,
+		logger:    logger,
+		failed:    make(chan error, 2),
+		peers:     peergrpc.NewGRPCServer(),
+		callers: &http.Server{
+			Handler:           handler,
+			IdleTimeout:       callerIdleTimeout,
+			ReadHeaderTimeout: callerHeaderTimeout,
+			ReadTimeout:       callerReadTimeout,
+		},
+	}
+	peergrpc.Register(p.peers, e, clock)
+	event.Log(context.Background(), logger, event.Started, slog.Uint64("incarnation", incarnation))
+	return p
+}
+
+// listen opens both listeners and serves on them.
+func (p *entryProcess) listen(ctx context.Context, config settings.Entry) error {
+	var lc net.ListenConfig
+	peers, err := lc.Listen(ctx, "tcp", config.PeerListen)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	callers, err := lc.Listen(ctx, "tcp", config.CallerListen)
+	if err != nil {
+		_ = peers.Close()
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	go func() { p.report(p.peers.Serve(peers)) }()
+	go func() { p.report(p.callers.Serve(callers)) }()
+	event.Log(ctx, p.logger, event.Listening, slog.String("for", "peers"), slog.String("address", config.PeerListen))
+	event.Log(ctx, p.logger, event.Listening, slog.String("for", "callers"), slog.String("address", config.CallerListen))
+	return nil
+}
+
+// report passes on why a listener ended, but for a planned stop.
+func (p *entryProcess) report(err error) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, grpc.ErrServerStopped) {
+		return
+	}
+	event.Log(context.Background(), p.logger, event.ServeFailed, slog.String("error", err.Error()))
+	p.failed <- err
+}
+
+// sweep closes endpoint connections that were idle for too long.
+func (p *entryProcess) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.endpoints.Sweep()
+		}
+	}
+}
+
+// stop drains the entry and closes its listeners. A second signal or the limit
+// cuts the drain short.
+func (p *entryProcess) stop(ctx context.Context, signals <-chan os.Signal, limit time.Duration) {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	cut := p.entry.Drain(ctx)
+	if cut == 0 {
+		_ = p.callers.Shutdown(ctx)
+		stopGracefully(ctx, p.peers)
+	}
+	if cut > 0 {
+		event.Log(ctx, p.logger, event.StopForced, slog.Int64("cut_off", cut))
+	}
+	_ = p.callers.Close()
+	p.peers.Stop()
+	event.Log(ctx, p.logger, event.Stopped,
+		slog.Duration("drain_time", time.Since(begun)), slog.Int64("cut_off", cut))
+}
+
+// stopGracefully waits for the calls of peers until ctx ends.
+func stopGracefully(ctx context.Context, server *grpc.Server) {
+	done := make(chan struct{})
+	go func() {
+		server.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -70,8 +71,19 @@
 // MayHaveRun for all else.
 type EndpointCaller interface {
 	Call(ctx context.Context, to Endpoint, req *Request) (*Response, error)
+	// Probe opens a new connection and closes it. Its error wraps
+	// ErrConnectionRefused when nothing listens there.
+	Probe(ctx context.Context, to Endpoint) error
 }
 
+var (
+	// ErrConnectionLost is wrapped by the error of a request whose connection
+	// was reset or closed under it: its endpoint may have ended.
+	ErrConnectionLost = errors.New("connection lost")
+	// ErrConnectionRefused means that nothing listens at an address.
+	ErrConnectionRefused = errors.New("connection refused")
+)
+
 // Clock gives the time; tests pass their own.
 type Clock interface {
 	Now() time.Time
--- /dev/null
+++ b/internal/standin/announcer.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"sassafrasreach/internal/port"
+)
+
+const (
+	// announceInterval is the time between announcements.
+	announceInterval = time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = 500 * time.Millisecond
+)
+
+// announcer reports the endpoint to one entry at a time and moves to the next
+// one that it knows when that entry doesn't answer.
+type announcer struct {
+	endpoint    *Endpoint
+	client      *http.Client
+	entries     []string
+	next        int
+	incarnation uint64
+	sequence    uint64
+	now         chan struct{}
+}
+
+func newAnnouncer(e *Endpoint) *announcer {
+	return &announcer{
+		endpoint:    e,
+		client:      &http.Client{Timeout: announceTimeout},
+		entries:     e.config.Entries,
+		incarnation: uint64(e.started.UnixNano()),
+		now:         make(chan struct{}, 1),
+	}
+}
+
+// wake makes the next announcement due at once.
+func (a *announcer) wake() {
+	select {
+	case a.now <- struct{}{}:
+	default:
+	}
+}
+
+func (a *announcer) run(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		a.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.now:
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce tries each known entry once, beginning with the last good one.
+func (a *announcer) announce(ctx context.Context) {
+	a.sequence++
+	for range a.entries {
+		answer, err := a.send(ctx, a.entries[a.next%len(a.entries)])
+		if err == nil {
+			a.learn(answer)
+			return
+		}
+		a.client.CloseIdleConnections()
+		a.next++
+	}
+}
+
+// learn adds the entries of the answer to those of the settings.
+func (a *announcer) learn(answer port.AnnounceAnswer) {
+	current := a.entries[a.next%len(a.entries)]
+	merged := []string{current}
+	for _, address := range append(answer.Entries, a.endpoint.config.Entries...) {
+		if !slices.Contains(merged, address) {
+			merged = append(merged, address)
+		}
+	}
+	a.entries = merged
+	a.next = 0
+}
+
+func (a *announcer) send(ctx context.Context, entry string) (port.AnnounceAnswer, error) {
+	var answer port.AnnounceAnswer
+	body, err := json.Marshal(a.report())
+	if err != nil {
+		return answer, err
+	}
+	url := "http://" + entry + "/v1/endpoints/" + a.endpoint.config.ID
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return answer, err
+	}
+	response, err := a.client.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return answer, fmt.Errorf("announce to %s: %s: %s", entry, response.Status, text)
+	}
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer, err
+}
+
+func (a *announcer) report() port.Announcement {
+	e := a.endpoint
+	state := port.EndpointReady
+	if e.leaving.Load() {
+		state = port.EndpointLeaving
+	}
+	return port.Announcement{
+		ID:          e.config.ID,
+		Incarnation: a.incarnation,
+		Sequence:    a.sequence,
+		Service:     e.config.Service,
+		Place:       e.config.Place,
+		Address:     e.config.Listen,
+		Slots:       e.config.Slots,
+		Connections: e.config.Connections,
+		State:       state,
+		Load:        float64(e.busy.Load()) / float64(e.config.Slots),
+	}
+}
--- /dev/null
+++ b/internal/standin/config.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Config describes one stand-in endpoint.
+type Config struct {
+	// ID, Service and Place identify the endpoint.
+	ID      string
+	Service string
+	Place   string
+	// Listen is the IP:port to serve on.
+	Listen string
+	// Entries are the IP:ports of entries to announce to.
+	Entries []string
+	// Slots and Connections are announced; more than Slots at once are shed.
+	Slots       int
+	Connections int
+	// Work is the time that a request takes; Cold is added to the first ones
+	// and shrinks to nothing over Warmup.
+	Work   time.Duration
+	Cold   time.Duration
+	Warmup time.Duration
+	// CrashOn ends the process when a request's body is this text; for trials
+	// of quarantine. Empty never crashes.
+	CrashOn string
+	// RunLog is a file that gets one line for each run; empty means none.
+	RunLog string
+	// LeaveFor is how long the endpoint announces that it leaves before it ends.
+	LeaveFor time.Duration
+}
+
+// ErrBadConfig is wrapped by every error of Validate.
+var ErrBadConfig = errors.New("bad stand-in configuration")
+
+// Validate returns an error that wraps ErrBadConfig for the first fault.
+func (c Config) Validate() error {
+	for _, field := range []struct{ name, value string }{
+		{"id", c.ID}, {"service", c.Service}, {"place", c.Place},
+	} {
+		if field.value == "" {
+			return fmt.Errorf("%w: -%s is missing", ErrBadConfig, field.name)
+		}
+	}
+	if len(c.Entries) == 0 {
+		return fmt.Errorf("%w: -entry is missing", ErrBadConfig)
+	}
+	for _, address := range append([]string{c.Listen}, c.Entries...) {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return fmt.Errorf("%w: %w", ErrBadConfig, err)
+		}
+	}
+	if c.Slots < 1 || c.Connections < 1 {
+		return fmt.Errorf("%w: -slots and -connections must be at least 1", ErrBadConfig)
+	}
+	return nil
+}
