Test the whole path on real processes behind a mesh of relays

Cause: promises under kills, freezes and cuts need real processes, and links that can be cut or silenced one way. Change: a harness that starts the binary, relays each connection between VMs, runs endpoints and callers in the test process and counts every run. Entries dial from the address that they listen on, so that a relay knows the dialer. Forwarded idempotent requests get a second try over a new connection.

--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -24,9 +25,10 @@
 
 var _ port.PeerClient = (*Client)(nil)
 
-// NewClient returns a client without connections.
-func NewClient(clock port.Clock) *Client {
-	return &Client{conns: newConns(clock), clock: clock}
+// NewClient returns a client without connections. It dials from the address
+// local; nil leaves the choice to the system.
+func NewClient(clock port.Clock, local net.IP) *Client {
+	return &Client{conns: newConns(clock, local), clock: clock}
 }
 
 // Close closes every connection.
@@ -35,7 +37,7 @@
 // call runs one unary call. A call that ran into its deadline makes the
 // connection suspect: the next one starts on a new connection.
 func (c *Client) call(ctx context.Context, address string, do func(peerv1.PeerServiceClient) error) error {
-	conn, err := c.conns.get(ctx, address, false)
+	conn, err := c.conns.get(ctx, address, needAny)
 	if err != nil {
 		return err
 	}
@@ -125,7 +127,11 @@
 
 // Forward carries a request to the peer. Every error is a *verdict.Error.
 func (c *Client) Forward(ctx context.Context, address string, f port.Forward) (*port.Response, error) {
-	conn, err := c.conns.get(ctx, address, f.Request.OnceOnly)
+	wanted := needProven
+	if f.Fresh {
+		wanted = needNew
+	}
+	conn, err := c.conns.get(ctx, address, wanted)
 	if err != nil {
 		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonPeer,
 			fmt.Errorf("%w: %s: %w", port.ErrPeerUnreachable, address, err))
--- a/internal/adapter/peergrpc/conn.go
+++ b/internal/adapter/peergrpc/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -47,11 +48,18 @@
 	c.heard = now
 }
 
-// proven says whether the peer answered within provenFor.
-func (c *conn) proven(now time.Time) bool {
+// meets says whether the connection is good enough.
+func (c *conn) meets(n need, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.heard) <= provenFor
+	switch n {
+	case needAny:
+		return true
+	case needProven:
+		return now.Sub(c.heard) <= provenFor
+	default:
+		return false
+	}
 }
 
 // acquire keeps the connection open until release.
@@ -85,19 +93,31 @@
 // conns holds the connection to each address.
 type conns struct {
 	clock port.Clock
+	local net.IP // the source address; nil leaves it to the system
 
 	mu     sync.Mutex
 	byAddr map[string]*conn
 }
 
-func newConns(clock port.Clock) *conns {
-	return &conns{clock: clock, byAddr: make(map[string]*conn)}
+func newConns(clock port.Clock, local net.IP) *conns {
+	return &conns{clock: clock, local: local, byAddr: make(map[string]*conn)}
 }
 
-// get returns the connection to address, acquired. With proven set, one that
-// wasn't heard from lately is replaced first.
-func (s *conns) get(ctx context.Context, address string, proven bool) (*conn, error) {
-	c, err := s.pick(address, proven)
+// need says how much is asked of a connection.
+type need uint8
+
+const (
+	// needAny takes the present connection.
+	needAny need = iota
+	// needProven replaces a connection that wasn't heard from within provenFor.
+	needProven
+	// needNew always replaces the present connection.
+	needNew
+)
+
+// get returns the connection to address, acquired.
+func (s *conns) get(ctx context.Context, address string, n need) (*conn, error) {
+	c, err := s.pick(address, n)
 	if err != nil {
 		return nil, err
 	}
@@ -110,15 +130,15 @@
 }
 
 // pick returns the present or a new connection, acquired.
-func (s *conns) pick(address string, proven bool) (*conn, error) {
+func (s *conns) pick(address string, n need) (*conn, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.byAddr[address]
-	if ok && (!proven || old.proven(s.clock.Now())) {
+	if ok && old.meets(n, s.clock.Now()) {
 		old.acquire()
 		return old, nil
 	}
-	cc, err := dial(address)
+	cc, err := s.dial(address)
 	if err != nil {
 		return nil, err
 	}
@@ -152,11 +172,12 @@
 	}
 }
 
-func dial(address string) (*grpc.ClientConn, error) {
+func (s *conns) dial(address string) (*grpc.ClientConn, error) {
 	cc, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(0),
+		grpc.WithContextDialer(s.dialFrom),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
 			Time:                keepaliveTime,
 			Timeout:             keepaliveTimeout,
@@ -173,6 +194,15 @@
 	return cc, nil
 }
 
+// dialFrom opens a TCP connection from the local address.
+func (s *conns) dialFrom(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	if s.local != nil {
+		d.LocalAddr = &net.TCPAddr{IP: s.local}
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // ready waits until the connection can carry a call; it gives up at once when
 // the dial failed.
 func ready(ctx context.Context, cc *grpc.ClientConn) error {
--- a/internal/adapter/peergrpc/control.go
+++ b/internal/adapter/peergrpc/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -20,14 +21,15 @@
 
 var _ port.ControlClient = (*ControlClient)(nil)
 
-// NewControlClient returns a client without connections.
-func NewControlClient(clock port.Clock) *ControlClient {
-	return &ControlClient{conns: newConns(clock), clock: clock}
+// NewControlClient returns a client without connections. It dials from the
+// address local; nil leaves the choice to the system.
+func NewControlClient(clock port.Clock, local net.IP) *ControlClient {
+	return &ControlClient{conns: newConns(clock, local), clock: clock}
 }
 
 // Fetch asks one control VM for a newer document and reports entries to it.
 func (c *ControlClient) Fetch(ctx context.Context, address string, q port.FetchQuery) (port.FetchAnswer, error) {
-	conn, err := c.conns.get(ctx, address, false)
+	conn, err := c.conns.get(ctx, address, needAny)
 	if err != nil {
 		return port.FetchAnswer{}, fmt.Errorf("control VM %s: %w", address, err)
 	}
--- a/internal/app/entry/group.go
+++ b/internal/app/entry/group.go
@@ -120,6 +120,13 @@
 	g.grant(g.state.Done(now, ticket, result))
 }
 
+// observe adds the latency of an answer that came through another entry.
+func (g *group) observe(latency time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.latency.Add(latency)
+}
+
 // tick expires tickets and endpoints.
 func (g *group) tick(now time.Time) {
 	g.mu.Lock()
@@ -176,6 +183,9 @@
 func (g *group) lateAfter() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.latency.Samples() < minLateSamples {
+		return coldLate
+	}
 	return max(minLate, g.latency.Quantile(lateQuantile))
 }
 
@@ -184,6 +194,9 @@
 	lateQuantile = 0.95
 	// minLate bounds it from below.
 	minLate = 10 * time.Millisecond
+	// coldLate stands in for it while there are fewer than minLateSamples.
+	coldLate       = 200 * time.Millisecond
+	minLateSamples = 20
 )
 
 // contextReason classes the end of a context.
--- a/internal/app/entry/route.go
+++ b/internal/app/entry/route.go
@@ -105,15 +105,61 @@
 	if !ok {
 		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonNoOwner, nil)
 	}
-	attempt := *req
-	attempt.ID = rand.Text()
-	return e.forward(ctx, address.peer, port.Forward{Hop: port.HopOwner, Place: key.place, Request: &attempt})
+	if req.OnceOnly {
+		return e.forward(ctx, address.peer, ownerForward(req, key, false))
+	}
+	return e.forwardHedged(ctx, address.peer, req, key)
+}
+
+// ownerForward gives each attempt an ID of its own, by which the owner starts
+// it once only.
+func ownerForward(req *port.Request, key groupKey, fresh bool) port.Forward {
+	one := *req
+	one.ID = rand.Text()
+	return port.Forward{Hop: port.HopOwner, Place: key.place, Request: &one, Fresh: fresh}
+}
+
+// forwardHedged forwards an idempotent request. When its answer is late it
+// tries again over a new connection, since the first may have gone silent.
+func (e *Entry) forwardHedged(ctx context.Context, address string, req *port.Request, key groupKey) (*port.Response, error) {
+	g := e.groups.get(key, e.admissionConfig(key))
+	begun := e.clock.Now()
+	first := e.startForward(ctx, address, ownerForward(req, key, false))
+	late := time.NewTimer(g.lateAfter())
+	defer late.Stop()
+	var answer port.Answer
+	select {
+	case answer = <-first.answer:
+	case <-late.C:
+		if !e.retries.withdraw(e.clock.Now()) {
+			answer = <-first.answer
+			break
+		}
+		second := e.startForward(ctx, address, ownerForward(req, key, true))
+		answer = better(first, second)
+	}
+	if answer.Err == nil {
+		g.observe(e.clock.Now().Sub(begun))
+		e.retries.deposit()
+	}
+	return answer.Response, answer.Err
+}
+
+// startForward forwards in the background.
+func (e *Entry) startForward(ctx context.Context, address string, f port.Forward) *attempt {
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{answer: make(chan port.Answer, 1), cancel: cancel}
+	go func() {
+		response, err := e.forward(ctx, address, f)
+		a.answer <- port.Answer{Response: response, Err: err}
+	}()
+	return a
 }
 
 // forward passes a request to another entry, with a little more time than its
 // deadline.
 func (e *Entry) forward(ctx context.Context, address string, f port.Forward) (*port.Response, error) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), f.Request.Deadline.Add(peerGrace))
+	ctx, cancel := withGrace(ctx, f.Request.Deadline.Add(peerGrace))
 	response, err := e.peers.Forward(ctx, address, f)
 	if err != nil || response.Rest == nil {
 		cancel()
@@ -123,6 +169,21 @@
 	return response, nil
 }
 
+// withGrace returns a context that ends at deadline, or when ctx is cancelled
+// but not when its own deadline passes.
+func withGrace(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	graced, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})
+	return graced, func() {
+		stop()
+		cancel()
+	}
+}
+
 // sleep waits for d; false when ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -90,6 +91,7 @@
 func newEntryProcess(config settings.Entry, logger *slog.Logger) *entryProcess {
 	clock := port.ClockFunc(time.Now)
 	incarnation := uint64(time.Now().UnixNano())
+	local := localIP(config.PeerListen)
 	meter := metrics.New()
 	endpoints := endpointhttp.New(endpointhttp.Options{Clock: clock})
 	e := entry.New(entry.Config{
@@ -101,8 +103,8 @@
 	}, entry.Ports{
 		Clock:     clock,
 		Logger:    logger,
-		Peers:     peergrpc.NewClient(clock),
-		Control:   peergrpc.NewControlClient(clock),
+		Peers:     peergrpc.NewClient(clock, local),
+		Control:   peergrpc.NewControlClient(clock, local),
 		Endpoints: endpoints,
 		Meter:     meter,
 	})
@@ -131,6 +133,16 @@
 	return p
 }
 
+// localIP returns the address that this VM is known by: the one where it
+// listens for peers. It is nil when that is every address.
+func localIP(address string) net.IP {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil || ap.Addr().IsUnspecified() {
+		return nil
+	}
+	return ap.Addr().AsSlice()
+}
+
 // listen opens both listeners and serves on them.
 func (p *entryProcess) listen(ctx context.Context, config settings.Entry) error {
 	var lc net.ListenConfig
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -29,6 +29,9 @@
 	Place string
 	// Request is the request; its Deadline is on this VM's clock.
 	Request *Request
+	// Fresh asks for a new connection, for the second try of a request whose
+	// first one is late.
+	Fresh bool
 }
 
 // QuarantineRow is one fingerprint on its way between entries.
--- /dev/null
+++ b/internal/systemtest/endpoint_test.go
@@ -0,0 +1,167 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"sassafrasreach/internal/port"
+)
+
+// runs counts how often each request body ran, at any endpoint.
+type runs struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (r *runs) add(body string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[body]++
+}
+
+func (r *runs) of(body string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[body]
+}
+
+// endpoint is a worker in the test process. Its answer is its request's body.
+type endpoint struct {
+	t       *testing.T
+	runs    *runs
+	service string
+	place   string
+	id      string
+	listen  string // where it listens
+	front   string // where the mesh exposes it
+	entries []string
+	slots   int
+	work    time.Duration
+
+	mu          sync.Mutex
+	incarnation uint64
+	sequence    uint64
+	state       port.EndpointState
+	served      int
+	server      *http.Server
+	cancel      context.CancelFunc
+	slot        chan struct{}
+}
+
+// announcePeriod is shorter than real endpoints' to keep tests short.
+const announcePeriod = 250 * time.Millisecond
+
+func (e *endpoint) start() {
+	e.t.Helper()
+	ln, err := net.Listen("tcp", e.listen)
+	if err != nil {
+		e.t.Fatalf("endpoint: %v", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.mu.Lock()
+	e.incarnation = uint64(time.Now().UnixNano())
+	e.state = port.EndpointReady
+	e.cancel = cancel
+	e.slot = make(chan struct{}, e.slots)
+	e.server = &http.Server{Handler: e}
+	server := e.server
+	e.mu.Unlock()
+	go func() { _ = server.Serve(ln) }()
+	go e.announceLoop(ctx)
+	e.t.Cleanup(e.crash)
+}
+
+// crash ends the endpoint's process as the system sees it: its connections
+// break and nothing listens there any more.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancel()
+	_ = e.server.Close()
+}
+
+// leave says that the endpoint takes no new work.
+func (e *endpoint) leave() {
+	e.mu.Lock()
+	e.state = port.EndpointLeaving
+	e.mu.Unlock()
+	e.announce()
+}
+
+func (e *endpoint) servedCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.served
+}
+
+func (e *endpoint) announceLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.announce()
+		select {
+		case <-ctx.Done():
+		case <-time.After(announcePeriod):
+		}
+	}
+}
+
+// announce reports to the first entry that answers.
+func (e *endpoint) announce() {
+	e.mu.Lock()
+	e.sequence++
+	report := port.Announcement{
+		ID: e.id, Incarnation: e.incarnation, Sequence: e.sequence,
+		Service: e.service, Place: e.place, Address: e.front,
+		Slots: e.slots, Connections: 650, State: e.state,
+	}
+	e.mu.Unlock()
+	body, _ := json.Marshal(report)
+	client := http.Client{Timeout: 300 * time.Millisecond}
+	defer client.CloseIdleConnections()
+	for _, entry := range e.entries {
+		request, _ := http.NewRequest(http.MethodPut, "http://"+entry+"/v1/endpoints/"+e.id, bytes.NewReader(body))
+		response, err := client.Do(request)
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
+
+// ServeHTTP runs one request, or sheds it when all slots are in use.
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Sassafrasreach-Request-Id", r.Header.Get("Sassafrasreach-Request-Id"))
+	select {
+	case e.slot <- struct{}{}:
+		defer func() { <-e.slot }()
+	default:
+		w.Header().Set("Sassafrasreach-Shed", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	text := string(body) + r.URL.RequestURI()
+	e.runs.add(text)
+	e.mu.Lock()
+	e.served++
+	e.mu.Unlock()
+	if string(body) == "crash" {
+		e.crash()
+		return
+	}
+	time.Sleep(e.work)
+	_, _ = fmt.Fprint(w, text)
+}
