--- a/internal/app/entry/route.go
+++ b/internal/app/entry/route.go
@@ -4,9 +4,9 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"time"
 
-	"sassafrasreach/internal/core/steering"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -25,9 +25,24 @@
 // errNoChoice means that no place may serve the request.
 var errNoChoice = errors.New("no place may serve the request")
 
-// route finds the places for a request and sends it to the owner of the first
-// that admits it. It moves on only on NotRun, and spills once.
+// route sends a request to the first place whose group admits it. While a
+// group has no owner, and no other place admits the request, it tries again
+// until too little time is left.
 func (e *Entry) route(ctx context.Context, req *port.Request) (*port.Response, error) {
+	for {
+		response, err := e.routeOnce(ctx, req)
+		if err == nil || verdict.Of(err) != verdict.NotRun || !errors.Is(err, errOwnerMissing) {
+			return response, err
+		}
+		if e.remaining(req) < 2*ownerRetryDelay || !sleep(ctx, ownerRetryDelay) {
+			return nil, err
+		}
+	}
+}
+
+// routeOnce tries the best place and spills once, only on NotRun unless the
+// request is idempotent.
+func (e *Entry) routeOnce(ctx context.Context, req *port.Request) (*port.Response, error) {
 	s, err := e.current()
 	if err != nil {
 		return nil, err
@@ -40,16 +55,22 @@
 		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonNoEndpoint, errNoChoice)
 	}
 	var failure error
+	ownerMissing := false
 	for _, choice := range choices[:min(len(choices), maxPlaces)] {
-		response, err := e.toPlace(ctx, req, choice)
+		response, err := e.toOwner(ctx, req, groupKey{req.Service, choice.Place})
 		if err == nil {
 			return response, nil
 		}
 		failure = err
+		ownerMissing = ownerMissing || isOwnerMissing(err)
 		if !e.mayTryAgain(req, err) {
-			break
+			return nil, err
 		}
 	}
+	if ownerMissing && verdict.Of(failure) == verdict.NotRun {
+		failure = verdict.NewError(verdict.NotRun, verdict.ReasonOf(failure),
+			fmt.Errorf("%w: %w", errOwnerMissing, failure))
+	}
 	return nil, failure
 }
 
@@ -69,29 +90,16 @@
 	return !req.OnceOnly && e.retries.withdraw(e.clock.Now())
 }
 
-// toPlace sends the request to the owner of the place's group, which is this
-// entry or another one. While the group has no owner it waits for one.
-func (e *Entry) toPlace(ctx context.Context, req *port.Request, choice steering.Choice) (*port.Response, error) {
-	key := groupKey{req.Service, choice.Place}
-	for {
-		response, err := e.toOwner(ctx, req, key)
-		if err == nil || verdict.Of(err) != verdict.NotRun || !ownerMissing(err) {
-			return response, err
-		}
-		if e.remaining(req) < 2*ownerRetryDelay {
-			return nil, err
-		}
-		if !sleep(ctx, ownerRetryDelay) {
-			return nil, err
-		}
-	}
-}
+// errOwnerMissing marks the failure of a request for which some group's owner
+// wasn't found or reached.
+var errOwnerMissing = errors.New("a group has no owner now")
 
-// ownerMissing says whether the group's owner wasn't found or reached.
-func ownerMissing(err error) bool {
+func isOwnerMissing(err error) bool {
 	return verdict.ReasonOf(err) == verdict.ReasonNoOwner || errors.Is(err, port.ErrPeerUnreachable)
 }
 
+// toOwner sends the request to the owner of a group, which is this entry or
+// another one.
 func (e *Entry) toOwner(ctx context.Context, req *port.Request, key groupKey) (*port.Response, error) {
 	now := e.clock.Now()
 	if e.members.ownsSelf(now, key) {
--- a/internal/systemtest/endpoint_test.go
+++ b/internal/systemtest/endpoint_test.go
@@ -51,6 +51,7 @@
 	sequence    uint64
 	state       port.EndpointState
 	served      int
+	muted       bool
 	server      *http.Server
 	cancel      context.CancelFunc
 	slot        chan struct{}
@@ -112,9 +113,20 @@
 	}
 }
 
+// mute stops or resumes the announcements.
+func (e *endpoint) mute(muted bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.muted = muted
+}
+
 // announce reports to the first entry that answers.
 func (e *endpoint) announce() {
 	e.mu.Lock()
+	if e.muted && e.state != port.EndpointLeaving {
+		e.mu.Unlock()
+		return
+	}
 	e.sequence++
 	report := port.Announcement{
 		ID: e.id, Incarnation: e.incarnation, Sequence: e.sequence,
