--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.yaml.in/yaml/v3"
-
 	"sassafrasreach/internal/core/document"
 )
 
@@ -60,15 +58,7 @@
 }
 
 // Duration is a time.Duration written as text such as "30s".
-type Duration time.Duration
-
-// Std returns the duration as a time.Duration.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
-
-// UnmarshalYAML implements yaml.Unmarshaler.
-func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
-	return (*document.Duration)(d).UnmarshalYAML(n)
-}
+type Duration = document.Duration
 
 // Defaults and bounds of the settings.
 const (
--- a/internal/core/document/duration.go
+++ b/internal/core/document/duration.go
@@ -42,7 +42,8 @@
 	return nil
 }
 
+// durationError has the form of the YAML library's own errors.
 func durationError(n *yaml.Node) error {
-	message := fmt.Sprintf("line %d: a duration such as 800ms or 2s is wanted, got %q", n.Line, n.Value)
+	message := fmt.Sprintf("line %d: cannot unmarshal %s `%s` into document.Duration", n.Line, n.ShortTag(), n.Value)
 	return &yaml.TypeError{Errors: []string{message}}
 }
--- a/internal/core/document/validate_rule.go
+++ b/internal/core/document/validate_rule.go
@@ -32,12 +32,16 @@
 }
 
 // knownEnd returns the region of a rule's end, which names a place or a region,
-// and reports a name that is neither.
+// and reports a name that is neither. A place in an unknown region, which is
+// reported there, has none.
 func (v *validator) knownEnd(path, name string) string {
 	if v.region[name] {
 		return name
 	}
 	if region, ok := v.regionOf[name]; ok {
+		if !v.region[region] {
+			return ""
+		}
 		return region
 	}
 	v.fault(path, "no place or region is named %q", name)
--- a/internal/core/strictyaml/decode.go
+++ b/internal/core/strictyaml/decode.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"regexp"
 	"strconv"
 	"strings"
@@ -60,7 +61,7 @@
 		return &Error{Problems: []Problem{{Line: 1, Message: "the text is empty"}}}
 	}
 	if err != nil {
-		return explain(text, err)
+		return explain(text, err, reflect.TypeOf(out).Elem())
 	}
 	var rest yaml.Node
 	err = decoder.Decode(&rest)
@@ -68,7 +69,7 @@
 		return nil
 	}
 	if err != nil {
-		return explain(text, err)
+		return explain(text, err, reflect.TypeOf(out).Elem())
 	}
 	return &Error{Problems: []Problem{{Line: rest.Line, Message: "a second document follows the first"}}}
 }
@@ -83,13 +84,13 @@
 )
 
 // explain turns an error of the YAML library into an *Error with paths.
-func explain(text []byte, err error) *Error {
+func explain(text []byte, err error, target reflect.Type) *Error {
 	messages := []string{err.Error()}
 	var typeError *yaml.TypeError
 	if errors.As(err, &typeError) {
 		messages = typeError.Errors
 	}
-	index := NewIndex(text)
+	index := newIndex(text, target)
 	problems := make([]Problem, len(messages))
 	for i, message := range messages {
 		problems[i] = explainOne(index, message)
@@ -113,14 +114,17 @@
 		return p
 	}
 	if m := wrongType.FindStringSubmatch(p.Message); m != nil {
-		p.Field = index.value(p.Line, m[2])
-		p.Message = fmt.Sprintf("%s is wanted, got %s %q", kindName(m[3]), yamlName(m[1]), m[2])
+		p.Field = index.value(p.Line, m[1], m[2], m[3])
+		p.Message = fmt.Sprintf("%s is wanted, got %s", kindName(m[3]), yamlName(m[1]))
+		if m[2] != "" {
+			p.Message += fmt.Sprintf(" %q", m[2])
+		}
 		return p
 	}
 	if parserError.MatchString(p.Message) {
 		p.Line = min(p.Line+1, index.last)
 	}
-	p.Field = index.value(p.Line, "")
+	p.Field = index.first(p.Line)
 	return p
 }
 
@@ -131,6 +135,8 @@
 		return "a list"
 	case strings.HasPrefix(goType, "int"), strings.HasPrefix(goType, "uint"):
 		return "a whole number"
+	case strings.HasSuffix(goType, ".Duration"):
+		return "a duration such as 800ms"
 	case goType == "string":
 		return "text"
 	case goType == "bool":
--- a/internal/core/strictyaml/decode_test.go
+++ b/internal/core/strictyaml/decode_test.go
@@ -29,6 +29,8 @@
 		{"long value", "items:\n- count: a long text here\n", `line 2: items[0].count: a whole number is wanted, got text "a long ..."`},
 		{"list", "items:\n- tags: x\n", `line 2: items[0].tags: a list is wanted, got text "x"`},
 		{"mapping", "items:\n- 7\n", `line 2: items[0]: a mapping is wanted, got the number "7"`},
+		{"list for a number", "items:\n- {tags: [x], count: [1], name: b}\n", "line 2: items[0].count: a whole number is wanted, got a list"},
+		{"same value twice", "items:\n- {name: x, count: x}\n", `line 2: items[0].count: a whole number is wanted, got text "x"`},
 		{"flag", "on: 3\n", `line 1: on: true or false is wanted, got the number "3"`},
 		{"twice", "on: true\non: false\n", `line 2: on: mapping key "on" already defined at line 1`},
 		{"second document", "on: true\n---\non: false\n", "line 2: a second document follows the first"},
--- a/internal/core/strictyaml/index.go
+++ b/internal/core/strictyaml/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"strconv"
 	"strings"
 
@@ -19,17 +20,21 @@
 type spot struct {
 	keyLine, valueLine int
 	key, value, path   string
+	tag, goType        string
 }
 
 // NewIndex returns the index of a text. A text that isn't YAML has an empty one.
-func NewIndex(text []byte) *Index {
+func NewIndex(text []byte) *Index { return newIndex(text, nil) }
+
+// newIndex also knows the Go type of each field when the text's is given.
+func newIndex(text []byte, target reflect.Type) *Index {
 	index := &Index{lines: make(map[string]int), last: 1}
 	index.last += bytes.Count(bytes.TrimRight(text, "\n"), []byte("\n"))
 	var root yaml.Node
 	if yaml.Unmarshal(text, &root) != nil || len(root.Content) == 0 {
 		return index
 	}
-	index.walk("", root.Content[0])
+	index.walk("", root.Content[0], target)
 	return index
 }
 
@@ -45,7 +50,7 @@
 	return 1
 }
 
-func (x *Index) walk(path string, n *yaml.Node) {
+func (x *Index) walk(path string, n *yaml.Node, t reflect.Type) {
 	switch n.Kind {
 	case yaml.MappingNode:
 		for i := 0; i+1 < len(n.Content); i += 2 {
@@ -54,21 +59,47 @@
 			if path != "" {
 				child = path + "." + child
 			}
-			x.add(key, n.Content[i+1], child)
+			x.add(key, n.Content[i+1], child, fieldType(t, key.Value))
 		}
 	case yaml.SequenceNode:
 		for i, element := range n.Content {
-			x.add(element, element, path+"["+strconv.Itoa(i)+"]")
+			x.add(element, element, path+"["+strconv.Itoa(i)+"]", elementType(t))
 		}
 	}
 }
 
-func (x *Index) add(key, value *yaml.Node, path string) {
-	x.spots = append(x.spots, spot{keyLine: key.Line, valueLine: value.Line, key: key.Value, value: value.Value, path: path})
+func (x *Index) add(key, value *yaml.Node, path string, t reflect.Type) {
+	s := spot{keyLine: key.Line, valueLine: value.Line, key: key.Value, value: value.Value, path: path, tag: value.ShortTag()}
+	if t != nil {
+		s.goType = t.String()
+	}
+	x.spots = append(x.spots, s)
 	if _, ok := x.lines[path]; !ok {
 		x.lines[path] = key.Line
 	}
-	x.walk(path, value)
+	x.walk(path, value, t)
+}
+
+// fieldType returns the type of a struct's field by its name in YAML, or nil.
+func fieldType(t reflect.Type, name string) reflect.Type {
+	if t == nil || t.Kind() != reflect.Struct {
+		return nil
+	}
+	for f := range t.Fields() {
+		tag, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		if tag == name {
+			return f.Type
+		}
+	}
+	return nil
+}
+
+// elementType returns the type of a slice's elements, or nil.
+func elementType(t reflect.Type) reflect.Type {
+	if t == nil || t.Kind() != reflect.Slice {
+		return nil
+	}
+	return t.Elem()
 }
 
 // key returns the path of the last field on the line that has the name.
@@ -82,21 +113,26 @@
 	return found
 }
 
-// value returns the path of the field on the line whose value is shown in a
-// message, perhaps cut short with dots; without one, the line's first field.
-func (x *Index) value(line int, shown string) string {
+// value returns the path of the field on the line that has the tag, the value
+// as a message shows it, perhaps cut short with dots, and the Go type; without
+// one, the line's first field.
+func (x *Index) value(line int, tag, shown, goType string) string {
 	prefix := strings.TrimSuffix(shown, "...")
-	first := ""
 	for _, s := range x.spots {
-		if s.valueLine != line {
-			continue
-		}
-		if first == "" {
-			first = s.path
+		alike := s.tag == "!!"+tag && strings.HasPrefix(s.value, prefix) && strings.EqualFold(s.goType, goType)
+		if s.valueLine == line && alike {
+			return s.path
 		}
-		if shown != "" && strings.HasPrefix(s.value, prefix) {
+	}
+	return x.first(line)
+}
+
+// first returns the path of the first field that begins on the line.
+func (x *Index) first(line int) string {
+	for _, s := range x.spots {
+		if s.keyLine == line {
 			return s.path
 		}
 	}
-	return first
+	return ""
 }
