Keep comments when a drain is added or removed

Cause: POST and DELETE /v1/drains marshalled the typed document, which lost the comments that operators write. Change: document.ReplaceDrains edits the YAML nodes. Shown: TestReplaceDrains.

--- a/internal/adapter/operatorhttp/auth.go
+++ b/internal/adapter/operatorhttp/auth.go
@@ -14,10 +14,12 @@
 const BootstrapOperator = "bootstrap"
 
 // session is an authenticated request's operator, and the document in the
-// register that says so.
+// register that says so, as text and as parsed. The parsed one is shared and
+// must not be altered; without a version it is empty.
 type session struct {
 	operator string
 	config   port.Config
+	document *document.Document
 }
 
 // authenticated calls next for requests that carry the token of an operator.
@@ -45,29 +47,29 @@
 	if err != nil {
 		return session{}, readProblem(err)
 	}
-	operator := h.operatorOf(config, document.Digest([]byte(token)))
+	doc, err := h.parsed.get(config)
+	if err != nil {
+		h.Logger.Error("document in the register can't be read", "version", config.Version, "error", err)
+		return session{}, newProblem(http.StatusInternalServerError, CodeInternal, "the document in the register can't be read")
+	}
+	operator := h.operatorOf(config, doc, document.Digest([]byte(token)))
 	if operator == "" {
 		h.Logger.Warn("operator's token refused", "remote", r.RemoteAddr, "path", r.URL.Path)
 		return session{}, newProblem(http.StatusUnauthorized, CodeUnauthorized,
 			"the token isn't of an operator in the document in force; a resend of a change that replaced the token needs the new token and the same change ID")
 	}
-	return session{operator: operator, config: config}, nil
+	return session{operator: operator, config: config, document: doc}, nil
 }
 
 // operatorOf returns the name of the operator whose token has the hash, or an
 // empty name. Hashes are compared in constant time.
-func (h *handler) operatorOf(config port.Config, hash string) string {
+func (h *handler) operatorOf(config port.Config, doc *document.Document, hash string) string {
 	if config.Version == 0 {
 		if h.BootstrapTokenSHA256 != "" && equalHash(h.BootstrapTokenSHA256, hash) {
 			return BootstrapOperator
 		}
 		return ""
 	}
-	doc, err := document.Parse(config.Document)
-	if err != nil {
-		h.Logger.Error("document in the register can't be read", "version", config.Version, "error", err)
-		return ""
-	}
 	name := ""
 	for _, o := range doc.Operators {
 		if equalHash(o.TokenSHA256, hash) {
--- a/internal/adapter/operatorhttp/change.go
+++ b/internal/adapter/operatorhttp/change.go
@@ -157,26 +157,13 @@
 		writeProblem(w, invalidProblem(document.FaultsOf(text)))
 		return
 	}
-	before, err := currentDocument(s.config)
-	if err != nil {
-		writeProblem(w, newProblem(http.StatusInternalServerError, CodeInternal, err.Error()))
-		return
-	}
-	differences := document.Diff(before, after)
+	differences := document.Diff(s.document, after)
 	if differences == nil {
 		differences = []document.Difference{}
 	}
 	writeJSON(w, Comparison{Version: s.config.Version, Differences: differences})
 }
 
-// currentDocument returns the document of a version, an empty one for none.
-func currentDocument(config port.Config) (*document.Document, error) {
-	if config.Version == 0 {
-		return &document.Document{}, nil
-	}
-	return document.Parse(config.Document)
-}
-
 // readBody reads a document's text.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, document.MaxTextBytes))
--- a/internal/adapter/operatorhttp/drain.go
+++ b/internal/adapter/operatorhttp/drain.go
@@ -28,36 +28,34 @@
 		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the body goes on after the drain"))
 		return
 	}
-	h.edit(w, r, s, func(doc *document.Document) *Problem {
-		for _, d := range doc.Drains {
+	h.editDrains(w, r, s, func(drains []document.Drain) ([]document.Drain, *Problem) {
+		for _, d := range drains {
 			if d.Place == request.Place && d.Service == request.Service {
-				return newProblem(http.StatusConflict, CodeConflict, "the place is already drained: "+d.Reason)
+				return nil, newProblem(http.StatusConflict, CodeConflict, "the place is already drained: "+d.Reason)
 			}
 		}
-		doc.Drains = append(doc.Drains, document.Drain(request))
-		return nil
+		return append(drains, document.Drain(request)), nil
 	})
 }
 
 func (h *handler) removeDrain(w http.ResponseWriter, r *http.Request, s session) {
 	place := r.URL.Query().Get(QueryPlace)
 	service := r.URL.Query().Get(QueryService)
-	h.edit(w, r, s, func(doc *document.Document) *Problem {
-		before := len(doc.Drains)
-		doc.Drains = slices.DeleteFunc(doc.Drains, func(d document.Drain) bool {
+	h.editDrains(w, r, s, func(drains []document.Drain) ([]document.Drain, *Problem) {
+		left := slices.DeleteFunc(slices.Clone(drains), func(d document.Drain) bool {
 			return d.Place == place && d.Service == service
 		})
-		if len(doc.Drains) == before {
-			return newProblem(http.StatusNotFound, CodeNotFound, "there is no such drain")
+		if len(left) == len(drains) {
+			return nil, newProblem(http.StatusNotFound, CodeNotFound, "there is no such drain")
 		}
-		return nil
+		return left, nil
 	})
 }
 
-// edit submits the document in force with one alteration. A resend whose first
-// outcome stands in the audit trail gets that one, because the document it
+// editDrains submits the document in force with other drains. A resend whose
+// first outcome stands in the audit trail gets that one, because the document it
 // would be made from may have moved on since.
-func (h *handler) edit(w http.ResponseWriter, r *http.Request, s session, alter func(*document.Document) *Problem) {
+func (h *handler) editDrains(w http.ResponseWriter, r *http.Request, s session, alter func([]document.Drain) ([]document.Drain, *Problem)) {
 	id := r.Header.Get(HeaderChangeID)
 	first, found, err := h.firstOutcome(r, id)
 	if err != nil {
@@ -68,16 +66,16 @@
 		writeOutcome(w, first)
 		return
 	}
-	doc, err := currentDocument(s.config)
-	if err != nil {
-		writeProblem(w, newProblem(http.StatusInternalServerError, CodeInternal, err.Error()))
+	if s.config.Version == 0 {
+		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, "there is no document yet"))
 		return
 	}
-	if problem := alter(doc); problem != nil {
+	drains, problem := alter(slices.Clone(s.document.Drains))
+	if problem != nil {
 		writeProblem(w, problem)
 		return
 	}
-	text, err := document.Marshal(doc)
+	text, err := document.ReplaceDrains(s.config.Document, drains)
 	if err != nil {
 		writeProblem(w, newProblem(http.StatusInternalServerError, CodeInternal, err.Error()))
 		return
--- a/internal/adapter/operatorhttp/handler.go
+++ b/internal/adapter/operatorhttp/handler.go
@@ -34,9 +34,10 @@
 	RecordRefused func(ctx context.Context, change port.Change) error
 }
 
-// Handler answers operators.
+// handler answers operators.
 type handler struct {
 	Options
+	parsed parsed
 }
 
 // New returns the operators' interface.
--- /dev/null
+++ b/internal/core/document/edit.go
@@ -0,0 +1,57 @@
+package document
+
+import (
+	"bytes"
+	"fmt"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// drainsKey is the field of a document that holds its drains.
+const drainsKey = "drains"
+
+// ReplaceDrains returns the text of a document with other drains. Comments and
+// the order of all other fields stay; blank lines and indents don't.
+func ReplaceDrains(text []byte, drains []Drain) ([]byte, error) {
+	var root yaml.Node
+	if err := yaml.Unmarshal(text, &root); err != nil {
+		return nil, fmt.Errorf("replace the drains: %w", err)
+	}
+	if len(root.Content) == 0 || root.Content[0].Kind != yaml.MappingNode {
+		return nil, fmt.Errorf("replace the drains: %w: the document isn't a mapping", ErrInvalid)
+	}
+	fields := root.Content[0]
+	removeField(fields, drainsKey)
+	if len(drains) > 0 {
+		var value yaml.Node
+		if err := value.Encode(drains); err != nil {
+			return nil, fmt.Errorf("replace the drains: %w", err)
+		}
+		key := &yaml.Node{Kind: yaml.ScalarNode, Value: drainsKey}
+		fields.Content = append(fields.Content, key, &value)
+	}
+	return encode(&root)
+}
+
+func removeField(fields *yaml.Node, key string) {
+	for i := 0; i+1 < len(fields.Content); i += 2 {
+		if fields.Content[i].Value == key {
+			fields.Content = append(fields.Content[:i], fields.Content[i+2:]...)
+			return
+		}
+	}
+}
+
+// encode returns a value as YAML.
+func encode(value any) ([]byte, error) {
+	var text bytes.Buffer
+	encoder := yaml.NewEncoder(&text)
+	encoder.SetIndent(yamlIndent)
+	if err := encoder.Encode(value); err != nil {
+		return nil, fmt.Errorf("marshal the document: %w", err)
+	}
+	if err := encoder.Close(); err != nil {
+		return nil, fmt.Errorf("marshal the document: %w", err)
+	}
+	return text.Bytes(), nil
+}
--- a/internal/core/document/text.go
+++ b/internal/core/document/text.go
@@ -1,14 +1,11 @@
 package document
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
 
-	"go.yaml.in/yaml/v3"
-
 	"sassafrasreach/internal/core/strictyaml"
 )
 
@@ -65,16 +62,7 @@
 
 // Marshal returns the document as YAML, with the defaults written out.
 func Marshal(doc *Document) ([]byte, error) {
-	var text bytes.Buffer
-	encoder := yaml.NewEncoder(&text)
-	encoder.SetIndent(yamlIndent)
-	if err := encoder.Encode(doc); err != nil {
-		return nil, fmt.Errorf("marshal the document: %w", err)
-	}
-	if err := encoder.Close(); err != nil {
-		return nil, fmt.Errorf("marshal the document: %w", err)
-	}
-	return text.Bytes(), nil
+	return encode(doc)
 }
 
 // Digest returns the hex SHA-256 of a text.
--- a/internal/core/document/validate_test.go
+++ b/internal/core/document/validate_test.go
@@ -211,3 +211,25 @@
 	})
 	is.Equal(len(document.Diff(nil, parse(demo))), 8) // each element of the top lists
 }
+
+func TestReplaceDrains(t *testing.T) {
+	is := is.New(t)
+	text := []byte(read(t, "demo.yaml"))
+	drains := []document.Drain{{Place: "norte-a", Reason: "repair"}}
+	with, err := document.ReplaceDrains(text, drains)
+	is.NoErr(err)
+	doc, err := document.ParseValid(with)
+	is.NoErr(err)
+	is.Equal(doc.Drains, drains)
+	is.True(strings.Contains(string(with), "# For trials only"))
+
+	without, err := document.ReplaceDrains(with, nil)
+	is.NoErr(err)
+	before, err := document.Parse(text)
+	is.NoErr(err)
+	after, err := document.Parse(without)
+	is.NoErr(err)
+	is.Equal(document.Diff(before, after), nil)
+	_, err = document.ReplaceDrains([]byte("- a\n"), nil)
+	is.True(errors.Is(err, document.ErrInvalid))
+}
