Add the operators' console of forms

Change: server-rendered forms over the document's types, so that a new field has its input without more code; the draft, its version and its change ID travel in the form; faults stand at their fields; the review shows the diff and what traffic would move against which cap and link. Weighed: drafts on the server (lost at a restart, mixed between windows) against the draft in the form (bounded: net/http reads forms of at most 10,000 fields, so larger documents are left to ctl and the page says so). Token typed into each form against a session cookie: the cookie is HttpOnly and SameSite strict, each form carries the session's token, the cross-origin check of net/http stands before all, and the operator's token is judged anew on each request, so a removed operator is out at once. Shown through the real handlers: TestFormToAcceptedDocument, TestFaultsAtTheirFields, TestRaceIsSeen, TestSentTwice, TestNothingWithoutSession, TestSignInRefuses, TestLargeDocumentIsLeftToTheClient.

--- /dev/null
+++ b/internal/adapter/console/console.go
@@ -0,0 +1,101 @@
+package console
+
+import (
+	"context"
+	"embed"
+	"errors"
+	"html/template"
+	"log/slog"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/port"
+)
+
+// Path is where the console is mounted.
+const Path = "/console"
+
+// ErrUnauthorized means that a token isn't an operator's.
+var ErrUnauthorized = errors.New("the token isn't of an operator in the document in force")
+
+// Opened is the document in force as an operator opens it.
+type Opened struct {
+	// Operator is the operator's name.
+	Operator string
+	// Config is the version in force; version 0 means that there is none.
+	Config port.Config
+	// Document is Config's document as parsed; it must not be altered.
+	Document *document.Document
+}
+
+// Backend is what the console works on.
+type Backend interface {
+	// Open returns the document in force for the operator of a token. The
+	// error is ErrUnauthorized for a token of nobody.
+	Open(ctx context.Context, token string) (Opened, error)
+	// Submit validates and submits a change. The error is port.ErrNoQuorum
+	// when nothing was proposed; a state of invalid comes with the faults.
+	Submit(ctx context.Context, change port.Change) (port.Outcome, document.Faults, error)
+	// Status returns what this control VM knows.
+	Status(ctx context.Context) (port.ControlStatus, error)
+}
+
+//go:embed templates
+var files embed.FS
+
+// server answers the console's pages.
+type server struct {
+	backend  Backend
+	clock    port.Clock
+	logger   *slog.Logger
+	sessions *sessions
+	pages    *template.Template
+}
+
+// New returns the console; mount it at Path.
+func New(backend Backend, clock port.Clock, logger *slog.Logger) http.Handler {
+	s := &server{
+		backend:  backend,
+		clock:    clock,
+		logger:   logger,
+		sessions: newSessions(),
+		pages:    template.Must(template.ParseFS(files, "templates/*.html")),
+	}
+	r := chi.NewRouter()
+	r.Use(http.NewCrossOriginProtection().Handler, secured)
+	r.Get("/", s.open)
+	r.Get("/style.css", s.style)
+	r.Post("/sign-in", s.signIn)
+	r.Post("/sign-out", s.signedIn(s.signOut))
+	r.Post("/edit", s.signedIn(s.edit))
+	r.Get("/status", s.status)
+	return r
+}
+
+// secured sets the headers that keep pages from being framed, cached or given
+// content from elsewhere.
+func secured(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Set("Content-Security-Policy", "default-src 'none'; style-src 'self'; form-action 'self'; frame-ancestors 'none'; base-uri 'none'")
+		h.Set("X-Content-Type-Options", "nosniff")
+		h.Set("Referrer-Policy", "same-origin")
+		h.Set("Cache-Control", "no-store")
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *server) style(w http.ResponseWriter, r *http.Request) {
+	http.ServeFileFS(w, r, files, "templates/style.css")
+}
+
+// render writes a page.
+func (s *server) render(w http.ResponseWriter, status int, page string, data any) {
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.WriteHeader(status)
+	if err := s.pages.ExecuteTemplate(w, page, data); err != nil {
+		s.logger.Warn("console page isn't whole", "page", page, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/adapter/console/signin.go
@@ -0,0 +1,96 @@
+package console
+
+import (
+	"errors"
+	"net/http"
+
+	"sassafrasreach/internal/port"
+)
+
+// cookieName names the cookie that holds the session's ID.
+const cookieName = "sassafrasreach-console"
+
+// maxSignInBytes bounds the sign-in form.
+const maxSignInBytes = 8 << 10
+
+// signInPage is the page for operators who aren't signed in.
+type signInPage struct {
+	// Message says why; empty at first.
+	Message string
+}
+
+func (s *server) signIn(w http.ResponseWriter, r *http.Request) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxSignInBytes)
+	token := r.PostFormValue("token")
+	if _, err := s.backend.Open(r.Context(), token); err != nil {
+		s.failed(w, err)
+		return
+	}
+	id := s.sessions.open(token, s.clock.Now())
+	http.SetCookie(w, s.cookie(r, id, int(sessionLife.Seconds())))
+	http.Redirect(w, r, Path+"/", http.StatusSeeOther)
+}
+
+func (s *server) signOut(w http.ResponseWriter, r *http.Request, _ session) {
+	if c, err := r.Cookie(cookieName); err == nil {
+		s.sessions.close(c.Value)
+	}
+	http.SetCookie(w, s.cookie(r, "", -1))
+	http.Redirect(w, r, Path+"/", http.StatusSeeOther)
+}
+
+// cookie returns the session's cookie, out of reach of scripts and other sites.
+func (s *server) cookie(r *http.Request, id string, maxAge int) *http.Cookie {
+	return &http.Cookie{
+		Name:     cookieName,
+		Value:    id,
+		Path:     Path,
+		MaxAge:   maxAge,
+		HttpOnly: true,
+		Secure:   r.TLS != nil,
+		SameSite: http.SameSiteStrictMode,
+	}
+}
+
+// session returns the request's session.
+func (s *server) session(r *http.Request) (session, bool) {
+	c, err := r.Cookie(cookieName)
+	if err != nil {
+		return session{}, false
+	}
+	return s.sessions.get(c.Value, s.clock.Now())
+}
+
+// signedIn calls next for forms that were made for the request's session.
+func (s *server) signedIn(next func(http.ResponseWriter, *http.Request, session)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		found, ok := s.session(r)
+		if !ok {
+			s.render(w, http.StatusUnauthorized, "signin", signInPage{Message: "Sign in first."})
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxFormBytes)
+		if err := r.ParseForm(); err != nil {
+			s.render(w, http.StatusBadRequest, "message", message("The form can't be read: "+err.Error()))
+			return
+		}
+		if !found.accepts(r.PostForm.Get("form_token")) {
+			s.render(w, http.StatusForbidden, "message", message("The form isn't of this session."))
+			return
+		}
+		next(w, r, found)
+	}
+}
+
+// failed shows why the document couldn't be opened.
+func (s *server) failed(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, ErrUnauthorized):
+		s.render(w, http.StatusUnauthorized, "signin", signInPage{Message: err.Error()})
+	case errors.Is(err, port.ErrNoQuorum):
+		s.render(w, http.StatusServiceUnavailable, "message", message("Too few control VMs answer; nothing was changed. Try another control VM, or later."))
+	default:
+		s.logger.Error("console can't open the document", "error", err)
+		s.render(w, http.StatusInternalServerError, "message", message(err.Error()))
+	}
+}
--- a/internal/adapter/operatorhttp/auth.go
+++ b/internal/adapter/operatorhttp/auth.go
@@ -1,6 +1,7 @@
 package operatorhttp
 
 import (
+	"context"
 	"crypto/subtle"
 	"net/http"
 	"strings"
@@ -32,7 +33,7 @@
 			writeProblem(w, newProblem(http.StatusUnauthorized, CodeUnauthorized, "a bearer token is needed"))
 			return
 		}
-		s, problem := h.authenticate(r, token)
+		s, problem := h.authenticate(r.Context(), token)
 		if problem != nil {
 			writeProblem(w, problem)
 			return
@@ -42,8 +43,8 @@
 }
 
 // authenticate finds the operator of a token.
-func (h *handler) authenticate(r *http.Request, token string) (session, *Problem) {
-	config, err := h.Store.Current(r.Context())
+func (h *handler) authenticate(ctx context.Context, token string) (session, *Problem) {
+	config, err := h.Store.Current(ctx)
 	if err != nil {
 		return session{}, readProblem(err)
 	}
@@ -54,7 +55,7 @@
 	}
 	operator := h.operatorOf(config, doc, document.Digest([]byte(token)))
 	if operator == "" {
-		h.Logger.Warn("operator's token refused", "remote", r.RemoteAddr, "path", r.URL.Path)
+		h.Logger.Warn("operator's token refused", "version", config.Version)
 		return session{}, newProblem(http.StatusUnauthorized, CodeUnauthorized,
 			"the token isn't of an operator in the document in force; a resend of a change that replaced the token needs the new token and the same change ID")
 	}
--- a/internal/adapter/operatorhttp/handler.go
+++ b/internal/adapter/operatorhttp/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"sassafrasreach/internal/adapter/console"
 	"sassafrasreach/internal/port"
 )
 
@@ -40,7 +41,7 @@
 	parsed parsed
 }
 
-// New returns the operators' interface.
+// New returns the operators' interface, with the console at console.Path.
 func New(options Options) http.Handler {
 	if options.Logger == nil {
 		options.Logger = slog.Default()
@@ -71,6 +72,7 @@
 	r.Post("/v1/drains", h.authenticated(h.addDrain))
 	r.Delete("/v1/drains", h.authenticated(h.removeDrain))
 	r.Delete("/v1/quarantine/{fingerprint}", h.authenticated(h.liftQuarantine))
+	r.Mount(console.Path, console.New(consoleBackend{h}, h.Clock, h.Logger))
 	return r
 }
 
--- a/internal/core/document/validate_rule.go
+++ b/internal/core/document/validate_rule.go
@@ -88,7 +88,7 @@
 		v.fault(path+".to", "there is no link from region %q to region %q", from, to)
 		return
 	}
-	need := float64(r.RequestsPerS) * float64(bytes) * 8 / bitsPerMbit
+	need := mbitPerS(r.RequestsPerS, bytes)
 	if usable := link.UsableMbitPerS(); need > usable {
 		v.fault(path+".requests_per_s", "%d requests/s of %d bytes need %.1f Mbit/s, but steering may use %.1f Mbit/s of the link from %q to %q",
 			r.RequestsPerS, bytes, need, usable, from, to)
