--- a/internal/core/document/validate_rule.go
+++ b/internal/core/document/validate_rule.go
@@ -32,12 +32,16 @@
 }
 
 // knownEnd returns the region of a rule's end, which names a place or a region,
-// and reports a name that is neither.
+// and reports a name that is neither. A place in an unknown region, which is
+// reported there, has none.
 func (v *validator) knownEnd(path, name string) string {
 	if v.region[name] {
 		return name
 	}
 	if region, ok := v.regionOf[name]; ok {
+		if !v.region[region] {
+			return ""
+		}
 		return region
 	}
 	v.fault(path, "no place or region is named %q", name)
@@ -84,7 +88,7 @@
 		v.fault(path+".to", "there is no link from region %q to region %q", from, to)
 		return
 	}
-	need := float64(r.RequestsPerS) * float64(bytes) * 8 / bitsPerMbit
+	need := mbitPerS(r.RequestsPerS, bytes)
 	if usable := link.UsableMbitPerS(); need > usable {
 		v.fault(path+".requests_per_s", "%d requests/s of %d bytes need %.1f Mbit/s, but steering may use %.1f Mbit/s of the link from %q to %q",
 			r.RequestsPerS, bytes, need, usable, from, to)
