Shorten the queue and keep the reserve from all spilled-in work

Work from the sibling of a lost place filled a place to its last slot.

Ruled out: leaving only the median of the latency for the endpoint; the longer half of the requests is then cancelled half done.

Change: a request is queued only for a wait of at most a sixteenth of the time left (spilled-in work: a sixty-fourth), with the 90% quantile of latency left for the endpoint. Own traffic is what originates in the place; all other work stays below the reserve.

--- a/internal/core/admission/group.go
+++ b/internal/core/admission/group.go
@@ -8,13 +8,24 @@
 	"sassafrasreach/internal/port"
 )
 
+const (
+	// ownWaitPart and spilledWaitPart are the parts (one over them) of the time
+	// left that a request may wait. A longer queue would only make every
+	// request in it late: its work would be cancelled half done.
+	ownWaitPart     = 16
+	spilledWaitPart = 64
+	// neededQuantile is the part of requests that end within the time that the
+	// queue leaves for an endpoint.
+	neededQuantile = 0.9
+)
+
 // Ticket is a request that asks for a slot.
 type Ticket struct {
 	// ID identifies the request in the group.
 	ID uint64
 	// Deadline is the moment after which the answer is of no use.
 	Deadline time.Time
-	// Own says that the request is the region's own traffic. Other work is
+	// Own says that the request originates in the group's place. Other work is
 	// spilled in: it comes after own traffic and leaves the reserve free.
 	Own bool
 	// Exclude names endpoints that must not get the request, because an
@@ -244,11 +255,18 @@
 	if slots <= 0 {
 		return false
 	}
-	needed := g.latency.Quantile(0.5)
-	wait := needed * time.Duration(ahead+1) / time.Duration(slots)
-	return now.Add(wait + needed).Before(t.Deadline)
+	wait := g.latency.Quantile(0.5) * time.Duration(ahead+1) / time.Duration(slots)
+	left := t.Deadline.Sub(now)
+	part := ownWaitPart
+	if !t.Own {
+		part = spilledWaitPart
+	}
+	return wait <= left/time.Duration(part) && wait+g.needed() < left
 }
 
+// needed is the time that nearly all requests need on an endpoint.
+func (g *Group) needed() time.Duration { return g.latency.Quantile(neededQuantile) }
+
 // start gives a request to an endpoint.
 func (g *Group) start(id uint64, e *endpoint) port.Endpoint {
 	g.uses++
@@ -263,7 +281,7 @@
 	if g.own.len()+g.spilled.len() == 0 {
 		return nil
 	}
-	needed := g.latency.Quantile(0.5) / 2
+	needed := g.needed()
 	g.expired = g.own.expire(now, needed, g.expired)
 	g.expired = g.spilled.expire(now, needed, g.expired)
 	grants := g.pumpQueue(now, &g.own, nil)
--- a/internal/core/admission/latency.go
+++ b/internal/core/admission/latency.go
@@ -31,13 +31,22 @@
 type LatencyWindow struct {
 	current  *histogram
 	previous *histogram
-	median   time.Duration // cached
-	stale    int           // samples since the median was computed
+	cached   [2]cachedQuantile
+}
+
+// cachedQuantile is a quantile as it was after a number of samples.
+type cachedQuantile struct {
+	q     float64
+	value time.Duration
+	stale int // samples since then
 }
 
 // NewLatencyWindow returns a window without samples.
 func NewLatencyWindow() *LatencyWindow {
-	return &LatencyWindow{current: &histogram{}, previous: &histogram{}}
+	w := &LatencyWindow{current: &histogram{}, previous: &histogram{}}
+	w.cached[0].q = 0.5
+	w.cached[1].q = neededQuantile
+	return w
 }
 
 // Add takes in the latency of one answered request.
@@ -48,24 +57,30 @@
 	}
 	w.current.counts[bucketOf(d)]++
 	w.current.total++
-	w.stale++
+	for i := range w.cached {
+		w.cached[i].stale++
+	}
 }
 
 // Samples counts the samples in the window.
 func (w *LatencyWindow) Samples() int { return w.current.total + w.previous.total }
 
 // Quantile returns the latency that the part q (0 to 1) of the samples doesn't
-// exceed, rounded up by at most a tenth; 0 without samples. The median may lag
-// by a few samples.
+// exceed, rounded up by at most a tenth; 0 without samples. The quantiles that
+// admission uses for each request may lag by a few samples.
 func (w *LatencyWindow) Quantile(q float64) time.Duration {
-	if q != 0.5 {
-		return w.quantile(q)
-	}
-	if w.median == 0 || w.stale >= 1+w.Samples()/16 {
-		w.median = w.quantile(q)
-		w.stale = 0
+	for i := range w.cached {
+		c := &w.cached[i]
+		if c.q != q {
+			continue
+		}
+		if c.value == 0 || c.stale >= 1+w.Samples()/16 {
+			c.value = w.quantile(q)
+			c.stale = 0
+		}
+		return c.value
 	}
-	return w.median
+	return w.quantile(q)
 }
 
 func (w *LatencyWindow) quantile(q float64) time.Duration {
--- a/internal/core/steering/rank.go
+++ b/internal/core/steering/rank.go
@@ -124,18 +124,18 @@
 	if len(rules) == 0 {
 		return candidate{}, false
 	}
-	own := t.Own(origin, name)
-	if !t.roomFor(name, group, own) {
+	if !t.roomFor(name, group) {
 		return candidate{}, false
 	}
+	near := t.sameRegion(origin, name)
 	c := candidate{
 		choice:   Choice{Place: name, Rules: rules, Links: t.crossed(origin, name)},
 		tier:     tierFar,
 		headroom: int(group.headroom() * headroomSteps),
-		distance: int(roundTrip(group, own) / roundTripStep),
+		distance: int(roundTrip(group, near) / roundTripStep),
 		spread:   spread(s.doc.Name, origin, name),
 	}
-	if own {
+	if near {
 		c.tier = tierNear
 	}
 	if group.Age > staleAfter {
@@ -159,14 +159,16 @@
 	return c
 }
 
-// roomFor says whether a group may take one more request from another place.
-// Work from another region stays below the region's reserve.
-func (t *Table) roomFor(name string, group GroupView, own bool) bool {
-	limit := group.Slots
-	if !own {
-		limit = SpillSlots(group.Slots, t.places[t.indexes[name]].reserve)
-	}
-	return group.taken() < limit
+// roomFor says whether a group may take one more request from another place:
+// such work stays below the reserve, wherever it comes from.
+func (t *Table) roomFor(name string, group GroupView) bool {
+	return group.taken() < SpillSlots(group.Slots, t.places[t.indexes[name]].reserve)
+}
+
+func (t *Table) sameRegion(a, b string) bool {
+	from, _ := t.Region(a)
+	to, _ := t.Region(b)
+	return from == to
 }
 
 // SpillSlots returns how many of a group's slots spilled-in work may use, with
@@ -217,11 +219,11 @@
 	return links
 }
 
-func roundTrip(group GroupView, own bool) time.Duration {
+func roundTrip(group GroupView, near bool) time.Duration {
 	switch {
 	case group.RoundTrip > 0:
 		return group.RoundTrip
-	case own:
+	case near:
 		return nearRoundTrip
 	default:
 		return farRoundTrip
--- a/internal/core/steering/rank_test.go
+++ b/internal/core/steering/rank_test.go
@@ -82,8 +82,8 @@
 		{"drain of another service", "n1", []document.Drain{{Place: "n2", Service: "filing"}}, base(nil), []string{"n1", "n2", "s1", "s2"}},
 		{"reserve reached", "n1", nil, base(map[string]steering.GroupView{"s1": healthy(16)}), []string{"n1", "n2", "s2"}},
 		{"below the reserve", "n1", nil, base(map[string]steering.GroupView{"s1": healthy(15)}), []string{"n1", "n2", "s2", "s1"}},
-		{"reserve is for other regions", "n1", nil, base(map[string]steering.GroupView{"n2": healthy(19)}), []string{"n1", "n2", "s1", "s2"}},
-		{"full sibling", "n1", nil, base(map[string]steering.GroupView{"n2": healthy(20)}), []string{"n1", "s1", "s2"}},
+		{"near place at its reserve", "n1", nil, base(map[string]steering.GroupView{"n2": healthy(16)}), []string{"n1", "s1", "s2"}},
+		{"near place below it", "n1", nil, base(map[string]steering.GroupView{"n2": healthy(15)}), []string{"n1", "n2", "s1", "s2"}},
 		{"stale target last", "n1", nil, base(map[string]steering.GroupView{"n2": with(healthy(1), stale)}), []string{"n1", "s1", "s2", "n2"}},
 		{"mostly stale keeps the list", "n1", nil, base(map[string]steering.GroupView{
 			"n2": with(healthy(1), stale), "s1": with(healthy(2), stale), "s2": with(healthy(8), stale),
--- a/internal/core/steering/table.go
+++ b/internal/core/steering/table.go
@@ -163,8 +163,8 @@
 	return t.places[index].region, true
 }
 
-// Reserve returns the percentage of a place's slots that spilled-in work may
-// not use.
+// Reserve returns the percentage of a place's slots that work from other places
+// may not use.
 func (t *Table) Reserve(place string) (int, bool) {
 	index, ok := t.indexes[place]
 	if !ok {
@@ -173,17 +173,6 @@
 	return t.places[index].reserve, true
 }
 
-// Own says whether work from origin counts as a place's own traffic for its
-// region's reserve: both are in one region.
-func (t *Table) Own(origin, place string) bool {
-	from, ok := t.Region(origin)
-	if !ok {
-		return false
-	}
-	to, ok := t.Region(place)
-	return ok && from == to
-}
-
 // Drained says whether a place is out of use for a service.
 func (t *Table) Drained(service, place string) bool {
 	if _, ok := t.drained[drainKey{"", place}]; ok {
--- /dev/null
+++ b/internal/measure/steered.go
@@ -0,0 +1,329 @@
+package measure
+
+import (
+	"time"
+
+	"sassafrasreach/internal/core/admission"
+	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/core/steering"
+)
+
+const (
+	// tickPeriod is the time between two ticks of a group.
+	tickPeriod = 20 * time.Millisecond
+	// publishPeriod is the time between two reports of a group to other places.
+	publishPeriod = 500 * time.Millisecond
+	// deadAfter is the age of a report from which its group counts as dead.
+	deadAfter = 3 * time.Second
+	// suspectAfter is the number of failed dials in a row after which a place
+	// is taken for dead until it is heard of again.
+	suspectAfter = 3
+)
+
+// steered is the policy under test: packages steering and admission, with
+// windows in place of the budgets.
+type steered struct {
+	w       *world
+	table   *steering.Table
+	groups  [][]*group // service, place
+	rules   map[string]*window
+	links   map[steering.LinkID]*window
+	byID    map[string]*endpoint
+	budgets []*admission.RetryBudget // per place
+	trusted []time.Duration          // per place: when it was last heard of
+	dials   []int                    // per place: failed in a row
+}
+
+// group is a group with its owner's knowledge and its published state.
+type group struct {
+	adm       *admission.Group
+	pending   map[uint64]*attempt
+	published admission.Stats
+	heard     time.Duration
+}
+
+// attempt is a request on its way through the choices of its ranking.
+type attempt struct {
+	r       *request
+	choices []steering.Choice
+	next    int
+	ticket  admission.Ticket
+}
+
+func newSteered(w *world) policy {
+	s := &steered{
+		w:       w,
+		rules:   map[string]*window{},
+		links:   map[steering.LinkID]*window{},
+		byID:    map[string]*endpoint{},
+		trusted: make([]time.Duration, len(w.names)),
+		dials:   make([]int, len(w.names)),
+	}
+	for _, rule := range w.doc.Rules {
+		s.rules[rule.Name] = &window{limit: rule.RequestsPerS, ramp: rule.Ramp.Std()}
+	}
+	for _, link := range w.doc.Links {
+		bytes := link.MbitPerS * link.FillPercent / 100 * 1_000_000 / 8
+		s.links[steering.LinkID{From: link.From, To: link.To}] = &window{limit: bytes}
+	}
+	for _, e := range w.endpoints {
+		s.byID[e.id] = e
+	}
+	for service := range w.op.services {
+		s.groups = append(s.groups, make([]*group, len(w.names)))
+		for place := range w.names {
+			s.groups[service][place] = &group{}
+			s.startGroup(service, place)
+			s.startTicks(service, place)
+		}
+	}
+	for range w.names {
+		s.budgets = append(s.budgets, admission.NewRetryBudget())
+	}
+	s.reconfigure(w.doc)
+	return s
+}
+
+func (s *steered) reconfigure(doc *document.Document) {
+	table, err := steering.NewTable(doc)
+	if err != nil {
+		panic(err) // the document is built in this package
+	}
+	s.table = table
+}
+
+func (s *steered) startGroup(service, place int) {
+	g := s.groups[service][place]
+	g.adm = admission.NewGroup(admission.Config{
+		ReservePercent: reservePercent,
+		MaxSlots:       s.w.op.services[service].slots,
+	})
+	g.pending = map[uint64]*attempt{}
+}
+
+func (s *steered) startTicks(service, place int) {
+	g := s.groups[service][place]
+	s.w.every(tickPeriod, tickPeriod, func() {
+		if !s.w.alive[place] {
+			return
+		}
+		grants, expired := g.adm.Tick(s.w.time())
+		s.grant(g, place, grants)
+		for _, id := range expired {
+			s.w.fail(g.pending[id].r)
+			delete(g.pending, id)
+		}
+	})
+	s.w.every(publishPeriod, publishPeriod, func() {
+		if !s.w.alive[place] {
+			return
+		}
+		stats := g.adm.Stats(s.w.time())
+		s.w.after(s.w.op.oneWayFar, func() {
+			g.published, g.heard = stats, s.w.now
+			s.trusted[place], s.dials[place] = s.w.now, 0
+		})
+	})
+	g.published, g.heard = admission.Stats{}, s.w.now
+}
+
+func (s *steered) announce(e *endpoint, a admission.Announcement) {
+	s.groups[e.service][e.place].adm.Announce(s.w.time(), a)
+}
+
+func (s *steered) queued(place int) int {
+	total := 0
+	for service := range s.groups {
+		total += s.groups[service][place].adm.Stats(s.w.time()).Queued
+	}
+	return total
+}
+
+// lost fails what waits in the place; the rest fails with its endpoints.
+func (s *steered) lost(place int) {
+	for service := range s.groups {
+		g := s.groups[service][place]
+		for id := range g.pending {
+			if g.adm.Cancel(s.w.time(), id) {
+				s.w.fail(g.pending[id].r)
+			}
+		}
+	}
+}
+
+func (s *steered) back(place int) {
+	for service := range s.groups {
+		s.startGroup(service, place)
+	}
+}
+
+// view is what the entries of one place know.
+type view struct {
+	s     *steered
+	place int
+}
+
+// Group implements steering.View.
+func (v view) Group(service, place string) (steering.GroupView, bool) {
+	s := v.s
+	at := s.indexOf(place)
+	g := s.groups[s.serviceIndex(service)][at]
+	stats, age := g.published, s.w.now-g.heard
+	if at == v.place && s.w.alive[at] {
+		stats, age = g.adm.Stats(s.w.time()), 0
+	}
+	return steering.GroupView{
+		Live:      age < deadAfter && s.dials[at] < suspectAfter,
+		Endpoints: stats.Endpoints,
+		Slots:     stats.Slots,
+		Busy:      stats.Busy,
+		Queued:    stats.Queued,
+		Latency:   stats.Latency,
+		RoundTrip: 2 * s.w.oneWay(v.place, at),
+		Age:       age,
+	}, true
+}
+
+func (s *steered) indexOf(place string) int {
+	for i, name := range s.w.names {
+		if name == place {
+			return i
+		}
+	}
+	panic("unknown place " + place)
+}
+
+func (s *steered) serviceIndex(name string) int {
+	for i, w := range s.w.op.services {
+		if w.name == name {
+			return i
+		}
+	}
+	panic("unknown service " + name)
+}
+
+func (s *steered) handle(r *request) {
+	choices := s.table.Rank(s.w.op.services[r.service].name, s.w.names[r.origin], view{s, r.origin})
+	s.proceed(&attempt{r: r, choices: choices})
+}
+
+// proceed sends the request to the next place that its budgets permit.
+func (s *steered) proceed(a *attempt) {
+	for a.next < len(a.choices) {
+		choice := a.choices[a.next]
+		a.next++
+		if s.take(a.r, choice) {
+			place := s.indexOf(choice.Place)
+			s.w.after(s.w.oneWay(a.r.origin, place), func() { s.arrive(a, place) })
+			return
+		}
+	}
+	s.w.fail(a.r)
+}
+
+// take uses a token of every rule and link that the choice crosses, or none.
+func (s *steered) take(r *request, choice steering.Choice) bool {
+	now := s.w.now
+	bytes := s.w.op.services[r.service].answer
+	for _, name := range choice.Rules {
+		if !s.rules[name].room(now, 1) {
+			return false
+		}
+	}
+	for _, id := range choice.Links {
+		if !s.links[id].room(now, bytes) {
+			return false
+		}
+	}
+	for _, name := range choice.Rules {
+		s.rules[name].take(now, 1)
+		s.w.record.moved(r.service, r.origin, s.indexOf(choice.Place))
+	}
+	for _, id := range choice.Links {
+		s.links[id].take(now, bytes)
+	}
+	return true
+}
+
+// arrive offers the request to the owner of the group. A dial to a lost place
+// proves that the request was not run.
+func (s *steered) arrive(a *attempt, place int) {
+	if a.r.ended {
+		return
+	}
+	if !s.w.alive[place] {
+		s.w.after(dialTimeout, func() {
+			s.dials[place]++
+			s.again(a)
+		})
+		return
+	}
+	g := s.groups[a.r.service][place]
+	a.ticket = admission.Ticket{
+		ID:       a.r.id,
+		Deadline: epoch.Add(a.r.deadline - s.w.oneWay(a.r.origin, place) - s.w.userTrip()),
+		Own:      a.r.origin == place,
+	}
+	s.offer(g, place, a)
+}
+
+func (s *steered) offer(g *group, place int, a *attempt) {
+	d := g.adm.Offer(s.w.time(), a.ticket)
+	switch d.Kind {
+	case admission.Granted:
+		s.dispatch(g, place, a, d.Endpoint.ID)
+	case admission.Queued:
+		g.pending[a.ticket.ID] = a
+	case admission.Refused:
+		s.w.after(s.w.oneWay(a.r.origin, place), func() { s.again(a) })
+	}
+}
+
+// again goes on with the next choice.
+func (s *steered) again(a *attempt) {
+	if !a.r.ended {
+		s.proceed(a)
+	}
+}
+
+func (s *steered) grant(g *group, place int, grants []admission.Grant) {
+	for _, grant := range grants {
+		a := g.pending[grant.Ticket]
+		delete(g.pending, grant.Ticket)
+		s.dispatch(g, place, a, grant.Endpoint.ID)
+	}
+}
+
+func (s *steered) dispatch(g *group, place int, a *attempt, id string) {
+	adm := g.adm
+	begun := s.w.now
+	s.byID[id].serve(&job{request: a.r, end: func(kind admission.ResultKind) {
+		s.settle(a, place, kind, id)
+		grants := adm.Done(s.w.time(), a.ticket.ID, admission.Result{Kind: kind, Latency: s.w.now - begun})
+		if adm == g.adm {
+			s.grant(g, place, grants)
+		}
+	}})
+}
+
+// settle answers the caller, or tries another endpoint within the budget.
+func (s *steered) settle(a *attempt, place int, kind admission.ResultKind, id string) {
+	budget := s.budgets[place]
+	if kind == admission.OK {
+		budget.Deposit()
+		s.w.answer(a.r, s.w.oneWay(a.r.origin, place)+s.w.userTrip())
+		return
+	}
+	if kind == admission.Timeout || a.r.ended || !budget.Withdraw(s.w.time()) {
+		s.w.fail(a.r)
+		return
+	}
+	a.ticket.Exclude = append(a.ticket.Exclude, id)
+	s.w.after(0, func() {
+		if !s.w.alive[place] {
+			s.again(a)
+			return
+		}
+		s.offer(s.groups[a.r.service][place], place, a)
+	})
+}
--- /dev/null
+++ b/internal/measure/window.go
@@ -0,0 +1,62 @@
+package measure
+
+import "time"
+
+const (
+	// slot is the resolution of a window.
+	slot = 10 * time.Millisecond
+	// slotsPerWindow covers a second and the slot that it begins in.
+	slotsPerWindow = 101
+	// idleShift is the time without use after which a shift ramps again.
+	idleShift = 10 * time.Second
+	// rampFloor is the part of a cap that a shift begins with.
+	rampFloor = 0.1
+)
+
+// window bounds the units that are used in any second, counted at one point.
+type window struct {
+	limit   int
+	ramp    time.Duration
+	used    [slotsPerWindow]int
+	sum     int
+	at      int64 // number of the newest slot
+	started time.Duration
+	last    time.Duration
+	active  bool
+}
+
+// room says whether units fit now.
+func (w *window) room(now time.Duration, units int) bool {
+	w.advance(now)
+	if !w.active || now-w.last > idleShift {
+		w.active, w.started = true, now
+	}
+	limit := w.limit
+	if w.ramp > 0 && now-w.started < w.ramp {
+		part := rampFloor + (1-rampFloor)*float64(now-w.started)/float64(w.ramp)
+		limit = int(float64(limit) * part)
+	}
+	return w.sum+units <= limit
+}
+
+// take uses units.
+func (w *window) take(now time.Duration, units int) {
+	w.advance(now)
+	w.used[w.at%slotsPerWindow] += units
+	w.sum += units
+	w.last = now
+}
+
+func (w *window) advance(now time.Duration) {
+	target := int64(now / slot)
+	if target-w.at >= slotsPerWindow {
+		w.used = [slotsPerWindow]int{}
+		w.sum = 0
+		w.at = target
+	}
+	for w.at < target {
+		w.at++
+		w.sum -= w.used[w.at%slotsPerWindow]
+		w.used[w.at%slotsPerWindow] = 0
+	}
+}
