Bound what heartbeats carry, and test ownership under faults

Change: cells of four, one heartbeat to the cell and one outside it per period, rows passed on a bounded number of times and not more often than once a second, group rows without what the sender's row says, a second try of a spot that didn't answer.

--- /dev/null
+++ b/internal/core/membership/faults_test.go
@@ -0,0 +1,203 @@
+package membership_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/membership"
+)
+
+// spell is what was seen of a group's owners over a stretch of time.
+type spell struct {
+	most   int           // most owners at one moment
+	gap    time.Duration // longest time without one
+	owners []string      // at the end
+}
+
+// watch runs the network and looks at a group after every step.
+func (n *network) watch(d time.Duration, service, place string) spell {
+	s := spell{}
+	lastOwned := n.now
+	n.observe = func() {
+		s.owners = n.owners(service, place)
+		s.most = max(s.most, len(s.owners))
+		if len(s.owners) > 0 {
+			lastOwned = n.now
+		}
+		s.gap = max(s.gap, n.now.Sub(lastOwned))
+	}
+	n.run(d)
+	n.observe = nil
+	return s
+}
+
+const service, home = "roster-desk", "guro-a"
+
+func TestOwnershipUnderFaults(t *testing.T) {
+	lost := func(n *network, place string) {
+		for _, name := range n.order {
+			if strings.HasPrefix(name, place) {
+				n.tables[name] = nil
+			}
+		}
+	}
+	from := func(who string) func(a, b string) bool {
+		return func(a, _ string) bool { return a == who }
+	}
+	cases := []struct {
+		name  string
+		fault func(n *network, owner string)
+		// most and gap bound what may be seen under the fault.
+		most  int
+		gap   time.Duration
+		taken bool // another entry owns the group afterwards
+		place string
+	}{
+		{"killed", func(n *network, o string) { n.tables[o] = nil }, 1, 3 * time.Second, true, home},
+		{"frozen", func(n *network, o string) { n.frozen[o] = true }, 1, 3 * time.Second, true, home},
+		{"unheard", func(n *network, o string) { n.cut = from(o) }, 1, 3 * time.Second, true, home},
+		{"leaving", func(n *network, o string) { n.tables[o].Leave(n.now) }, 1, time.Second, true, home},
+		{"place lost", func(n *network, _ string) { lost(n, home) }, 1, 10 * time.Second, true, "pangyo-b"},
+		{"places cut", func(n *network, _ string) {
+			n.cut = func(a, b string) bool { return strings.HasPrefix(a, home) != strings.HasPrefix(b, home) }
+		}, 2, 0, false, home},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork(membership.Config{}, hanbit, 3)
+			n.run(6 * time.Second)
+			before := n.owners(service, home)
+			is.Equal(len(before), 1)
+			c.fault(n, before[0])
+			s := n.watch(15*time.Second, service, home)
+			t.Logf("most %d gap %v", s.most, s.gap)
+			is.True(s.most <= c.most)
+			is.True(s.gap <= c.gap)
+			is.True(len(s.owners) >= 1)
+			is.Equal(s.owners[0] != before[0], c.taken)
+			is.True(strings.HasPrefix(s.owners[0], c.place))
+
+			// The fault ends: thawed, joined, or restarted with a new incarnation.
+			n.cut = func(string, string) bool { return false }
+			clear(n.frozen)
+			for _, name := range n.order {
+				if n.tables[name] == nil || c.name == "leaving" && name == before[0] {
+					n.start(name, 2)
+				}
+			}
+			s = n.watch(15*time.Second, service, home)
+			t.Logf("after: most %d gap %v", s.most, s.gap)
+			is.True(s.most <= c.most)
+			is.True(s.gap <= 2*time.Second)
+			is.Equal(s.owners, before)
+			for _, name := range n.order {
+				owner, ok := n.tables[name].Owner(n.now, service, home)
+				is.True(ok)
+				is.Equal(owner.Name, before[0])
+				is.Equal(len(n.tables[name].Live(n.now, home)), 3)
+			}
+		})
+	}
+}
+
+func TestThawedOwnerFencesItselfBeforeItsNextTick(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(membership.Config{}, hanbit, 3)
+	n.run(6 * time.Second)
+	owner := n.owners(service, home)[0]
+	n.frozen[owner] = true
+	n.run(10 * time.Second)
+	is.True(!n.tables[owner].OwnsSelf(n.now, service, home))
+	is.Equal(len(n.tables[owner].Live(n.now, home)), 2) // the others don't count as dead
+	n.tables[owner].Tick(n.now)
+	is.True(!n.tables[owner].OwnsSelf(n.now, service, home))
+}
+
+func TestRestartStorm(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(membership.Config{}, hanbit, 3)
+	n.run(6 * time.Second)
+	for k, name := range n.order {
+		n.start(name, uint64(2+k))
+	}
+	s := n.watch(8*time.Second, service, home)
+	is.True(s.most == 1)
+	is.True(s.gap <= 4*time.Second)
+	for _, name := range n.order {
+		for k, other := range n.order {
+			got, ok := n.tables[name].KnownIncarnation(other)
+			is.True(ok)
+			is.Equal(got, uint64(2+k))
+		}
+	}
+}
+
+func TestLateAndCrossedHeartbeatsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(membership.Config{}, hanbit, 3)
+	var old []membership.Heartbeat
+	n.tap = func(hb membership.Heartbeat) { old = append(old, hb) }
+	n.run(4 * time.Second)
+	n.tap = nil
+	victim := n.owners(service, home)[0]
+	n.start(victim, 2)
+	n.run(3 * time.Second)
+	n.tables[victim] = nil
+	n.run(10 * time.Second)
+	watcher := n.tables["pangyo-b-e00"]
+	for i := len(old) - 1; i >= 0; i-- {
+		watcher.Receive(n.now, old[i])
+	}
+	_, live := watcher.Member(n.now, victim)
+	is.True(!live)
+	incarnation, _ := watcher.KnownIncarnation(victim)
+	is.Equal(incarnation, uint64(2))
+	is.True(!watcher.Superseded())
+	is.Equal(len(watcher.Live(n.now, home)), 2)
+}
+
+func TestRowsOfAnOldIncarnation(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := membership.NewTable(membership.Member{Name: "b", Place: "p", Incarnation: 1}, membership.Config{})
+	table.Tick(now)
+	say := func(incarnation, counter uint64, leaving bool) {
+		row := membership.MemberRow{Name: "a", Place: "p", Incarnation: incarnation, Counter: counter, Leaving: leaving}
+		group := membership.GroupRow{
+			Service: "s", Place: "p", Owner: "a",
+			OwnerIncarnation: incarnation, Counter: counter, Endpoints: int(counter),
+		}
+		table.Receive(now, membership.Heartbeat{
+			From: "a", Members: []membership.MemberRow{row}, Groups: []membership.GroupRow{group},
+		})
+	}
+	say(5, 9, true)
+	say(5, 10, false) // leaving never reverts within an incarnation
+	a, ok := table.Member(now, "a")
+	is.True(ok && a.Leaving)
+	say(6, 1, false)
+	say(5, 99, true) // late
+	a, ok = table.Member(now, "a")
+	is.True(ok && !a.Leaving)
+	is.Equal(a.Incarnation, uint64(6))
+	group, _, ok := table.Group(now, "s", "p")
+	is.True(ok)
+	is.Equal(group.Endpoints, 1)
+}
+
+func TestTwinWithAHigherIncarnationFences(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := membership.NewTable(membership.Member{Name: "a", Place: "p", Incarnation: 5}, membership.Config{})
+	table.Tick(now)
+	is.True(!table.Fenced(now))
+	rows := []membership.MemberRow{{Name: "b", Place: "p", Incarnation: 1}, {Name: "a", Incarnation: 6, Counter: 1}}
+	table.Receive(now, membership.Heartbeat{From: "b", Members: rows})
+	is.True(table.Superseded() && table.Fenced(now))
+	incarnation, _ := table.KnownIncarnation("a")
+	is.Equal(incarnation, uint64(6))
+}
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// remoteSample bounds the rows of the own cell sent to another place.
-	remoteSample = 4
 	// receiveFactor bounds the rows read of one heartbeat, in MaxRows.
 	receiveFactor = 4
 )
@@ -36,6 +34,7 @@
 func (t *Table) Receive(now time.Time, hb Heartbeat) Heartbeat {
 	t.begin(now)
 	t.wake(now)
+	t.answered(hb.From)
 	place := ""
 	if len(hb.Members) > 0 {
 		place = hb.Members[0].Place
@@ -49,6 +48,7 @@
 	}
 	groups := min(len(hb.Groups), receiveFactor*t.cfg.MaxGroups)
 	for _, row := range hb.Groups[:groups] {
+		row = unpackGroup(row, hb)
 		t.mergeGroup(now, hb.From, row)
 	}
 	t.noteHearing(now)
@@ -68,11 +68,11 @@
 	switch {
 	case row.Name == "" || row.Place == "":
 	case !known:
-		if t.mayAdd(row.Name) {
-			t.members[row.Name] = &state{row: row, heard: now, since: now, source: from}
+		if t.mayAdd(row) {
+			t.members[row.Name] = t.newState(now, from, row)
 		}
 	case row.Incarnation > s.row.Incarnation:
-		*s = state{row: row, heard: now, since: now, source: from}
+		*s = *t.newState(now, from, row)
 	case row.Incarnation == s.row.Incarnation:
 		t.mergeCounter(now, from, s, row)
 	}
@@ -89,6 +89,10 @@
 		s.row = row
 		s.heard = now
 		s.source = from
+		s.renew(now, t.cfg)
+	}
+	if leaving && !s.row.Leaving {
+		s.times = 0
 	}
 	s.row.Leaving = leaving
 }
@@ -106,10 +110,15 @@
 	}
 }
 
-// mayAdd says whether there is room for a new name.
-func (t *Table) mayAdd(name string) bool {
-	if _, listed := t.dir.byName[name]; listed {
-		return true
+func (t *Table) newState(now time.Time, from string, row MemberRow) *state {
+	mate := t.dir.sameCell(t.self.Name, row.Name)
+	return &state{row: row, heard: now, since: now, source: from, mate: mate}
+}
+
+// mayAdd says whether a new member is of use here and there is room for it.
+func (t *Table) mayAdd(row MemberRow) bool {
+	if _, listed := t.dir.byName[row.Name]; listed {
+		return t.follows(row.Place)
 	}
 	return len(t.members) < len(t.dir.byName)+t.cfg.MaxUnlisted
 }
@@ -122,7 +131,7 @@
 		hb.Members = append(hb.Members, t.pack(s.row))
 	}
 	for _, s := range t.candidates(now, to, request) {
-		s.sent = t.self.Counter
+		s.relayed(t.self.Counter)
 		hb.Members = append(hb.Members, t.pack(s.row))
 	}
 	hb.Groups = t.groupRows(now, to, request)
@@ -141,10 +150,13 @@
 // own cell, then those that were passed on longest ago.
 func (t *Table) candidates(now time.Time, to string, request *Heartbeat) []*state {
 	room := t.cfg.MaxRows - 2
+	if len(t.dir.byName) > smallSystem {
+		room /= 2
+	}
 	has := countersOf(request)
 	var list []*state
 	for name, s := range t.members {
-		if name == to || s.source == to || !t.worthPassing(now, s) {
+		if name == to || s.source == to || !s.due(t.cfg) || !t.worthPassing(now, s) {
 			continue
 		}
 		if known, ok := has[name]; ok && known.covers(s.row) {
@@ -153,21 +165,17 @@
 		list = append(list, s)
 	}
 	mate := t.dir.sameCell(t.self.Name, to)
-	slices.SortFunc(list, func(a, b *state) int { return t.compareRows(mate, a, b) })
+	slices.SortFunc(list, func(a, b *state) int { return compareRows(mate, a, b) })
 	if len(list) > room {
 		list = list[:room]
 	}
-	return t.sample(mate, len(t.members) > room, list)
+	return list
 }
 
 // compareRows orders rows for passing on.
-func (t *Table) compareRows(mate bool, a, b *state) int {
-	if mate {
-		inA := t.dir.sameCell(t.self.Name, a.row.Name)
-		inB := t.dir.sameCell(t.self.Name, b.row.Name)
-		if inA != inB {
-			return cmp.Compare(boolRank(inB), boolRank(inA))
-		}
+func compareRows(mate bool, a, b *state) int {
+	if mate && a.mate != b.mate {
+		return cmp.Compare(boolRank(b.mate), boolRank(a.mate))
 	}
 	if c := cmp.Compare(a.sent, b.sent); c != 0 {
 		return c
@@ -182,14 +190,6 @@
 	return 0
 }
 
-// sample cuts rows for an entry outside the cell when the system is large.
-func (t *Table) sample(mate, large bool, list []*state) []*state {
-	if mate || !large || len(list) <= remoteSample {
-		return list
-	}
-	return list[:remoteSample]
-}
-
 // worthPassing says whether a row is recent enough to be passed on.
 func (t *Table) worthPassing(now time.Time, s *state) bool {
 	return now.Sub(s.heard) < t.cfg.SuspectAfter/2 || s.row.Leaving && t.alive(now, s)
--- a/internal/core/membership/groups.go
+++ b/internal/core/membership/groups.go
@@ -9,6 +9,10 @@
 // groupKeepFor is how many suspicion times a group's row is kept.
 const groupKeepFor = 5
 
+// groupsPerSpot bounds the rows of groups held, for each place or cell that
+// heartbeats go to.
+const groupsPerSpot = 64
+
 // groupKey identifies a group.
 type groupKey struct{ service, place string }
 
@@ -17,25 +21,54 @@
 	row    GroupRow
 	heard  time.Time
 	source string
-	sent   uint64
+	// released marks an own row that SetGroups hasn't named again.
+	released bool
+	relay
 }
 
 // SetGroups replaces the rows of the groups that this entry owns. The table
 // fills in the owner, its incarnation and the counter.
 func (t *Table) SetGroups(now time.Time, own []GroupRow) {
 	t.begin(now)
-	t.groupCounter++
-	t.own = slices.Clone(own)
-	for i := range t.own {
-		row := &t.own[i]
-		row.Owner = t.self.Name
-		row.OwnerIncarnation = t.self.Incarnation
-		row.Counter = t.groupCounter
-		key := groupKey{row.Service, row.Place}
-		t.groups[key] = &groupState{row: *row, heard: now}
+	if now.Sub(t.groupsAt) >= t.cfg.RelayPeriod {
+		t.groupCounter++
+		t.groupsAt = now
+	}
+	for key, g := range t.groups {
+		if g.row.Owner == t.self.Name {
+			g.released = true
+			t.groups[key] = g
+		}
+	}
+	for _, row := range own {
+		t.setGroup(now, row)
+	}
+	for key, g := range t.groups {
+		if g.released {
+			delete(t.groups, key)
+		}
 	}
 }
 
+// setGroup puts a row of this entry's own in place of what is held.
+func (t *Table) setGroup(now time.Time, row GroupRow) {
+	row.Owner = t.self.Name
+	row.OwnerIncarnation = t.self.Incarnation
+	row.Counter = t.groupCounter
+	key := groupKey{row.Service, row.Place}
+	g, ok := t.groups[key]
+	if !ok || g.row.Owner != t.self.Name {
+		g = &groupState{}
+		t.groups[key] = g
+	}
+	if row.Counter > g.row.Counter {
+		g.renew(now, t.cfg)
+	}
+	g.row = row
+	g.heard = now
+	g.released = false
+}
+
 // Group returns the newest row of a group and the time since it came in; it is
 // false when there is none.
 func (t *Table) Group(now time.Time, service, place string) (GroupRow, time.Duration, bool) {
@@ -68,13 +101,18 @@
 	case !t.ownerChanged(now, g, row):
 		return
 	}
-	t.groups[key] = &groupState{row: row, heard: now, source: from}
+	if !ok || g.row.Owner == t.self.Name {
+		g = &groupState{}
+		t.groups[key] = g
+	}
+	g.row = row
+	g.heard = now
+	g.source = from
+	g.renew(now, t.cfg)
 }
 
 // maxGroupRows bounds the group rows that a table holds.
-func (t *Table) maxGroupRows() int {
-	return t.cfg.MaxGroups * (len(t.spots) + len(t.cell) + 2)
-}
+func (t *Table) maxGroupRows() int { return groupsPerSpot * (len(t.spots) + 1) }
 
 func newerGroup(a, b GroupRow) bool {
 	if a.OwnerIncarnation != b.OwnerIncarnation {
@@ -105,38 +143,59 @@
 }
 
 // groupRows picks the rows of groups for a heartbeat: the own ones, then those
-// of the own place, then those that were passed on longest ago.
+// of the own place, each in the order in which they were last passed on.
 func (t *Table) groupRows(now time.Time, to string, request *Heartbeat) []GroupRow {
-	rows := slices.Clone(t.own)
-	if len(rows) >= t.cfg.MaxGroups {
-		return t.rotateOwn(rows)
-	}
 	list := t.groupCandidates(now, to, request)
 	slices.SortFunc(list, func(a, b *groupState) int {
-		homeA := boolRank(a.row.Place == t.self.Place)
-		homeB := boolRank(b.row.Place == t.self.Place)
 		return cmp.Or(
-			cmp.Compare(homeB, homeA),
+			cmp.Compare(t.nearness(b), t.nearness(a)),
 			cmp.Compare(a.sent, b.sent),
 			cmp.Compare(a.row.Place, b.row.Place),
 			cmp.Compare(a.row.Service, b.row.Service),
 		)
 	})
-	if room := t.cfg.MaxGroups - len(rows); len(list) > room {
-		list = list[:room]
+	if len(list) > t.cfg.MaxGroups {
+		list = list[:t.cfg.MaxGroups]
 	}
+	rows := make([]GroupRow, 0, len(list))
 	for _, g := range list {
-		g.sent = t.self.Counter
-		rows = append(rows, g.row)
+		g.relayed(t.self.Counter)
+		rows = append(rows, t.packGroup(g.row))
 	}
 	return rows
 }
 
-// rotateOwn sends a part of many own rows, another part each period.
-func (t *Table) rotateOwn(rows []GroupRow) []GroupRow {
-	start := int(t.self.Counter) * t.cfg.MaxGroups % len(rows)
-	rotated := append(slices.Clone(rows[start:]), rows[:start]...)
-	return rotated[:t.cfg.MaxGroups]
+// nearness is 2 for an own row, 1 for one of the own place, and else 0.
+func (t *Table) nearness(g *groupState) int {
+	return boolRank(g.row.Owner == t.self.Name) + boolRank(g.row.Place == t.self.Place)
+}
+
+// packGroup leaves out what the sender's own row says.
+func (t *Table) packGroup(row GroupRow) GroupRow {
+	if row.Place == t.self.Place {
+		row.Place = ""
+	}
+	if row.Owner == t.self.Name {
+		row.Owner = ""
+		row.OwnerIncarnation = 0
+	}
+	return row
+}
+
+// unpackGroup undoes packGroup.
+func unpackGroup(row GroupRow, hb Heartbeat) GroupRow {
+	if len(hb.Members) == 0 {
+		return row
+	}
+	sender := hb.Members[0]
+	if row.Place == "" {
+		row.Place = sender.Place
+	}
+	if row.Owner == "" {
+		row.Owner = hb.From
+		row.OwnerIncarnation = sender.Incarnation
+	}
+	return row
 }
 
 // groupCandidates are the rows of others that are recent and that the entry to
@@ -145,12 +204,13 @@
 	has := make(map[groupKey]GroupRow)
 	if request != nil {
 		for _, row := range request.Groups {
+			row = unpackGroup(row, *request)
 			has[groupKey{row.Service, row.Place}] = row
 		}
 	}
 	var list []*groupState
 	for key, g := range t.groups {
-		if g.row.Owner == t.self.Name || g.row.Owner == to || g.source == to {
+		if g.row.Owner == to || g.source == to || !g.due(t.cfg) {
 			continue
 		}
 		if now.Sub(g.heard) >= t.cfg.SuspectAfter {
--- a/internal/core/membership/liveness.go
+++ b/internal/core/membership/liveness.go
@@ -1,11 +1,15 @@
 package membership
 
 import (
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
 )
 
+// smallSystem is the number of entries up to which every entry follows all.
+const smallSystem = 24
+
 // wake notices that this entry's own loop stood still for longer than the
 // lease. The silence of others in that time was this entry's own, so their
 // times move on by the gap, and this entry counts as just started.
@@ -111,15 +115,24 @@
 	return at.Sub(s.heard) < t.suspectAfter(s.row.Name)
 }
 
-// suspectAfter is the silence after which a member isn't live: longer outside
-// the own cell, where two rounds of the rotation may be needed to hear of it.
+// suspectAfter is the silence after which a member isn't live. Outside the own
+// cell it is longer: in a small system by the rounds in which a row reaches
+// everyone, and by two turns of the rotation otherwise.
 func (t *Table) suspectAfter(name string) time.Duration {
 	if t.dir.sameCell(t.self.Name, name) {
 		return t.cfg.SuspectAfter
 	}
+	return t.cfg.SuspectAfter + time.Duration(t.farRounds)*t.cfg.Period
+}
+
+// roundsOutside returns the periods that a row from outside the own cell may
+// be late.
+func (t *Table) roundsOutside() int {
+	if len(t.dir.byName) <= smallSystem {
+		return 3 * bits.Len(uint(len(t.dir.byName))) / 2
+	}
 	perPeriod := max(1, t.cfg.FanOut-min(t.cfg.CellFanOut, len(t.cell)))
-	rounds := (len(t.spots) + perPeriod - 1) / perPeriod
-	return t.cfg.SuspectAfter + 2*time.Duration(rounds)*t.cfg.Period
+	return 2 * ((len(t.spots) + perPeriod - 1) / perPeriod)
 }
 
 // listed says whether a name may be live: all may while there are no peers.
--- a/internal/core/membership/net_test.go
+++ b/internal/core/membership/net_test.go
@@ -19,7 +19,9 @@
 	// frozen tables neither tick nor answer; cut drops one direction.
 	frozen map[string]bool
 	cut    func(from, to string) bool
-	sent   int
+	// observe is called after each tick, tap with every heartbeat.
+	observe func()
+	tap     func(membership.Heartbeat)
 }
 
 func newNetwork(cfg membership.Config, places map[string][]string, perPlace int) *network {
@@ -68,6 +70,9 @@
 			if n.up(name) {
 				n.tick(name)
 			}
+			if n.observe != nil {
+				n.observe()
+			}
 		}
 		n.now = begin.Add(period)
 	}
@@ -75,7 +80,9 @@
 
 func (n *network) tick(name string) {
 	for _, target := range n.tables[name].Tick(n.now) {
-		n.sent++
+		if n.tap != nil {
+			n.tap(target.Heartbeat)
+		}
 		to := target.Peer.Name
 		if !n.up(to) || n.cut(name, to) {
 			continue
--- a/internal/core/membership/rotor.go
+++ b/internal/core/membership/rotor.go
@@ -12,6 +12,10 @@
 // the entry's name, so that entries don't turn to the same peer together.
 type rotor struct {
 	cell, spot, visit int
+	// awaited names the last peer outside the cell until it answers; retry
+	// says that the spot was tried twice.
+	awaited string
+	retry   bool
 }
 
 func newRotor(name string, cell, spots int) rotor {
@@ -39,15 +43,36 @@
 		t.rotor.cell = (t.rotor.cell + 1) % len(t.cell)
 		picked = t.pick(now, picked, t.cell, t.rotor.cell)
 	}
-	for range outside {
-		t.rotor.spot = (t.rotor.spot + 1) % len(t.spots)
+	for k := range outside {
+		t.nextSpot(k == 0)
 		spot := t.spots[t.rotor.spot]
 		picked = t.pick(now, picked, spot, (t.rotor.visit+t.rotor.spot)%len(spot))
+		if len(picked) > 0 {
+			t.rotor.awaited = picked[len(picked)-1].Name
+		}
 	}
 	t.rotor.visit++
 	return picked
 }
 
+// nextSpot turns to the next spot; the first time in a period it tries another
+// member of the last one when there was no answer, once.
+func (t *Table) nextSpot(first bool) {
+	if first && t.rotor.awaited != "" && !t.rotor.retry {
+		t.rotor.retry = true
+		return
+	}
+	t.rotor.retry = false
+	t.rotor.spot = (t.rotor.spot + 1) % len(t.spots)
+}
+
+// answered notes a message of the peer that is awaited.
+func (t *Table) answered(from string) {
+	if t.rotor.awaited == from {
+		t.rotor.awaited = ""
+	}
+}
+
 // pick appends the first live peer from start on, or the one at start when
 // none is live or when it is time to probe.
 func (t *Table) pick(now time.Time, picked []Peer, list []int, start int) []Peer {
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -14,8 +14,9 @@
 	since time.Time
 	// source names the sender of the newest row.
 	source string
-	// sent is the tick at which the row was last passed on.
-	sent uint64
+	// mate says whether the entry is in the own cell.
+	mate bool
+	relay
 }
 
 // Table is one entry's view of the others. It isn't safe for concurrent use.
@@ -25,10 +26,11 @@
 	dir     *Directory
 	members map[string]*state
 	groups  map[groupKey]*groupState
-	own     []GroupRow
 	spots   [][]int
 	cell    []int
 	rotor   rotor
+	// farRounds is how many periods a row from outside the cell may be late.
+	farRounds int
 	// interest holds the places followed beyond the own region; nil means all.
 	interest map[string]bool
 
@@ -48,8 +50,9 @@
 	sentAt [historyTicks]time.Time
 	// successor is the highest incarnation of the own name seen elsewhere.
 	successor uint64
-	// groupCounter orders the own group rows.
+	// groupCounter orders the own group rows; groupsAt is when it last rose.
 	groupCounter uint64
+	groupsAt     time.Time
 }
 
 // NewTable returns the table of the entry self.
@@ -121,6 +124,10 @@
 		t.spots = append(t.spots, []int{seed})
 	}
 	t.rotor = newRotor(t.self.Name, len(t.cell), len(t.spots))
+	t.farRounds = t.roundsOutside()
+	for name, s := range t.members {
+		s.mate = dir.sameCell(t.self.Name, name)
+	}
 }
 
 // follows says whether rows of a place are of use to this entry.
--- a/internal/core/membership/types.go
+++ b/internal/core/membership/types.go
@@ -42,9 +42,11 @@
 
 // GroupRow is what an owner says of its group of endpoints.
 type GroupRow struct {
-	// Service and Place identify the group.
+	// Service and Place identify the group. In a heartbeat an empty place means
+	// the sender's own.
 	Service, Place string
-	// Owner and OwnerIncarnation name the entry that says so.
+	// Owner and OwnerIncarnation name the entry that says so. In a heartbeat an
+	// empty owner means the sender.
 	Owner            string
 	OwnerIncarnation uint64
 	// Counter orders the rows of one owner.
@@ -75,11 +77,13 @@
 	defaultPeriod       = 500 * time.Millisecond
 	defaultSuspectAfter = 2 * time.Second
 	defaultLease        = 1500 * time.Millisecond
-	defaultFanOut       = 3
-	defaultCellFanOut   = 2
-	defaultCellSize     = 8
-	defaultMaxRows      = 16
-	defaultMaxGroups    = 12
+	defaultRelayPeriod  = time.Second
+	defaultFanOut       = 2
+	defaultCellFanOut   = 1
+	defaultCellSize     = 4
+	defaultMaxRows      = 8
+	defaultMaxGroups    = 3
+	defaultRelays       = 3
 	defaultMaxUnlisted  = 64
 )
 
@@ -93,6 +97,11 @@
 	// Lease is the time that an entry may act as an owner after its last sign
 	// of health; it is below SuspectAfter.
 	Lease time.Duration
+	// RelayPeriod is the least time between two rows of one entry or group that
+	// are passed on.
+	RelayPeriod time.Duration
+	// Relays is how often one row is passed on.
+	Relays int
 	// FanOut is the number of heartbeats per period.
 	FanOut int
 	// CellFanOut is how many of them go to the own cell when there are others.
@@ -112,6 +121,8 @@
 	if c.Lease >= c.SuspectAfter {
 		c.Lease = c.SuspectAfter * 3 / 4
 	}
+	setDuration(&c.RelayPeriod, defaultRelayPeriod)
+	setInt(&c.Relays, defaultRelays)
 	setInt(&c.FanOut, defaultFanOut)
 	setInt(&c.CellFanOut, defaultCellFanOut)
 	setInt(&c.CellSize, defaultCellSize)
