Hold a crashing request to two endpoints over all entries, and test more faults

Cause: TestCrashingRequest counted more than two runs of a request that ends its endpoint: the owner's failure let the request spill to the next place, and that place's owner had not been told yet; two deaths at two owners counted once at each, so nothing was quarantined. Ruled out: spreading in the background (a resend is faster), and a quarantine on every lost run (slow endpoints would lose their reads). Change: a request whose connection broke is not tried in another place; the owner checks whether the endpoint is gone, tells the other entries of the death, and answers then; each entry counts every death. A probe that is accepted and closed at once counts as refused, as behind a relay.

--- a/internal/adapter/endpointhttp/probe.go
+++ b/internal/adapter/endpointhttp/probe.go
@@ -5,12 +5,17 @@
 	"errors"
 	"fmt"
 	"syscall"
+	"time"
 
 	"sassafrasreach/internal/port"
 )
 
+// probeWait is how long a probed connection must stay open.
+const probeWait = 50 * time.Millisecond
+
 // Probe opens a new connection to the endpoint and closes it. Its error wraps
-// port.ErrConnectionRefused when nothing listens there.
+// port.ErrConnectionRefused when nothing listens there, also when something on
+// the way accepts the connection and closes it at once.
 func (c *Caller) Probe(ctx context.Context, to port.Endpoint) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
@@ -21,7 +26,15 @@
 	if err != nil {
 		return fmt.Errorf("probe %s: %w", to.Address, err)
 	}
-	return raw.Close()
+	defer func() { _ = raw.Close() }()
+	if err := raw.SetReadDeadline(time.Now().Add(probeWait)); err != nil {
+		return fmt.Errorf("probe %s: %w", to.Address, err)
+	}
+	_, err = raw.Read(make([]byte, 1))
+	if ConnectionReset(err) {
+		return fmt.Errorf("%w: %w", port.ErrConnectionRefused, err)
+	}
+	return nil
 }
 
 // connectionLost marks an error of a connection that the endpoint's side ended.
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -214,6 +214,8 @@
 			RemainingMillis: uint64(max(0, row.Remaining.Milliseconds())),
 			Lifted:          row.Lifted,
 			Suspected:       row.Suspected,
+			Endpoint:        row.Endpoint,
+			Incarnation:     row.Incarnation,
 		}
 	}
 	return &peerv1.QuarantineRequest{Rows: out}
@@ -228,6 +230,8 @@
 			Remaining:   millis(row.GetRemainingMillis()),
 			Lifted:      row.GetLifted(),
 			Suspected:   row.GetSuspected(),
+			Endpoint:    row.GetEndpoint(),
+			Incarnation: row.GetIncarnation(),
 		}
 	}
 	return out
--- a/internal/app/entry/announce.go
+++ b/internal/app/entry/announce.go
@@ -70,7 +70,7 @@
 		Load:        a.Load,
 	})
 	if replaced {
-		e.endpointDied(a.ID, former, key)
+		go e.endpointDied(a.ID, former, a.Service)
 	}
 }
 
@@ -112,8 +112,25 @@
 	e.outbox.add(address.peer, a)
 }
 
-// announceEntries lists the entries that the endpoint may announce to.
+// maxAnnounceEntries bounds the entries that an endpoint is told of.
+const maxAnnounceEntries = 8
+
+// announceEntries lists the entries that the endpoint may announce to: those of
+// its place, then others of the region, which own its group when its place has
+// lost its entries.
 func (e *Entry) announceEntries(s *snapshot, place string) []string {
+	region := s.regions[place].name
+	addresses := e.liveCallers(s, place)
+	for _, other := range s.doc.Places {
+		if other.Region == region && other.Name != place {
+			addresses = append(addresses, e.liveCallers(s, other.Name)...)
+		}
+	}
+	return addresses[:min(len(addresses), maxAnnounceEntries)]
+}
+
+// liveCallers returns the callers' addresses of the live entries of a place.
+func (e *Entry) liveCallers(s *snapshot, place string) []string {
 	var addresses []string
 	for _, member := range e.members.live(e.clock.Now(), place) {
 		if address, ok := s.entries[member.Name]; ok && !member.Leaving {
--- a/internal/app/entry/route.go
+++ b/internal/app/entry/route.go
@@ -83,6 +83,9 @@
 	switch verdict.ReasonOf(err) {
 	case verdict.ReasonQuarantined, verdict.ReasonCanceled:
 		return false
+	case verdict.ReasonConnection:
+		// It may have crashed the endpoint; only the owner may try it again.
+		return false
 	}
 	if verdict.Of(err) == verdict.NotRun {
 		return true
--- a/internal/app/entry/suspects.go
+++ b/internal/app/entry/suspects.go
@@ -99,21 +99,29 @@
 	defer s.mu.Unlock()
 	for _, row := range rows {
 		f, err := fingerprint.Parse(row.Fingerprint)
-		if err != nil {
-			continue
-		}
-		switch {
-		case row.Lifted:
-			s.table.Lift(f)
-		case row.Suspected:
-			s.table.Suspect(now, f, row.Remaining)
-		default:
-			s.table.Add(now, f, row.Remaining)
+		if err == nil {
+			s.takeRow(now, f, row)
 		}
 	}
 	s.wake()
 }
 
+// takeRow applies one row; must hold mu. Every entry counts every death, so
+// that two at different entries make a quarantine.
+func (s *suspects) takeRow(now time.Time, f fingerprint.Fingerprint, row port.QuarantineRow) {
+	if row.Endpoint != "" {
+		s.table.Died(now, row.Endpoint, row.Incarnation, f)
+	}
+	switch {
+	case row.Lifted:
+		s.table.Lift(f)
+	case row.Suspected:
+		s.table.Suspect(now, f, row.Remaining)
+	default:
+		s.table.Add(now, f, row.Remaining)
+	}
+}
+
 // checkQuarantine refuses a request that is known to crash endpoints.
 func (e *Entry) checkQuarantine(req *port.Request) error {
 	if !e.suspects.check(e.clock.Now(), fingerprintOf(req)) {
@@ -127,8 +135,9 @@
 	e.suspects.ended(e.clock.Now(), to, req, quarantine.NotStarted)
 }
 
-// runEnded records how a run ended. A connection that broke under it has the
-// endpoint checked for being gone.
+// runEnded records how a run ended. When its connection broke, the other
+// entries are told before the caller is, so that no resend through another
+// entry finds one that doesn't know.
 func (e *Entry) runEnded(to port.Endpoint, req *port.Request, err error) {
 	end := quarantine.Lost
 	switch verdict.Of(err) {
@@ -137,48 +146,74 @@
 	case verdict.NotRun:
 		end = quarantine.NotStarted
 	}
-	e.spread(e.suspects.ended(e.clock.Now(), to, req, end))
+	rows := e.noteChange(e.suspects.ended(e.clock.Now(), to, req, end))
 	if errors.Is(err, port.ErrConnectionLost) {
-		go e.checkGone(to, req.Service)
+		rows = append(rows, e.blame(to, req)...)
 	}
+	e.spread(rows)
 }
 
-// checkGone blames the requests on an endpoint whose process has ended.
-func (e *Entry) checkGone(to port.Endpoint, service string) {
+// blame checks whether the endpoint that broke a connection is gone. If it is
+// not, its next incarnation may tell soon; until then the request is suspected.
+func (e *Entry) blame(to port.Endpoint, req *port.Request) []port.QuarantineRow {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	if err := e.endpoints.Probe(ctx, to); !errors.Is(err, port.ErrConnectionRefused) {
-		return
+	if err := e.endpoints.Probe(ctx, to); errors.Is(err, port.ErrConnectionRefused) {
+		return e.died(to.ID, to.Incarnation, req.Service)
 	}
-	e.endpointDied(to.ID, to.Incarnation, groupKey{service, e.config.Place})
+	return []port.QuarantineRow{{
+		Fingerprint: fingerprintOf(req).String(),
+		Remaining:   quarantine.DefaultConfig().Blame,
+		Suspected:   true,
+	}}
+}
+
+// endpointDied takes an endpoint out of use and tells the other entries of the
+// requests that are blamed for it.
+func (e *Entry) endpointDied(id string, incarnation uint64, service string) {
+	e.spread(e.died(id, incarnation, service))
 }
 
-// endpointDied takes an endpoint out of use and blames what ran on it.
-func (e *Entry) endpointDied(id string, incarnation uint64, key groupKey) {
+// died takes an endpoint out of use and blames what ran on it.
+func (e *Entry) died(id string, incarnation uint64, service string) []port.QuarantineRow {
 	now := e.clock.Now()
 	event.Log(context.Background(), e.logger, event.EndpointDied,
 		slog.String("endpoint", id), slog.Uint64("incarnation", incarnation))
 	for _, g := range e.groups.all() {
-		if g.key.service == key.service {
+		if g.key.service == service {
 			g.lost(now, id, incarnation)
 		}
 	}
-	e.spread(e.suspects.died(now, id, incarnation))
+	rows := e.noteChange(e.suspects.died(now, id, incarnation))
+	for i := range rows {
+		rows[i].Endpoint = id
+		rows[i].Incarnation = incarnation
+	}
+	return rows
 }
 
-// spread tells the other entries what changed, at once.
-func (e *Entry) spread(change quarantine.Change) {
+// noteChange logs a change and returns what the other entries are to know.
+func (e *Entry) noteChange(change quarantine.Change) []port.QuarantineRow {
 	rows := changeRows(change)
+	if len(rows) > 0 {
+		e.logChange(change)
+		e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
+	}
+	return rows
+}
+
+// spread tells the other entries in reach, and waits for them for a while.
+func (e *Entry) spread(rows []port.QuarantineRow) {
 	if len(rows) == 0 {
 		return
 	}
-	e.logChange(change)
-	e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	var told sync.WaitGroup
 	for _, address := range e.livePeers() {
-		e.inBackground(context.Background(), func(ctx context.Context) {
-			_ = e.peers.Quarantine(ctx, address, rows)
-		})
+		told.Go(func() { _ = e.peers.Quarantine(ctx, address, rows) })
 	}
+	told.Wait()
 }
 
 func changeRows(change quarantine.Change) []port.QuarantineRow {
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -44,8 +44,12 @@
 	Remaining time.Duration
 	// Lifted takes the fingerprint out of quarantine.
 	Lifted bool
-	// Suspected holds the fingerprint back after its first death elsewhere.
+	// Suspected holds the fingerprint back elsewhere.
 	Suspected bool
+	// Endpoint and Incarnation name the death that is blamed on the
+	// fingerprint; an empty Endpoint means that none is certain.
+	Endpoint    string
+	Incarnation uint64
 }
 
 // ErrPeerUnreachable is wrapped by the error of a Forward that never left this
--- a/internal/systemtest/caller_test.go
+++ b/internal/systemtest/caller_test.go
@@ -75,11 +75,14 @@
 }
 
 // lookup asks the entries of the place in turn, first the one that answered
-// last.
+// last, and at last those of other places.
 func (s *system) lookup(place string) (answer port.LookupAnswer, err error) {
 	s.mu.Lock()
 	entries := append([]string{s.good[place]}, s.entriesOf(place)...)
 	s.mu.Unlock()
+	for i := range s.doc.Places {
+		entries = append(entries, s.entriesOf(s.doc.Places[i].Name)...)
+	}
 	for _, entry := range entries {
 		if entry == "" {
 			continue
--- a/internal/systemtest/endpoint_test.go
+++ b/internal/systemtest/endpoint_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -52,6 +53,7 @@
 	state       port.EndpointState
 	served      int
 	muted       bool
+	learned     []string // entries that the last answer named
 	server      *http.Server
 	cancel      context.CancelFunc
 	slot        chan struct{}
@@ -137,14 +139,22 @@
 	body, _ := json.Marshal(report)
 	client := http.Client{Timeout: 300 * time.Millisecond}
 	defer client.CloseIdleConnections()
-	for _, entry := range e.entries {
+	e.mu.Lock()
+	entries := append(slices.Clone(e.entries), e.learned...)
+	e.mu.Unlock()
+	for _, entry := range entries {
 		request, _ := http.NewRequest(http.MethodPut, "http://"+entry+"/v1/endpoints/"+e.id, bytes.NewReader(body))
 		response, err := client.Do(request)
 		if err != nil {
 			continue
 		}
+		var answer port.AnnounceAnswer
+		err = json.NewDecoder(response.Body).Decode(&answer)
 		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if response.StatusCode == http.StatusOK && err == nil {
+			e.mu.Lock()
+			e.learned = answer.Entries
+			e.mu.Unlock()
 			return
 		}
 	}
--- a/internal/systemtest/flow_test.go
+++ b/internal/systemtest/flow_test.go
@@ -83,7 +83,7 @@
 		id:      fmt.Sprintf("%s-worker-%d", place, n),
 		listen:  s.ip(kindEndpoint+i, n) + ":17000",
 		front:   s.ip(kindFrontWorker+i, n) + ":17000",
-		entries: model.entries,
+		entries: append(s.entriesOf(place), s.entriesOf("north-b")...),
 		slots:   model.slots,
 		work:    model.work,
 	}
--- a/internal/systemtest/matrix_test.go
+++ b/internal/systemtest/matrix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -27,6 +28,13 @@
 	northOnly  = []string{"north-a", "north-b"}
 )
 
+// into loses what VMs elsewhere send to a place.
+func into(place string) blocked {
+	return func(src, dst string) bool {
+		return placeOf(dst) == place && src != "" && placeOf(src) != place
+	}
+}
+
 // placeOf says which place a VM belongs to; control VMs have none.
 func placeOf(vm string) string {
 	for _, place := range everywhere {
@@ -94,6 +102,52 @@
 			heal:    func(s *system) { s.mesh.heal() },
 			serving: everywhere, reached: northOnly, stops: "north-b",
 		},
+		{
+			name:    "CutPlaceOneWayIn",
+			strike:  func(s *system) { s.mesh.set(into("south-a")) },
+			heal:    func(s *system) { s.mesh.heal() },
+			serving: everywhere, reached: northOnly, stops: "north-a",
+		},
+		{
+			name:    "PlaceEntriesLost",
+			strike:  func(s *system) { s.eachEntry("north-a", (*process).kill) },
+			heal:    func(s *system) { s.eachEntry("north-a", (*process).start) },
+			serving: everywhere, reached: []string{"north-b", "south-a"}, stops: "south-a",
+		},
+		{
+			name: "RestartOfAll",
+			strike: func(s *system) {
+				for _, place := range everywhere {
+					s.eachEntry(place, (*process).kill)
+					s.eachEntry(place, (*process).start)
+				}
+			},
+			serving: everywhere, reached: everywhere, stops: "north-b",
+		},
+		{
+			name: "KillEntryInCutPlace",
+			strike: func(s *system) {
+				s.mesh.set(betweenPlaces("south-a"))
+				s.entries["south-a-1"].kill()
+			},
+			heal: func(s *system) {
+				s.mesh.heal()
+				s.entries["south-a-1"].start()
+			},
+			serving: everywhere, reached: northOnly, stops: "north-b",
+		},
+		{
+			name: "ControlKilledAndPlaceCut",
+			strike: func(s *system) {
+				s.controls[2].kill()
+				s.mesh.set(betweenPlaces("north-b"))
+			},
+			heal: func(s *system) {
+				s.mesh.heal()
+				s.controls[2].start()
+			},
+			serving: everywhere, reached: []string{"north-a", "south-a"}, stops: "south-a",
+		},
 		{
 			name: "SilentConnections",
 			strike: func(s *system) {
@@ -182,6 +236,13 @@
 	}
 }
 
+// eachEntry does something to every entry of a place.
+func (s *system) eachEntry(place string, do func(*process)) {
+	for _, name := range s.entriesIn(place) {
+		do(s.entries[name])
+	}
+}
+
 // loseDisk wipes the data folder of a control VM and waits until it votes
 // again, with what the others have.
 func (s *system) loseDisk(n int) {
@@ -243,7 +304,11 @@
 	cell("AnnounceAndLeave", overServing(func(place string) { s.flowLeave(place, s.flowAnnounce(place)) }))
 	if len(r.reached) > 0 {
 		cell("Apply", func() { s.flowApply(s.entriesIn(r.reached...)) })
-		cell("Drain", func() { s.flowDrain("north-b", s.entriesIn(r.reached...)) })
+		drained := "north-b"
+		if !slices.Contains(r.reached, drained) {
+			drained = r.reached[0]
+		}
+		cell("Drain", func() { s.flowDrain(drained, s.entriesIn(r.reached...)) })
 	} else {
 		cell("Apply", func() {
 			if code := s.apply(s.doc); code == 0 || code == exitNotInForce {
