--- a/internal/adapter/registergrpc/client.go
+++ b/internal/adapter/registergrpc/client.go
@@ -165,7 +165,9 @@
 			Have: ballotToProto(m.Have), Group: c.group,
 		})
 	})
-	return reportFromProto(out), err
+	report := reportFromProto(out)
+	report.Round = m.Round
+	return report, err
 }
 
 // Probe sends the message and returns the answer.
--- a/internal/app/control/keepup.go
+++ b/internal/app/control/keepup.go
@@ -40,7 +40,7 @@
 // readRound asks every member what it accepted, and learns chosen values.
 func (n *Node) readRound(ctx context.Context) *register.Read {
 	began := n.clock.Now()
-	read := register.NewRead(n.group, n.held())
+	read := register.NewRead(n.group, n.queries.Add(1), n.held())
 	query := read.Query()
 	round[register.Report]{
 		local:  func() (register.Report, error) { return n.Query(query) },
--- a/internal/app/control/node.go
+++ b/internal/app/control/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -37,6 +38,8 @@
 	end     context.CancelFunc
 	callsMu sync.Mutex
 	calls   sync.WaitGroup
+	// queries numbers the query rounds.
+	queries atomic.Uint64
 	// stopped is closed when the disk has failed.
 	stopped chan struct{}
 
--- a/internal/core/register/acceptor.go
+++ b/internal/core/register/acceptor.go
@@ -112,7 +112,7 @@
 
 // Query reports what was accepted; it changes nothing.
 func (a *Acceptor) Query(m Query) Report {
-	return Report{Standing: a.standing(), Holding: a.holding(m.Have)}
+	return Report{Round: m.Round, Standing: a.standing(), Holding: a.holding(m.Have)}
 }
 
 // Probe says whether the folder is empty; it changes nothing.
--- a/internal/core/register/message.go
+++ b/internal/core/register/message.go
@@ -61,12 +61,16 @@
 
 // Query asks what a member accepted, without a promise.
 type Query struct {
+	// Round tells the asker's query rounds apart.
+	Round uint64
 	// Have is the accepted ballot whose value the asker has.
 	Have Ballot
 }
 
 // Report answers Query.
 type Report struct {
+	// Round is the query's.
+	Round uint64
 	Standing
 	Holding
 }
--- a/internal/core/register/read.go
+++ b/internal/core/register/read.go
@@ -5,6 +5,7 @@
 // known to be chosen. It is not safe for concurrent use.
 type Read struct {
 	group   Group
+	round   uint64
 	reports tally
 	holders [MaxMembers]Ballot
 	highest Holding
@@ -12,17 +13,19 @@
 	known   Holding
 }
 
-// NewRead returns a query round of an asker that holds have already.
-func NewRead(g Group, have Holding) *Read {
-	return &Read{group: g, have: have, highest: have}
+// NewRead returns a query round of an asker that holds have already. Each round
+// of an incarnation needs its own number: an answer to another round may be
+// stale, or lack a value that the asker no longer has.
+func NewRead(g Group, round uint64, have Holding) *Read {
+	return &Read{group: g, round: round, have: have, highest: have}
 }
 
 // Query returns the message to every member.
-func (r *Read) Query() Query { return Query{Have: r.have.Accepted} }
+func (r *Read) Query() Query { return Query{Round: r.round, Have: r.have.Accepted} }
 
 // Report takes a member's answer.
 func (r *Read) Report(m Report) {
-	if !m.Voting {
+	if !m.Voting || m.Round != r.round {
 		return
 	}
 	r.reports.add(m.Standing)
