--- a/internal/adapter/disk/folder.go
+++ b/internal/adapter/disk/folder.go
@@ -27,13 +27,14 @@
 	failed error
 }
 
-// Open returns the folder at path and creates it if it doesn't exist.
+// Open returns the folder at path and creates it if it doesn't exist. The error
+// wraps ErrFailed.
 func Open(files FS, path string) (*Folder, error) {
 	if err := files.MakeFolder(path); err != nil {
-		return nil, fmt.Errorf("create data folder: %w", err)
+		return nil, fmt.Errorf("%w: create: %w", ErrFailed, err)
 	}
 	if err := files.SyncFolder(filepath.Dir(path)); err != nil {
-		return nil, fmt.Errorf("sync parent of data folder: %w", err)
+		return nil, fmt.Errorf("%w: sync parent: %w", ErrFailed, err)
 	}
 	return &Folder{fs: files, path: path}, nil
 }
