Test what taking checks out had left unnoticed

Unnoticed were: closing a session at sign-out, a base above the version that judged the token, ErrNoQuorum from the decision itself, the first outcome of a drain's resend, the digest of a document that is read, and the links of the audit trail. Each has its test now and was seen to fail without its check. One check was of no use (an empty bootstrap hash never equals a hash) and went.

--- a/internal/adapter/console/console_test.go
+++ b/internal/adapter/console/console_test.go
@@ -251,7 +251,12 @@
 		{"another site", 403, func(b *browser) { b.client.Transport = foreign{} }},
 		{"signed out", 401, func(b *browser) {
 			form := b.form
+			u, err := url.Parse(b.url + "/console/")
+			is.New(b.t).NoErr(err)
+			kept := b.client.Jar.Cookies(u)
 			b.read(b.client.PostForm(b.url+"/console/sign-out", form))
+			is.New(b.t).Equal(len(b.client.Jar.Cookies(u)), 0)
+			b.client.Jar.SetCookies(u, kept) // a copy of the cookie is of no use
 			b.form = form
 		}},
 		{"operator removed", 401, func(b *browser) {
--- a/internal/adapter/operatorhttp/auth.go
+++ b/internal/adapter/operatorhttp/auth.go
@@ -66,7 +66,7 @@
 // empty name. Hashes are compared in constant time.
 func (h *handler) operatorOf(config port.Config, doc *document.Document, hash string) string {
 	if config.Version == 0 {
-		if h.BootstrapTokenSHA256 != "" && equalHash(h.BootstrapTokenSHA256, hash) {
+		if equalHash(h.BootstrapTokenSHA256, hash) {
 			return BootstrapOperator
 		}
 		return ""
--- a/internal/adapter/operatorhttp/contract_test.go
+++ b/internal/adapter/operatorhttp/contract_test.go
@@ -1,7 +1,9 @@
 package operatorhttp_test
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -105,6 +107,9 @@
 	drain := `{"place":"norte-a","reason":"repair"}`
 	noQuorum := func(s *porttest.Store) { s.NoQuorum = true }
 	lost := func(s *porttest.Store) { s.LoseAnswers = 1 }
+	fails := func(err error) func(*porttest.Store) {
+		return func(s *porttest.Store) { s.SubmitErr = err }
+	}
 	cases := []struct {
 		name, method, target, id, body string
 		fault                          func(*porttest.Store)
@@ -123,6 +128,9 @@
 		{"too large", "PUT", "/v1/document?base=1", "x", strings.Repeat("#", document.MaxTextBytes+1), nil, 413, operatorhttp.CodeTooLarge},
 		{"no quorum", "PUT", "/v1/document?base=1", "x", "DEMO", noQuorum, 503, operatorhttp.CodeNoQuorum},
 		{"answer lost", "PUT", "/v1/document?base=1", "x", "DEMO", lost, 504, operatorhttp.CodeUnknown},
+		{"quorum lost at the decision", "PUT", "/v1/document?base=1", "x", "DEMO", fails(port.ErrNoQuorum), 503, operatorhttp.CodeNoQuorum},
+		{"decision fails", "PUT", "/v1/document?base=1", "x", "DEMO", fails(errors.New("torn")), 504, operatorhttp.CodeUnknown},
+		{"decision times out", "PUT", "/v1/document?base=1", "x", "DEMO", fails(context.DeadlineExceeded), 504, operatorhttp.CodeUnknown},
 		{"not ready", "GET", "/readyz", "", "", noQuorum, 503, operatorhttp.CodeNoQuorum},
 		{"read without quorum", "GET", "/v1/document", "", "", noQuorum, 503, operatorhttp.CodeNoQuorum},
 		{"validate faults", "POST", "/v1/validate", "", "regions: []\n", nil, 422, operatorhttp.CodeInvalid},
@@ -194,6 +202,7 @@
 	store.LoseAnswers = 1
 	drain := `{"place":"norte-a","reason":"repair"}`
 	is.Equal(call(h, "POST", "/v1/drains", token, "d1", drain).Code, http.StatusGatewayTimeout)
+	is.Equal(call(h, "POST", "/v1/drains", token, "d1", drain).Code, http.StatusOK)
 	is.Equal(call(h, "DELETE", "/v1/drains?place=norte-a", token, "d2", "").Code, http.StatusOK)
 	w := call(h, "POST", "/v1/drains", token, "d1", drain)
 	is.Equal(w.Code, http.StatusOK)
@@ -204,3 +213,41 @@
 	is.NoErr(err)
 	is.Equal(config.Version, uint64(3))
 }
+
+// TestRemovedOperatorCantRace removes the operator between the judging of the
+// token and the decision, while the change names the version to come.
+func TestRemovedOperatorCantRace(t *testing.T) {
+	is := is.New(t)
+	store, h := started(t)
+	store.BeforeSubmit = func() { t.Error("the change was submitted") }
+	w := call(h, "PUT", "/v1/document?base=2", token, "x", demo(t))
+	is.Equal(w.Code, http.StatusConflict)
+
+	removed := strings.Replace(demo(t), document.Digest([]byte(token)), document.Digest([]byte("new")), 1)
+	store.BeforeSubmit = func() {
+		_, err := store.Submit(t.Context(), port.Change{ID: "remove", BaseVersion: 1, Document: []byte(removed)})
+		is.NoErr(err)
+	}
+	w = call(h, "PUT", "/v1/document?base=1", token, "y", demo(t))
+	is.Equal(w.Code, http.StatusConflict)
+	is.Equal(call(h, "GET", "/v1/document", token, "", "").Code, http.StatusUnauthorized)
+}
+
+// TestRefusedChangeIsRecorded checks that a change with faults reaches the
+// audit trail's hook and not the register.
+func TestRefusedChangeIsRecorded(t *testing.T) {
+	is := is.New(t)
+	var refused []port.Change
+	h := operatorhttp.New(operatorhttp.Options{
+		Store:                &porttest.Store{},
+		BootstrapTokenSHA256: document.Digest([]byte("first")),
+		Logger:               slog.New(slog.DiscardHandler),
+		RecordRefused: func(_ context.Context, change port.Change) error {
+			refused = append(refused, change)
+			return errors.New("no quorum")
+		},
+	})
+	is.Equal(call(h, "PUT", "/v1/document?base=0", "first", "x", "regions: []\n").Code, http.StatusUnprocessableEntity)
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].ID+refused[0].Operator, "xbootstrap")
+}
--- a/internal/cli/ctl/ctl_test.go
+++ b/internal/cli/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -227,3 +228,28 @@
 	is.True(result.InForce)
 	is.Equal(result.Outcome.Version, uint64(2))
 }
+
+// TestAlteredReplies checks that a document that doesn't match its digest and
+// an audit trail that doesn't chain are told.
+func TestAlteredReplies(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	altered := b.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/audit" {
+			_, _ = w.Write([]byte(`[{"hash":"a"},{"previous":"b","hash":"c"}]`))
+			return
+		}
+		w.Header().Set(operatorhttp.HeaderVersion, "1")
+		w.Header().Set(operatorhttp.HeaderDigest, document.Digest([]byte("mine")))
+		_, _ = w.Write([]byte("theirs"))
+	}))
+	is.Equal(b.run("get", "-control", altered), int(ctl.ExitUnknown))
+	is.True(strings.Contains(b.errs.String(), "digest"))
+	is.Equal(b.run("audit", "-control", altered), int(ctl.ExitRefused))
+	is.True(strings.Contains(b.errs.String(), "was altered"))
+
+	verify := ctl.Options{VerifyAudit: func([]port.AuditRecord) error { return errors.New("hash of record 0") }}
+	args := []string{"audit", "-control", b.url, "-token-file", filepath.Join(b.dir, "token")}
+	is.Equal(ctl.Run(t.Context(), args, &b.outs, &b.errs, verify), int(ctl.ExitRefused))
+	is.True(strings.Contains(b.errs.String(), "hash of record 0"))
+}
--- a/internal/port/porttest/store.go
+++ b/internal/port/porttest/store.go
@@ -17,6 +17,10 @@
 	// LoseAnswers is the number of changes whose outcome gets lost on the way
 	// back; they are decided all the same.
 	LoseAnswers int
+	// SubmitErr is returned by Submit, which then decides nothing.
+	SubmitErr error
+	// BeforeSubmit runs once, before the next Submit; it may submit itself.
+	BeforeSubmit func()
 	// Entries are what Status reports.
 	Entries []port.EntryStatus
 	// Lifted are the fingerprints that were lifted, with the operator.
@@ -42,11 +46,18 @@
 
 // Submit implements port.ConfigStore.
 func (s *Store) Submit(_ context.Context, change port.Change) (port.Outcome, error) {
+	if before := s.BeforeSubmit; before != nil {
+		s.BeforeSubmit = nil
+		before()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.NoQuorum {
 		return port.Outcome{}, port.ErrNoQuorum
 	}
+	if s.SubmitErr != nil {
+		return port.Outcome{}, s.SubmitErr
+	}
 	outcome, resent := s.outcomes[change.ID]
 	if !resent {
 		outcome = s.decide(change)
