Verify the audit trail in ctl, and tell a reused change ID

Change: ctl audit verifies hashes and links with core/audit, and the stand-in store chains its records the same way. A change ID that belongs to another change is a refusal, not a change that may have been accepted.

--- a/internal/adapter/operatorhttp/change.go
+++ b/internal/adapter/operatorhttp/change.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/core/register"
 	"sassafrasreach/internal/port"
 )
 
@@ -78,6 +79,9 @@
 	if errors.Is(err, port.ErrNoQuorum) {
 		return port.Outcome{}, newProblem(http.StatusServiceUnavailable, CodeNoQuorum, "too few control VMs answer; nothing was proposed")
 	}
+	if errors.Is(err, register.ErrChangeIDReused) {
+		return port.Outcome{}, newProblem(http.StatusConflict, CodeIDReused, "the change ID belongs to another change; nothing was changed by this one")
+	}
 	if err != nil {
 		h.Logger.Error("change ended without an outcome", "change", change.ID, "operator", change.Operator, "error", err)
 		outcome = port.Outcome{ChangeID: change.ID, State: port.ChangeUnknown}
--- a/internal/adapter/operatorhttp/contract_test.go
+++ b/internal/adapter/operatorhttp/contract_test.go
@@ -16,6 +16,7 @@
 
 	"sassafrasreach/internal/adapter/operatorhttp"
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/core/register"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/port/porttest"
 )
@@ -129,6 +130,7 @@
 		{"no quorum", "PUT", "/v1/document?base=1", "x", "DEMO", noQuorum, 503, operatorhttp.CodeNoQuorum},
 		{"answer lost", "PUT", "/v1/document?base=1", "x", "DEMO", lost, 504, operatorhttp.CodeUnknown},
 		{"quorum lost at the decision", "PUT", "/v1/document?base=1", "x", "DEMO", fails(port.ErrNoQuorum), 503, operatorhttp.CodeNoQuorum},
+		{"ID of another change", "PUT", "/v1/document?base=1", "x", "DEMO", fails(register.ErrChangeIDReused), 409, operatorhttp.CodeIDReused},
 		{"decision fails", "PUT", "/v1/document?base=1", "x", "DEMO", fails(errors.New("torn")), 504, operatorhttp.CodeUnknown},
 		{"decision times out", "PUT", "/v1/document?base=1", "x", "DEMO", fails(context.DeadlineExceeded), 504, operatorhttp.CodeUnknown},
 		{"not ready", "GET", "/readyz", "", "", noQuorum, 503, operatorhttp.CodeNoQuorum},
--- a/internal/adapter/operatorhttp/problem.go
+++ b/internal/adapter/operatorhttp/problem.go
@@ -27,6 +27,8 @@
 	// CodeConflict means that another change took the version; nothing was
 	// changed by this one.
 	CodeConflict Code = "conflict"
+	// CodeIDReused means that the change ID belongs to another change.
+	CodeIDReused Code = "change-id-reused"
 	// CodeNoQuorum means that too few control VMs answered; nothing was
 	// changed by this attempt.
 	CodeNoQuorum Code = "no-quorum"
--- a/internal/cli/ctl/main.go
+++ b/internal/cli/ctl/main.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 	"time"
 
+	"sassafrasreach/internal/core/audit"
 	"sassafrasreach/internal/port"
 )
 
@@ -17,14 +18,14 @@
 
 // Options are what the client works with besides its arguments.
 type Options struct {
-	// VerifyAudit checks the hash chain of an audit trail; nil means that only
-	// the links between the records are checked.
+	// VerifyAudit checks the hash chain of an audit trail.
 	VerifyAudit func(records []port.AuditRecord) error
 }
 
-// Main runs one command and returns the exit code.
+// Main runs one command and returns the exit code. It verifies audit trails with
+// audit.Verify.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	return Run(ctx, args, stdout, stderr, Options{})
+	return Run(ctx, args, stdout, stderr, Options{VerifyAudit: audit.Verify})
 }
 
 // Run is Main with options.
--- a/internal/core/document/bounds.go
+++ b/internal/core/document/bounds.go
@@ -5,7 +5,7 @@
 // Bounds of the fields; both ends are allowed.
 const (
 	// MaxTextBytes bounds the text of a document.
-	MaxTextBytes = 16 << 20
+	MaxTextBytes = 4 << 20
 	// MaxNameBytes bounds the length of a name.
 	MaxNameBytes = 63
 	// MaxReasonBytes bounds the length of Drain.Reason.
--- a/internal/port/porttest/store.go
+++ b/internal/port/porttest/store.go
@@ -5,10 +5,14 @@
 	"sync"
 	"time"
 
+	"sassafrasreach/internal/core/audit"
 	"sassafrasreach/internal/core/document"
 	"sassafrasreach/internal/port"
 )
 
+// maxAudit bounds the audit trail of a Store.
+const maxAudit = 1000
+
 // Store is a port.ConfigStore in memory with faults to switch on. Its fields
 // may be set between requests, before other goroutines use it.
 type Store struct {
@@ -82,10 +86,10 @@
 	}
 	outcome.Version = s.current.Version
 	outcome.Digest = s.current.Digest
-	s.audit = append(s.audit, port.AuditRecord{
+	s.audit = audit.Append(s.audit, port.AuditRecord{
 		Time: time.Unix(int64(len(s.audit)), 0).UTC(), Operator: change.Operator, ChangeID: change.ID,
 		From: change.BaseVersion, To: outcome.Version, Digest: outcome.Digest, State: outcome.State,
-	})
+	}, maxAudit)
 	if s.outcomes == nil {
 		s.outcomes = make(map[string]port.Outcome)
 	}
