Give each reviewed draft its own change ID

Cause: a draft kept one ID from opening on. When its answer was lost and the operator edited on, the edited draft went out under the ID of the first one. Change: each review gives a new ID; sending a review's form again keeps it. A form without an ID is refused. Shown: TestSentTwice, seen to fail with the ID of the first review kept.

--- a/internal/adapter/console/console_test.go
+++ b/internal/adapter/console/console_test.go
@@ -180,6 +180,7 @@
 			is.True(found)
 			field, _, _ := strings.Cut(rest, "<label>")
 			is.True(strings.Contains(field, c.faults)) // right after its field
+			b.form.Set("change_id", "x")               // a button that the page doesn't have
 			b.press("submit")
 			b.sees(422)
 			version, _ := b.current()
@@ -199,7 +200,7 @@
 			is := is.New(t)
 			b := newBrowser(t)
 			b.signIn(token)
-			b.press("edit", "services[1].workers", "5")
+			b.press("review", "services[1].workers", "5")
 			b.apply("theirs", 1, theirs)
 			for range 2 {
 				b.press(action)
@@ -230,6 +231,26 @@
 	b.sees(200, "Accepted as version 2")
 	version, _ := b.current()
 	is.Equal(version, uint64(2))
+
+	// A draft that is edited after its answer was lost is another change.
+	b.signIn(token)
+	b.press("review", "services[1].workers", "6")
+	b.store.LoseAnswers = 1
+	first := b.form.Get("change_id")
+	b.press("submit")
+	b.sees(504)
+	is.Equal(b.form.Get("change_id"), first)
+	b.press("edit")
+	b.press("review", "services[1].workers", "7")
+	b.sees(409, "Version 3 was accepted after you opened version 2")
+	_, doc := b.current()
+	is.Equal(doc.ServiceByName("lot-ledger").Workers, 6)
+	b.get("/console/")
+	b.press("review")
+	first = b.form.Get("change_id")
+	b.press("edit")
+	b.press("review", "services[1].workers", "7")
+	is.True(b.form.Get("change_id") != first)
 }
 
 // TestNothingWithoutSession sends a good form without a session, with another
@@ -268,6 +289,7 @@
 		}},
 		{"no quorum", 503, func(b *browser) { b.store.NoQuorum = true }},
 		{"no version", 400, func(b *browser) { b.form.Del("base") }},
+		{"no change ID", 400, func(b *browser) { b.form.Del("change_id") }},
 		{"no such button", 400, func(b *browser) { b.action = "overwrite" }},
 	}
 	for _, c := range cases {
--- a/internal/adapter/console/edit.go
+++ b/internal/adapter/console/edit.go
@@ -37,7 +37,8 @@
 	Operator string
 	// Base is the version that the draft was opened at.
 	Base uint64
-	// ChangeID is the ID that the draft is submitted with.
+	// ChangeID is the ID that the draft is submitted with. Each review gives a
+	// new one, so that a draft that was edited further is another change.
 	ChangeID string
 	// values are the texts of the fields.
 	values values
@@ -76,7 +77,6 @@
 		FormToken: found.formToken,
 		Operator:  opened.Operator,
 		Base:      opened.Config.Version,
-		ChangeID:  rand.Text(),
 		values:    valuesOf(opened.Document),
 	}
 	s.showEdit(w, http.StatusOK, editPage{draft: d}, nil)
@@ -147,6 +147,8 @@
 		s.showEdit(w, http.StatusOK, editPage{draft: d}, nil)
 	case action == actionReview:
 		s.review(w, d, opened)
+	case action == actionSubmit && d.ChangeID == "":
+		s.render(w, http.StatusBadRequest, "message", message("The form has no change ID: review the draft first."))
 	case action == actionSubmit:
 		s.submit(w, r, d, opened)
 	default:
@@ -200,6 +202,7 @@
 		s.showConflict(w, d, opened)
 		return
 	}
+	d.ChangeID = rand.Text()
 	s.showReview(w, http.StatusOK, d, doc, opened, "")
 }
 
