--- a/internal/cli/ctl/ctl_test.go
+++ b/internal/cli/ctl/ctl_test.go
@@ -227,3 +227,29 @@
 	is.True(result.InForce)
 	is.Equal(result.Outcome.Version, uint64(2))
 }
+
+// TestAlteredReplies checks that a document that doesn't match its digest and
+// an audit trail that doesn't chain are told.
+func TestAlteredReplies(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	altered := b.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/audit" {
+			_, _ = w.Write([]byte(`[{"hash":"a"},{"previous":"b","hash":"c"}]`))
+			return
+		}
+		w.Header().Set(operatorhttp.HeaderVersion, "1")
+		w.Header().Set(operatorhttp.HeaderDigest, document.Digest([]byte("mine")))
+		_, _ = w.Write([]byte("theirs"))
+	}))
+	is.Equal(b.run("get", "-control", altered), int(ctl.ExitUnknown))
+	is.True(strings.Contains(b.errs.String(), "digest"))
+	is.Equal(b.run("audit", "-control", altered), int(ctl.ExitRefused))
+	is.True(strings.Contains(b.errs.String(), "was altered"))
+
+	// Two records whose links are right, but whose hashes are made up.
+	linked := b.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`[{"hash":"a"},{"previous":"a","hash":"b"}]`))
+	}))
+	is.Equal(b.run("audit", "-control", linked), int(ctl.ExitRefused))
+}
--- a/internal/port/porttest/store.go
+++ b/internal/port/porttest/store.go
@@ -5,10 +5,14 @@
 	"sync"
 	"time"
 
+	"sassafrasreach/internal/core/audit"
 	"sassafrasreach/internal/core/document"
 	"sassafrasreach/internal/port"
 )
 
+// maxAudit bounds the audit trail of a Store.
+const maxAudit = 1000
+
 // Store is a port.ConfigStore in memory with faults to switch on. Its fields
 // may be set between requests, before other goroutines use it.
 type Store struct {
@@ -17,6 +21,10 @@
 	// LoseAnswers is the number of changes whose outcome gets lost on the way
 	// back; they are decided all the same.
 	LoseAnswers int
+	// SubmitErr is returned by Submit, which then decides nothing.
+	SubmitErr error
+	// BeforeSubmit runs once, before the next Submit; it may submit itself.
+	BeforeSubmit func()
 	// Entries are what Status reports.
 	Entries []port.EntryStatus
 	// Lifted are the fingerprints that were lifted, with the operator.
@@ -42,11 +50,18 @@
 
 // Submit implements port.ConfigStore.
 func (s *Store) Submit(_ context.Context, change port.Change) (port.Outcome, error) {
+	if before := s.BeforeSubmit; before != nil {
+		s.BeforeSubmit = nil
+		before()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.NoQuorum {
 		return port.Outcome{}, port.ErrNoQuorum
 	}
+	if s.SubmitErr != nil {
+		return port.Outcome{}, s.SubmitErr
+	}
 	outcome, resent := s.outcomes[change.ID]
 	if !resent {
 		outcome = s.decide(change)
@@ -71,10 +86,10 @@
 	}
 	outcome.Version = s.current.Version
 	outcome.Digest = s.current.Digest
-	s.audit = append(s.audit, port.AuditRecord{
+	s.audit = audit.Append(s.audit, port.AuditRecord{
 		Time: time.Unix(int64(len(s.audit)), 0).UTC(), Operator: change.Operator, ChangeID: change.ID,
 		From: change.BaseVersion, To: outcome.Version, Digest: outcome.Digest, State: outcome.State,
-	})
+	}, maxAudit)
 	if s.outcomes == nil {
 		s.outcomes = make(map[string]port.Outcome)
 	}
