--- a/internal/adapter/endpointhttp/body.go
+++ b/internal/adapter/endpointhttp/body.go
@@ -14,6 +14,9 @@
 func (x *exchange) readBody(in *answer) (*port.Response, error) {
 	hold := min(x.caller.opts.HoldBytes, x.maxBytes())
 	body, whole, err := readUpTo(in, hold)
+	if err == nil && whole {
+		err = x.leftover()
+	}
 	if err == nil && !whole && hold == x.maxBytes() {
 		err = fmt.Errorf("%w: over %d bytes", ErrTooLarge, hold)
 	}
@@ -74,6 +77,9 @@
 		r.fail(ErrTooLarge)
 		return 0, r.err
 	}
+	if errors.Is(err, io.EOF) && r.x.leftover() != nil {
+		err = r.x.leftover()
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		r.err = io.EOF
--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -64,13 +64,13 @@
 	}
 	p := c.pool(to)
 	if err := p.acquire(ctx); err != nil {
-		cancel()
+		defer cancel()
 		return nil, notRun(ctx, verdict.ReasonOverload, err)
 	}
 	conn, err := c.connect(ctx, p, maxAge)
 	if err != nil {
 		p.release()
-		cancel()
+		defer cancel()
 		return nil, notRun(ctx, verdict.ReasonDial, err)
 	}
 	x := c.newExchange(ctx, cancel, p, conn, req)
--- a/internal/adapter/endpointhttp/conn.go
+++ b/internal/adapter/endpointhttp/conn.go
@@ -44,6 +44,8 @@
 type boundedReader struct {
 	source io.Reader
 	left   int64
+	// err is the source's error, which parsers may hide behind their own.
+	err error
 }
 
 func (r *boundedReader) Read(p []byte) (int, error) {
@@ -55,6 +57,7 @@
 	}
 	n, err := r.source.Read(p)
 	r.left -= int64(n)
+	r.err = err
 	return n, err
 }
 
--- a/internal/adapter/endpointhttp/errors.go
+++ b/internal/adapter/endpointhttp/errors.go
@@ -17,6 +17,8 @@
 	ErrUnframed = errors.New("answer without a length")
 	// ErrTooLarge means that an answer is over the service's bound.
 	ErrTooLarge = errors.New("answer too large")
+	// ErrLeftover means that bytes follow the end of an answer.
+	ErrLeftover = errors.New("bytes after the answer")
 	// ErrUnexpectedStatus means that an answer's status makes no sense here.
 	ErrUnexpectedStatus = errors.New("unexpected status")
 
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -34,13 +34,18 @@
 
 // run writes the request and reads its answer.
 func (x *exchange) run(out *http.Request) (*port.Response, error) {
-	if err := x.write(out); err != nil {
-		return nil, x.fail(verdict.ReasonConnection, err)
+	errWrite := x.write(out)
+	if errWrite != nil && !x.mayBeAnswered() {
+		return nil, x.fail(verdict.ReasonConnection, errWrite)
 	}
 	in, err := x.readHead(out)
+	if errWrite != nil && err != nil {
+		return nil, x.fail(verdict.ReasonConnection, errWrite)
+	}
 	if err != nil {
 		return nil, x.fail(headReason(err), err)
 	}
+	in.close = in.close || errWrite != nil
 	if err := x.check(in); err != nil {
 		return nil, x.fail(verdict.ReasonBadAnswer, err)
 	}
@@ -62,6 +67,16 @@
 	return x.conn.writer.Flush()
 }
 
+// mayBeAnswered reports whether an answer may be there although the request
+// couldn't be sent whole: an endpoint may answer and close before it has read a
+// large body. It gives the answer a short time to arrive.
+func (x *exchange) mayBeAnswered() bool {
+	if x.conn.written == 0 || x.ctx.Err() != nil {
+		return false
+	}
+	return x.conn.SetReadDeadline(time.Now().Add(earlyAnswerWait)) == nil && x.ctx.Err() == nil
+}
+
 // readHead reads the head of the final answer, past interim ones (RFC 9110,
 // section 15.2).
 func (x *exchange) readHead(out *http.Request) (*answer, error) {
@@ -69,7 +84,7 @@
 	for range maxInterim {
 		in, err := http.ReadResponse(x.conn.reader, out)
 		if err != nil {
-			return nil, err
+			return nil, errors.Join(err, x.conn.input.err)
 		}
 		if in.StatusCode >= http.StatusOK {
 			x.conn.unbound()
@@ -144,6 +159,15 @@
 	x.pool.release()
 }
 
+// leftover reports bytes after the answer's end: its length was wrong, or it
+// came twice.
+func (x *exchange) leftover() error {
+	if n := x.conn.reader.Buffered(); n > 0 {
+		return fmt.Errorf("%w: %d bytes", ErrLeftover, n)
+	}
+	return nil
+}
+
 // fail ends an exchange whose answer isn't whole and returns its error. A
 // connection that was silent until the time was over makes its siblings suspect.
 func (x *exchange) fail(reason verdict.Reason, err error) error {
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -20,6 +20,7 @@
 	maxHeaderBytes     = 256 << 10
 	maxShedBytes       = 4 << 10
 	maxInterim         = 5
+	earlyAnswerWait    = 50 * time.Millisecond
 	writeBufferBytes   = 16 << 10
 	readBufferBytes    = 4 << 10
 )
