--- a/internal/core/claims/handover.go
+++ b/internal/core/claims/handover.go
@@ -1,7 +1,6 @@
 package claims
 
 import (
-	"container/heap"
 	"time"
 
 	"sassafrasreach/internal/core/verdict"
@@ -12,6 +11,8 @@
 	// complete says that the home started nothing besides the imported rows and
 	// never will.
 	complete bool
+	// floor is the latest minting time among the evicted rows.
+	floor time.Time
 	// until is when all of the home's keys have expired.
 	until time.Time
 }
@@ -32,13 +33,14 @@
 func (t *Table) Seal() { t.sealed = true }
 
 // Complete reports whether an Export made now holds everything that this home
-// ever started: the table is sealed, no attempt is under way, and no claim was
-// evicted before its time by a clock that has since been set back.
+// ever started: the table is sealed, and no claim was evicted before its time by
+// a clock that has since been set back. Attempts may be under way; their rows
+// say MayHaveRun until a later Export tells how they ended.
 func (t *Table) Complete(now time.Time) bool {
-	return t.sealed && t.running == 0 && now.Sub(t.floor) >= t.cfg.Retention
+	return t.sealed && now.Sub(t.ranFloor) >= t.cfg.Retention
 }
 
-// Export returns the unexpired claims of this home.
+// Export returns the claims of this home that may have run.
 func (t *Table) Export(now time.Time) []Row { return t.rows(now, t.self) }
 
 // HandOvers returns the claims of this home and of the former homes whose
@@ -47,7 +49,8 @@
 	all := []HandOver{{From: t.self, Complete: t.Complete(now), Rows: t.Export(now)}}
 	for home, former := range t.former {
 		if now.Before(former.until) {
-			all = append(all, HandOver{From: home, Complete: former.complete, Rows: t.rows(now, home)})
+			complete := former.complete && now.Sub(former.floor) >= t.cfg.Retention
+			all = append(all, HandOver{From: home, Complete: complete, Rows: t.rows(now, home)})
 		}
 	}
 	return all
@@ -56,7 +59,8 @@
 func (t *Table) rows(now time.Time, home Home) []Row {
 	var rows []Row
 	for _, c := range t.claims {
-		if c.key.Home == home && !t.expired(now, c.key) {
+		kept := c.running || now.Before(c.expires)
+		if c.key.Home == home && kept && c.outcome.Verdict != verdict.NotRun {
 			rows = append(rows, c.row())
 		}
 	}
@@ -89,6 +93,7 @@
 		}
 	}
 	t.former[from] = formerHome{
+		floor:    t.former[from].floor,
 		complete: (complete || t.former[from].complete) && lost == 0,
 		until:    now.Add(t.cfg.Retention + t.cfg.ClockSkew),
 	}
@@ -110,7 +115,6 @@
 	}
 	t.add(c)
 	t.store(c, r.Outcome)
-	heap.Push(&t.oldest, c)
 	return true
 }
 
@@ -127,12 +131,12 @@
 // former home sealed its table and gave all its rows away.
 func (t *Table) beginFormer(now time.Time, k Key) Decision {
 	former, known := t.former[k.Home]
-	switch {
-	case !known || !former.complete:
+	if !known || !former.complete {
 		return refusal(verdict.MayHaveRun, verdict.ReasonHomeLost)
-	case t.expired(now, k):
+	}
+	tooOld := now.Sub(k.Minted) >= t.cfg.Retention-t.cfg.ClockSkew
+	if tooOld || !k.Minted.After(former.floor) {
 		return refusal(verdict.MayHaveRun, verdict.ReasonKeyExpired)
-	default:
-		return refusal(verdict.NotRun, verdict.ReasonHomeLost)
 	}
+	return refusal(verdict.NotRun, verdict.ReasonHomeLost)
 }
--- a/internal/core/claims/heap.go
+++ b/internal/core/claims/heap.go
@@ -3,12 +3,12 @@
 // notQueued is the index of a claim that is in no heap.
 const notQueued = -1
 
-// claimHeap orders claims by minting time, oldest first. It implements
+// claimHeap orders claims by the time they expire, the next one first. It implements
 // heap.Interface.
 type claimHeap []*claim
 
 func (h claimHeap) Len() int           { return len(h) }
-func (h claimHeap) Less(i, j int) bool { return h[i].key.Minted.Before(h[j].key.Minted) }
+func (h claimHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
 
 func (h claimHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- a/internal/core/claims/table.go
+++ b/internal/core/claims/table.go
@@ -7,9 +7,12 @@
 	"sassafrasreach/internal/core/verdict"
 )
 
+// DefaultFirstUse is how long after its minting a key may start.
+const DefaultFirstUse = time.Minute
+
 const (
 	// claimBytes is the memory of one claim without its key and answer.
-	claimBytes = 512
+	claimBytes = 704
 	// headerFieldBytes and headerValueBytes are the memory of a header field
 	// and of each of its values, without their text.
 	headerFieldBytes = 96
@@ -25,8 +28,11 @@
 	MaxEntries int
 	// MaxBytes bounds the memory of all claims, in bytes as estimated.
 	MaxBytes int64
-	// Retention is how long after its minting a key may be used.
+	// Retention is how long after its minting a key that may have run is kept.
 	Retention time.Duration
+	// FirstUse is how long after its minting a key may start; zero means
+	// DefaultFirstUse. It is at most Retention.
+	FirstUse time.Duration
 	// ClockSkew bounds the difference between the clocks of two entries.
 	ClockSkew time.Duration
 }
@@ -39,10 +45,12 @@
 	// oldest orders the finished claims; those under way are never evicted.
 	oldest claimHeap
 	bytes  int64
-	// floor is the latest minting time among the evicted claims. A key minted
-	// by then is refused whatever the clock says, so that a clock that is set
-	// back can't bring an evicted key to life.
-	floor time.Time
+	// ranFloor is the latest minting time among the evicted claims that may have
+	// run, and notRunFloor among the keys that were called NotRun and have no
+	// claim. Keys minted by then never start, whatever the clock says, so that
+	// setting it back can't bring an evicted key to life.
+	ranFloor    time.Time
+	notRunFloor time.Time
 	// former holds the homes whose claims were imported.
 	former map[Home]formerHome
 	sealed bool
@@ -57,11 +65,18 @@
 	running     bool
 	outcome     Outcome
 	bytes       int64
-	index       int
+	// expires is when a finished claim may be evicted, and index its place in
+	// the heap.
+	expires time.Time
+	index   int
 }
 
 // NewTable returns an empty table for the home self.
 func NewTable(self Home, cfg Config) *Table {
+	if cfg.FirstUse <= 0 {
+		cfg.FirstUse = DefaultFirstUse
+	}
+	cfg.FirstUse = min(cfg.FirstUse, cfg.Retention)
 	return &Table{
 		self:   self,
 		cfg:    cfg,
@@ -79,28 +94,33 @@
 // Running returns the number of attempts under way.
 func (t *Table) Running() int { return t.running }
 
-// Begin decides on an attempt of key k.
+// Begin decides on an attempt of key k. A refusal as NotRun is final: the key
+// never starts afterwards, though copies of the request may still be under way,
+// and the caller takes a new key to try again.
 //
-// A key that came with another request before is refused as MayHaveRun: a
-// caller that encodes one filing in two ways sends the same key with two
-// bodies, and to tell it NotRun would have it file again.
+// A key that came with another request before is refused as MayHaveRun, unless
+// it was found NotRun: a caller that encodes one filing in two ways sends the
+// same key with two bodies, and to tell it NotRun would have it file again.
 func (t *Table) Begin(now time.Time, k Key, f Fingerprint) Decision {
-	if c, ok := t.claims[k.String()]; ok && !t.expired(now, k) {
+	t.Expire(now)
+	if c, ok := t.claims[k.String()]; ok {
 		return c.decide(f)
 	}
 	if k.Home != t.self {
 		return t.beginFormer(now, k)
 	}
-	if t.expired(now, k) {
+	if t.mayBeEvicted(now, k) {
 		return refusal(verdict.MayHaveRun, verdict.ReasonKeyExpired)
 	}
 	if t.sealed {
 		return refusal(verdict.NotRun, verdict.ReasonStopping)
 	}
-	t.Expire(now)
+	if now.Sub(k.Minted) >= t.cfg.FirstUse || !k.Minted.After(t.notRunFloor) {
+		return t.burn(k, verdict.ReasonKeyExpired)
+	}
 	c := newClaim(k, f)
 	if !t.fits(c.bytes) {
-		return refusal(verdict.NotRun, verdict.ReasonClaimsFull)
+		return t.burn(k, verdict.ReasonClaimsFull)
 	}
 	c.running = true
 	t.running++
@@ -108,22 +128,25 @@
 	return Decision{Kind: Start}
 }
 
-// expired reports whether k is out of its time. The home's own keys are judged
-// by its own clock; those of a former home by a clock that may differ.
-func (t *Table) expired(now time.Time, k Key) bool {
-	retention := t.cfg.Retention
-	if k.Home != t.self {
-		retention -= t.cfg.ClockSkew
-	}
-	tooOld := now.Sub(k.Minted) >= retention
+// burn refuses a key that has no claim as NotRun, and makes that final.
+func (t *Table) burn(k Key, reason verdict.Reason) Decision {
+	t.notRunFloor = later(t.notRunFloor, k.Minted)
+	return refusal(verdict.NotRun, reason)
+}
+
+// mayBeEvicted reports whether a claim of a key that has none may have been
+// evicted, or whether the home can't have minted the key.
+func (t *Table) mayBeEvicted(now time.Time, k Key) bool {
+	tooOld := now.Sub(k.Minted) >= t.cfg.Retention
 	tooNew := k.Minted.Sub(now) > t.cfg.ClockSkew
-	evicted := k.Home == t.self && !k.Minted.After(t.floor)
-	return tooOld || tooNew || evicted
+	return tooOld || tooNew || !k.Minted.After(t.ranFloor)
 }
 
 // decide answers an attempt of a key that has a claim.
 func (c *claim) decide(f Fingerprint) Decision {
 	switch {
+	case c.fingerprint != f && !c.running && c.outcome.Verdict == verdict.NotRun:
+		return refusal(verdict.NotRun, verdict.ReasonKeyReused)
 	case c.fingerprint != f:
 		return refusal(verdict.MayHaveRun, verdict.ReasonKeyReused)
 	case c.running:
@@ -133,9 +156,9 @@
 	}
 }
 
-// Finish ends the attempt that a Start began. NotRun releases the key; any
-// other outcome is stored until the key expires. The table keeps o.Header and
-// o.Body: the caller must not change them afterwards.
+// Finish ends the attempt that a Start began and stores its outcome: NotRun
+// until the key may no longer start, any other until Retention is over. The
+// table keeps o.Header and o.Body: the caller must not change them afterwards.
 func (t *Table) Finish(now time.Time, k Key, o Outcome) {
 	c, ok := t.claims[k.String()]
 	if !ok || !c.running {
@@ -143,12 +166,7 @@
 	}
 	c.running = false
 	t.running--
-	if o.Verdict == verdict.NotRun {
-		t.remove(c)
-		return
-	}
 	t.store(c, o)
-	heap.Push(&t.oldest, c)
 	t.Expire(now)
 }
 
@@ -162,20 +180,43 @@
 	c.outcome = o
 	c.bytes += size
 	t.bytes += size
+	c.expires = c.key.Minted.Add(t.cfg.Retention)
+	if o.Verdict == verdict.NotRun {
+		c.expires = c.key.Minted.Add(t.cfg.FirstUse)
+	}
+	heap.Push(&t.oldest, c)
 }
 
-// Expire evicts the finished claims whose keys have expired.
+// Expire evicts the finished claims whose time is over.
 func (t *Table) Expire(now time.Time) {
-	for len(t.oldest) > 0 {
+	for len(t.oldest) > 0 && !now.Before(t.oldest[0].expires) {
 		c := t.oldest[0]
-		if now.Sub(c.key.Minted) < t.cfg.Retention {
-			return
-		}
-		if c.key.Home == t.self && c.key.Minted.After(t.floor) {
-			t.floor = c.key.Minted
-		}
 		t.remove(c)
+		t.raiseFloor(c)
+	}
+}
+
+// raiseFloor keeps the keys minted up to an evicted one from starting.
+func (t *Table) raiseFloor(c *claim) {
+	former, imported := t.former[c.key.Home]
+	switch {
+	case c.key.Home != t.self && !imported:
+		// Without its home's row the key is MayHaveRun.
+	case imported:
+		former.floor = later(former.floor, c.key.Minted)
+		t.former[c.key.Home] = former
+	case c.outcome.Verdict == verdict.NotRun:
+		t.notRunFloor = later(t.notRunFloor, c.key.Minted)
+	default:
+		t.ranFloor = later(t.ranFloor, c.key.Minted)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 func (t *Table) fits(size int64) bool {
