Run today's size of one user under load and faults in turn

Cause: single faults were tested on a small system only. Change: TestSoak, 16 entries, 3 control VMs and 30 workers with caps that the load reaches; SOAK_SECONDS sets its length.

--- a/internal/systemtest/caller_test.go
+++ b/internal/systemtest/caller_test.go
@@ -112,6 +112,7 @@
 	}
 	request.Header.Set("Sassafrasreach-Timeout-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	request.Header.Set("Sassafrasreach-Place", place)
+	request.Header.Set("X-Caller-Place", place) // carried to the endpoint
 	if key != "" {
 		request.Header.Set("Sassafrasreach-Key", key)
 	}
--- a/internal/systemtest/endpoint_test.go
+++ b/internal/systemtest/endpoint_test.go
@@ -20,6 +20,43 @@
 type runs struct {
 	mu     sync.Mutex
 	counts map[string]int
+	moved  []move
+}
+
+// move is a run outside the place of its caller.
+type move struct {
+	from, to string
+	at       time.Time
+}
+
+// noteMove records a run of a request from another place.
+func (r *runs) noteMove(from, to string) {
+	if from == to || from == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.moved = append(r.moved, move{from, to, time.Now()})
+}
+
+// mostMoved returns the highest number of moves that match within any window of
+// one second.
+func (r *runs) mostMoved(match func(from, to string) bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var window []time.Time
+	most := 0
+	for _, m := range r.moved {
+		if !match(m.from, m.to) {
+			continue
+		}
+		window = append(window, m.at)
+		for m.at.Sub(window[0]) >= time.Second {
+			window = window[1:]
+		}
+		most = max(most, len(window))
+	}
+	return most
 }
 
 func (r *runs) add(body string) {
@@ -177,6 +214,7 @@
 	}
 	text := string(body) + r.URL.RequestURI()
 	e.runs.add(text)
+	e.runs.noteMove(r.Header.Get("X-Caller-Place"), e.place)
 	e.mu.Lock()
 	e.served++
 	e.mu.Unlock()
--- a/internal/systemtest/mesh_test.go
+++ b/internal/systemtest/mesh_test.go
@@ -1,6 +1,7 @@
 package systemtest
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -194,7 +195,7 @@
 
 // end passes the end of a stream on: a close as a close, a reset as a reset.
 func (r *relay) end(to net.Conn, err error) {
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		_ = to.(*net.TCPConn).CloseWrite()
 		return
 	}
--- /dev/null
+++ b/internal/systemtest/soak_test.go
@@ -0,0 +1,196 @@
+package systemtest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"sassafrasreach/internal/core/document"
+)
+
+const (
+	// soakSeed orders the faults.
+	soakSeed = 20261204
+	// soakDefault is the length of the load in a usual run; SOAK_SECONDS sets
+	// another.
+	soakDefault = 12 * time.Second
+	// soakFault is how long each fault lasts.
+	soakFault = 1500 * time.Millisecond
+	// nearCap and farCap are the caps of a shift within a region and to another.
+	nearCap = 120
+	farCap  = 60
+)
+
+// todaysSize is one user's system of today: six places in three regions, 16
+// entries and 32 workers with three slots.
+func todaysSize() layout {
+	l := layout{
+		entries:   3,
+		fewer:     2,
+		endpoints: 5,
+		slots:     3,
+		work:      2 * time.Millisecond,
+	}
+	regions := []string{"norte", "centro", "alentejo"}
+	for _, region := range regions {
+		a, b := region+"-a", region+"-b"
+		l.places = append(l.places, document.Place{Name: a, Region: region}, document.Place{Name: b, Region: region})
+		l.rules = append(l.rules,
+			document.Rule{Name: a + "-to-b", From: a, To: b, RequestsPerS: nearCap},
+			document.Rule{Name: b + "-to-a", From: b, To: a, RequestsPerS: nearCap})
+		for _, other := range regions {
+			if other == region {
+				continue
+			}
+			l.rules = append(l.rules, document.Rule{
+				Name: region + "-to-" + other, From: region, To: other, RequestsPerS: farCap,
+			})
+			l.links = append(l.links, document.Link{From: region, To: other, MbitPerS: 4000, FillPercent: 70})
+		}
+	}
+	return l
+}
+
+func soakLength(t *testing.T) time.Duration {
+	text := os.Getenv("SOAK_SECONDS")
+	if text == "" {
+		return soakDefault
+	}
+	seconds, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("SOAK_SECONDS: %v", err)
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// soakFaults are what happens, one after the other, in the order of the seed.
+var soakFaults = []struct {
+	name string
+	run  func(s *system, pick *rand.Rand)
+}{
+	{"kill an entry and start it again", func(s *system, pick *rand.Rand) {
+		p := s.entries[s.somePlace(pick).Entries[0].Name]
+		p.kill()
+		time.Sleep(soakFault)
+		p.start()
+	}},
+	{"freeze an entry", func(s *system, pick *rand.Rand) {
+		p := s.entries[s.somePlace(pick).Entries[1].Name]
+		p.freeze()
+		time.Sleep(soakFault)
+		p.thaw()
+	}},
+	{"cut a place off", func(s *system, pick *rand.Rand) {
+		place := s.somePlace(pick).Name
+		s.mesh.set(func(src, dst string) bool {
+			return src != "" && dst != "" && (s.placeOfVM(src) == place) != (s.placeOfVM(dst) == place)
+		})
+		time.Sleep(soakFault)
+		s.mesh.heal()
+	}},
+	{"silence all connections", func(s *system, _ *rand.Rand) {
+		s.mesh.silence(func(_, _ string) bool { return true })
+		time.Sleep(soakFault)
+	}},
+	{"crash the workers of a place", func(s *system, pick *rand.Rand) {
+		place := s.somePlace(pick).Name
+		for _, e := range s.endpoints[place] {
+			e.crash()
+		}
+		time.Sleep(soakFault)
+		for _, e := range s.endpoints[place] {
+			e.start()
+		}
+	}},
+	{"kill a control VM and start it again", func(s *system, pick *rand.Rand) {
+		p := s.controls[pick.IntN(controls)]
+		p.kill()
+		time.Sleep(soakFault)
+		p.start()
+	}},
+	{"drain a place and end the drain", func(s *system, pick *rand.Rand) {
+		s.doc.Drains = []document.Drain{{Place: s.somePlace(pick).Name, Reason: "soak"}}
+		s.apply(s.doc)
+		time.Sleep(soakFault)
+		s.doc.Drains = nil
+		s.apply(s.doc)
+	}},
+	{"stop an entry as planned", func(s *system, pick *rand.Rand) {
+		p := s.entries[s.somePlace(pick).Entries[0].Name]
+		p.stop()
+		if err := p.wait(25 * time.Second); err != nil {
+			s.t.Errorf("planned stop of %s: %v", p.name, err)
+		}
+		p.start()
+	}},
+}
+
+func (s *system) somePlace(pick *rand.Rand) *document.Place {
+	return &s.doc.Places[pick.IntN(len(s.doc.Places))]
+}
+
+// placeOfVM says which place an entry belongs to; others have none.
+func (s *system) placeOfVM(vm string) string {
+	_, place := s.doc.EntryByName(vm)
+	if place == nil {
+		return ""
+	}
+	return place.Name
+}
+
+// TestSoak runs today's size of one user under mixed load and faults one after
+// the other, and counts broken promises.
+func TestSoak(t *testing.T) {
+	length := soakLength(t)
+	s := newSystem(t, todaysSize())
+	var loads []*load
+	for _, place := range s.doc.Places {
+		loads = append(loads, s.startLoad(place.Name))
+	}
+	pick := rand.New(rand.NewPCG(soakSeed, 0))
+	order := pick.Perm(len(soakFaults))
+	begun := time.Now()
+	for n := 0; time.Since(begun) < length; n++ {
+		fault := soakFaults[order[n%len(order)]]
+		t.Logf("%5.1f s: %s", time.Since(begun).Seconds(), fault.name)
+		fault.run(s, pick)
+	}
+	s.mesh.heal()
+	var records []record
+	for _, l := range loads {
+		records = append(records, l.finish()...)
+	}
+	sum := s.judge(records)
+	t.Logf("%v of load: %+v", time.Since(begun).Round(time.Second), sum)
+	if sum.broken() > 0 {
+		t.Errorf("broken promises: %+v", sum)
+	}
+	for _, rule := range s.doc.Rules {
+		most := s.runs.mostMoved(func(from, to string) bool {
+			return s.within(from, rule.From) && s.within(to, rule.To)
+		})
+		if most > rule.RequestsPerS {
+			t.Errorf("rule %s moved %d requests in one second, its cap is %d", rule.Name, most, rule.RequestsPerS)
+		}
+	}
+	t.Log(s.moveSummary())
+}
+
+// within says whether a place is, or lies in, what a rule names.
+func (s *system) within(place, name string) bool {
+	def := s.doc.PlaceByName(place)
+	return place == name || def != nil && def.Region == name
+}
+
+func (s *system) moveSummary() string {
+	most := 0
+	for _, rule := range s.doc.Rules {
+		most = max(most, s.runs.mostMoved(func(from, to string) bool {
+			return s.within(from, rule.From) && s.within(to, rule.To)
+		})*100/rule.RequestsPerS)
+	}
+	return fmt.Sprintf("%d requests moved; the most used cap reached %d%%", len(s.runs.moved), most)
+}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -33,6 +33,7 @@
 type layout struct {
 	places    []document.Place // without entries
 	entries   int              // per place
+	fewer     int              // the last places have one entry less
 	endpoints int              // per place
 	slots     int
 	work      time.Duration
@@ -145,7 +146,11 @@
 	regions := make(map[string]bool)
 	for i, place := range s.layout.places {
 		place.Clients = []string{fmt.Sprintf("10.%d.0.0/16", i)}
-		for n := range s.layout.entries {
+		entries := s.layout.entries
+		if i >= len(s.layout.places)-s.layout.fewer {
+			entries--
+		}
+		for n := range entries {
 			front := s.ip(kindFrontEntry+i, n+1)
 			place.Entries = append(place.Entries, document.Entry{
 				Name:   fmt.Sprintf("%s-%d", place.Name, n+1),
@@ -305,12 +310,3 @@
 	_ = json.Unmarshal([]byte(out), &status)
 	return status
 }
-
-// versions returns the version that each entry last reported.
-func (s *system) versions() map[string]uint64 {
-	versions := make(map[string]uint64)
-	for _, entry := range s.status().Entries {
-		versions[entry.Name] = entry.Version
-	}
-	return versions
-}
