--- /dev/null
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -0,0 +1,254 @@
+package peergrpc_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/adapter/peergrpc"
+	"sassafrasreach/internal/core/claims"
+	"sassafrasreach/internal/core/membership"
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/testlink"
+)
+
+// fakePeer answers as told and keeps what it got.
+type fakePeer struct {
+	forward  func(ctx context.Context, f port.Forward) (*port.Response, error)
+	handed   claims.HandOver
+	rows     []port.QuarantineRow
+	announed []port.Announcement
+	loan     port.LoanRequest
+}
+
+func (p *fakePeer) HandleHeartbeat(hb membership.Heartbeat) membership.Heartbeat { return hb }
+func (p *fakePeer) HandleForward(ctx context.Context, f port.Forward) (*port.Response, error) {
+	return p.forward(ctx, f)
+}
+func (p *fakePeer) HandleAnnounce(batch []port.Announcement) { p.announed = batch }
+func (p *fakePeer) HandleFetchDocument(have uint64) port.Config {
+	return port.Config{Version: have + 1, Digest: "d", Document: []byte("text")}
+}
+func (p *fakePeer) HandleHandOver(h claims.HandOver)           { p.handed = h }
+func (p *fakePeer) HandleQuarantine(rows []port.QuarantineRow) { p.rows = rows }
+func (p *fakePeer) HandleBorrow(r port.LoanRequest) port.LoanGrant {
+	p.loan = r
+	return port.LoanGrant{Units: 3, Term: time.Second}
+}
+
+// start serves p and returns the address of a link to it.
+func start(t *testing.T, p *fakePeer) (*testlink.Link, *peergrpc.Client) {
+	t.Helper()
+	clock := port.ClockFunc(time.Now)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := peergrpc.NewGRPCServer()
+	peergrpc.Register(server, p, clock)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(server.Stop)
+	link, err := testlink.New(ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	client := peergrpc.NewClient(clock, nil)
+	t.Cleanup(client.Close)
+	return link, client
+}
+
+func request(once bool) *port.Request {
+	return &port.Request{
+		ID: "id-1", Service: "desk", Origin: "north-a", Method: "POST", Target: "/x?y=1",
+		Header: http.Header{"X-A": {"1", "2"}}, Body: []byte("body"), OnceOnly: once,
+		Deadline: time.Now().Add(2 * time.Second), MaxAnswerBytes: 4 << 20,
+	}
+}
+
+// TestMessages wants every message to arrive as it was sent.
+func TestMessages(t *testing.T) {
+	is := is.New(t)
+	p := &fakePeer{}
+	link, client := start(t, p)
+	ctx := t.Context()
+	hb := membership.Heartbeat{
+		From:    "a",
+		Members: []membership.MemberRow{{Name: "a", Place: "p", Incarnation: 1, Counter: 2, Version: 3, Leaving: true}},
+		Groups: []membership.GroupRow{{
+			Service: "s", Place: "p", Owner: "a", OwnerIncarnation: 1, Counter: 4,
+			Endpoints: 5, Slots: 6, Busy: 7, Queued: 8, Latency: 9 * time.Microsecond,
+		}},
+	}
+	got, err := client.Heartbeat(ctx, link.Addr(), hb)
+	is.NoErr(err)
+	is.Equal(got, hb)
+
+	config, err := client.FetchDocument(ctx, link.Addr(), 4)
+	is.NoErr(err)
+	is.Equal(config, port.Config{Version: 5, Digest: "d", Document: []byte("text")})
+
+	batch := []port.Announcement{{
+		ID: "e", Incarnation: 1, Sequence: 2, Service: "s", Place: "p", Address: "127.0.0.1:1",
+		Slots: 3, Connections: 4, State: port.EndpointReady, Load: 0.5,
+	}}
+	is.NoErr(client.Announce(ctx, link.Addr(), batch))
+	is.Equal(p.announed, batch)
+
+	home := claims.Home{Entry: "a", Incarnation: 7}
+	key := claims.Key{Home: home, Minted: time.Unix(1000, 0).UTC(), Unique: "u"}
+	handed := claims.HandOver{From: home, Complete: true, Rows: []claims.Row{{
+		Key: key, Fingerprint: claims.FingerprintOf("s", "POST", "/", nil), Finished: true,
+		Outcome: claims.Outcome{Verdict: verdict.Ran, Status: 200, Header: http.Header{"X": {"y"}}, Body: []byte("b")},
+	}}}
+	is.NoErr(client.HandOver(ctx, link.Addr(), handed))
+	is.Equal(p.handed, handed)
+
+	rows := []port.QuarantineRow{{Fingerprint: "f", Service: "s", Remaining: time.Second, Suspected: true, Endpoint: "e", Incarnation: 2}}
+	is.NoErr(client.Quarantine(ctx, link.Addr(), rows))
+	is.Equal(p.rows, rows)
+
+	loan := port.LoanRequest{Bucket: "b", Borrower: "a", BorrowerIncarnation: 1, Units: 5, Term: time.Second, DocumentVersion: 9}
+	grant, err := client.Borrow(ctx, link.Addr(), loan)
+	is.NoErr(err)
+	is.Equal(p.loan, loan)
+	is.Equal(grant, port.LoanGrant{Units: 3, Term: time.Second})
+}
+
+// TestForward wants the request, its remaining time and the whole answer
+// carried, small and large.
+func TestForward(t *testing.T) {
+	for _, size := range []int{0, 10, 1 << 20, 3<<20 + 17} {
+		is := is.New(t)
+		body := bytes.Repeat([]byte("x"), size)
+		p := &fakePeer{forward: func(ctx context.Context, f port.Forward) (*port.Response, error) {
+			left := time.Until(f.Request.Deadline)
+			is.True(left > time.Second && left <= 2*time.Second)
+			is.Equal(f.Hop, port.HopOwner)
+			is.Equal(f.Place, "south-a")
+			is.Equal(f.Request.Target, "/x?y=1")
+			is.Equal(f.Request.Header, http.Header{"X-A": {"1", "2"}})
+			is.Equal(f.Request.OnceOnly, true)
+			held := min(len(body), 1<<20)
+			response := &port.Response{Status: 201, Header: http.Header{"X-B": {"3"}}, Body: body[:held]}
+			if held < len(body) {
+				response.Rest = io.NopCloser(bytes.NewReader(body[held:]))
+			}
+			return response, nil
+		}}
+		link, client := start(t, p)
+		response, err := client.Forward(t.Context(), link.Addr(), port.Forward{Hop: port.HopOwner, Place: "south-a", Request: request(true)})
+		is.NoErr(err)
+		is.Equal(response.Status, 201)
+		got := response.Body
+		if response.Rest != nil {
+			rest, err := io.ReadAll(response.Rest)
+			is.NoErr(err)
+			is.NoErr(response.Rest.Close())
+			got = append(got, rest...)
+		}
+		is.Equal(len(got), len(body))
+	}
+}
+
+// broken ends with an error after its first bytes.
+type broken struct{ io.Reader }
+
+func (broken) Close() error { return nil }
+
+// TestForwardVerdicts maps each failure of a forwarded request to its verdict.
+func TestForwardVerdicts(t *testing.T) {
+	answer := &port.Response{Status: 200, Body: []byte("ok")}
+	cases := []struct {
+		name    string
+		peer    func(ctx context.Context, f port.Forward) (*port.Response, error)
+		fault   func(l *testlink.Link)
+		want    verdict.Verdict
+		reached bool
+	}{
+		{name: "refused by the peer", want: verdict.NotRun, reached: true,
+			peer: func(context.Context, port.Forward) (*port.Response, error) {
+				return nil, verdict.NewError(verdict.NotRun, verdict.ReasonOverload, nil)
+			}},
+		{name: "verdict lost at the peer", want: verdict.MayHaveRun, reached: true,
+			peer: func(context.Context, port.Forward) (*port.Response, error) { return nil, errors.New("lost") }},
+		{name: "peer gone before", want: verdict.NotRun,
+			fault: func(l *testlink.Link) { l.Close() }},
+		{name: "cut before", want: verdict.NotRun,
+			fault: func(l *testlink.Link) { l.Cut(testlink.Both) }},
+		{name: "answer lost", want: verdict.MayHaveRun, reached: true,
+			peer: func(ctx context.Context, _ port.Forward) (*port.Response, error) {
+				<-ctx.Done()
+				return answer, nil
+			}},
+		{name: "answer truncated", want: verdict.MayHaveRun, reached: true,
+			peer: func(context.Context, port.Forward) (*port.Response, error) {
+				rest := broken{io.MultiReader(bytes.NewReader([]byte("part")), errReader{})}
+				return &port.Response{Status: 200, Body: []byte("held"), Rest: rest}, nil
+			}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var ran atomic.Int64
+			p := &fakePeer{forward: func(ctx context.Context, f port.Forward) (*port.Response, error) {
+				ran.Add(1)
+				if c.peer == nil {
+					return answer, nil
+				}
+				return c.peer(ctx, f)
+			}}
+			link, client := start(t, p)
+			if c.fault != nil {
+				c.fault(link)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := client.Forward(ctx, link.Addr(), port.Forward{Hop: port.HopOwner, Request: request(true)})
+			is.Equal(verdict.Of(err), c.want)
+			is.Equal(ran.Load() > 0, c.reached)
+			is.Equal(errors.Is(err, port.ErrPeerUnreachable), c.fault != nil)
+		})
+	}
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// TestSilentConnection wants a connection that went silent replaced: at once
+// when it was not heard from lately, and by a fresh try otherwise.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	var ran atomic.Int64
+	p := &fakePeer{forward: func(context.Context, port.Forward) (*port.Response, error) {
+		ran.Add(1)
+		return &port.Response{Status: 200}, nil
+	}}
+	link, client := start(t, p)
+	send := func(fresh bool) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		_, err := client.Forward(ctx, link.Addr(), port.Forward{Hop: port.HopOwner, Request: request(true), Fresh: fresh})
+		return err
+	}
+	is.NoErr(send(false))
+	link.Swallow(testlink.Both)
+	is.Equal(verdict.Of(send(false)), verdict.MayHaveRun) // proven a moment ago, silent now
+	is.NoErr(send(false))                                 // the silent one was dropped
+	link.Swallow(testlink.Both)
+	is.NoErr(send(true)) // a fresh one works at once
+	link.Swallow(testlink.Both)
+	time.Sleep(1100 * time.Millisecond)
+	is.NoErr(send(false)) // not heard from for a second: replaced before use
+	is.Equal(ran.Load(), int64(4))
+}
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -212,8 +212,14 @@
 		slog.Duration("drain_time", time.Since(begun)), slog.Int64("cut_off", cut))
 }
 
-// stopGracefully waits for the calls of peers until ctx ends.
+// peerStopLimit bounds the wait for peers' calls once no request is in flight;
+// connections that went silent would hold it up.
+const peerStopLimit = time.Second
+
+// stopGracefully waits for the calls of peers, at most for peerStopLimit.
 func stopGracefully(ctx context.Context, server *grpc.Server) {
+	ctx, cancel := context.WithTimeout(ctx, peerStopLimit)
+	defer cancel()
 	done := make(chan struct{})
 	go func() {
 		server.GracefulStop()
--- /dev/null
+++ b/internal/systemtest/measure_test.go
@@ -0,0 +1,190 @@
+package systemtest
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sassafrasreach/internal/core/document"
+)
+
+// measuring says whether the run is to print measurements; they take too long
+// for a usual run and decide nothing.
+func measuring(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("MEASURE is not set")
+	}
+}
+
+// TestMeasureSpread measures the time from a change's acceptance until it is in
+// force on all 16 entries, for documents of three sizes.
+func TestMeasureSpread(t *testing.T) {
+	measuring(t)
+	s := newSystem(t, todaysSize())
+	for _, filler := range []int{0, 500, 5000} {
+		addClients(s.doc, filler)
+		var took []time.Duration
+		for range 10 {
+			s.doc.Regions[0].ReservePercent = (s.doc.Regions[0].ReservePercent + 1) % 50
+			base := s.status().Version
+			begun := time.Now()
+			s.applyNow(base)
+			s.inForce(base+1, s.doc.EntryNames())
+			took = append(took, time.Since(begun))
+		}
+		text, err := document.Marshal(s.doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		slices.Sort(took)
+		fmt.Printf("spread: document of %d bytes, 16 entries, 10 changes: median %v, longest %v\n",
+			len(text), took[5].Round(time.Millisecond), took[9].Round(time.Millisecond))
+	}
+}
+
+// addClients fills the document with blocks of clients.
+func addClients(doc *document.Document, n int) {
+	doc.Places[0].Clients = nil
+	for i := range n {
+		doc.Places[0].Clients = append(doc.Places[0].Clients, fmt.Sprintf("11.%d.%d.0/24", i/256, i%256))
+	}
+}
+
+// applyNow submits the document without waiting.
+func (s *system) applyNow(base uint64) {
+	s.t.Helper()
+	text, err := document.Marshal(s.doc)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := s.write("document.yaml", string(text))
+	code, out := s.ctl("apply", "-wait=false", "-base", strconv.FormatUint(base, 10), path)
+	if code != 0 {
+		s.t.Fatalf("apply: exit %d: %s", code, out)
+	}
+}
+
+// TestMeasureStops measures the drain time of 20 planned stops under load, and
+// counts requests that were cut off.
+func TestMeasureStops(t *testing.T) {
+	measuring(t)
+	s := newSystem(t, todaysSize())
+	const stops = 20
+	var took []time.Duration
+	cut, requests := 0, 0
+	for n := range stops {
+		place := s.doc.Places[n%len(s.doc.Places)]
+		p := s.entries[place.Entries[n%len(place.Entries)].Name]
+		running := s.startLoad(place.Name)
+		time.Sleep(200 * time.Millisecond)
+		begun := time.Now()
+		p.stop()
+		if err := p.wait(25 * time.Second); err != nil {
+			t.Errorf("stop of %s: %v", p.name, err)
+		}
+		took = append(took, time.Since(begun))
+		for _, r := range running.finish() {
+			requests++
+			if !r.whole(r.body) {
+				cut++
+				t.Errorf("stop of %s: %+v", p.name, r)
+			}
+		}
+		p.start()
+		s.eventually(p.name+" serves again", func() bool { return s.lookupVersion(p.name) > 0 })
+		time.Sleep(4 * time.Second) // until it may own a group again
+	}
+	slices.Sort(took)
+	fmt.Printf("planned stops: %d under load, %d of %d requests cut off or failed; drain time median %v, longest %v\n",
+		stops, cut, requests, took[stops/2].Round(time.Millisecond), took[stops-1].Round(time.Millisecond))
+}
+
+// TestMeasureTakeOver measures how long callers of a place wait after the
+// owner of its group is killed.
+func TestMeasureTakeOver(t *testing.T) {
+	measuring(t)
+	s := newSystem(t, todaysSize())
+	var waits []time.Duration
+	for n := range 5 {
+		place := s.doc.Places[n%4].Name
+		owner := s.owner(place)
+		s.entries[owner].kill()
+		begun := time.Now()
+		s.eventually("requests served in "+place, func() bool { return s.get(place, s.unique("takeover")).status == 200 })
+		waits = append(waits, time.Since(begun))
+		s.entries[owner].start()
+		s.eventually(owner+" serves again", func() bool { return s.lookupVersion(owner) > 0 })
+		time.Sleep(4 * time.Second)
+	}
+	slices.Sort(waits)
+	fmt.Printf("owner killed, 5 times: first request served after median %v, longest %v\n",
+		waits[2].Round(time.Millisecond), waits[4].Round(time.Millisecond))
+}
+
+// TestMeasureIdle measures what an entry costs without requests.
+func TestMeasureIdle(t *testing.T) {
+	measuring(t)
+	s := newSystem(t, todaysSize())
+	const span = 10 * time.Second
+	before := s.costs()
+	time.Sleep(span)
+	after := s.costs()
+	var cpu, rss []float64
+	for name := range before {
+		cpu = append(cpu, (after[name].cpu-before[name].cpu)/span.Seconds()*100)
+		rss = append(rss, after[name].rss)
+	}
+	slices.Sort(cpu)
+	slices.Sort(rss)
+	n := len(cpu)
+	fmt.Printf("idle entry, %d of them with 30 endpoints: median %.2f%% of a core, most %.2f%%; resident median %.0f MB, most %.0f MB\n",
+		n, cpu[n/2], cpu[n-1], rss[n/2], rss[n-1])
+}
+
+// cost is what a process has used.
+type cost struct {
+	cpu float64 // seconds
+	rss float64 // megabytes
+}
+
+func (s *system) costs() map[string]cost {
+	costs := make(map[string]cost)
+	for name, p := range s.entries {
+		pid := strconv.Itoa(p.cmd.Process.Pid)
+		costs[name] = cost{cpu: cpuSeconds(pid), rss: residentMB(pid)}
+	}
+	return costs
+}
+
+// cpuSeconds reads user and system time (proc(5), /proc/pid/stat).
+func cpuSeconds(pid string) float64 {
+	text, err := os.ReadFile("/proc/" + pid + "/stat")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	const ticksPerSecond = 100
+	return (user + system) / ticksPerSecond
+}
+
+// residentMB reads the resident memory (proc(5), /proc/pid/status).
+func residentMB(pid string) float64 {
+	text, err := os.ReadFile("/proc/" + pid + "/status")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kb / 1024
+		}
+	}
+	return 0
+}
