Test the control node against lost disks, isolation, freezes and crashes

Change: members run in one process on a fake clock (testing/synctest) behind a network with faults. Tables lose a disk at each message and then the others one by one, lose it again during its repair, cut a proposer off and freeze it at each step, crash all members at each step, put an old image of a disk back, fail a disk, and restart a member that missed 500 changes.

--- /dev/null
+++ b/internal/app/control/faults_test.go
@@ -0,0 +1,422 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/adapter/disk"
+	"sassafrasreach/internal/core/audit"
+	"sassafrasreach/internal/core/register"
+	"sassafrasreach/internal/port"
+)
+
+// inBubble runs a test of a cluster on a fake clock and ends its members.
+func inBubble(t *testing.T, members int, test func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startAll(t, members)
+		defer c.end()
+		test(t, c)
+	})
+}
+
+// holds checks that every member reads the given version through a quorum, and
+// that the audit trail has the given number of whole records.
+func (c *cluster) holds(version uint64, records int) {
+	c.t.Helper()
+	is := is.New(c.t)
+	for i := range c.members {
+		var current port.Config
+		c.eventually("read through a quorum", func() bool {
+			var err error
+			current, err = c.node(i).Current(context.Background())
+			return err == nil
+		})
+		is.Equal(current.Version, version)
+		trail, err := c.node(i).Audit(context.Background())
+		is.NoErr(err)
+		is.Equal(len(trail), records)
+		is.NoErr(audit.Verify(trail))
+	}
+}
+
+type step struct {
+	kind   kind
+	answer bool
+}
+
+func (s step) String() string { return fmt.Sprintf("%s, answer %v", s.kind, s.answer) }
+
+func steps(kinds ...kind) []step {
+	var out []step
+	for _, k := range kinds {
+		out = append(out, step{k, false}, step{k, true})
+	}
+	return out
+}
+
+// at runs f once, when the first message of a step between two members arrives;
+// a negative member is any.
+func (c *cluster) at(s step, from, to int, f func()) {
+	var once sync.Once
+	c.onEvent(func(e event) {
+		if e.kind == s.kind && e.answer == s.answer && (from < 0 || e.from == from) && (to < 0 || e.to == to) {
+			once.Do(f)
+		}
+	})
+}
+
+// TestDiskLostAtEachMessage loses a member's disk at each message of a change,
+// then, right after its repair, the disks of the others one by one.
+func TestDiskLostAtEachMessage(t *testing.T) {
+	for _, s := range steps(prepare, accept, learn, query) {
+		t.Run(s.String(), func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.submit(change("a", 0), 0)
+				c.at(s, 0, 1, func() { c.lose(1) })
+				out := c.submit(change("b", 1), 0, 2)
+				is.Equal(out.State, port.ChangeAccepted)
+				is.Equal(out.Version, uint64(2))
+				time.Sleep(time.Second)
+				for _, next := range []int{1, 2, 0} {
+					c.eventually("repair", func() bool { return c.votes(0) && c.votes(1) && c.votes(2) })
+					c.lose(next)
+				}
+				c.holds(2, 2)
+				is.Equal(c.submit(change("b", 1), 1), out) // a resend after all disks were lost in turn
+				c.holds(2, 2)
+			})
+		})
+	}
+}
+
+// TestDiskLostAgainDuringRepair loses the disk at each message of the repair.
+func TestDiskLostAgainDuringRepair(t *testing.T) {
+	for _, s := range steps(probe, fence) {
+		t.Run(s.String(), func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, c *cluster) {
+				out := c.submit(change("a", 0), 0)
+				c.at(s, 2, 1, func() { c.lose(2) })
+				c.lose(2)
+				time.Sleep(time.Second)
+				c.eventually("repair", func() bool { return c.votes(2) })
+				c.lose(1)
+				c.eventually("repair", func() bool { return c.votes(1) })
+				is.New(t).Equal(c.submit(change("a", 0), 2), out)
+				c.holds(1, 1)
+			})
+		})
+	}
+}
+
+// TestAllCrashAtEachMessage crashes every member at each message of a change,
+// and once more right after it was accepted.
+func TestAllCrashAtEachMessage(t *testing.T) {
+	for _, s := range steps(prepare, accept, learn) {
+		t.Run(s.String(), func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				restart := func() {
+					for i := range 3 {
+						c.start(i, c.kill(i))
+					}
+				}
+				first := c.submit(change("a", 0), 0)
+				restart()
+				is.Equal(c.submit(change("a", 0), 1), first)
+				c.at(s, 0, 1, restart)
+				out := c.submit(change("b", 1), 0, 2)
+				restart()
+				is.Equal(out.Version, uint64(2))
+				is.Equal(c.submit(change("b", 1), 1), out)
+				c.holds(2, 2)
+			})
+		})
+	}
+}
+
+func TestTwoOfFiveDisksLostAtOnce(t *testing.T) {
+	inBubble(t, 5, func(_ *testing.T, c *cluster) {
+		c.submit(change("a", 0), 0)
+		for _, pair := range [][2]int{{0, 1}, {2, 3}, {4, 0}} {
+			c.lose(pair[0])
+			c.lose(pair[1])
+			c.eventually("repair", func() bool { return c.votes(pair[0]) && c.votes(pair[1]) })
+		}
+		c.holds(1, 1)
+	})
+}
+
+// TestMemberWithoutQuorumForItsRepairDoesNotVote has lost two of three disks:
+// what the third holds can't be told from the newest, so nothing is decided.
+func TestMemberWithoutQuorumForItsRepairDoesNotVote(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.submit(change("a", 0), 0)
+		c.lose(0)
+		c.lose(1)
+		time.Sleep(time.Minute)
+		is.True(!c.votes(0) && !c.votes(1))
+		_, err := c.node(0).Submit(context.Background(), change("b", 0))
+		is.True(errors.Is(err, port.ErrNoQuorum))
+		_, err = c.node(2).Current(context.Background())
+		is.True(errors.Is(err, port.ErrNoQuorum))
+	})
+}
+
+// TestOldImageOfTheDisk puts back an image from before a repair: the others
+// know the repair, and the member is repaired again before its vote counts.
+func TestOldImageOfTheDisk(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.submit(change("a", 0), 0)
+		image := copyDir(t, c.kill(2))
+		c.start(2, t.TempDir())
+		c.eventually("repair", func() bool { return c.votes(2) })
+		before, _ := c.node(2).Query(register.Query{})
+		c.submit(change("b", 1), 0)
+		c.kill(2)
+		c.start(2, image)
+		c.eventually("second repair", func() bool {
+			now, err := c.node(2).Query(register.Query{})
+			return err == nil && now.Voting && before.Generation.Less(now.Generation)
+		})
+		is.Equal(c.submit(change("a", 0), 2).Version, uint64(1))
+		c.holds(2, 2)
+	})
+}
+
+// TestIsolatedMember cuts a member off at each step of its change, lets the
+// others move on, and joins it again.
+func TestIsolatedMember(t *testing.T) {
+	for _, s := range append(steps(prepare, accept, learn), step{query, false}) {
+		t.Run(s.String(), func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.submit(change("a", 0), 0)
+				c.at(s, 0, -1, func() { c.set(c.cut, 0, true) })
+				out, err := c.node(0).Submit(context.Background(), change("b", 1))
+				c.set(c.cut, 0, true)
+				time.Sleep(2 * time.Second)
+				accepted := err == nil && out.State == port.ChangeAccepted
+				is.True(accepted || errors.Is(err, port.ErrNoQuorum) || out.State == port.ChangeUnknown) // never refused
+				if s.kind == prepare || s.kind == accept && !s.answer {
+					is.True(!accepted) // no quorum can have taken it
+				}
+				_, err = c.node(0).Current(context.Background())
+				is.True(errors.Is(err, port.ErrNoQuorum))
+				fetched, err := c.node(0).Fetch(0, nil)
+				is.NoErr(err)
+				is.True(!fetched.Quorum)
+				is.Equal(fetched.Config.Version, map[bool]uint64{true: 2, false: 1}[accepted]) // serves what it knows
+				late, err := c.node(0).Submit(context.Background(), change("late", 1))
+				is.True(errors.Is(err, port.ErrNoQuorum) || late.State == port.ChangeUnknown)
+
+				first := c.submit(change("b", 1), 1)
+				is.Equal(first.State, port.ChangeAccepted)
+				is.Equal(first.Version, uint64(2))
+				for v := range uint64(3) {
+					is.Equal(c.submit(change(fmt.Sprint("c", v), v+2), 2).State, port.ChangeAccepted)
+				}
+				c.onEvent(func(event) {})
+				c.set(c.cut, 0, false)
+				c.eventually("catch up", func() bool {
+					f, err := c.node(0).Fetch(0, nil)
+					return err == nil && f.Quorum && f.Config.Version == 5
+				})
+				is.Equal(c.submit(change("b", 1), 0), first)
+				is.Equal(c.submit(change("late", 1), 0).State, port.ChangeConflict)
+				c.holds(5, 6)
+			})
+		})
+	}
+}
+
+// TestFrozenMember freezes a proposer at each step, lets the others move on,
+// and thaws it: its late messages change nothing.
+func TestFrozenMember(t *testing.T) {
+	for _, s := range steps(prepare, accept, learn) {
+		for _, to := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%v, member %d", s, to), func(t *testing.T) {
+				inBubble(t, 3, func(t *testing.T, c *cluster) {
+					is := is.New(t)
+					c.submit(change("a", 0), 0)
+					c.at(s, 0, to, func() { c.set(c.frozen, 0, true) })
+					done := make(chan port.Outcome, 1)
+					go func() {
+						out, _ := c.node(0).Submit(context.Background(), change("b", 1))
+						done <- out
+					}()
+					time.Sleep(100 * time.Millisecond)
+					c.set(c.frozen, 0, true)
+					won := c.submit(change("x", 1), 1)
+					is.True(won.Version == 2) // its own, or what the frozen member had got through
+					version := uint64(2)
+					for range 3 {
+						is.Equal(c.submit(change(fmt.Sprint("y", version), version), 2).State, port.ChangeAccepted)
+						version++
+					}
+					time.Sleep(30 * time.Second)
+					c.set(c.frozen, 0, false)
+					out := <-done
+					time.Sleep(2 * time.Second)
+					final := c.submit(change("b", 1), 1)
+					is.True(final.State != won.State) // exactly one of the two won version 2
+					if out.State != port.ChangeUnknown && out.State != "" {
+						is.Equal(out, final)
+					}
+					c.holds(version, 6)
+				})
+			})
+		}
+	}
+}
+
+func TestRaceOfTwoOperators(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		for v := range uint64(20) {
+			outs := make([]port.Outcome, 2)
+			var both sync.WaitGroup
+			for i, through := range []int{0, 2} {
+				both.Go(func() { outs[i] = c.submit(change(fmt.Sprint(v, "-", i), v), through) })
+			}
+			both.Wait()
+			winner, loser := outs[0], outs[1]
+			if loser.State == port.ChangeAccepted {
+				winner, loser = loser, winner
+			}
+			is.Equal(winner.State, port.ChangeAccepted)
+			is.Equal(loser.State, port.ChangeConflict)
+			is.Equal(loser.Version, winner.Version)
+			is.Equal(loser.Digest, winner.Digest)
+			is.Equal(loser.Operator, winner.Operator)
+		}
+		c.holds(20, 40)
+	})
+}
+
+func TestInvalidChangeIsAuditedAndResentAlike(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		faulty := port.Change{ID: "f", Operator: "ana", Document: []byte("invalid")}
+		out := c.submit(faulty, 0)
+		is.Equal(out.State, port.ChangeInvalid)
+		is.Equal(c.submit(faulty, 2), out)
+		c.holds(0, 1)
+	})
+}
+
+// TestRestartAfter500Changes restarts a member that missed them: it catches up
+// with one value from each of the others, and all restart with the outcomes.
+func TestRestartAfter500Changes(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		var last port.Outcome
+		dir := c.kill(2)
+		for v := range uint64(500) {
+			last = c.submit(change(fmt.Sprint("c", v), v), 0)
+		}
+		var mu sync.Mutex
+		messages, values := 0, 0
+		c.onEvent(func(e event) {
+			mu.Lock()
+			defer mu.Unlock()
+			if e.from == 2 {
+				messages++
+			}
+			if e.value && (e.from == 2 && e.answer || e.to == 2 && !e.answer) {
+				values++
+			}
+		})
+		c.start(2, dir)
+		began := time.Now()
+		c.eventually("catch up", func() bool {
+			f, err := c.node(2).Fetch(0, nil)
+			return err == nil && f.Config.Version == 500
+		})
+		mu.Lock()
+		is.True(values <= 2)
+		t.Logf("caught up after %v with %d messages, %d values", time.Since(began), messages, values)
+		mu.Unlock()
+		for i := range 3 {
+			c.start(i, c.kill(i))
+		}
+		is.Equal(c.submit(change("c499", 499), 2), last)
+		c.holds(500, 500)
+	})
+}
+
+func TestFirstStartWaitsForAllMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		defer c.end()
+		dirs := []string{t.TempDir(), t.TempDir()}
+		c.start(0, dirs[0])
+		c.start(1, dirs[1])
+		time.Sleep(10 * time.Second)
+		is.True(!c.votes(0) && !c.votes(1))
+		c.onEvent(func(e event) {
+			if e.kind == probe && e.answer && e.from != 2 {
+				time.Sleep(3 * time.Second) // only member 2 hears in time that all are empty
+			}
+		})
+		c.start(2, t.TempDir())
+		time.Sleep(time.Second)
+		is.True(!c.votes(0) && !c.votes(1) && c.votes(2))
+		c.onEvent(func(event) {})
+		c.start(0, c.kill(0)) // a restart keeps the nonce that member 2 has seen
+		c.start(1, c.kill(1))
+		time.Sleep(time.Second)
+		is.True(c.votes(0) && c.votes(1) && c.votes(2))
+	})
+}
+
+// failingFS fails every sync once armed.
+type failingFS struct {
+	unsyncedFS
+	armed *atomic.Bool
+}
+
+func (f failingFS) SyncFolder(string) error {
+	if f.armed.Load() {
+		return errors.New("device error")
+	}
+	return nil
+}
+
+func TestFailedDiskStopsTheMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		defer c.end()
+		armed := new(atomic.Bool)
+		c.files[1] = failingFS{armed: armed}
+		for i := range 3 {
+			c.start(i, t.TempDir())
+		}
+		c.submit(change("a", 0), 0)
+		time.Sleep(time.Second)
+		armed.Store(true)
+		is.Equal(c.submit(change("b", 1), 0).State, port.ChangeAccepted) // the others decide
+		r := c.members[1]
+		err := <-r.done
+		r.done <- err
+		is.True(errors.Is(err, disk.ErrFailed))
+		_, err = r.node.Accept(register.Accept{Ballot: register.Ballot{Round: 1 << 40}})
+		is.True(errors.Is(err, disk.ErrFailed))
+		_, err = r.node.Query(register.Query{})
+		is.True(errors.Is(err, disk.ErrFailed))
+		_, err = r.node.Fetch(0, nil)
+		is.True(errors.Is(err, disk.ErrFailed))
+	})
+}
