Test the register's wire and what entries see; measure a change

Cause: the codec, the reaction to a silent connection and the control side of the spread had no tests, and docs/CAPACITY.md needs slopes.

--- /dev/null
+++ b/internal/adapter/registergrpc/client_test.go
@@ -0,0 +1,150 @@
+package registergrpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"sassafrasreach/internal/core/register"
+)
+
+// fakeMember answers queries and nothing else.
+type fakeMember struct {
+	Member
+	err error
+}
+
+func (m fakeMember) Query(q register.Query) (register.Report, error) {
+	return register.Report{Round: q.Round, Standing: register.Standing{Member: 1}}, m.err
+}
+
+// silencer passes connections on until it is told to drop what arrives on those
+// that are open; new ones work.
+type silencer struct {
+	mu    sync.Mutex
+	muted map[net.Conn]bool
+}
+
+func (s *silencer) mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.muted {
+		s.muted[c] = true
+	}
+}
+
+func (s *silencer) isMuted(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.muted[c]
+}
+
+func (s *silencer) serve(l net.Listener, target string) {
+	for {
+		in, err := l.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = in.Close()
+			return
+		}
+		s.mu.Lock()
+		s.muted[in] = false
+		s.mu.Unlock()
+		go s.pass(in, in, out)
+		go s.pass(in, out, in)
+	}
+}
+
+func (s *silencer) pass(key, from, to net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if s.isMuted(key) {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func serve(t *testing.T, member Member) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := grpc.NewServer(ServerOptions()...)
+	NewServer(member, testGroup).Register(server)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	return l.Addr().String()
+}
+
+func client(t *testing.T, address string, group uint64) *Client {
+	c, err := NewClient(address, group)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	s := &silencer{muted: make(map[net.Conn]bool)}
+	go s.serve(l, serve(t, fakeMember{}))
+	c := client(t, l.Addr().String(), testGroup)
+
+	report, err := c.Query(t.Context(), register.Query{Round: 4})
+	is.NoErr(err)
+	is.Equal(report.Round, uint64(4))
+	s.mute()
+	began := time.Now()
+	_, err = c.Query(t.Context(), register.Query{Round: 5})
+	is.True(err != nil) // the answer is lost
+	is.True(time.Since(began) < 2*callTimeout)
+	_, err = c.Query(t.Context(), register.Query{Round: 6})
+	is.NoErr(err) // over a new connection
+}
+
+func TestAnswersThatAreErrors(t *testing.T) {
+	failing := serve(t, fakeMember{err: io.ErrUnexpectedEOF})
+	working := serve(t, fakeMember{})
+	cases := []struct {
+		name       string
+		address    string
+		group      uint64
+		otherGroup bool
+	}{
+		{"the member's disk failed", failing, testGroup, false},
+		{"another group of members", working, testGroup + 1, true},
+		{"nobody listens", "127.0.0.1:1", testGroup, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := client(t, c.address, c.group).Query(t.Context(), register.Query{})
+			is.True(err != nil)
+			is.Equal(errors.Is(err, ErrOtherGroup), c.otherGroup)
+		})
+	}
+	t.Run("the caller gives up", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := client(t, working, testGroup).Query(ctx, register.Query{})
+		is.New(t).True(err != nil)
+	})
+}
--- a/internal/app/control/loopback_test.go
+++ b/internal/app/control/loopback_test.go
@@ -19,12 +19,12 @@
 )
 
 // startOnLoopback runs members as processes would, over gRPC.
-func startOnLoopback(t *testing.T, members int) []*control.Node {
+func startOnLoopback(t testing.TB, members int) []*control.Node {
 	is := is.New(t)
 	listeners := make([]net.Listener, members)
 	peers := make([]control.Peer, members)
 	for i := range members {
-		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		listeners[i] = l
 		peers[i] = control.Peer{Name: fmt.Sprintf("control-%d", i), Address: l.Addr().String()}
@@ -72,3 +72,18 @@
 	is.Equal(len(trail), 5)
 	is.NoErr(audit.Verify(trail))
 }
+
+// BenchmarkChange measures a change among members on loopback, with synced
+// files.
+func BenchmarkChange(b *testing.B) {
+	is := is.New(b)
+	nodes := startOnLoopback(b, 3)
+	version := uint64(0)
+	for b.Loop() {
+		change := port.Change{ID: fmt.Sprint("change-", version), Operator: "ana", BaseVersion: version, Document: make([]byte, 20_000)}
+		out, err := nodes[0].Submit(b.Context(), change)
+		is.NoErr(err)
+		is.Equal(out.State, port.ChangeAccepted)
+		version++
+	}
+}
