--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -23,8 +23,6 @@
 	BootstrapTokenSHA256 string `yaml:"bootstrap_token_sha256"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level"`
-	// MetricsListen is the IP:port for metrics (HTTP); empty means none.
-	MetricsListen string `yaml:"metrics_listen"`
 }
 
 // Member is one control VM.
--- a/internal/adapter/settings/validate.go
+++ b/internal/adapter/settings/validate.go
@@ -94,9 +94,7 @@
 		fs.add("bootstrap_token_sha256", "the lower-case hex SHA-256 of a token that isn't empty is wanted")
 	}
 	fs.logLevel(c.LogLevel)
-	fs.metrics(c.MetricsListen)
-	fs.distinct([]string{"peer_listen", "operator_listen", "metrics_listen"},
-		[]string{c.PeerListen, c.OperatorListen, c.MetricsListen})
+	fs.distinct([]string{"peer_listen", "operator_listen"}, []string{c.PeerListen, c.OperatorListen})
 	return fs
 }
 
--- /dev/null
+++ b/internal/cli/ctl/reference_test.go
@@ -0,0 +1,70 @@
+package ctl_test
+
+import (
+	"log/slog"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/event"
+)
+
+// TestReferenceIsAlike compares the page with the client's own help: commands
+// with their arguments, flags with their defaults, and exit codes.
+func TestReferenceIsAlike(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	is.Equal(b.run("-help"), 0)
+	help := b.errs.String()
+	text, err := os.ReadFile("../../../docs/reference/ctl.md")
+	is.NoErr(err)
+	page := string(text)
+
+	is.Equal(len(found(help, `(?m)^  ([a-z]+(?: [A-Z]+)?) +\S`)), 9)
+	is.Equal(len(found(help, `(?m)^  ([a-z]+(?: [A-Z]+)?) +\S`)), 9)
+	is.Equal(found(page, "(?m)^\\| `([a-z][^`]*)` \\|"), found(help, `(?m)^  ([a-z]+(?: [A-Z]+)?) +\S`))
+	is.Equal(found(page, "(?m)^\\| `-([^`]*)` \\|"), found(help, `(?m)^  -(\S+)`))
+	is.Equal(found(page, "(?m)^\\| ([0-9]) \\|"), found(help, `([0-9]) [a-z]`))
+	for _, m := range regexp.MustCompile("(?m)^\\| `(-[^`]*)` \\| ([^|]*) \\|").FindAllStringSubmatch(page, -1) {
+		_, rest, _ := strings.Cut(help, "  "+m[1])
+		own, _, _ := strings.Cut(rest, "\n  -")
+		hasDefault := strings.Contains(own, "(default ")
+		fixed := m[2] != "none" && m[2] != "all" && m[2] != "a new one" && m[2] != "see below"
+		is.Equal(hasDefault, fixed)                                                            // m[1]
+		is.True(!fixed || strings.Contains(strings.ReplaceAll(own, `"`, ""), "default "+m[2])) // m[1]
+	}
+}
+
+// found returns the sorted first groups of a pattern's matches.
+func found(text, pattern string) []string {
+	var out []string
+	for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+		out = append(out, strings.TrimSpace(m[1]))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestAlertsAreEvents compares the operators' page of alerts with the catalogue
+// of events: each number has its name, and no event of a warning is left out.
+func TestAlertsAreEvents(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/operators/alerts.md")
+	is.NoErr(err)
+	names := make(map[string]string)
+	for _, m := range regexp.MustCompile("(?m)^\\| ([0-9]+) `([^`]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		names[m[1]] = m[2]
+	}
+	for _, e := range event.Catalogue {
+		name, listed := names[strconv.Itoa(e.Number)]
+		is.Equal(listed, e.Level >= slog.LevelWarn) // e.Name
+		is.True(!listed || name == e.Name)          // e.Name
+		delete(names, strconv.Itoa(e.Number))
+	}
+	is.Equal(len(names), 0) // numbers that are no events
+}
