Keep caps and links in every window of one second

Cause: with shares given by version, an entry that skips a version could use its old share next to another's new one.

Ruled out: raising a share when the others have 'at least' the version (an entry that is ahead may have skipped it), and comparing shares in units (a changed cap moves them all).

Change: an entry holds a weight, a fraction of the cap. It is lowered at once and raised only when no other entry may still have a higher weight than the version gives it, and a window has passed; use is the weight's part of the cap in force. Links are split over the entries of both regions, and a charge may bound the answer's bytes apart, in the other direction.

--- a/internal/core/budget/bucket.go
+++ b/internal/core/budget/bucket.go
@@ -1,9 +1,6 @@
 package budget
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // loan is units until a moment on the own clock.
 type loan struct {
@@ -23,10 +20,18 @@
 	// now holds the split in force; past holds those before it.
 	now  split
 	past []split
-	// limit is the own share that may be used: never above that of the split
-	// in force, and below it while others may still use more than theirs.
+	// from is the version from which on all splits are known here.
+	from uint64
+	// weight is the own part that may be used. It is lowered at once and raised
+	// only when nobody else may use more than the split in force gives, so that
+	// the weights of all entries never sum to more than 1, whichever versions
+	// they have. No use exceeds the highest cap in force then.
+	weight weight
+	// limit is the own share that may be used. It is the weight's part of the
+	// cap rounded down, and the whole share when whole.
 	limit int64
-	// clear is since when nothing holds the limit down; zero while it is.
+	whole bool
+	// clear is since when nothing holds the weight down; zero while it is.
 	clear time.Time
 	// use and demand count the units admitted and asked for.
 	use, demand *meter
@@ -59,8 +64,23 @@
 // share is the own part of the split in force.
 func (b *bucket) share(entry string) int64 { return b.now.shares[entry] }
 
-// sameShares says whether a split divides as the one in force does.
-func (b *bucket) sameShares(s split) bool { return maps.Equal(b.now.shares, s.shares) }
+// lower puts a split in force without raising the own weight.
+func (b *bucket) lower(s split, entry string) {
+	b.now = s
+	if own := s.weights[entry]; own.below(b.weight) {
+		b.weight = own
+	}
+	b.limit = b.weight.of(s.units)
+	b.whole = false
+	b.clear = time.Time{}
+}
+
+// raise gives the whole share of the split in force.
+func (b *bucket) raise(entry string) {
+	b.weight = b.now.weights[entry]
+	b.limit = b.share(entry)
+	b.whole = true
+}
 
 // largest returns the largest unexpired loan and the list without the others.
 func largest(now time.Time, loans []loan) (int64, []loan) {
--- a/internal/core/budget/ledger.go
+++ b/internal/core/budget/ledger.go
@@ -65,30 +65,41 @@
 	if version <= l.version {
 		return
 	}
+	l.settleLimits(now)
 	if version != l.version+1 {
 		l.unbroken = version
 	}
+	first := l.version == 0 && version == 1
 	l.version = version
 	splits := splitsOf(version, doc)
 	for name, s := range splits {
 		b, ok := l.buckets[name]
-		if !ok {
+		if !ok && s.has(l.self.Entry) {
 			b = newBucket(name, l.cfg, now)
 			l.buckets[name] = b
+			if !first {
+				b.from = version
+			}
+		}
+		if b != nil {
+			l.resplit(b, s)
 		}
-		l.resplit(b, s)
 	}
 	for name, b := range l.buckets {
 		if _, ok := splits[name]; !ok {
 			l.resplit(b, split{version: version})
 		}
+		if !b.now.has(l.self.Entry) && b.lentUnits(now) == 0 && b.held == 0 {
+			delete(l.buckets, name)
+		}
 	}
 	l.settleLimits(now)
 }
 
-// resplit lowers the limit of a bucket to a new split and drops its loans.
+// resplit puts a split in force and drops the loans from others, which were
+// parts of another split.
 func (l *Ledger) resplit(b *bucket, s split) {
-	if b.sameShares(s) {
+	if b.now.same(s) {
 		b.now.ramp = s.ramp
 		return
 	}
@@ -97,10 +108,9 @@
 	}
 	if len(b.past) > l.cfg.MaxHistory {
 		b.past = b.past[1:]
+		b.from = max(b.from, b.past[0].version)
 	}
-	b.now = s
-	b.limit = min(b.limit, b.share(l.self.Entry))
-	b.clear = time.Time{}
+	b.lower(s, l.self.Entry)
 	clear(b.borrowed)
 }
 
@@ -114,55 +124,85 @@
 	l.settleLimits(now)
 }
 
-// Take uses what a request needs of every rule and of its link, or nothing if
-// one of them has no room. A rule that isn't in the document has none; a link
-// that isn't has no bound.
+// use is what a charge takes of one bucket.
+type use struct {
+	b     *bucket
+	units int64
+	// answer says that the units are bytes of the answer.
+	answer bool
+}
+
+// Take uses what a request needs of every rule and of its link in both
+// directions, or nothing if one of them has no room. A rule that isn't in the
+// document has none; a link that isn't has no bound.
 func (l *Ledger) Take(now time.Time, c Charge) bool {
 	now = l.tick(now)
 	l.settleLimits(now)
-	fits := true
-	for _, rule := range c.Rules {
-		b, ok := l.buckets[ruleBucket(rule)]
-		if !ok {
-			return false
+	rules, known := l.rules(c)
+	links := l.links(c)
+	fits := known
+	for _, list := range [...][]use{rules, links} {
+		for _, u := range list {
+			u.b.touch(now, u.units)
+			fits = fits && u.b.fits(now, u.units)
 		}
-		b.touch(now, 1)
-		fits = fits && b.fits(now, 1)
-	}
-	link := l.link(c)
-	if link != nil {
-		link.touch(now, c.Bytes)
-		fits = fits && link.fits(now, c.Bytes)
 	}
 	if !fits {
 		return false
 	}
-	for _, rule := range c.Rules {
-		l.buckets[ruleBucket(rule)].use.add(now, 1)
+	for _, u := range rules {
+		u.b.use.add(now, u.units)
 	}
-	if link != nil {
-		link.held += c.Bytes
+	for _, u := range links {
+		u.b.held += u.units
 	}
 	return true
 }
 
-// Settle ends the reservation of a charge that Take has admitted and counts
-// the bytes that went over the link, at most those reserved. Until then the
-// whole reservation counts. It must be called once for each charge with a link.
+// Settle ends the reservation of bytes by a charge that Take has admitted, and
+// counts what went over the link, at most what was reserved. Until then the
+// whole reservation counts. actualBytes are those of the answer when the charge
+// bounds them apart, and those of request and answer otherwise. Settle must be
+// called once for each admitted charge with a link, also when nothing was sent.
 func (l *Ledger) Settle(now time.Time, c Charge, actualBytes int64) {
 	now = l.tick(now)
-	link := l.link(c)
-	if link == nil {
-		return
+	for _, u := range l.links(c) {
+		u.b.held = max(0, u.b.held-u.units)
+		actual := u.units
+		if u.answer || c.AnswerBytes <= 0 {
+			actual = min(max(0, actualBytes), u.units)
+		}
+		u.b.use.add(now, actual)
 	}
-	link.held = max(0, link.held-c.Bytes)
-	link.use.add(now, min(max(0, actualBytes), c.Bytes))
 }
 
-// link returns the bucket of a charge's link, or nil.
-func (l *Ledger) link(c Charge) *bucket {
-	if c.Link == nil || c.Bytes <= 0 {
+// rules returns what a charge uses of rules; false if it names an unknown one.
+func (l *Ledger) rules(c Charge) ([]use, bool) {
+	list := make([]use, 0, len(c.Rules))
+	known := true
+	for _, rule := range c.Rules {
+		b, ok := l.buckets[ruleBucket(rule)]
+		if !ok {
+			known = false
+			continue
+		}
+		list = append(list, use{b: b, units: 1})
+	}
+	return list, known
+}
+
+// links returns what a charge uses of its link in both directions.
+func (l *Ledger) links(c Charge) []use {
+	if c.Link == nil {
 		return nil
 	}
-	return l.buckets[linkBucket(*c.Link)]
+	var list []use
+	if b := l.buckets[linkBucket(*c.Link)]; b != nil && c.Bytes > 0 {
+		list = append(list, use{b: b, units: c.Bytes})
+	}
+	back := LinkID{From: c.Link.To, To: c.Link.From}
+	if b := l.buckets[linkBucket(back)]; b != nil && c.AnswerBytes > 0 {
+		list = append(list, use{b: b, units: c.AnswerBytes, answer: true})
+	}
+	return list
 }
--- a/internal/core/budget/raise.go
+++ b/internal/core/budget/raise.go
@@ -2,14 +2,13 @@
 
 import "time"
 
-// settleLimits raises the limits that nothing holds down any more.
+// settleLimits raises the shares that nothing holds down any more.
 func (l *Ledger) settleLimits(now time.Time) {
 	if now.Before(l.usableFrom) {
 		return
 	}
 	for _, b := range l.buckets {
-		share := b.share(l.self.Entry)
-		if b.limit >= share {
+		if b.whole {
 			continue
 		}
 		if l.heldDown(now, b) {
@@ -20,7 +19,7 @@
 			b.clear = now
 		}
 		if now.Sub(b.clear) >= l.cfg.slower(l.cfg.Window) {
-			b.limit = share
+			b.raise(l.self.Entry)
 		}
 	}
 }
@@ -28,13 +27,13 @@
 // heldDown says whether some other entry may still use more of a bucket than
 // the split in force gives it.
 func (l *Ledger) heldDown(now time.Time, b *bucket) bool {
-	for entry := range b.now.shares {
+	for entry := range b.now.weights {
 		if l.mayExceed(now, b, entry) {
 			return true
 		}
 	}
 	for _, s := range b.past {
-		for entry := range s.shares {
+		for entry := range s.weights {
 			if l.mayExceed(now, b, entry) {
 				return true
 			}
@@ -57,16 +56,16 @@
 	if l.forgotten(now, seen) {
 		return false
 	}
-	if seen.version > l.version || seen.version < l.unbroken {
+	if seen.version > l.version || seen.version < max(l.unbroken, b.from) {
 		return true
 	}
-	share := b.now.shares[entry]
+	given := b.now.weights[entry]
 	for i, s := range b.past {
 		next := b.now.version
 		if i+1 < len(b.past) {
 			next = b.past[i+1].version
 		}
-		if next > seen.version && s.shares[entry] > share {
+		if next > seen.version && given.below(s.weights[entry]) {
 			return true
 		}
 	}
--- a/internal/core/budget/types.go
+++ b/internal/core/budget/types.go
@@ -89,10 +89,14 @@
 type Charge struct {
 	// Rules names the rules that the request crosses.
 	Rules []string
-	// Link is the link that the request crosses; nil for none.
+	// Link is the link that the request crosses, from its origin to the entry
+	// that admits it; nil for none.
 	Link *LinkID
-	// Bytes bounds what the request and its answer put on the link.
+	// Bytes bounds what the request puts on the link.
 	Bytes int64
+	// AnswerBytes bounds what its answer puts on the link in the other
+	// direction. When it is 0, Bytes is taken to bound both.
+	AnswerBytes int64
 }
 
 // BorrowRequest asks another entry for the loan of an unused part of its share.
