Show that a request takes down at most two endpoints

Cause: a resent request that crashes each endpoint must stop after two. Found and mended: deaths that lie nearly a Hold apart never added up, because each was forgotten before the next; the memory now lasts while callers ask. Endpoints that died together blamed a proven fingerprint twice. Change: a reset is told to the other entries at once, before its death is known, or a resend through another entry meets a table that knows nothing. Conclusion: two deaths hold for one table, and for several if a reset reaches them before the caller resends. First runs at the same time in several groups aren't bounded: each table lets two through.

--- a/internal/core/claims/table_test.go
+++ b/internal/core/claims/table_test.go
@@ -26,8 +26,10 @@
 	shed   = claims.Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonShed}
 )
 
-func key(t *testing.T, h claims.Home, unique string) claims.Key {
-	k, err := claims.ParseKey(claims.NewToken(h, epoch) + "." + unique)
+func key(t *testing.T, h claims.Home, unique string) claims.Key { return keyAt(t, h, 0, unique) }
+
+func keyAt(t *testing.T, h claims.Home, after time.Duration, unique string) claims.Key {
+	k, err := claims.ParseKey(claims.NewToken(h, epoch.Add(after)) + "." + unique)
 	is.New(t).NoErr(err)
 	return k
 }
@@ -65,6 +67,7 @@
 			t.Begin(epoch, key(nil, self, fmt.Sprint("f", n)), hire)
 		}
 	}
+	young := keyAt(t, self, limits.FirstUse/2, "u")
 	const may, not, did = verdict.MayHaveRun, verdict.NotRun, verdict.Ran
 	cases := []struct {
 		name   string
@@ -100,6 +103,17 @@
 			t.Finish(epoch, key(nil, self, "f0"), shed)
 			t.Expire(epoch.Add(limits.FirstUse))
 		}, k, hire, 0, claims.Refuse, not, verdict.ReasonKeyExpired},
+		{"refused when full, room in time", func(t table) {
+			fill(t)
+			t.Finish(epoch, key(nil, self, "f0"), shed)
+			t.Begin(epoch.Add(limits.FirstUse/2), young, hire)
+		}, young, hire, limits.FirstUse, claims.Refuse, not, verdict.ReasonKeyExpired},
+		{"ran, refused another when full", func(t table) {
+			end(ran)(t)
+			fill(t)
+			t.Begin(epoch, again, hire)
+		}, k, hire, 0, claims.Stored, did, ""},
+		{"refused too late, clock set back", func(t table) { t.Begin(epoch.Add(limits.FirstUse), k, hire) }, k, hire, 0, claims.Refuse, not, verdict.ReasonKeyExpired},
 		{"sealed", table.Seal, k, hire, 0, claims.Refuse, not, verdict.ReasonStopping},
 		{"sealed after it ran", func(t table) { end(ran)(t); t.Seal() }, k, hire, 0, claims.Stored, did, ""},
 		{"another key beside it", end(ran), again, hire, 0, claims.Start, may, ""},
--- a/internal/core/quarantine/death.go
+++ b/internal/core/quarantine/death.go
@@ -49,7 +49,7 @@
 // blame adds a death to the record. A proven fingerprint is on trial from its
 // first death on: runs that started before it don't count again.
 func (t *Table) blame(now time.Time, f fingerprint.Fingerprint, r *record, on incarnation, started time.Time) {
-	if started.Before(r.countFrom) {
+	if !r.countFrom.IsZero() && !started.After(r.countFrom) {
 		return
 	}
 	if t.isProven(now, f) {
@@ -57,6 +57,7 @@
 	}
 	delete(t.proven, f)
 	r.deaths = append(r.deaths, blame{on: on, at: now})
+	r.asked = later(r.asked, now)
 }
 
 // judge puts fingerprints with enough counted deaths into quarantine and lifts
--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -25,17 +25,14 @@
 }
 
 // dropOldRuns forgets the runs that were lost too long ago for any blame, and
-// the deaths that are past Hold and keep nothing in quarantine.
+// the deaths when nobody has asked for Hold.
 func (t *Table) dropOldRuns(now time.Time, r *record) {
 	r.runs = slices.DeleteFunc(r.runs, func(x run) bool {
 		return !x.lost.IsZero() && now.Sub(x.lost) >= t.cfg.Blame
 	})
-	if now.Before(r.until) {
-		return
+	if !now.Before(r.until) && now.Sub(r.asked) >= t.cfg.Hold {
+		r.deaths = nil
 	}
-	r.deaths = slices.DeleteFunc(r.deaths, func(b blame) bool {
-		return now.Sub(b.at) >= t.cfg.Hold
-	})
 }
 
 // forgetIdle drops a record that says nothing any more.
@@ -72,3 +69,7 @@
 	}
 	t.proven[f] = now
 }
+
+// Size returns the number of fingerprints that have a record, and of those that
+// are proven.
+func (t *Table) Size() (records, proven int) { return len(t.records), len(t.proven) }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -13,8 +13,8 @@
 
 // Config sets the times and bounds of a Table.
 type Config struct {
-	// Hold is how long a fingerprint stays in quarantine after it was last
-	// asked for, and how long a death is remembered.
+	// Hold is how long after it was last asked for a fingerprint stays in
+	// quarantine, and its deaths are remembered.
 	Hold time.Duration
 	// Blame is how long after a run was lost a death is blamed on it. It must
 	// be longer than it takes to notice that an endpoint is gone.
@@ -47,9 +47,11 @@
 type End uint8
 
 const (
-	// Lost means that nobody knows how the run ended: its connection failed, or
-	// it was given up. It is the zero value.
+	// Lost means that the run was given up, and nobody knows how it ended. It is
+	// the zero value.
 	Lost End = iota
+	// Reset means that the endpoint's side of the connection broke.
+	Reset
 	// Answered means that the endpoint answered.
 	Answered
 	// NotStarted means that the endpoint certainly did not start the request.
@@ -73,7 +75,10 @@
 // Change lists the fingerprints whose state changed and must be spread to the
 // other entries.
 type Change struct {
-	// Suspected have their first death.
+	// Suspected had their connection reset, or have their first death. Other
+	// entries hold them back: for Blame after a reset and for Hold after a death.
+	// They must know before the caller does, or its resend may reach an entry
+	// that doesn't.
 	Suspected []fingerprint.Fingerprint
 	// Quarantined went into quarantine.
 	Quarantined []fingerprint.Fingerprint
@@ -116,8 +121,11 @@
 	service string
 	runs    []run
 	deaths  []blame
-	// countFrom is the earliest start of runs that a death may be blamed on.
+	// countFrom is the time after which runs must have started to be blamed;
+	// zero means any.
 	countFrom time.Time
+	// asked is when the fingerprint was last asked for, or blamed.
+	asked time.Time
 	// until is the end of the quarantine; spread says that another entry asked
 	// for it, and suspectUntil the end of the hold for another entry's suspect.
 	until        time.Time
@@ -159,19 +167,19 @@
 	}
 	remaining = r.until.Sub(now)
 	r.until = later(r.until, now.Add(t.cfg.Hold))
+	r.asked = now
 	return remaining, true
 }
 
-// Started asks for a run of f on an endpoint and records it when admitted.
+// Started asks for a run of f on an endpoint and records it when admitted. Like
+// Check it lengthens the memory of f's deaths.
 func (t *Table) Started(now time.Time, endpoint string, number uint64, f fingerprint.Fingerprint, service string) Admission {
-	if _, quarantined := t.Check(now, f); quarantined {
-		return Refused
-	}
-	if t.held(now, f) {
+	if _, quarantined := t.Check(now, f); quarantined || t.held(now, f) {
 		return Refused
 	}
 	r := t.record(f)
 	t.dropOldRuns(now, r)
+	r.asked = now
 	if !t.isProven(now, f) || len(r.deaths) > 0 {
 		if a := r.admission(t.countDeaths(f, r)); a != Admitted {
 			return a
@@ -221,9 +229,9 @@
 	if i < 0 {
 		return Change{}
 	}
-	if end == Lost && len(t.records) <= t.cfg.MaxEntries {
+	if (end == Lost || end == Reset) && len(t.records) <= t.cfg.MaxEntries {
 		r.runs[i].lost = now
-		return Change{}
+		return t.suspected(now, f, end)
 	}
 	r.runs = slices.Delete(r.runs, i, i+1)
 	var c Change
@@ -234,14 +242,24 @@
 	return c
 }
 
+// suspected tells the other entries of a reset; fingerprints that are only
+// given up are too many under overload.
+func (t *Table) suspected(now time.Time, f fingerprint.Fingerprint, end End) Change {
+	if end != Reset || t.isProven(now, f) {
+		return Change{}
+	}
+	return Change{Suspected: []fingerprint.Fingerprint{f}}
+}
+
 // answered takes the blame from f, unless it is in quarantine already.
 func (t *Table) answered(now time.Time, f fingerprint.Fingerprint, r *record) Change {
 	if now.Before(r.until) {
 		return Change{}
 	}
 	t.prove(now, f)
+	lostRuns := len(r.runs) - r.underWay()
 	r.runs = slices.DeleteFunc(r.runs, func(x run) bool { return !x.lost.IsZero() })
-	suspected := len(r.deaths) > 0
+	suspected := len(r.deaths) > 0 || lostRuns > 0
 	r.deaths = nil
 	r.countFrom = time.Time{}
 	if suspected {
--- /dev/null
+++ b/internal/core/quarantine/table_test.go
@@ -0,0 +1,179 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/fingerprint"
+	"sassafrasreach/internal/core/quarantine"
+)
+
+var (
+	epoch  = time.Unix(1_000_000, 0)
+	cfg    = quarantine.DefaultConfig()
+	poison = fingerprint.Of("roster-desk", "GET", "/poison", nil)
+	second = fingerprint.Of("roster-desk", "GET", "/second", nil)
+)
+
+// bench drives a table with a clock of its own.
+type bench struct {
+	*quarantine.Table
+	now time.Time
+}
+
+func newBench() *bench { return &bench{quarantine.NewTable(cfg), epoch} }
+
+func (b *bench) pass(d time.Duration) { b.now = b.now.Add(d) }
+
+func (b *bench) start(endpoint string, f fingerprint.Fingerprint) quarantine.Admission {
+	return b.Started(b.now, endpoint, 1, f, "roster-desk")
+}
+
+func (b *bench) end(endpoint string, f fingerprint.Fingerprint, end quarantine.End) quarantine.Change {
+	return b.Ended(b.now, endpoint, 1, f, end)
+}
+
+// kill starts f on the endpoint, which then dies.
+func (b *bench) kill(endpoint string, f fingerprint.Fingerprint) quarantine.Change {
+	b.start(endpoint, f)
+	b.end(endpoint, f, quarantine.Reset)
+	b.pass(time.Second)
+	return b.Died(b.now, endpoint, 1)
+}
+
+// prove has f answered once.
+func (b *bench) prove(f fingerprint.Fingerprint) {
+	b.start("w0", f)
+	b.end("w0", f, quarantine.Answered)
+}
+
+func TestAdmission(t *testing.T) {
+	type B = *bench
+	const ok, wait, no = quarantine.Admitted, quarantine.Wait, quarantine.Refused
+	kill := func(endpoints ...string) func(B) {
+		return func(b B) {
+			for _, e := range endpoints {
+				b.kill(e, poison)
+			}
+		}
+	}
+	wider := func(others int, apart time.Duration) func(B) {
+		return func(b B) {
+			b.start("w1", poison)
+			b.start("w2", poison)
+			b.Died(b.now, "w1", 1)
+			b.Died(b.now, "w2", 1)
+			b.pass(apart)
+			for n := range others {
+				b.Died(b.now, fmt.Sprint("o", n), 1)
+			}
+		}
+	}
+	cases := []struct {
+		name   string
+		before func(B)
+		want   quarantine.Admission
+	}{
+		{"first", func(B) {}, ok},
+		{"two under way", func(b B) { b.start("w1", poison); b.start("w2", poison) }, wait},
+		{"proven, many under way", func(b B) { b.prove(poison); b.start("w1", poison); b.start("w2", poison) }, ok},
+		{"one answered of two", func(b B) { b.start("w1", poison); b.start("w2", poison); b.end("w1", poison, quarantine.Answered) }, ok},
+		{"not started twice", func(b B) {
+			b.start("w1", poison)
+			b.start("w2", poison)
+			b.end("w1", poison, quarantine.NotStarted)
+			b.end("w2", poison, quarantine.NotStarted)
+		}, ok},
+		{"two resets without news of a death", func(b B) {
+			b.start("w1", poison)
+			b.start("w2", poison)
+			b.end("w1", poison, quarantine.Reset)
+			b.end("w2", poison, quarantine.Reset)
+		}, no},
+		{"two resets long ago", func(b B) {
+			b.start("w1", poison)
+			b.start("w2", poison)
+			b.end("w1", poison, quarantine.Reset)
+			b.end("w2", poison, quarantine.Lost)
+			b.pass(cfg.Blame)
+		}, ok},
+		{"one death", kill("w1"), ok},
+		{"one death, one under way", func(b B) { b.kill("w1", poison); b.start("w2", poison) }, wait},
+		{"one death, one lost", func(b B) { b.kill("w1", poison); b.start("w2", poison); b.end("w2", poison, quarantine.Lost) }, no},
+		{"one death, proven before", func(b B) { b.prove(poison); b.kill("w1", poison); b.start("w2", poison) }, wait},
+		{"one death told twice", func(b B) { b.kill("w1", poison); b.Died(b.now, "w1", 1, poison) }, ok},
+		{"one death, then an answer", func(b B) { b.kill("w1", poison); b.start("w2", poison); b.end("w2", poison, quarantine.Answered) }, ok},
+		{"two deaths, an answer between", func(b B) {
+			b.kill("w1", poison)
+			b.start("w2", poison)
+			b.end("w2", poison, quarantine.Answered)
+			b.pass(cfg.Proven)
+			b.kill("w3", poison)
+		}, ok},
+		{"two deaths", kill("w1", "w2"), no},
+		{"two deaths, told by the caller", func(b B) { b.Died(b.now, "w1", 1, poison); b.Died(b.now, "w2", 1, poison) }, no},
+		{"death long after the loss", func(b B) {
+			b.start("w1", poison)
+			b.end("w1", poison, quarantine.Lost)
+			b.pass(cfg.Blame)
+			b.Died(b.now, "w1", 1)
+			b.kill("w2", poison)
+		}, ok},
+		{"quarantine, asked before its end", func(b B) { kill("w1", "w2")(b); b.pass(cfg.Hold - 1); b.start("w3", poison); b.pass(cfg.Hold - 1) }, no},
+		{"quarantine over", func(b B) { kill("w1", "w2")(b); b.pass(cfg.Hold) }, ok},
+		{"quarantine lifted", func(b B) { kill("w1", "w2")(b); b.Lift(poison) }, ok},
+		{"quarantine from a peer", func(b B) { b.Add(b.now, poison, time.Minute) }, no},
+		{"suspect of a peer", func(b B) { b.Suspect(b.now, poison, time.Minute) }, no},
+		{"suspect of a peer, proven here", func(b B) { b.prove(poison); b.Suspect(b.now, poison, time.Minute) }, ok},
+		{"wider failure", wider(cfg.WiderDeaths, cfg.Window), ok},
+		{"fewer others", wider(cfg.WiderDeaths-1, cfg.Window), no},
+		{"others later", wider(cfg.WiderDeaths, cfg.Window+1), no},
+		{"wider failure, proven on all", func(b B) {
+			b.prove(poison)
+			for n := range 6 {
+				b.start(fmt.Sprint("w", n), poison)
+			}
+			for n := range 6 {
+				b.Died(b.now, fmt.Sprint("w", n), 1)
+			}
+		}, ok},
+		{"two poisons at once", func(b B) {
+			b.Died(b.now, "v1", 1, second)
+			b.Died(b.now, "v2", 1, second)
+			b.Died(b.now, "o1", 1)
+			b.Died(b.now, "o2", 1)
+			b.Died(b.now, "w1", 1, poison)
+			b.Died(b.now, "w2", 1, poison)
+		}, no},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench()
+			c.before(b)
+			is.New(t).Equal(b.start("w9", poison), c.want)
+		})
+	}
+}
+
+func TestChanges(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	all := []fingerprint.Fingerprint{poison}
+	b.start("w1", poison)
+	is.Equal(b.end("w1", poison, quarantine.Reset).Suspected, all)
+	is.Equal(b.Died(b.now, "w1", 1).Suspected, all)
+	is.Equal(b.kill("w2", poison).Quarantined, all)
+	is.Equal(b.List(b.now), []quarantine.Entry{{Fingerprint: poison, Service: "roster-desk", Remaining: cfg.Hold}})
+	remaining, quarantined := b.Check(b.now.Add(time.Minute), poison)
+	is.True(quarantined)
+	is.Equal(remaining, cfg.Hold-time.Minute)
+	var lifted []fingerprint.Fingerprint
+	for n := range cfg.WiderDeaths {
+		lifted = append(lifted, b.Died(b.now, fmt.Sprint("o", n), 1).Lifted...)
+	}
+	is.Equal(lifted, all)
+	is.Equal(len(b.List(b.now)), 0)
+}
