Give each exchange its own ID, and count every fingerprint of a death

Cause: callers choose request IDs freely, and two may choose the same; an answer of one would then pass for the other's. An entry that is told of one death for several fingerprints, one by one, counted it for the first only. Change: the ID on the wire is the request's with a random part; further reports of a death blame what the earlier ones did not name. Shown: a late answer to another call with the same ID, and a second fingerprint of one death, are rows that failed before. After: both packages pass under -race.

--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"net/http"
 	"strconv"
 	"strings"
@@ -73,7 +74,7 @@
 		defer cancel()
 		return nil, notRun(ctx, verdict.ReasonDial, err)
 	}
-	x := c.newExchange(ctx, cancel, p, conn, req)
+	x := c.newExchange(ctx, cancel, p, conn, req, httpReq.Header.Get(HeaderRequestID))
 	return x.run(httpReq)
 }
 
@@ -160,7 +161,7 @@
 		return nil, errBadTarget
 	}
 	out.Header = endToEnd(req.Header)
-	out.Header.Set(HeaderRequestID, req.ID)
+	out.Header.Set(HeaderRequestID, exchangeID(req.ID))
 	if !req.Deadline.IsZero() {
 		left := max(time.Until(req.Deadline).Milliseconds(), 0)
 		out.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
@@ -170,3 +171,14 @@
 	}
 	return out, nil
 }
+
+// exchangeID returns the ID that an answer must echo. Callers choose their IDs
+// freely and may choose the same, so each exchange adds a part of its own.
+func exchangeID(id string) string {
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' {
+			return rand.Text()
+		}
+	}
+	return id + "." + rand.Text()
+}
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -20,12 +20,14 @@
 	pool   *pool
 	conn   *conn
 	req    *port.Request
+	// id is what the answer must echo.
+	id string
 	// stopWatch ends the watch on ctx; it reports false when ctx ended first.
 	stopWatch func() bool
 }
 
-func (c *Caller) newExchange(ctx context.Context, cancel context.CancelFunc, p *pool, cn *conn, req *port.Request) *exchange {
-	x := &exchange{caller: c, ctx: ctx, cancel: cancel, pool: p, conn: cn, req: req}
+func (c *Caller) newExchange(ctx context.Context, cancel context.CancelFunc, p *pool, cn *conn, req *port.Request, id string) *exchange {
+	x := &exchange{caller: c, ctx: ctx, cancel: cancel, pool: p, conn: cn, req: req, id: id}
 	x.stopWatch = context.AfterFunc(ctx, func() {
 		_ = cn.SetDeadline(time.Unix(1, 0))
 	})
@@ -111,7 +113,7 @@
 // check reports why an answer can't be the whole answer to the request.
 func (x *exchange) check(in *answer) error {
 	ids := in.header[HeaderRequestID]
-	if len(ids) != 1 || ids[0] != x.req.ID {
+	if len(ids) != 1 || ids[0] != x.id {
 		return fmt.Errorf("%w: %.80q", ErrWrongID, ids)
 	}
 	if !in.framed {
--- a/internal/adapter/endpointhttp/header.go
+++ b/internal/adapter/endpointhttp/header.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// HeaderRequestID carries the request's ID to the endpoint and back.
+	// HeaderRequestID carries the ID of the exchange to the endpoint and back: the
+	// request's own ID, a dot and a random part.
 	HeaderRequestID = "Sassafrasreach-Request-Id"
 	// HeaderTimeout carries the time that is left, in milliseconds.
 	HeaderTimeout = "Sassafrasreach-Timeout-Ms"
--- a/internal/adapter/endpointhttp/reuse_test.go
+++ b/internal/adapter/endpointhttp/reuse_test.go
@@ -68,6 +68,7 @@
 
 // TestLateAnswers lets answers arrive after their call ended, or twice.
 func TestLateAnswers(t *testing.T) {
+	var first string
 	answer := func(c *net.TCPConn, id, body string) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", endpointhttp.HeaderRequestID, id, len(body), body)
 	}
@@ -90,11 +91,12 @@
 			answer(c, "r1", "first")
 			return ok
 		}, long, verdict.Ran, 2},
-		{"again in place of the next", func(c *net.TCPConn, n int64, r *http.Request) bool {
+		{"again in place of the next, whose caller chose the same ID", func(c *net.TCPConn, n int64, r *http.Request) bool {
 			if n == 1 {
+				first = r.Header.Get(endpointhttp.HeaderRequestID)
 				return whole(c, n, r)
 			}
-			answer(c, "r1", "first")
+			answer(c, first, "first")
 			return true
 		}, long, verdict.MayHaveRun, 1},
 	}
@@ -106,7 +108,7 @@
 			caller := newCaller(t, endpointhttp.Options{})
 			_, _ = caller.Call(context.Background(), at(link.Addr()), filing("r1", "first", c.within))
 			time.Sleep(short)
-			got, err := caller.Call(context.Background(), at(link.Addr()), filing("r2", "second", long))
+			got, err := caller.Call(context.Background(), at(link.Addr()), filing("r1", "second", long))
 			is.Equal(verdict.Of(err), c.second)
 			if err == nil {
 				is.Equal(string(got.Body), "second")
--- a/internal/core/quarantine/death.go
+++ b/internal/core/quarantine/death.go
@@ -9,28 +9,36 @@
 
 // Died records the death of an endpoint incarnation and blames the requests
 // that were in flight on it, or whose end was lost within Blame, and those that
-// the caller names besides. A second call for the incarnation changes nothing.
+// the caller names besides. Further calls for the incarnation blame what they
+// name and the earlier ones didn't.
 func (t *Table) Died(now time.Time, endpoint string, number uint64, inFlight ...fingerprint.Fingerprint) Change {
 	on := incarnation{endpoint, number}
-	known := slices.ContainsFunc(t.deaths, func(d death) bool { return d.on == on })
-	if known {
-		return Change{}
-	}
 	before := t.quarantinedHere(now)
-	d := death{on: on, at: now}
+	d := t.death(now, on)
+	var blamed []fingerprint.Fingerprint
 	for f, r := range t.records {
 		if t.blameRuns(now, f, r, on) {
-			d.blamed = append(d.blamed, f)
+			blamed = append(blamed, f)
 		}
 	}
 	for _, f := range inFlight {
-		if !slices.Contains(d.blamed, f) {
+		if !slices.Contains(d.blamed, f) && !slices.Contains(blamed, f) {
 			t.blame(now, f, t.record(f), on, now)
-			d.blamed = append(d.blamed, f)
+			blamed = append(blamed, f)
 		}
 	}
-	t.deaths = append(t.deaths, d)
-	return t.judge(now, d, before)
+	d.blamed = append(d.blamed, blamed...)
+	return t.judge(now, death{on: on, at: d.at, blamed: blamed}, before)
+}
+
+// death returns the record of an incarnation's death, a new one if need be.
+func (t *Table) death(now time.Time, on incarnation) *death {
+	i := slices.IndexFunc(t.deaths, func(d death) bool { return d.on == on })
+	if i < 0 {
+		i = len(t.deaths)
+		t.deaths = append(t.deaths, death{on: on, at: now})
+	}
+	return &t.deaths[i]
 }
 
 // blameRuns blames f for the death if it has a run on the incarnation, and ends
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -114,7 +114,11 @@
 			b.kill("w3", poison)
 		}, ok},
 		{"two deaths", kill("w1", "w2"), no},
-		{"two deaths, told by the caller", func(b B) { b.Died(b.now, "w1", 1, poison); b.Died(b.now, "w2", 1, poison) }, no},
+		{"two deaths, told by the caller", func(b B) {
+			b.Died(b.now, "w1", 1, second)
+			b.Died(b.now, "w1", 1, poison)
+			b.Died(b.now, "w2", 1, poison)
+		}, no},
 		{"death long after the loss", func(b B) {
 			b.start("w1", poison)
 			b.end("w1", poison, quarantine.Lost)
