Test the limits, the reuse and the headers of endpoint connections

Cause: planted faults showed that nothing tested an unbounded answer head, an announced close, the limit of connections and hop-by-hop fields. Change: tests for them; the endless head had lacked a length, and was refused for that. Shown: each of the four faults was seen to fail. Reuse of a connection whose call was canceled between its whole answer and its end still passes: the window is too short to hit on purpose, and such a connection fails its next call before a byte is written. After: the package passes three times in a row under -race.

--- a/internal/adapter/endpointhttp/failure_test.go
+++ b/internal/adapter/endpointhttp/failure_test.go
@@ -170,7 +170,7 @@
 		"bad chunk":              say("200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\nzz\r\n1234\r\n0\r\n\r\n"),
 		"over the bound":         say("200 OK\r\n%sContent-Length: %d\r\n\r\n%s", len(big), big),
 		"chunk over the bound":   say("200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(big), big),
-		"endless head":           say("200 OK\r\n%sX: %s\r\n\r\n", big),
+		"endless head":           say("200 OK\r\n%sContent-Length: 0\r\nX: %s\r\n\r\n", big),
 		"endless interim":        say(strings.Repeat("100 Continue\r\n\r\nHTTP/1.1 ", 9) + "200 OK\r\n%sContent-Length: 0\r\n\r\n"),
 		"another protocol":       say("101 Switching Protocols\r\n%sUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
 		"no HTTP":                say("\x00\x01%s"),
--- /dev/null
+++ b/internal/adapter/endpointhttp/pool_test.go
@@ -0,0 +1,143 @@
+package endpointhttp_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/adapter/endpointhttp"
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
+)
+
+// TestConnections makes calls in a row and counts the connections.
+func TestConnections(t *testing.T) {
+	cases := []struct {
+		name   string
+		script script
+		change func(to *port.Endpoint, c *endpointhttp.Caller)
+		opened int
+	}{
+		{"kept", whole, func(*port.Endpoint, *endpointhttp.Caller) {}, 1},
+		{"the endpoint says close", say("200 OK\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n"), func(*port.Endpoint, *endpointhttp.Caller) {}, 3},
+		{"another incarnation", whole, func(to *port.Endpoint, _ *endpointhttp.Caller) { to.Incarnation++ }, 3},
+		{"forgotten", whole, func(to *port.Endpoint, c *endpointhttp.Caller) { c.Forget(to.ID) }, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			link := newEndpoint(t, c.script).link(t)
+			caller := newCaller(t, endpointhttp.Options{})
+			to := at(link.Addr())
+			for range 3 {
+				_, err := caller.Call(context.Background(), to, filing("r1", "", long))
+				is.NoErr(err)
+				c.change(&to, caller)
+			}
+			is.Equal(link.Accepted(), c.opened)
+		})
+	}
+}
+
+// counted is a connection that tells when it is closed.
+type counted struct {
+	*net.TCPConn
+	closed func()
+}
+
+func (c counted) Close() error {
+	c.closed()
+	return c.TCPConn.Close()
+}
+
+// TestConnectionLimit lets stale connections pile up under a limit, and a call
+// wait for one in use.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	open, most := 0, 0
+	add := func(n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		open += n
+		most = max(most, open)
+	}
+	now := time.Now()
+	caller := newCaller(t, endpointhttp.Options{
+		Clock: port.ClockFunc(func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			return now
+		}),
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			var d net.Dialer
+			c, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			add(1)
+			return counted{c.(*net.TCPConn), sync.OnceFunc(func() { add(-1) })}, nil
+		},
+	})
+	busy := make(chan struct{})
+	to := at(newEndpoint(t, func(c *net.TCPConn, n int64, r *http.Request) bool {
+		if r.URL.Path == "/busy" {
+			<-busy
+		}
+		return whole(c, n, r)
+	}).addr)
+	to.Connections = 2
+	for range 3 {
+		var both sync.WaitGroup
+		for range 2 {
+			both.Go(func() { _, _ = caller.Call(context.Background(), to, filing("r1", "", long)) })
+		}
+		both.Wait()
+		mu.Lock()
+		now = now.Add(2 * time.Second)
+		mu.Unlock()
+	}
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(func() {
+			req := filing("r1", "", long)
+			req.Target = "/busy"
+			_, _ = caller.Call(context.Background(), to, req)
+		})
+	}
+	time.Sleep(short)
+	_, err := caller.Call(context.Background(), to, filing("r1", "", short))
+	close(busy)
+	both.Wait()
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(verdict.ReasonOf(err), verdict.ReasonDeadline)
+	is.Equal(most, 2)
+}
+
+func TestHeaders(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan http.Header, 1)
+	e := newEndpoint(t, func(c *net.TCPConn, n int64, r *http.Request) bool {
+		seen <- r.Header
+		return say("200 OK\r\n%sKeep-Alive: 5\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\nSassafrasreach-Verdict: not-run\r\nContent-Length: 0\r\n\r\n")(c, n, r)
+	})
+	req := filing("r1", "", long)
+	req.Header = http.Header{
+		"Connection": {"X-Hop, X-Hop-2"}, "X-Hop": {"1"}, "X-Hop-2": {"1"}, "Te": {"trailers"}, "Upgrade": {"h2c"},
+		"Expect": {"100-continue"}, "X-End": {"1"}, endpointhttp.HeaderTimeout: {"99999999"}, "Idempotency-Key": {"k"},
+	}
+	got, err := newCaller(t, endpointhttp.Options{}).Call(context.Background(), at(e.addr), req)
+	is.NoErr(err)
+	is.Equal(got.Header, http.Header{"X-End": {"1"}, "Content-Length": {"0"}})
+	sent := <-seen
+	is.True(sent.Get(endpointhttp.HeaderTimeout) < "99999999" && len(sent.Get(endpointhttp.HeaderTimeout)) == 5)
+	for _, name := range []string{"Connection", "X-Hop", "X-Hop-2", "Te", "Upgrade", "Expect", "User-Agent"} {
+		is.Equal(sent.Get(name), "")
+	}
+	is.Equal(sent.Get("X-End")+sent.Get("Idempotency-Key"), "1k")
+}
