--- a/internal/app/entry/announce.go
+++ b/internal/app/entry/announce.go
@@ -69,6 +69,10 @@
 		State:       admissionState(a.State),
 		Load:        a.Load,
 	})
+	if a.Incarnation > former {
+		event.Log(context.Background(), e.logger, event.EndpointFound,
+			slog.String("endpoint", a.ID), slog.Uint64("incarnation", a.Incarnation))
+	}
 	if replaced {
 		go e.endpointDied(a.ID, former, a.Service)
 	}
--- a/internal/app/entry/ledger.go
+++ b/internal/app/entry/ledger.go
@@ -97,30 +97,30 @@
 	from, to := regions[req.Origin].name, regions[crossing.Place].name
 	if from != to {
 		charge.Link = &budget.LinkID{From: from, To: to}
-		charge.Bytes = int64(len(req.Body)) + req.MaxAnswerBytes + 2*headBytes
+		charge.Bytes = int64(len(req.Body)) + headBytes
+		charge.AnswerBytes = req.MaxAnswerBytes + headBytes
 	}
 	return charge
 }
 
 // settleCap counts the bytes that an answer really took. Those of a streamed
 // answer are known when its body is closed; until then its bound counts.
-func (e *Entry) settleCap(charge *budget.Charge, req *port.Request, response *port.Response) {
+func (e *Entry) settleCap(charge *budget.Charge, response *port.Response) {
 	if charge == nil || charge.Link == nil {
 		return
 	}
-	used := int64(len(req.Body)) + 2*headBytes
 	if response == nil {
 		// A failed request may have moved as much as it reserved.
-		e.ledger.settle(e.clock.Now(), *charge, charge.Bytes)
+		e.ledger.settle(e.clock.Now(), *charge, charge.AnswerBytes)
 		return
 	}
 	if response.Rest != nil {
 		response.Rest = &closer{ReadCloser: response.Rest, after: func() {
-			e.ledger.settle(e.clock.Now(), *charge, charge.Bytes)
+			e.ledger.settle(e.clock.Now(), *charge, charge.AnswerBytes)
 		}}
 		return
 	}
-	e.ledger.settle(e.clock.Now(), *charge, used+int64(len(response.Body)))
+	e.ledger.settle(e.clock.Now(), *charge, int64(len(response.Body))+headBytes)
 }
 
 // loanLoop borrows unused shares of other entries while this one lacks some.
--- a/internal/app/entry/members.go
+++ b/internal/app/entry/members.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 	"time"
 
 	"sassafrasreach/internal/core/membership"
 	"sassafrasreach/internal/core/steering"
-	"sassafrasreach/internal/event"
 )
 
 // beatPeriod is the time between heartbeats.
@@ -93,8 +91,10 @@
 func (e *Entry) beatLoop(ctx context.Context) {
 	ticker := time.NewTicker(beatPeriod)
 	defer ticker.Stop()
+	var seen watch
 	for {
 		e.beat(ctx)
+		e.noteChanges(ctx, &seen, e.clock.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -133,21 +133,10 @@
 	e.receiveBeat(reply)
 }
 
-// receiveBeat takes rows in and logs members that come.
+// receiveBeat takes rows in and returns this entry's own.
 func (e *Entry) receiveBeat(hb membership.Heartbeat) membership.Heartbeat {
-	now := e.clock.Now()
-	var (
-		reply membership.Heartbeat
-		found bool
-	)
-	e.members.with(func(t *membership.Table) {
-		_, known := t.Member(now, hb.From)
-		reply = t.Receive(now, hb)
-		found = !known
-	})
-	if found {
-		event.Log(context.Background(), e.logger, event.MemberFound, slog.String("member", hb.From))
-	}
+	var reply membership.Heartbeat
+	e.members.with(func(t *membership.Table) { reply = t.Receive(e.clock.Now(), hb) })
 	return reply
 }
 
--- a/internal/app/entry/own.go
+++ b/internal/app/entry/own.go
@@ -25,7 +25,7 @@
 		return nil, err
 	}
 	response, err := e.tryEndpoints(ctx, req, key)
-	e.settleCap(charge, req, response)
+	e.settleCap(charge, response)
 	return response, err
 }
 
--- a/internal/app/entry/pull.go
+++ b/internal/app/entry/pull.go
@@ -34,7 +34,6 @@
 	lastOwn  time.Time // when this entry last asked a control VM itself
 	next     int       // index of the control VM to ask
 	lost     bool      // no control VM answered last time
-	quorumOK bool      // a control quorum answered since the start
 }
 
 // pullLoop looks for newer documents.
@@ -61,9 +60,6 @@
 // has, or after the grace the newest of what peers and single control VMs have.
 func (e *Entry) bootstrap(ctx context.Context) {
 	best, quorum := e.askAllControl(ctx)
-	if quorum {
-		e.pull.quorumOK = true
-	}
 	if quorum && best.Version > 0 {
 		e.apply(ctx, best)
 		return
--- /dev/null
+++ b/internal/app/entry/watch.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"sassafrasreach/internal/event"
+)
+
+// watch remembers what the last heartbeat period saw, to log what changed. It
+// belongs to the heartbeat loop.
+type watch struct {
+	live  map[string]bool
+	owned map[groupKey]bool
+}
+
+// noteChanges logs members that came or went and groups that this entry gained
+// or lost.
+func (e *Entry) noteChanges(ctx context.Context, w *watch, now time.Time) {
+	s := e.snapshot.Load()
+	if s == nil {
+		return
+	}
+	live := make(map[string]bool)
+	for name := range s.entries {
+		if _, ok := e.members.member(now, name); ok {
+			live[name] = true
+		}
+	}
+	owned := make(map[groupKey]bool)
+	for _, g := range e.groups.all() {
+		if e.members.ownsSelf(now, g.key) {
+			owned[g.key] = true
+		}
+	}
+	eachMissing(w.live, live, func(name string) {
+		event.Log(ctx, e.logger, event.MemberLost, slog.String("member", name))
+	})
+	eachMissing(live, w.live, func(name string) {
+		event.Log(ctx, e.logger, event.MemberFound, slog.String("member", name))
+	})
+	eachMissing(w.owned, owned, func(key groupKey) { e.logOwner(ctx, event.OwnerLost, key) })
+	eachMissing(owned, w.owned, func(key groupKey) { e.logOwner(ctx, event.OwnerGained, key) })
+	w.live = live
+	w.owned = owned
+}
+
+func (e *Entry) logOwner(ctx context.Context, ev event.Event, key groupKey) {
+	event.Log(ctx, e.logger, ev, slog.String("service", key.service), slog.String("place", key.place))
+}
+
+// eachMissing calls do with every key of from that isn't in other.
+func eachMissing[K comparable](from, other map[K]bool, do func(K)) {
+	for key := range from {
+		if !other[key] {
+			do(key)
+		}
+	}
+}
