--- a/internal/app/entry/pull.go
+++ b/internal/app/entry/pull.go
@@ -29,11 +29,11 @@
 
 // puller is the state of the search for newer documents.
 type puller struct {
-	mu       sync.Mutex // serialises apply
-	started  time.Time
-	lastOwn  time.Time // when this entry last asked a control VM itself
-	next     int       // index of the control VM to ask
-	lost     bool      // no control VM answered last time
+	mu      sync.Mutex // serialises apply
+	started time.Time
+	lastOwn time.Time // when this entry last asked a control VM itself
+	next    int       // index of the control VM to ask
+	lost    bool      // no control VM answered last time
 }
 
 // pullLoop looks for newer documents.
