Lock the data folder of a control VM

Cause: two processes on one data folder would be two acceptors with one disk; each would overwrite the other's promises.

Change: disk.Open takes flock(2) on the folder and fails when another process holds it; Run gives it free at its end, and the member then answers nothing.

Shown by: TestOSKeepsRecords (a second Open fails while the first is open).

--- a/internal/adapter/disk/folder.go
+++ b/internal/adapter/disk/folder.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"path/filepath"
 )
@@ -24,11 +25,12 @@
 type Folder struct {
 	fs     FS
 	path   string
+	lock   io.Closer
 	failed error
 }
 
-// Open returns the folder at path and creates it if it doesn't exist. The error
-// wraps ErrFailed.
+// Open returns the folder at path, for this process alone, and creates it if it
+// doesn't exist. The error wraps ErrFailed.
 func Open(files FS, path string) (*Folder, error) {
 	if err := files.MakeFolder(path); err != nil {
 		return nil, fmt.Errorf("%w: create: %w", ErrFailed, err)
@@ -36,7 +38,17 @@
 	if err := files.SyncFolder(filepath.Dir(path)); err != nil {
 		return nil, fmt.Errorf("%w: sync parent: %w", ErrFailed, err)
 	}
-	return &Folder{fs: files, path: path}, nil
+	lock, err := files.Lock(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: another process has it: %w", ErrFailed, err)
+	}
+	return &Folder{fs: files, path: path, lock: lock}, nil
+}
+
+// Close gives the folder free for another process.
+func (f *Folder) Close() error {
+	f.failed = fmt.Errorf("%w: closed", ErrFailed)
+	return f.lock.Close()
 }
 
 // Load returns the payload of a record. The error wraps ErrMissing, ErrCorrupt
--- a/internal/adapter/disk/folder_test.go
+++ b/internal/adapter/disk/folder_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"maps"
 	"testing"
@@ -43,6 +44,8 @@
 
 func (f *fakeFS) MakeFolder(string) error { return nil }
 
+func (f *fakeFS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
 func (f *fakeFS) Read(path string) ([]byte, error) {
 	if err := f.op(); err != nil {
 		return nil, err
@@ -204,6 +207,10 @@
 	is.True(errors.Is(err, disk.ErrMissing))
 	is.NoErr(folder.Save("state", []byte("one")))
 	is.NoErr(folder.Save("state", []byte("two")))
+	_, err = disk.Open(disk.OS{}, dir)
+	is.True(errors.Is(err, disk.ErrFailed)) // one process at a time
+	is.NoErr(folder.Close())
+	is.True(errors.Is(folder.Save("state", nil), disk.ErrFailed))
 	again, err := disk.Open(disk.OS{}, dir)
 	is.NoErr(err)
 	payload, err := again.Load("state")
--- a/internal/adapter/disk/fs.go
+++ b/internal/adapter/disk/fs.go
@@ -1,8 +1,10 @@
 package disk
 
 import (
+	"errors"
 	"io"
 	"os"
+	"syscall"
 )
 
 const (
@@ -29,6 +31,9 @@
 	Create(path string) (File, error)
 	// Rename moves a file over another in one step.
 	Rename(from, to string) error
+	// Lock takes a folder for this process alone until the lock is closed. It
+	// fails at once when another holds it.
+	Lock(path string) (io.Closer, error)
 	// SyncFolder returns after the names in a folder are durable.
 	SyncFolder(path string) error
 }
@@ -50,6 +55,18 @@
 // Rename implements FS.
 func (OS) Rename(from, to string) error { return os.Rename(from, to) }
 
+// Lock implements FS with flock(2), which ends with the process.
+func (OS) Lock(path string) (io.Closer, error) {
+	folder, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(folder.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Join(err, folder.Close())
+	}
+	return folder, nil
+}
+
 // SyncFolder implements FS.
 func (OS) SyncFolder(path string) error {
 	folder, err := os.Open(path)
--- a/internal/app/control/cluster_test.go
+++ b/internal/app/control/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"sync"
@@ -80,8 +81,9 @@
 	f, err := disk.OS{}.Create(path)
 	return unsyncedFile{f}, err
 }
-func (unsyncedFS) SyncFolder(string) error { return nil }
-func (unsyncedFile) Sync() error           { return nil }
+func (unsyncedFS) SyncFolder(string) error        { return nil }
+func (unsyncedFS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+func (unsyncedFile) Sync() error                  { return nil }
 
 func newCluster(t *testing.T, members int) *cluster {
 	c := &cluster{
--- a/internal/app/control/node.go
+++ b/internal/app/control/node.go
@@ -57,6 +57,9 @@
 	tables entryTables
 }
 
+// errEnded is what a node answers after Run has ended.
+var errEnded = errors.New("the control node has ended")
+
 var (
 	_ port.ConfigStore    = (*Node)(nil)
 	_ registergrpc.Member = (*Node)(nil)
@@ -127,7 +130,19 @@
 	n.callsMu.Unlock()
 	loops.Wait()
 	n.calls.Wait()
-	return errors.Join(n.closeRemotes(), n.failure())
+	return errors.Join(n.closeRemotes(), n.closeFolder())
+}
+
+// closeFolder gives the data folder free and returns the disk's error, if any.
+// The member gives no more answers.
+func (n *Node) closeFolder() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	failed := n.failed
+	if failed == nil {
+		n.failed = errEnded
+	}
+	return errors.Join(failed, n.folder.Close())
 }
 
 func (n *Node) closeRemotes() error {
