Bound the work on a text with many problems

Cause: each problem was looked up among all fields, so the work grew with the square of a text's length, and an error could hold any number of problems. Change: fields are found by their line; an error holds at most 1,000 problems. Shown: TestManyProblems.

--- a/internal/core/strictyaml/decode.go
+++ b/internal/core/strictyaml/decode.go
@@ -36,9 +36,12 @@
 	return text
 }
 
-// Error holds every problem that was found in a text.
+// MaxProblems bounds the problems that one error holds.
+const MaxProblems = 1000
+
+// Error holds the problems that were found in a text.
 type Error struct {
-	// Problems has at least one element.
+	// Problems has 1 to MaxProblems elements.
 	Problems []Problem
 }
 
@@ -90,6 +93,7 @@
 	if errors.As(err, &typeError) {
 		messages = typeError.Errors
 	}
+	messages = messages[:min(len(messages), MaxProblems)]
 	index := newIndex(text, target)
 	problems := make([]Problem, len(messages))
 	for i, message := range messages {
--- a/internal/core/strictyaml/decode_test.go
+++ b/internal/core/strictyaml/decode_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -57,3 +59,16 @@
 	is.Equal(index.Line("items[1].count"), 4)
 	is.Equal(index.Line("missing"), 1)
 }
+
+// TestManyProblems reads a text with a problem on each of its 5,000 lines.
+func TestManyProblems(t *testing.T) {
+	is := is.New(t)
+	var text strings.Builder
+	for i := range 5_000 {
+		fmt.Fprintf(&text, "unknown%d: 1\n", i)
+	}
+	var e *strictyaml.Error
+	is.True(errors.As(strictyaml.Decode([]byte(text.String()), &sample{}), &e))
+	is.Equal(len(e.Problems), strictyaml.MaxProblems)
+	is.Equal(e.Problems[999].String(), "line 1000: unknown999: unknown field")
+}
--- a/internal/core/strictyaml/index.go
+++ b/internal/core/strictyaml/index.go
@@ -11,7 +11,9 @@
 
 // Index knows the line of each field of a text.
 type Index struct {
-	spots []spot
+	// spots holds the fields that begin on a line or whose value does.
+	spots map[int][]spot
+	// lines holds the line of each path, last the number of lines.
 	lines map[string]int
 	last  int
 }
@@ -28,7 +30,7 @@
 
 // newIndex also knows the Go type of each field when the text's is given.
 func newIndex(text []byte, target reflect.Type) *Index {
-	index := &Index{lines: make(map[string]int), last: 1}
+	index := &Index{spots: make(map[int][]spot), lines: make(map[string]int), last: 1}
 	index.last += bytes.Count(bytes.TrimRight(text, "\n"), []byte("\n"))
 	var root yaml.Node
 	if yaml.Unmarshal(text, &root) != nil || len(root.Content) == 0 {
@@ -73,7 +75,10 @@
 	if t != nil {
 		s.goType = t.String()
 	}
-	x.spots = append(x.spots, s)
+	x.spots[s.keyLine] = append(x.spots[s.keyLine], s)
+	if s.valueLine != s.keyLine {
+		x.spots[s.valueLine] = append(x.spots[s.valueLine], s)
+	}
 	if _, ok := x.lines[path]; !ok {
 		x.lines[path] = key.Line
 	}
@@ -105,7 +110,7 @@
 // key returns the path of the last field on the line that has the name.
 func (x *Index) key(line int, name string) string {
 	found := name
-	for _, s := range x.spots {
+	for _, s := range x.spots[line] {
 		if s.keyLine == line && s.key == name {
 			found = s.path
 		}
@@ -118,7 +123,7 @@
 // one, the line's first field.
 func (x *Index) value(line int, tag, shown, goType string) string {
 	prefix := strings.TrimSuffix(shown, "...")
-	for _, s := range x.spots {
+	for _, s := range x.spots[line] {
 		alike := s.tag == "!!"+tag && strings.HasPrefix(s.value, prefix) && strings.EqualFold(s.goType, goType)
 		if s.valueLine == line && alike {
 			return s.path
@@ -129,7 +134,7 @@
 
 // first returns the path of the first field that begins on the line.
 func (x *Index) first(line int) string {
-	for _, s := range x.spots {
+	for _, s := range x.spots[line] {
 		if s.keyLine == line {
 			return s.path
 		}
