Spread a shift over equal places, and try full ones when origin is gone

Change: Spread reorders choices of one class for each request, weighted by the room below the reserve. Places without room by the view are named late when origin is dead or drained, and left out as before otherwise. Own requests wait for at most the median latency.

--- a/internal/core/admission/faults_test.go
+++ b/internal/core/admission/faults_test.go
@@ -32,6 +32,7 @@
 	ends     map[uint64]end
 	got      map[string]int // requests per endpoint
 	refused  int
+	patience time.Duration
 }
 
 type end struct {
@@ -43,7 +44,7 @@
 func newBench(cfg admission.Config, fakes ...*fake) *bench {
 	b := &bench{
 		g: admission.NewGroup(cfg), now: start, fakes: fakes,
-		ends: map[uint64]end{}, got: map[string]int{},
+		ends: map[uint64]end{}, got: map[string]int{}, patience: 500 * time.Millisecond,
 	}
 	b.announce()
 	return b
@@ -107,7 +108,7 @@
 
 func (b *bench) offer() {
 	b.nextID++
-	t := admission.Ticket{ID: b.nextID, Deadline: b.now.Add(500 * time.Millisecond), Own: true}
+	t := admission.Ticket{ID: b.nextID, Deadline: b.now.Add(b.patience), Own: true}
 	switch d := b.g.Offer(b.now, t); d.Kind {
 	case admission.Granted:
 		b.begin(t.ID, d.Endpoint.ID)
@@ -302,12 +303,16 @@
 		reason verdict.Reason
 	}{
 		{"free slot", 2, func(b *bench) admission.Ticket { return ticket(b, true, 300) }, admission.Granted, ""},
-		{"full", 3, func(b *bench) admission.Ticket { return ticket(b, true, 300) }, admission.Queued, ""},
+		{"full", 3, func(b *bench) admission.Ticket { return ticket(b, true, 900) }, admission.Queued, ""},
+		{"a sixteenth of the deadline is too short", 3, func(b *bench) admission.Ticket { return ticket(b, true, 300) }, admission.Refused, verdict.ReasonOverload},
 		{"deadline passed", 0, func(b *bench) admission.Ticket { return ticket(b, true, 0) }, admission.Refused, verdict.ReasonDeadline},
 		{"queue can't meet the deadline", 9, func(b *bench) admission.Ticket { return ticket(b, true, 300) }, admission.Refused, verdict.ReasonOverload},
-		{"longer deadline", 9, func(b *bench) admission.Ticket { return ticket(b, true, 900) }, admission.Queued, ""},
+		{"longer deadline", 4, func(b *bench) admission.Ticket { return ticket(b, true, 1200) }, admission.Queued, ""},
+		{"longer than the median latency", 6, func(b *bench) admission.Ticket { return ticket(b, true, 60_000) }, admission.Refused, verdict.ReasonOverload},
+		{"no time left for the endpoint", 3, func(b *bench) admission.Ticket { return ticket(b, true, 120) }, admission.Refused, verdict.ReasonOverload},
 		{"spilled below the reserve", 0, func(b *bench) admission.Ticket { return ticket(b, false, 900) }, admission.Granted, ""},
-		{"spilled into the reserve", 1, func(b *bench) admission.Ticket { return ticket(b, false, 900) }, admission.Queued, ""},
+		{"spilled into the reserve", 1, func(b *bench) admission.Ticket { return ticket(b, false, 900) }, admission.Refused, verdict.ReasonOverload},
+		{"spilled, long deadline", 1, func(b *bench) admission.Ticket { return ticket(b, false, 60_000) }, admission.Queued, ""},
 		{"own into the reserve", 1, func(b *bench) admission.Ticket { return ticket(b, true, 900) }, admission.Granted, ""},
 		{"no other endpoint", 0, excluded, admission.Refused, verdict.ReasonNoEndpoint},
 	}
@@ -317,6 +322,7 @@
 			b := ready()
 			b.run(2*time.Second, 1)
 			b.run(2*time.Second, 0)
+			b.patience = time.Minute
 			fill(b, c.busy)
 			got := b.g.Offer(b.now, c.ticket(b))
 			is.Equal(got.Kind, c.kind)
--- a/internal/core/admission/group.go
+++ b/internal/core/admission/group.go
@@ -255,13 +255,14 @@
 	if slots <= 0 {
 		return false
 	}
-	wait := g.latency.Quantile(0.5) * time.Duration(ahead+1) / time.Duration(slots)
+	median := g.latency.Quantile(0.5)
+	wait := median * time.Duration(ahead+1) / time.Duration(slots)
 	left := t.Deadline.Sub(now)
-	part := ownWaitPart
+	longest := min(left/ownWaitPart, median)
 	if !t.Own {
-		part = spilledWaitPart
+		longest = left / spilledWaitPart
 	}
-	return wait <= left/time.Duration(part) && wait+g.needed() < left
+	return wait <= longest && wait+g.needed() < left
 }
 
 // needed is the time that nearly all requests need on an endpoint.
--- a/internal/core/steering/rank.go
+++ b/internal/core/steering/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 )
@@ -13,7 +12,7 @@
 	staleAfter = 5 * time.Second
 	// waitPart is the part of a service's deadline (one over it) that a request
 	// may wait for a slot in its own place before other places come first.
-	waitPart = 8
+	waitPart = 16
 	// defaultDeadline stands in for a service without one.
 	defaultDeadline = time.Second
 	// headroomSteps is the number of classes of headroom; groups of one class
@@ -24,6 +23,9 @@
 	// measured, inside a region and between regions.
 	nearRoundTrip = 2 * time.Millisecond
 	farRoundTrip  = 100 * time.Millisecond
+	// fnvOffset and fnvPrime are of the 64-bit FNV-1a hash (RFC 9923).
+	fnvOffset = 0xcbf29ce484222325
+	fnvPrime  = 0x100000001b3
 	// roundTripStep is the difference of round trips that matters for ranking.
 	roundTripStep = 10 * time.Millisecond
 )
@@ -39,6 +41,12 @@
 	// carries its body, then the one that carries the answer. A link that the
 	// document doesn't bound is left out.
 	Links []LinkID
+	// Room is the number of slots that are free for work from other places, by
+	// the view; 0 for the place of origin.
+	Room int
+
+	tier     tier
+	distance int // class of round trips, lower is better
 }
 
 // tier orders candidates before all else.
@@ -49,68 +57,94 @@
 	tierNear                 // the same region
 	tierFar                  // other regions
 	tierBusy                 // the place of origin, overloaded
+	tierFull                 // other places without room below the reserve
 	tierStale                // known only from old reports
 	tierDraining             // the place of origin, drained
 )
 
 // candidate is a permitted place with what orders it.
 type candidate struct {
-	choice   Choice
-	tier     tier
+	Choice
 	headroom int // class, higher is better
-	distance int // class, lower is better
 	spread   uint64
 }
 
 // Rank returns the places that may answer a request, best first. The place of
 // origin leads unless it is drained, dead or overloaded; an overloaded or
-// drained origin that still has endpoints comes after the places that rules
-// permit. Other drained places, places whose reserve forbids more spilled-in
-// work and dead places are not named. The result is empty when the service is
-// unknown or nothing can answer. The same view gives the same result.
+// drained origin that still has endpoints comes after places that rules permit
+// and that have room. Places whose reserve leaves no room by the view are not
+// named, except when origin is dead or drained: then they come late, because
+// the view is old and their owner, who decides, refuses at once. Drained
+// places other than origin and dead places are not named. The result is empty
+// when the service is unknown or nothing can answer. The same view gives the
+// same result.
 func (t *Table) Rank(service, origin string, view View) []Choice {
 	s, ok := t.services[service]
 	if !ok {
 		return nil
 	}
-	trustOld := t.mostlyStale(s, view)
-	candidates := make([]candidate, 0, len(s.doc.Places))
-	for _, name := range s.doc.Places {
-		group, ok := view.Group(service, name)
-		if !ok || !group.usable() {
-			continue
-		}
+	groups := s.known(view)
+	trustOld := mostlyStale(groups)
+	candidates := make([]candidate, 0, len(groups))
+	for _, group := range groups {
 		if trustOld {
 			group.Age = 0
 		}
-		c, ok := t.candidate(s, origin, name, group)
+		c, ok := t.candidate(s, origin, group.place, group.GroupView)
 		if ok {
 			candidates = append(candidates, c)
 		}
 	}
+	candidates = withoutFull(candidates)
 	slices.SortFunc(candidates, compare)
 	choices := make([]Choice, len(candidates))
 	for i := range candidates {
-		choices[i] = candidates[i].choice
+		choices[i] = candidates[i].Choice
 	}
 	return choices
 }
 
-// mostlyStale says whether over half of the service's known groups are stale.
-// That is a fault of measurement, so the last state is kept.
-func (t *Table) mostlyStale(s *service, view View) bool {
-	known, stale := 0, 0
-	for _, name := range s.doc.Places {
-		group, ok := view.Group(s.doc.Name, name)
-		if !ok || !group.usable() {
-			continue
+// withoutFull drops the places that have no room, as long as the place of
+// origin itself can go on: trying them would cost time and tokens, and origin
+// refuses at once what it can't serve.
+func withoutFull(candidates []candidate) []candidate {
+	serving := slices.ContainsFunc(candidates, func(c candidate) bool {
+		return c.tier == tierOrigin || c.tier == tierBusy
+	})
+	if !serving {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(c candidate) bool { return c.tier == tierFull })
+}
+
+// placedGroup is a group with its place.
+type placedGroup struct {
+	GroupView
+	place string
+}
+
+// known returns the service's groups that can run a request.
+func (s *service) known(view View) []placedGroup {
+	groups := make([]placedGroup, 0, len(s.doc.Places))
+	for _, place := range s.doc.Places {
+		group, ok := view.Group(s.doc.Name, place)
+		if ok && group.usable() {
+			groups = append(groups, placedGroup{group, place})
 		}
-		known++
+	}
+	return groups
+}
+
+// mostlyStale says whether over half of the groups are stale. That is a fault
+// of measurement, so the last state is kept.
+func mostlyStale(groups []placedGroup) bool {
+	stale := 0
+	for _, group := range groups {
 		if group.Age > staleAfter {
 			stale++
 		}
 	}
-	return 2*stale > known
+	return 2*stale > len(groups)
 }
 
 func (t *Table) candidate(s *service, origin, name string, group GroupView) (candidate, bool) {
@@ -124,28 +158,33 @@
 	if len(rules) == 0 {
 		return candidate{}, false
 	}
-	if !t.roomFor(name, group) {
-		return candidate{}, false
-	}
 	near := t.sameRegion(origin, name)
+	room := SpillSlots(group.Slots, t.places[t.indexes[name]].reserve) - group.taken()
 	c := candidate{
-		choice:   Choice{Place: name, Rules: rules, Links: t.crossed(origin, name)},
-		tier:     tierFar,
+		Choice: Choice{
+			Place:    name,
+			Rules:    rules,
+			Links:    t.crossed(origin, name),
+			Room:     max(room, 0),
+			tier:     tierFar,
+			distance: int(roundTrip(group, near) / roundTripStep),
+		},
 		headroom: int(group.headroom() * headroomSteps),
-		distance: int(roundTrip(group, near) / roundTripStep),
 		spread:   spread(s.doc.Name, origin, name),
 	}
-	if near {
-		c.tier = tierNear
-	}
-	if group.Age > staleAfter {
+	switch {
+	case group.Age > staleAfter:
 		c.tier = tierStale
+	case room <= 0:
+		c.tier = tierFull
+	case near:
+		c.tier = tierNear
 	}
 	return c, true
 }
 
 func (t *Table) originCandidate(s *service, origin string, group GroupView) candidate {
-	c := candidate{choice: Choice{Place: origin}, tier: tierOrigin}
+	c := candidate{Choice: Choice{Place: origin, tier: tierOrigin}}
 	deadline := s.doc.Deadline.Std()
 	if deadline <= 0 {
 		deadline = defaultDeadline
@@ -159,12 +198,6 @@
 	return c
 }
 
-// roomFor says whether a group may take one more request from another place:
-// such work stays below the reserve, wherever it comes from.
-func (t *Table) roomFor(name string, group GroupView) bool {
-	return group.taken() < SpillSlots(group.Slots, t.places[t.indexes[name]].reserve)
-}
-
 func (t *Table) sameRegion(a, b string) bool {
 	from, _ := t.Region(a)
 	to, _ := t.Region(b)
@@ -233,11 +266,14 @@
 // spread orders equal places differently for each origin (rendezvous hashing,
 // Thaler and Ravishankar 1998), so that origins don't all pick the same one.
 func spread(service, origin, place string) uint64 {
-	h := fnv.New64a()
-	for _, part := range []string{service, "\x00", origin, "\x00", place} {
-		_, _ = h.Write([]byte(part))
+	hash := uint64(fnvOffset)
+	for _, part := range [...]string{service, origin, place} {
+		for i := range len(part) {
+			hash = (hash ^ uint64(part[i])) * fnvPrime
+		}
+		hash *= fnvPrime // separates the parts
 	}
-	return h.Sum64()
+	return hash
 }
 
 func compare(a, b candidate) int {
@@ -246,6 +282,6 @@
 		cmp.Compare(a.distance, b.distance),
 		cmp.Compare(b.headroom, a.headroom),
 		cmp.Compare(a.spread, b.spread),
-		cmp.Compare(a.choice.Place, b.choice.Place),
+		cmp.Compare(a.Place, b.Place),
 	)
 }
--- a/internal/core/steering/rank_test.go
+++ b/internal/core/steering/rank_test.go
@@ -81,8 +81,11 @@
 		{"drained target", "n1", []document.Drain{{Place: "n2", Service: "roster"}}, base(nil), []string{"n1", "s1", "s2"}},
 		{"drain of another service", "n1", []document.Drain{{Place: "n2", Service: "filing"}}, base(nil), []string{"n1", "n2", "s1", "s2"}},
 		{"reserve reached", "n1", nil, base(map[string]steering.GroupView{"s1": healthy(16)}), []string{"n1", "n2", "s2"}},
+		{"reserve reached and origin dead", "n1", nil, base(map[string]steering.GroupView{"n1": {}, "n2": healthy(16)}), []string{"s1", "s2", "n2"}},
 		{"below the reserve", "n1", nil, base(map[string]steering.GroupView{"s1": healthy(15)}), []string{"n1", "n2", "s2", "s1"}},
 		{"near place at its reserve", "n1", nil, base(map[string]steering.GroupView{"n2": healthy(16)}), []string{"n1", "s1", "s2"}},
+		{"full place and overloaded origin", "n1", nil, base(map[string]steering.GroupView{"n1": with(healthy(0), queue), "n2": healthy(16)}), []string{"s1", "s2", "n1"}},
+		{"full place before the drained origin", "n1", []document.Drain{{Place: "n1"}}, base(map[string]steering.GroupView{"s1": healthy(20)}), []string{"n2", "s2", "s1", "n1"}},
 		{"near place below it", "n1", nil, base(map[string]steering.GroupView{"n2": healthy(15)}), []string{"n1", "n2", "s1", "s2"}},
 		{"stale target last", "n1", nil, base(map[string]steering.GroupView{"n2": with(healthy(1), stale)}), []string{"n1", "s1", "s2", "n2"}},
 		{"mostly stale keeps the list", "n1", nil, base(map[string]steering.GroupView{
@@ -112,11 +115,13 @@
 	table, err := steering.NewTable(testDocument())
 	is.NoErr(err)
 	v := fixedView{"n2": healthy(0), "s1": healthy(0)}
-	want := []steering.Choice{
-		{Place: "n2", Rules: []string{"near"}},
-		{Place: "s1", Rules: []string{"out", "roster-out"}, Links: []steering.LinkID{{From: "north", To: "south"}}},
-	}
-	is.Equal(table.Rank("roster", "n1", v), want)
+	got := table.Rank("roster", "n1", v)
+	is.Equal(len(got), 2)
+	is.Equal(got[0].Rules, []string{"near"})
+	is.Equal(len(got[0].Links), 0)
+	is.Equal(got[1].Rules, []string{"out", "roster-out"})
+	is.Equal(got[1].Links, []steering.LinkID{{From: "north", To: "south"}})
+	is.Equal(got[1].Room, 16)
 	is.Equal(len(table.Rank("other", "n1", v)), 0)
 }
 
@@ -135,3 +140,21 @@
 		})
 	}
 }
+
+// TestSpreadFollowsRoom sends many requests past two far places of unequal room
+// and a near one.
+func TestSpreadFollowsRoom(t *testing.T) {
+	is := is.New(t)
+	table, err := steering.NewTable(testDocument())
+	is.NoErr(err)
+	v := fixedView{"n2": healthy(15), "s1": healthy(4), "s2": healthy(12)} // room 1, 12 and 4
+	first := map[string]int{}
+	for request := range uint64(4000) {
+		choices := table.Rank("roster", "n1", v)
+		steering.Spread(choices, request)
+		is.Equal(choices[0].Place, "n2") // the near place has a class of its own
+		first[choices[1].Place]++
+	}
+	is.True(first["s1"] > 2900 && first["s1"] < 3100) // 12 of 16
+	is.Equal(first["s1"]+first["s2"], 4000)
+}
--- a/internal/measure/cmd/measure/main.go
+++ b/internal/measure/cmd/measure/main.go
@@ -1,20 +1,47 @@
-// Command measure prints the tables of package measure.
+// Command measure compares the steering policy with baselines, measures the
+// cost of look-ups and decisions, and writes both as a Markdown page.
 package main
 
 import (
+	"bytes"
+	"flag"
 	"fmt"
+	"log/slog"
+	"os"
+	"time"
 
 	"sassafrasreach/internal/measure"
 )
 
 func main() {
+	commit := flag.String("commit", "unknown", "the commit that is measured")
+	out := flag.String("out", "", "the file to write besides the standard output")
+	seed := flag.Uint64("seed", 1, "the seed of the simulations")
+	parallel := flag.Int("parallel", 4, "the number of simulations at once")
+	flag.Parse()
+	page := write(*commit, *seed, *parallel)
+	if _, err := os.Stdout.Write(page); err != nil {
+		slog.Error("can't print the page", "error", err)
+		os.Exit(1)
+	}
+	if *out == "" {
+		return
+	}
+	if err := os.WriteFile(*out, page, 0o644); err != nil { //nolint:gosec // a page for everybody
+		slog.Error("can't write the page", "error", err)
+		os.Exit(1)
+	}
+}
+
+func write(commit string, seed uint64, parallel int) []byte {
+	begun := time.Now()
+	var page bytes.Buffer
+	fmt.Fprintf(&page, "# Measurements\n\nCommit %s, seed %d.\n\n", commit, seed)
+	measure.WriteMethod(&page)
+	measure.WriteCosts(&page, measure.Lookups(measure.FullBlocks), measure.Decisions())
 	for _, op := range []measure.Operation{measure.Hanbit(), measure.Calibra()} {
-		fmt.Println(op.Name)
-		for _, row := range measure.Compare(op, 1, 2) {
-			for _, o := range row.Outcomes {
-				fmt.Printf("%-18s %-20s p50 %-6.0f p99 %-6.0f in %.3f spared %.3f p99s %-4.0f head %.2f cap %.2f drain %v rec %.3f %.3f %v\n",
-					row.Scenario, o.Policy, o.P50.Seconds()*1e3, o.P99.Seconds()*1e3, o.InTime, o.Spared, o.SparedP99.Seconds()*1e3, o.Headroom, o.CapUse, o.Drain, o.Before, o.After, o.Recovery)
-			}
-		}
+		measure.WriteComparison(&page, op, measure.Compare(op, seed, parallel))
 	}
+	fmt.Fprintf(&page, "The run took %.0f s.\n", time.Since(begun).Seconds())
+	return page.Bytes()
 }
--- a/internal/measure/compare.go
+++ b/internal/measure/compare.go
@@ -10,6 +10,9 @@
 	Policy string
 	// P50 and P99 are latencies as callers see them, of answered requests.
 	P50, P99 time.Duration
+	// AllP95 is the latency within which 95% of all requests were answered; 0
+	// when fewer were.
+	AllP95 time.Duration
 	// InTime is the part of all requests that was answered in time.
 	InTime float64
 	// Spared is the same for the places that the fault does not touch.
@@ -20,9 +23,13 @@
 	Headroom []float64
 	// CapUse is the largest part of a rule's cap that was used in any second.
 	CapUse float64
-	// Drain is the time from the drain to the end of the last request in the
-	// place; negative when requests still ran at the end, 0 for no drain.
+	// Drain is the time from the drain until the place runs less than a
+	// hundredth of what it ran before, for good; negative when it doesn't get
+	// there, 0 for no drain.
 	Drain time.Duration
+	// Left is the part of its work that a drained place still runs in the last
+	// seconds.
+	Left float64
 	// Before and After are goodput before a fault and after what was lost came
 	// back; Recovery is the time until goodput stayed above 95% of before, and
 	// negative when it did not.
@@ -79,6 +86,8 @@
 // simulate runs one scenario with one policy.
 func simulate(op Operation, seed uint64, sc scenario, p namedPolicy) Outcome {
 	w := newWorld(op, seed, p.make)
+	w.record.drain = sc.drain
+	w.record.starts = make([]int, int(sc.until/startBucket)+1)
 	for _, place := range sc.hit {
 		w.record.hit[place] = true
 	}
@@ -90,13 +99,14 @@
 		P50:       quantile(r.latencies, 0.5),
 		P99:       quantile(r.latencies, 0.99),
 		SparedP99: quantile(r.untouched, 0.99),
+		AllP95:    r.quantileOfAll(0.95),
 		InTime:    float64(r.ends) / float64(r.offers),
 		Spared:    float64(r.spared[1]) / float64(r.spared[0]),
 		Headroom:  r.headroom,
 		CapUse:    r.capUse(),
 	}
 	if sc.drain >= 0 {
-		o.Drain = w.drainTime(sc.drain)
+		o.Drain, o.Left = r.drainTime(sc)
 	}
 	if sc.recovers > 0 {
 		o.Before, o.After, o.Recovery = r.recovery(sc)
@@ -104,19 +114,32 @@
 	return o
 }
 
-// drainTime is the time from the fault to the end of the last work in a place.
-func (w *world) drainTime(place int) time.Duration {
-	last := time.Duration(0)
-	for _, e := range w.endpoints {
-		if e.place != place {
-			continue
-		}
-		if len(e.running) > 0 {
-			return -1
-		}
-		last = max(last, e.lastWork)
+// drainTime is the time from the fault until a place starts less than a
+// hundredth of the requests that it started before, in every later second; and
+// the part of its work that it still starts in the last seconds.
+func (r *record) drainTime(sc scenario) (time.Duration, float64) {
+	from := int(faultAt / startBucket)
+	end := int(sc.until / startBucket)
+	perSecond := int(time.Second / startBucket)
+	before := r.startRate(int(warmUp/startBucket), from)
+	left := r.startRate(end-lastSeconds*perSecond, end) / before
+	quiet := end
+	for quiet > from && r.startRate(max(from, quiet-perSecond), quiet) < drainedPart*before {
+		quiet--
+	}
+	if end-quiet < perSecond {
+		return -1, left
+	}
+	return max(startBucket, time.Duration(quiet-from)*startBucket), left
+}
+
+// startRate is the mean number of requests that started in a bucket.
+func (r *record) startRate(from, to int) float64 {
+	sum := 0
+	for _, n := range r.starts[from:to] {
+		sum += n
 	}
-	return last - faultAt
+	return float64(sum) / float64(to-from)
 }
 
 // recovery compares goodput before the fault with that after the cause is gone.
--- a/internal/measure/endpoint.go
+++ b/internal/measure/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sassafrasreach/internal/core/admission"
@@ -40,7 +41,6 @@
 	running     map[*job]struct{}
 	waiting     []*job
 	served      []float64 // per place of origin
-	lastWork    time.Duration
 }
 
 // lie is what an endpoint reports in place of its load.
@@ -82,6 +82,7 @@
 // start runs a job. One that can't end by its deadline is cancelled then.
 func (e *endpoint) start(j *job) {
 	e.running[j] = struct{}{}
+	e.w.record.started(e.place)
 	work := time.Duration(float64(e.w.op.services[e.service].work) * j.request.work * e.slow * e.coldness(j.request.origin))
 	e.served[j.request.origin]++
 	kind := admission.OK
@@ -101,7 +102,6 @@
 		return // the endpoint died in the meantime
 	}
 	delete(e.running, j)
-	e.lastWork = e.w.now
 	for len(e.running) < e.slots && len(e.waiting) > 0 {
 		next := e.waiting[0]
 		e.waiting = e.waiting[1:]
@@ -113,10 +113,7 @@
 // die ends all jobs without an answer.
 func (e *endpoint) die() {
 	e.alive = false
-	lost := e.waiting
-	for _, j := range e.order() {
-		lost = append(lost, j)
-	}
+	lost := slices.Concat(e.waiting, e.order())
 	e.waiting = nil
 	clear(e.running)
 	for _, j := range lost {
--- a/internal/measure/operation.go
+++ b/internal/measure/operation.go
@@ -21,6 +21,7 @@
 	oneWayFar  time.Duration // between regions
 	oneWayUser time.Duration // between callers and their place
 	linkMbit   int
+	reserve    int // percent, of every region
 }
 
 // workload is a service with its demand.
@@ -34,8 +35,6 @@
 }
 
 const (
-	// reservePercent is the reserve of every region.
-	reservePercent = 10
 	// linkFillPercent is the fill limit of every link.
 	linkFillPercent = 70
 	// nearCapPart and farCapPart are the caps of rules as parts of the
@@ -60,6 +59,7 @@
 		oneWayFar:  55 * time.Millisecond,
 		oneWayUser: 3 * time.Millisecond,
 		linkMbit:   300,
+		reserve:    10,
 		services: []workload{
 			{"roster-desk", 20, 7, 60 * time.Millisecond, 800 * time.Millisecond, 20_000},
 			{"filing-desk", 12, 3, 120 * time.Millisecond, 2 * time.Second, 4_000},
@@ -78,6 +78,7 @@
 		oneWayFar:  12 * time.Millisecond,
 		oneWayUser: time.Millisecond,
 		linkMbit:   4000,
+		reserve:    15,
 		services: []workload{
 			{"belt-control", 20, 3, 20 * time.Millisecond, 300 * time.Millisecond, 4_000},
 			{"lot-ledger", 12, 3, 40 * time.Millisecond, time.Second, 8_000},
@@ -113,7 +114,7 @@
 func (o Operation) document() *document.Document {
 	doc := &document.Document{}
 	for i, region := range o.regions {
-		doc.Regions = append(doc.Regions, document.Region{Name: region, ReservePercent: reservePercent})
+		doc.Regions = append(doc.Regions, document.Region{Name: region, ReservePercent: o.reserve})
 		for _, name := range o.perRegion[i] {
 			doc.Places = append(doc.Places, document.Place{Name: name, Region: region})
 		}
--- a/internal/measure/record.go
+++ b/internal/measure/record.go
@@ -14,6 +14,14 @@
 	loadWindow = 10
 	// goodputBucket is the time over which goodput is counted.
 	goodputBucket = time.Second
+	// startBucket is the time over which requests that start in a place are
+	// counted.
+	startBucket = 50 * time.Millisecond
+	// drainedPart is the part of its work below which a place is drained.
+	drainedPart = 0.01
+	// lastSeconds is the time at the end over which the work that is left in a
+	// drained place is counted.
+	lastSeconds = 10
 )
 
 // move counts the requests that one rule moved in buckets of 10 ms.
@@ -34,9 +42,10 @@
 	spared    [2]int // of places that the scenario spares: offered, answered
 	hit       map[int]bool
 	loads     [][]float64 // per region, sums of samples
-	samples   int
-	headroom  []float64 // per region, lowest
+	headroom  []float64   // per region, lowest
 	moves     map[string]*move
+	drain     int   // place whose work is counted in starts; -1 for none
+	starts    []int // per startBucket
 }
 
 func newRecord(w *world) *record {
@@ -46,6 +55,7 @@
 		headroom: make([]float64, len(w.op.regions)),
 		loads:    make([][]float64, len(w.op.regions)),
 		moves:    map[string]*move{},
+		drain:    -1,
 	}
 	for i := range r.headroom {
 		r.headroom[i] = 1
@@ -81,7 +91,12 @@
 	}
 }
 
-func (r *record) failed(*request) {}
+// started notes that an endpoint of a place started a request.
+func (r *record) started(place int) {
+	if place == r.drain {
+		r.starts[int(r.w.now/startBucket)]++
+	}
+}
 
 func (r *record) count(series *[]int, q *request) {
 	at := int(q.first / goodputBucket)
@@ -160,6 +175,16 @@
 	return latencies[int(q*float64(len(latencies)-1))]
 }
 
+// quantileOfAll is a quantile that counts requests without an answer as the
+// slowest; 0 when it falls among those.
+func (r *record) quantileOfAll(q float64) time.Duration {
+	part := q * float64(r.offers) / float64(r.ends)
+	if part > 1 {
+		return 0
+	}
+	return quantile(r.latencies, part)
+}
+
 // goodput is the part of the requests of some seconds that were answered.
 func (r *record) goodput(from, to int) float64 {
 	offers, ends := 0, 0
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -22,6 +22,8 @@
 	backAt = 30 * time.Second
 	// endAt is the end of a simulation.
 	endAt = 60 * time.Second
+	// halfLoad is the demand at half of the capacity.
+	halfLoad = 0.5
 	// stormFactor is the demand in a storm as a part of the capacity.
 	stormFactor = 2
 	// stormEnd is the end of a storm.
@@ -36,6 +38,7 @@
 		{name: "one place lost", until: 40 * time.Second, set: losePlaces(0), hit: []int{0}, drain: -1},
 		{name: "one region lost", until: endAt, set: loseRegion, hit: []int{0, 1}, drain: -1, recovers: backAt},
 		{name: "drain of a place", until: 40 * time.Second, set: drainPlace, hit: []int{0}, drain: 0},
+		{name: "drain at 50%", until: 40 * time.Second, set: drainAtHalf, hit: []int{0}, drain: 0},
 		{name: "cold return", until: endAt, set: coldReturn, hit: []int{0}, drain: -1, recovers: backAt},
 		{name: "retry storm", until: 50 * time.Second, set: storm, drain: -1, recovers: stormEnd},
 		{name: "lying reports", until: 40 * time.Second, set: liars, drain: -1},
@@ -70,6 +73,12 @@
 	w.after(faultAt, func() { w.drain(0) })
 }
 
+// drainAtHalf drains a place while the others have room for its work.
+func drainAtHalf(w *world) {
+	w.demand = func(time.Duration) float64 { return halfLoad }
+	drainPlace(w)
+}
+
 // storm doubles the demand of callers that send again after a failure.
 func storm(w *world) {
 	w.impatient = true
--- a/internal/measure/steered.go
+++ b/internal/measure/steered.go
@@ -95,7 +95,7 @@
 func (s *steered) startGroup(service, place int) {
 	g := s.groups[service][place]
 	g.adm = admission.NewGroup(admission.Config{
-		ReservePercent: reservePercent,
+		ReservePercent: s.w.op.reserve,
 		MaxSlots:       s.w.op.services[service].slots,
 	})
 	g.pending = map[uint64]*attempt{}
@@ -204,6 +204,7 @@
 
 func (s *steered) handle(r *request) {
 	choices := s.table.Rank(s.w.op.services[r.service].name, s.w.names[r.origin], view{s, r.origin})
+	steering.Spread(choices, r.id)
 	s.proceed(&attempt{r: r, choices: choices})
 }
 
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -184,7 +184,6 @@
 		return
 	}
 	r.ended = true
-	w.record.failed(r)
 	if !w.impatient || r.resends >= maxResends {
 		return
 	}
