--- a/internal/adapter/endpointhttp/failure_test.go
+++ b/internal/adapter/endpointhttp/failure_test.go
@@ -167,12 +167,16 @@
 		"no last chunk": func(c *net.TCPConn, n int64, r *http.Request) bool {
 			return say("200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n4\r\n1234\r\n")(c, n, r) && false
 		},
-		"bad chunk":              say("200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\nzz\r\n1234\r\n0\r\n\r\n"),
-		"over the bound":         say("200 OK\r\n%sContent-Length: %d\r\n\r\n%s", len(big), big),
-		"chunk over the bound":   say("200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(big), big),
-		"endless head":           say("200 OK\r\n%sContent-Length: 0\r\nX: %s\r\n\r\n", big),
-		"endless interim":        say(strings.Repeat("100 Continue\r\n\r\nHTTP/1.1 ", 9) + "200 OK\r\n%sContent-Length: 0\r\n\r\n"),
-		"another protocol":       say("101 Switching Protocols\r\n%sUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
+		"bad chunk":            say("200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\nzz\r\n1234\r\n0\r\n\r\n"),
+		"over the bound":       say("200 OK\r\n%sContent-Length: %d\r\n\r\n%s", len(big), big),
+		"chunk over the bound": say("200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(big), big),
+		"endless head":         say("200 OK\r\n%sContent-Length: 0\r\nX: %s\r\n\r\n", big),
+		"endless interim":      say(strings.Repeat("100 Continue\r\n\r\nHTTP/1.1 ", 9) + "200 OK\r\n%sContent-Length: 0\r\n\r\n"),
+		"another protocol":     say("101 Switching Protocols\r\n%sUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
+		"an HTTP/2 GOAWAY": func(c *net.TCPConn, _ int64, _ *http.Request) bool {
+			_, err := c.Write([]byte("\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x00\x08\x07\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00"))
+			return err == nil
+		},
 		"no HTTP":                say("\x00\x01%s"),
 		"status out of range":    say("2000 OK\r\n%sContent-Length: 0\r\n\r\n"),
 		"header without a colon": say("200 OK\r\n%sgarbage\r\n\r\n"),
