Number the events of control VMs and operators, record refused changes, serve metrics apart

Cause: log lines of control VMs and of the operators' interface had no event number; a change with faults left no record in the audit trail; the setting metrics_listen of an entry did nothing. Change: thirteen events in the catalogue; refused changes are submitted to be recorded as refused; an entry opens a listener for health and metrics; make soak and make measure.

--- a/Makefile
+++ b/Makefile
@@ -36,5 +36,15 @@
 generate-check:
 	./scripts/generate-check.sh
 
+# A minute of load and faults on real processes at today's size.
+soak: build
+	SOAK_SECONDS=60 $(GO) test -v -count=1 -timeout 10m -run TestSoak ./internal/systemtest
+
+# Prints the measurements that the docs cite and writes docs/MEASUREMENTS.md.
+measure: build
+	$(GO) run ./internal/measure/cmd/measure
+	$(GO) run ./internal/measure/controlcost
+	MEASURE=1 $(GO) test -v -count=1 -timeout 20m -run TestMeasure ./internal/systemtest
+
 clean:
 	rm -rf $(BIN)
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -41,21 +41,33 @@
 func New(opts Options) http.Handler {
 	h := &handler{entry: opts.Entry, name: opts.Name, clock: opts.Clock}
 	r := chi.NewRouter()
-	r.Get("/healthz", h.health)
-	r.Get("/readyz", h.ready)
+	h.healthRoutes(r, opts.Metrics)
 	r.Get("/v1/lookup", h.lookup)
 	r.Put("/v1/endpoints/{id}", h.announce)
 	r.HandleFunc("/s/{service}", h.serve)
 	r.HandleFunc("/s/{service}/*", h.serve)
-	if opts.Metrics != nil {
-		r.Method(http.MethodGet, "/v1/metrics", opts.Metrics)
-	}
 	if opts.Stopping != nil {
 		return closeWhen(opts.Stopping, r)
 	}
 	return r
 }
 
+// NewHealth returns the handler of a listener for health and metrics alone.
+func NewHealth(entry port.Entry, metrics http.Handler) http.Handler {
+	h := &handler{entry: entry}
+	r := chi.NewRouter()
+	h.healthRoutes(r, metrics)
+	return r
+}
+
+func (h *handler) healthRoutes(r chi.Router, metrics http.Handler) {
+	r.Get("/healthz", h.health)
+	r.Get("/readyz", h.ready)
+	if metrics != nil {
+		r.Method(http.MethodGet, "/v1/metrics", metrics)
+	}
+}
+
 // closeWhen closes callers' connections after their next answer once stopping
 // says so, so that none is closed under a request.
 func closeWhen(stopping func() bool, next http.Handler) http.Handler {
--- a/internal/adapter/console/console.go
+++ b/internal/adapter/console/console.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
 
@@ -96,6 +97,6 @@
 	w.Header().Set("Content-Type", "text/html; charset=utf-8")
 	w.WriteHeader(status)
 	if err := s.pages.ExecuteTemplate(w, page, data); err != nil {
-		s.logger.Warn("console page isn't whole", "page", page, "error", err)
+		event.Log(context.Background(), s.logger, event.ConsolePartial, slog.Any("page", page), slog.Any("error", err))
 	}
 }
--- a/internal/adapter/console/signin.go
+++ b/internal/adapter/console/signin.go
@@ -1,9 +1,12 @@
 package console
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 
+	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
 
@@ -90,7 +93,7 @@
 	case errors.Is(err, port.ErrNoQuorum):
 		s.render(w, http.StatusServiceUnavailable, "message", message("Too few control VMs answer; nothing was changed. Try another control VM, or later."))
 	default:
-		s.logger.Error("console can't open the document", "error", err)
+		event.Log(context.Background(), s.logger, event.ConsoleFailed, slog.Any("error", err))
 		s.render(w, http.StatusInternalServerError, "message", message(err.Error()))
 	}
 }
--- a/internal/adapter/operatorhttp/auth.go
+++ b/internal/adapter/operatorhttp/auth.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/subtle"
+	"log/slog"
 	"net/http"
 	"strings"
 
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
 
@@ -50,12 +52,12 @@
 	}
 	doc, err := h.parsed.get(config)
 	if err != nil {
-		h.Logger.Error("document in the register can't be read", "version", config.Version, "error", err)
+		event.Log(context.Background(), h.Logger, event.RegisterUnreadable, slog.Any("version", config.Version), slog.Any("error", err))
 		return session{}, newProblem(http.StatusInternalServerError, CodeInternal, "the document in the register can't be read")
 	}
 	operator := h.operatorOf(config, doc, document.Digest([]byte(token)))
 	if operator == "" {
-		h.Logger.Warn("operator's token refused", "version", config.Version)
+		event.Log(context.Background(), h.Logger, event.TokenRefused, slog.Any("version", config.Version))
 		return session{}, newProblem(http.StatusUnauthorized, CodeUnauthorized,
 			"the token isn't of an operator in the document in force; a resend of a change that replaced the token needs the new token and the same change ID")
 	}
--- a/internal/adapter/operatorhttp/change.go
+++ b/internal/adapter/operatorhttp/change.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 
 	"sassafrasreach/internal/core/document"
 	"sassafrasreach/internal/core/register"
+	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
 
@@ -83,21 +85,21 @@
 		return port.Outcome{}, newProblem(http.StatusConflict, CodeIDReused, "the change ID belongs to another change; nothing was changed by this one")
 	}
 	if err != nil {
-		h.Logger.Error("change ended without an outcome", "change", change.ID, "operator", change.Operator, "error", err)
+		event.Log(context.Background(), h.Logger, event.ChangeUndecided, slog.Any("change", change.ID), slog.Any("operator", change.Operator), slog.Any("error", err))
 		outcome = port.Outcome{ChangeID: change.ID, State: port.ChangeUnknown}
 	}
-	h.Logger.Info("change ended", "change", change.ID, "operator", change.Operator, "state", outcome.State, "version", outcome.Version)
+	event.Log(context.Background(), h.Logger, event.ChangeEnded, slog.Any("change", change.ID), slog.Any("operator", change.Operator), slog.Any("state", outcome.State), slog.Any("version", outcome.Version))
 	return outcome, outcomeProblem(outcome)
 }
 
 // refuse records a change that has faults.
 func (h *handler) refuse(ctx context.Context, change port.Change) {
-	h.Logger.Info("change refused", "change", change.ID, "operator", change.Operator, "state", port.ChangeInvalid)
+	event.Log(context.Background(), h.Logger, event.ChangeRefused, slog.Any("change", change.ID), slog.Any("operator", change.Operator), slog.Any("state", port.ChangeInvalid))
 	if h.RecordRefused == nil {
 		return
 	}
 	if err := h.RecordRefused(ctx, change); err != nil {
-		h.Logger.Warn("refused change isn't in the audit trail", "change", change.ID, "error", err)
+		event.Log(context.Background(), h.Logger, event.RefusedNotRecorded, slog.Any("change", change.ID), slog.Any("error", err))
 	}
 }
 
--- a/internal/app/control/entries.go
+++ b/internal/app/control/entries.go
@@ -1,11 +1,14 @@
 package control
 
 import (
+	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
 	"sassafrasreach/internal/adapter/registergrpc"
+	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
 
@@ -134,6 +137,6 @@
 
 // Lift implements registergrpc.Member.
 func (n *Node) Lift(operator, fingerprint string) {
-	n.logger.Info("quarantine lifted", "operator", operator, "fingerprint", fingerprint)
+	event.Log(context.Background(), n.logger, event.QuarantineLift, slog.Any("operator", operator), slog.Any("fingerprint", fingerprint))
 	n.tables.addLift(n.clock.Now(), fingerprint)
 }
--- a/internal/app/control/join.go
+++ b/internal/app/control/join.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"sassafrasreach/internal/core/register"
+	"sassafrasreach/internal/event"
 )
 
 // joinInterval is the pause between two tries to get a vote.
@@ -55,7 +57,7 @@
 	}
 	n.acceptor.Found(founders)
 	if n.saveBoth() == nil {
-		n.logger.Info("member votes: all members were empty")
+		event.Log(context.Background(), n.logger, event.VotesFresh)
 	}
 }
 
@@ -76,6 +78,6 @@
 	}
 	n.acceptor.Repaired(repair.Result())
 	if n.saveBoth() == nil {
-		n.logger.Info("member votes: repaired", "ballot", fence.Ballot.Round)
+		event.Log(context.Background(), n.logger, event.VotesRepaired, slog.Any("ballot", fence.Ballot.Round))
 	}
 }
--- a/internal/app/control/keepup.go
+++ b/internal/app/control/keepup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/register"
+	"sassafrasreach/internal/event"
 )
 
 const (
@@ -70,7 +71,7 @@
 	if n.failed != nil || !n.acceptor.Overtaken(read.Fences()) {
 		return
 	}
-	n.logger.Warn("state is older than the member's last repair")
+	event.Log(context.Background(), n.logger, event.StateOlder)
 	_ = n.reset(true)
 }
 
--- a/internal/app/control/state.go
+++ b/internal/app/control/state.go
@@ -1,14 +1,17 @@
 package control
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"log/slog"
 
 	"sassafrasreach/internal/adapter/disk"
 	"sassafrasreach/internal/adapter/registergrpc"
 	"sassafrasreach/internal/core/register"
+	"sassafrasreach/internal/event"
 )
 
 const (
@@ -35,7 +38,7 @@
 		return n.restore(state, value)
 	}
 	damaged := n.damaged(state, stateErr, valueErr)
-	n.logger.Warn("data folder holds no usable state", "damaged", damaged, "state", stateErr, "value", valueErr)
+	event.Log(context.Background(), n.logger, event.FolderUnusable, slog.Any("damaged", damaged), slog.Any("state", stateErr), slog.Any("value", valueErr))
 	return n.reset(damaged)
 }
 
@@ -128,6 +131,6 @@
 	}
 	n.failed = err
 	close(n.stopped)
-	n.logger.Error("data folder failed: the member gives no more answers", "cause", err)
+	event.Log(context.Background(), n.logger, event.FolderFailed, slog.Any("cause", err))
 	return err
 }
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -56,6 +56,7 @@
 	operators := &http.Server{
 		Handler: operatorhttp.New(operatorhttp.Options{
 			Store:                node,
+			RecordRefused:        recordRefused(node),
 			BootstrapTokenSHA256: config.BootstrapTokenSHA256,
 			Clock:                port.ClockFunc(time.Now),
 			Logger:               logger,
@@ -97,6 +98,15 @@
 	})
 }
 
+// recordRefused submits a change with faults: the node refuses it and keeps
+// that in the audit trail.
+func recordRefused(node *control.Node) func(context.Context, port.Change) error {
+	return func(ctx context.Context, change port.Change) error {
+		_, err := node.Submit(ctx, change)
+		return err
+	}
+}
+
 // validate returns the faults of a document as an error.
 func validate(text []byte) error {
 	_, err := document.ParseValid(text)
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -61,6 +61,7 @@
 	entry     *entry.Entry
 	callers   *http.Server
 	peers     *grpc.Server
+	metrics   *http.Server
 	endpoints *endpointhttp.Caller
 	logger    *slog.Logger
 	failed    chan error
@@ -119,7 +120,8 @@
 		entry:     e,
 		endpoints: endpoints,
 		logger:    logger,
-		failed:    make(chan error, 2),
+		failed:    make(chan error, 3),
+		metrics:   &http.Server{Handler: callerhttp.NewHealth(e, meter.Handler()), ReadHeaderTimeout: callerHeaderTimeout},
 		peers:     peergrpc.NewGRPCServer(),
 		callers: &http.Server{
 			Handler:           handler,
@@ -155,6 +157,11 @@
 		_ = peers.Close()
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	if err := p.listenMetrics(ctx, config.MetricsListen); err != nil {
+		_ = peers.Close()
+		_ = callers.Close()
+		return err
+	}
 	go func() { p.report(p.peers.Serve(peers)) }()
 	go func() { p.report(p.callers.Serve(callers)) }()
 	event.Log(ctx, p.logger, event.Listening, slog.String("for", "peers"), slog.String("address", config.PeerListen))
@@ -162,6 +169,21 @@
 	return nil
 }
 
+// listenMetrics opens the listener for metrics and health, if there is to be
+// one of its own.
+func (p *entryProcess) listenMetrics(ctx context.Context, address string) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	go func() { p.report(p.metrics.Serve(listener)) }()
+	event.Log(ctx, p.logger, event.Listening, slog.String("for", "metrics"), slog.String("address", address))
+	return nil
+}
+
 // report passes on why a listener ended, but for a planned stop.
 func (p *entryProcess) report(err error) {
 	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, grpc.ErrServerStopped) {
@@ -207,6 +229,7 @@
 		event.Log(ctx, p.logger, event.StopForced, slog.Int64("cut_off", cut))
 	}
 	_ = p.callers.Close()
+	_ = p.metrics.Close()
 	p.peers.Stop()
 	event.Log(ctx, p.logger, event.Stopped,
 		slog.Duration("drain_time", time.Since(begun)), slog.Int64("cut_off", cut))
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -40,10 +40,34 @@
 	HandOverDone    = Event{1306, "hand-over-done", slog.LevelInfo, "Claims were handed to peers."}
 )
 
+// Events of control VMs: 1400 to 1499.
+var (
+	FolderUnusable = Event{1400, "folder-unusable", slog.LevelWarn, "The data folder holds no usable state: it is new, or its disk was lost. The member doesn't vote before it is repaired."}
+	FolderFailed   = Event{1401, "folder-failed", slog.LevelError, "Writing to the data folder failed; the member gives no more answers until it is started again."}
+	VotesFresh     = Event{1402, "votes-fresh", slog.LevelInfo, "All members were empty; the member votes from now on."}
+	VotesRepaired  = Event{1403, "votes-repaired", slog.LevelInfo, "The member was repaired from the others and votes again."}
+	StateOlder     = Event{1404, "state-older", slog.LevelWarn, "The member's state is older than its last repair, as when an old disk image was put back; it is repaired."}
+)
+
+// Events of operators: 1500 to 1599.
+var (
+	ChangeEnded        = Event{1500, "change-ended", slog.LevelInfo, "A change was accepted or lost to another one."}
+	ChangeUndecided    = Event{1501, "change-undecided", slog.LevelError, "A change ended without an outcome; it may have been accepted."}
+	ChangeRefused      = Event{1502, "change-refused", slog.LevelInfo, "A change was refused because its document has faults."}
+	RefusedNotRecorded = Event{1503, "refused-not-recorded", slog.LevelWarn, "A refused change could not be put into the audit trail."}
+	RegisterUnreadable = Event{1504, "register-unreadable", slog.LevelError, "The document in the register can't be read by this version of the program."}
+	TokenRefused       = Event{1505, "token-refused", slog.LevelWarn, "A request came with a token of no operator."}
+	ConsoleFailed      = Event{1510, "console-failed", slog.LevelError, "The console can't open the document."}
+	ConsolePartial     = Event{1511, "console-page-partial", slog.LevelWarn, "A page of the console was not sent whole."}
+)
+
 // Catalogue lists every event in the order of its number.
 var Catalogue = []Event{
 	Started, Listening, StopBegun, Stopped, StopForced, ServeFailed,
 	DocumentApplied, DocumentRefused, ControlLost, ControlFound, ServingCutOff,
 	MemberLost, MemberFound, OwnerGained, OwnerLost,
 	EndpointFound, EndpointLeaving, EndpointDied, Quarantined, QuarantineLift, HandOverFailed, HandOverDone,
+	FolderUnusable, FolderFailed, VotesFresh, VotesRepaired, StateOlder,
+	ChangeEnded, ChangeUndecided, ChangeRefused, RefusedNotRecorded, RegisterUnreadable, TokenRefused,
+	ConsoleFailed, ConsolePartial,
 }
