--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -130,7 +130,7 @@
 	for _, size := range []int{0, 10, 1 << 20, 3<<20 + 17} {
 		is := is.New(t)
 		body := bytes.Repeat([]byte("x"), size)
-		p := &fakePeer{forward: func(ctx context.Context, f port.Forward) (*port.Response, error) {
+		p := &fakePeer{forward: func(_ context.Context, f port.Forward) (*port.Response, error) {
 			left := time.Until(f.Request.Deadline)
 			is.True(left > time.Second && left <= 2*time.Second)
 			is.Equal(f.Hop, port.HopOwner)
