--- a/internal/adapter/endpointhttp/failure_test.go
+++ b/internal/adapter/endpointhttp/failure_test.go
@@ -175,7 +175,7 @@
 		"another protocol":     say("101 Switching Protocols\r\n%sUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
 		"an HTTP/2 GOAWAY": func(c *net.TCPConn, _ int64, _ *http.Request) bool {
 			_, err := c.Write([]byte("\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x00\x08\x07\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00"))
-			return err == nil
+			return err != nil
 		},
 		"no HTTP":                say("\x00\x01%s"),
 		"status out of range":    say("2000 OK\r\n%sContent-Length: 0\r\n\r\n"),
