Let a slow endpoint's answers clear the runs that were given up on it

Cause: two runs of one fingerprint that ended by their deadline held it back for Blame, 5 s. On a cold or slow service that refuses popular look-ups, which are late but harmless. Ruled out: not to count runs that were given up; a request that crashes its endpoint after its caller's patience then takes down more than two. Change: such a run counts no more once its endpoint has answered a request that started a second or more after it was given up. Resets count as before. Shown: TestAtMostTwoDeaths fails when an answer at once clears; rows for both sides of the second, and for resets, were each seen to fail.

--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -17,6 +17,11 @@
 		t.dropOldRuns(now, r)
 		t.forgetIdle(now, f, r)
 	}
+	for on, started := range t.alive {
+		if now.Sub(started) >= t.cfg.Blame {
+			delete(t.alive, on)
+		}
+	}
 	for f, at := range t.proven {
 		if now.Sub(at) >= t.cfg.Proven {
 			delete(t.proven, f)
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -19,6 +19,9 @@
 	// Blame is how long after a run was lost a death is blamed on it. It must
 	// be longer than it takes to notice that an endpoint is gone.
 	Blame time.Duration
+	// Settle is how long after a run was given up its endpoint must have started
+	// another request, and answered it, to show that the run did not harm it.
+	Settle time.Duration
 	// Proven is how long after an answer a fingerprint counts as harmless.
 	Proven time.Duration
 	// Window is the time in which deaths belong to one wider failure.
@@ -36,6 +39,7 @@
 	return Config{
 		Hold:        5 * time.Minute,
 		Blame:       5 * time.Second,
+		Settle:      time.Second,
 		Proven:      time.Minute,
 		Window:      2 * time.Second,
 		WiderDeaths: 3,
@@ -106,8 +110,10 @@
 type run struct {
 	on      incarnation
 	started time.Time
-	// lost is when the run's end was lost; zero while it is under way.
-	lost time.Time
+	// lost is when the run's end was lost; zero while it is under way. reset says
+	// that the connection broke.
+	lost  time.Time
+	reset bool
 }
 
 // blame is a death that happened with the fingerprint in flight.
@@ -145,7 +151,9 @@
 	cfg     Config
 	records map[fingerprint.Fingerprint]*record
 	proven  map[fingerprint.Fingerprint]time.Time
-	deaths  []death
+	// alive holds the latest start of an answered run by endpoint incarnation.
+	alive  map[incarnation]time.Time
+	deaths []death
 }
 
 // NewTable returns an empty table.
@@ -154,6 +162,7 @@
 		cfg:     cfg,
 		records: make(map[fingerprint.Fingerprint]*record),
 		proven:  make(map[fingerprint.Fingerprint]time.Time),
+		alive:   make(map[incarnation]time.Time),
 	}
 }
 
@@ -181,7 +190,7 @@
 	t.dropOldRuns(now, r)
 	r.asked = now
 	if !t.isProven(now, f) || len(r.deaths) > 0 {
-		if a := r.admission(t.countDeaths(f, r)); a != Admitted {
+		if a := r.admission(t.countDeaths(f, r) + t.harmful(r)); a != Admitted {
 			return a
 		}
 	}
@@ -196,9 +205,23 @@
 	return r != nil && now.Before(r.suspectUntil) && !t.isProven(now, f)
 }
 
-// admission decides from the runs under way or lost and the counted deaths.
+// harmful returns the runs that may yet turn out to end their endpoint: those
+// under way, and those lost on an endpoint that hasn't shown since that it lives.
+func (t *Table) harmful(r *record) int {
+	n := 0
+	for _, x := range r.runs {
+		givenUp := !x.lost.IsZero() && !x.reset
+		if givenUp && t.alive[x.on].Sub(x.lost) >= t.cfg.Settle {
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// admission decides from the number of deaths, those that may come included.
 func (r *record) admission(deaths int) Admission {
-	if deaths+len(r.runs) < maxDeaths {
+	if deaths < maxDeaths {
 		return Admitted
 	}
 	if r.underWay() > 0 {
@@ -231,11 +254,14 @@
 	}
 	if (end == Lost || end == Reset) && len(t.records) <= t.cfg.MaxEntries {
 		r.runs[i].lost = now
+		r.runs[i].reset = end == Reset
 		return t.suspected(now, f, end)
 	}
+	started := r.runs[i].started
 	r.runs = slices.Delete(r.runs, i, i+1)
 	var c Change
 	if end == Answered {
+		t.alive[on] = later(t.alive[on], started)
 		c = t.answered(now, f, r)
 	}
 	t.forgetIdle(now, f, r)
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -72,6 +72,15 @@
 			}
 		}
 	}
+	giveUp := func(b B, end quarantine.End, after time.Duration) {
+		b.start("w1", poison)
+		b.start("w2", poison)
+		b.end("w1", poison, end)
+		b.end("w2", poison, end)
+		b.pass(after)
+		b.start("w2", second)
+		b.end("w2", second, quarantine.Answered)
+	}
 	cases := []struct {
 		name   string
 		before func(B)
@@ -100,6 +109,9 @@
 			b.end("w2", poison, quarantine.Lost)
 			b.pass(cfg.Blame)
 		}, ok},
+		{"two given up, an endpoint answers later", func(b B) { giveUp(b, quarantine.Lost, cfg.Settle) }, ok},
+		{"two given up, an endpoint answers at once", func(b B) { giveUp(b, quarantine.Lost, cfg.Settle-1) }, no},
+		{"two resets, an endpoint answers later", func(b B) { giveUp(b, quarantine.Reset, cfg.Settle) }, no},
 		{"one death", kill("w1"), ok},
 		{"one death, one under way", func(b B) { b.kill("w1", poison); b.start("w2", poison) }, wait},
 		{"one death, one lost", func(b B) { b.kill("w1", poison); b.start("w2", poison); b.end("w2", poison, quarantine.Lost) }, no},
