Let a cell decide on its members, and name owners from their own rows

Cause: an owner that its place no longer hears, but others do, fenced itself while its place still believed it live through others' rows: 6.5 s without an owner (TestOwnershipUnderFaults/unheard_by_its_place). And in places of several cells, daemons named the acting owner in 65 to 95% of look-ups (controlcost), since its member row was seldom among those they follow.

Change: rows from outside a cell don't keep its members live. Outside the own cell a fresh group row of the acting owner goes before hashing.

--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -67,6 +67,8 @@
 	s, known := t.members[row.Name]
 	switch {
 	case row.Name == "" || row.Place == "":
+	case t.dir.sameCell(t.self.Name, row.Name) && !t.dir.sameCell(t.self.Name, from):
+		mergeHearsay(s, row)
 	case !known:
 		if t.mayAdd(row) {
 			t.members[row.Name] = t.newState(now, from, row)
@@ -78,6 +80,22 @@
 	}
 }
 
+// mergeHearsay takes from a row of a cell member that came from outside the cell
+// that the member has restarted or is leaving, but not that it is live: the
+// cell itself decides that, so that its members agree with the fence of one
+// that only others hear.
+func mergeHearsay(s *state, row MemberRow) {
+	switch {
+	case s == nil:
+	case row.Incarnation > s.row.Incarnation:
+		row.Counter = 0
+		s.row = row
+	case row.Incarnation == s.row.Incarnation && row.Leaving && !s.row.Leaving:
+		s.row.Leaving = true
+		s.times = 0
+	}
+}
+
 // mergeCounter merges a row of the incarnation that is known.
 func (t *Table) mergeCounter(now time.Time, from string, s *state, row MemberRow) {
 	leaving := s.row.Leaving || row.Leaving
--- a/internal/core/membership/groups.go
+++ b/internal/core/membership/groups.go
@@ -123,7 +123,7 @@
 
 // ownerChanged says whether a row of another owner replaces the one held.
 func (t *Table) ownerChanged(now time.Time, g *groupState, row GroupRow) bool {
-	if _, live := t.Member(now, g.row.Owner); !live {
+	if s, known := t.members[g.row.Owner]; known && (!t.alive(now, s) || s.row.Leaving) {
 		return true
 	}
 	if now.Sub(g.heard) >= t.cfg.SuspectAfter {
@@ -142,13 +142,16 @@
 	}
 }
 
-// groupRows picks the rows of groups for a heartbeat: the own ones, then those
-// of the own place, each in the order in which they were last passed on.
+// groupRows picks the rows of groups for a heartbeat: the own ones, then for
+// another place those of the own place, each in the order in which they were
+// last passed on.
 func (t *Table) groupRows(now time.Time, to string, request *Heartbeat) []GroupRow {
 	list := t.groupCandidates(now, to, request)
+	peer, _ := t.dir.Peer(to)
+	outside := peer.Place != t.self.Place
 	slices.SortFunc(list, func(a, b *groupState) int {
 		return cmp.Or(
-			cmp.Compare(t.nearness(b), t.nearness(a)),
+			cmp.Compare(t.nearness(b, outside), t.nearness(a, outside)),
 			cmp.Compare(a.sent, b.sent),
 			cmp.Compare(a.row.Place, b.row.Place),
 			cmp.Compare(a.row.Service, b.row.Service),
@@ -165,9 +168,10 @@
 	return rows
 }
 
-// nearness is 2 for an own row, 1 for one of the own place, and else 0.
-func (t *Table) nearness(g *groupState) int {
-	return boolRank(g.row.Owner == t.self.Name) + boolRank(g.row.Place == t.self.Place)
+// nearness orders rows: own ones, those of the own place for another place, and
+// all others.
+func (t *Table) nearness(g *groupState, outside bool) int {
+	return 2*boolRank(g.row.Owner == t.self.Name) + boolRank(outside && g.row.Place == t.self.Place)
 }
 
 // packGroup leaves out what the sender's own row says.
--- a/internal/core/membership/net_test.go
+++ b/internal/core/membership/net_test.go
@@ -79,6 +79,11 @@
 }
 
 func (n *network) tick(name string) {
+	var own []membership.GroupRow
+	if n.tables[name].OwnsSelf(n.now, service, home) {
+		own = []membership.GroupRow{{Service: service, Place: home, Endpoints: 4}}
+	}
+	n.tables[name].SetGroups(n.now, own)
 	for _, target := range n.tables[name].Tick(n.now) {
 		if n.tap != nil {
 			n.tap(target.Heartbeat)
--- a/internal/core/membership/owner.go
+++ b/internal/core/membership/owner.go
@@ -141,7 +141,7 @@
 
 // Owner returns the entry that owns a group: the first by rendezvous hashing
 // over the place's live entries, or over its region's when the place has none.
-// For a place too large to be followed whole, what its owner says goes first.
+// Outside the own cell, what the group's acting owner says goes first.
 func (t *Table) Owner(now time.Time, service, place string) (Member, bool) {
 	if m, ok := t.stated(now, service, place); ok {
 		return m, true
@@ -149,18 +149,24 @@
 	return t.ranked(now, service, place)
 }
 
-// stated returns the live owner that a group's own recent row names, for
-// places of which this entry sees a part only.
+// stated returns the owner that a group's own recent row names, unless this
+// entry's cell is the whole place. The row shows that the owner lives, also
+// when it isn't among the members that this entry follows.
 func (t *Table) stated(now time.Time, service, place string) (Member, bool) {
-	if len(t.dir.places[place]) < 2 {
+	if place == t.self.Place && len(t.dir.places[place]) < 2 {
 		return Member{}, false
 	}
 	g, ok := t.groups[groupKey{service, place}]
 	if !ok || g.row.Owner == t.self.Name || now.Sub(g.heard) >= t.suspectAfter(g.row.Owner) {
 		return Member{}, false
 	}
-	m, ok := t.Member(now, g.row.Owner)
-	return m, ok && !m.Leaving
+	if s, known := t.members[g.row.Owner]; known {
+		lost := s.row.Leaving || s.row.Incarnation > g.row.OwnerIncarnation || s.mate && !t.alive(now, s)
+		return memberOf(s.row), !lost
+	}
+	peer, listed := t.dir.Peer(g.row.Owner)
+	owner := Member{Name: g.row.Owner, Place: peer.Place, Incarnation: g.row.OwnerIncarnation}
+	return owner, listed
 }
 
 // Backup returns the entry that would own a group if its owner were lost.
