Back off by the length of an attempt when proposers collide

Cause: over links of 55 ms an attempt takes over 200 ms, but the pause before the next one was at most 100 ms, so that colliding proposers cut each other off again and again.

Change: the pause is drawn from a window as long as the failed attempt, which doubles up to four times, at most 2 s. Submit waits up to 10 s in place of 5 s.

Ruled out: a leader that orders proposers; it would have to be elected and could be isolated.

--- a/internal/app/control/faults_test.go
+++ b/internal/app/control/faults_test.go
@@ -304,6 +304,34 @@
 	})
 }
 
+// TestRaceOverSlowLinks has three operators submit at once through members that
+// are 55 ms apart: all are told an outcome without a resend.
+func TestRaceOverSlowLinks(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.mu.Lock()
+		c.latency = 55 * time.Millisecond
+		c.mu.Unlock()
+		worst := time.Duration(0)
+		for v := range uint64(20) {
+			outs := make([]port.Outcome, 3)
+			began := time.Now()
+			var all sync.WaitGroup
+			for i := range outs {
+				all.Go(func() { outs[i], _ = c.node(i).Submit(context.Background(), change(fmt.Sprint(v, "-", i), v)) })
+			}
+			all.Wait()
+			worst = max(worst, time.Since(began))
+			count := make(map[port.ChangeState]int)
+			for _, out := range outs {
+				count[out.State]++
+			}
+			is.Equal(count, map[port.ChangeState]int{port.ChangeAccepted: 1, port.ChangeConflict: 2})
+		}
+		t.Logf("slowest race: %v", worst)
+	})
+}
+
 func TestInvalidChangeIsAuditedAndResentAlike(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, c *cluster) {
 		is := is.New(t)
--- a/internal/app/control/propose.go
+++ b/internal/app/control/propose.go
@@ -14,12 +14,23 @@
 	// MaxDocumentBytes bounds a document; a larger one is invalid.
 	MaxDocumentBytes = 4 << 20
 	// submitTimeout bounds Submit when its context has no earlier deadline.
-	submitTimeout = 5 * time.Second
-	// backoffMin and backoffMax bound the random pause before another attempt.
-	backoffMin = 5 * time.Millisecond
-	backoffMax = 100 * time.Millisecond
+	submitTimeout = 10 * time.Second
+	// backoffDoublings bounds how often the window doubles.
+	backoffDoublings = 4
+	// backoffMin and backoffMax bound the window from which the pause before
+	// another attempt is drawn.
+	backoffMin = 20 * time.Millisecond
+	backoffMax = 2 * time.Second
 )
 
+// backoff returns the pause after an attempt that took some time and was
+// preceded by others. Its window is as long as the attempt and doubles, so that
+// one of several proposers gets through before the others come back.
+func backoff(took time.Duration, before int) time.Duration {
+	window := min(max(took, backoffMin)<<min(before, backoffDoublings), backoffMax)
+	return rand.N(window)
+}
+
 // Submit implements port.ConfigStore. Besides port.ErrNoQuorum the error may be
 // register.ErrChangeIDReused. A refused change is in the audit trail too.
 func (n *Node) Submit(ctx context.Context, change port.Change) (port.Outcome, error) {
@@ -74,8 +85,8 @@
 	}
 	proposed := false
 	seen := register.Ballot{}
-	for ctx.Err() == nil && n.failure() == nil {
-		began := n.clock.Now()
+	for tries := 0; ctx.Err() == nil && n.failure() == nil; tries++ {
+		began, started := n.clock.Now(), time.Now()
 		a := register.NewAttempt(n.group, n.nextBallot(seen), n.held(), decide)
 		n.attempt(ctx, a)
 		switch out, err := a.Outcome(); {
@@ -88,7 +99,7 @@
 		}
 		proposed = proposed || a.Value() != nil
 		seen = a.Seen()
-		pause(ctx, backoffMin+rand.N(backoffMax-backoffMin))
+		pause(ctx, backoff(time.Since(started), tries))
 	}
 	return port.Outcome{}, proposed, port.ErrNoQuorum
 }
