Keep serving what is known to be chosen when an old disk image steps down

Cause: a member that gives up its vote because others know of a later repair forgot the chosen value too, and could have served an entry nothing until it read again.

Change: the chosen value stays; only the vote, the promise and the accepted value go. TestOldImageOfTheDisk checks that the version served doesn't fall, but it passed without the change too: the member learns the value again within the same round.

--- a/internal/app/control/faults_test.go
+++ b/internal/app/control/faults_test.go
@@ -178,6 +178,7 @@
 	inBubble(t, 3, func(t *testing.T, c *cluster) {
 		is := is.New(t)
 		c.submit(change("a", 0), 0)
+		time.Sleep(time.Second)
 		image := copyDir(t, c.kill(2))
 		c.start(2, t.TempDir())
 		c.eventually("repair", func() bool { return c.votes(2) })
@@ -185,7 +186,12 @@
 		c.submit(change("b", 1), 0)
 		c.kill(2)
 		c.start(2, image)
+		served := uint64(0)
 		c.eventually("second repair", func() bool {
+			f, err := c.node(2).Fetch(0, nil)
+			is.NoErr(err)
+			is.True(served <= f.Config.Version) // what is served never goes back
+			served = f.Config.Version
 			now, err := c.node(2).Query(register.Query{})
 			return err == nil && now.Voting && before.Generation.Less(now.Generation)
 		})
--- a/internal/app/control/state.go
+++ b/internal/app/control/state.go
@@ -63,15 +63,21 @@
 	return stateErr != nil || err != nil || s.Voting || s.Damaged
 }
 
-// reset makes the folder one that never voted, or was damaged. The state goes
-// first: until the value is saved too, the folder holds no usable state. Must
-// hold mu, or be called from New.
+// reset makes the folder one that never voted, or was damaged. What the member
+// knows to be chosen stays true and is kept. The state goes first: until the
+// value is saved too, the folder holds no usable state. Must hold mu, or be
+// called from New.
 func (n *Node) reset(damaged bool) error {
 	nonce, err := newNonce()
 	if err != nil {
 		return n.fail(err)
 	}
-	n.acceptor = register.NewAcceptor(n.self, register.State{Nonce: nonce, Damaged: damaged})
+	state := register.State{Nonce: nonce, Damaged: damaged}
+	if n.acceptor != nil {
+		known := n.acceptor.State()
+		state.Committed, state.CommittedValue = known.Committed, known.CommittedValue
+	}
+	n.acceptor = register.NewAcceptor(n.self, state)
 	if err := n.saveState(); err != nil {
 		return err
 	}
