--- a/internal/app/control/faults_test.go
+++ b/internal/app/control/faults_test.go
@@ -178,6 +178,7 @@
 	inBubble(t, 3, func(t *testing.T, c *cluster) {
 		is := is.New(t)
 		c.submit(change("a", 0), 0)
+		time.Sleep(time.Second)
 		image := copyDir(t, c.kill(2))
 		c.start(2, t.TempDir())
 		c.eventually("repair", func() bool { return c.votes(2) })
@@ -185,7 +186,12 @@
 		c.submit(change("b", 1), 0)
 		c.kill(2)
 		c.start(2, image)
+		served := uint64(0)
 		c.eventually("second repair", func() bool {
+			f, err := c.node(2).Fetch(0, nil)
+			is.NoErr(err)
+			is.True(served <= f.Config.Version) // what is served never goes back
+			served = f.Config.Version
 			now, err := c.node(2).Query(register.Query{})
 			return err == nil && now.Voting && before.Generation.Less(now.Generation)
 		})
@@ -304,6 +310,34 @@
 	})
 }
 
+// TestRaceOverSlowLinks has three operators submit at once through members that
+// are 55 ms apart: all are told an outcome without a resend.
+func TestRaceOverSlowLinks(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.mu.Lock()
+		c.latency = 55 * time.Millisecond
+		c.mu.Unlock()
+		worst := time.Duration(0)
+		for v := range uint64(20) {
+			outs := make([]port.Outcome, 3)
+			began := time.Now()
+			var all sync.WaitGroup
+			for i := range outs {
+				all.Go(func() { outs[i], _ = c.node(i).Submit(context.Background(), change(fmt.Sprint(v, "-", i), v)) })
+			}
+			all.Wait()
+			worst = max(worst, time.Since(began))
+			count := make(map[port.ChangeState]int)
+			for _, out := range outs {
+				count[out.State]++
+			}
+			is.Equal(count, map[port.ChangeState]int{port.ChangeAccepted: 1, port.ChangeConflict: 2})
+		}
+		t.Logf("slowest race: %v", worst)
+	})
+}
+
 func TestInvalidChangeIsAuditedAndResentAlike(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, c *cluster) {
 		is := is.New(t)
