Take a broken connection for a suspicion at once, and never refuse a key as not run on the way

Cause: an entry without a document told not-run of a keyed request whose home it had not asked; another entry could try a suspected request again after 10 s; the body was hashed under the suspects' lock. Change: MayHaveRun there; a reset counts before the death is known and holds the request back elsewhere for the quarantine's whole time unless it is answered; the fingerprint is computed outside the lock. After: TestThinPath, TestCrashingRequest and TestFreezeDuringHandOver pass.

--- a/internal/app/entry/serve.go
+++ b/internal/app/entry/serve.go
@@ -21,7 +21,7 @@
 
 func (e *Entry) serve(ctx context.Context, req *port.Request) (*port.Response, error) {
 	if _, err := e.current(); err != nil {
-		return nil, err
+		return nil, keyedRefusal(req, err)
 	}
 	if req.OnceOnly {
 		return e.serveOnce(ctx, req, true)
@@ -39,7 +39,7 @@
 	ctx, cancel := context.WithDeadline(ctx, f.Request.Deadline)
 	defer cancel()
 	if _, err := e.current(); err != nil {
-		return nil, err
+		return nil, keyedRefusal(f.Request, err)
 	}
 	switch f.Hop {
 	case port.HopHome:
@@ -51,6 +51,15 @@
 	}
 }
 
+// keyedRefusal is the failure of a request that is refused before the home of
+// its key was asked: other copies of it may have run.
+func keyedRefusal(req *port.Request, err error) error {
+	if req.Key == "" {
+		return err
+	}
+	return verdict.NewError(verdict.MayHaveRun, verdict.ReasonOf(err), err)
+}
+
 // handleOwner admits a forwarded request once, however often it arrives.
 func (e *Entry) handleOwner(ctx context.Context, f port.Forward) (*port.Response, error) {
 	if !e.attempts.first(e.clock.Now(), f.Request.ID) {
--- a/internal/app/entry/suspects.go
+++ b/internal/app/entry/suspects.go
@@ -16,7 +16,7 @@
 
 // suspectHold is how long other entries hold a fingerprint back after its
 // first death.
-const suspectHold = 10 * time.Second
+var suspectHold = quarantine.DefaultConfig().Hold
 
 var (
 	// errQuarantined tells a caller why its request is refused.
@@ -45,17 +45,19 @@
 
 // started asks for a run; for Wait the channel tells when to ask again.
 func (s *suspects) started(now time.Time, to port.Endpoint, req *port.Request) (quarantine.Admission, <-chan struct{}) {
+	f := fingerprintOf(req)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	leave := s.table.Started(now, to.ID, to.Incarnation, fingerprintOf(req), req.Service)
+	leave := s.table.Started(now, to.ID, to.Incarnation, f, req.Service)
 	return leave, s.changed
 }
 
 // ended records the end of a run.
 func (s *suspects) ended(now time.Time, to port.Endpoint, req *port.Request, end quarantine.End) quarantine.Change {
+	f := fingerprintOf(req)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	change := s.table.Ended(now, to.ID, to.Incarnation, fingerprintOf(req), end)
+	change := s.table.Ended(now, to.ID, to.Incarnation, f, end)
 	s.wake()
 	return change
 }
@@ -146,6 +148,9 @@
 	case verdict.NotRun:
 		end = quarantine.NotStarted
 	}
+	if errors.Is(err, port.ErrConnectionLost) {
+		end = quarantine.Reset
+	}
 	rows := e.noteChange(e.suspects.ended(e.clock.Now(), to, req, end))
 	if errors.Is(err, port.ErrConnectionLost) {
 		rows = append(rows, e.blame(to, req)...)
@@ -153,19 +158,14 @@
 	e.spread(rows)
 }
 
-// blame checks whether the endpoint that broke a connection is gone. If it is
-// not, its next incarnation may tell soon; until then the request is suspected.
+// blame checks whether the endpoint that broke a connection is gone.
 func (e *Entry) blame(to port.Endpoint, req *port.Request) []port.QuarantineRow {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	if err := e.endpoints.Probe(ctx, to); errors.Is(err, port.ErrConnectionRefused) {
-		return e.died(to.ID, to.Incarnation, req.Service)
+	if err := e.endpoints.Probe(ctx, to); !errors.Is(err, port.ErrConnectionRefused) {
+		return nil
 	}
-	return []port.QuarantineRow{{
-		Fingerprint: fingerprintOf(req).String(),
-		Remaining:   quarantine.DefaultConfig().Blame,
-		Suspected:   true,
-	}}
+	return e.died(to.ID, to.Incarnation, req.Service)
 }
 
 // endpointDied takes an endpoint out of use and tells the other entries of the
