Let endpoints say that they leave to an entry that doesn't own their group

Cause: a planted fault, leaving not passed on to the owner, passed: the endpoints of the test happened to announce to owners. Change: the flow asks for the owner first and announces to another entry.

--- a/internal/systemtest/endpoint_test.go
+++ b/internal/systemtest/endpoint_test.go
@@ -128,6 +128,14 @@
 	_ = e.server.Close()
 }
 
+// setEntries replaces the entries that the endpoint announces to.
+func (e *endpoint) setEntries(entries []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries = entries
+	e.learned = nil
+}
+
 // leave says that the endpoint takes no new work.
 func (e *endpoint) leave() {
 	e.mu.Lock()
--- a/internal/systemtest/flow_test.go
+++ b/internal/systemtest/flow_test.go
@@ -100,6 +100,7 @@
 // flowLeave wants no new work for an endpoint that leaves.
 func (s *system) flowLeave(place string, e *endpoint) {
 	s.t.Helper()
+	e.setEntries(s.nonOwnersFirst(place))
 	e.leave()
 	until := time.Now().Add(leaveLimit)
 	for time.Now().Before(until) {
@@ -115,6 +116,21 @@
 	e.crash()
 }
 
+// nonOwnersFirst lists the entries of a place, those that don't own its group
+// first, so that what an endpoint says has to be passed on.
+func (s *system) nonOwnersFirst(place string) []string {
+	owner := s.owner(place)
+	var first, last []string
+	for _, entry := range s.doc.PlaceByName(place).Entries {
+		if entry.Name == owner {
+			last = append(last, entry.Caller)
+			continue
+		}
+		first = append(first, entry.Caller)
+	}
+	return append(append(first, last...), s.entriesOf("north-b")...)
+}
+
 func (s *system) placeIndex(place string) int {
 	for i := range s.doc.Places {
 		if s.doc.Places[i].Name == place {
