Hold a network of loopback for each system under test, and measure look-ups and requests

Cause: two runs of the system tests at the same time took the same addresses. Change: a test holds its network by a listener; TestMeasureCosts.

--- a/internal/systemtest/measure_test.go
+++ b/internal/systemtest/measure_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -188,3 +191,80 @@
 	}
 	return 0
 }
+
+// TestMeasureCosts measures the processor time of one look-up and of one
+// request at the entry that answers it, over connections that are kept.
+func TestMeasureCosts(t *testing.T) {
+	measuring(t)
+	s := newSystem(t, todaysSize())
+	place := s.doc.Places[0].Name
+	answer, err := s.lookup(place)
+	if err != nil {
+		t.Fatal(err)
+	}
+	owner := answer.Entries[0]
+	lookups := s.hammer(owner.Name, "http://"+owner.Address+"/v1/lookup?service="+service+"&place="+place)
+	requests := s.hammer(owner.Name, "http://"+owner.Address+"/s/"+service+"/x")
+	fmt.Printf("look-up over HTTP: %v\nidempotent request at its owner: %v\n", lookups, requests)
+}
+
+// hammered is what a closed loop of callers measured.
+type hammered struct {
+	perS     float64
+	p50, p99 time.Duration
+	cpu      time.Duration // of the entry, per call
+	failed   int
+}
+
+func (h hammered) String() string {
+	return fmt.Sprintf("%.0f/s, %v processor time each, p50 %v, p99 %v, %d failed",
+		h.perS, h.cpu.Round(time.Microsecond), h.p50.Round(10*time.Microsecond), h.p99.Round(10*time.Microsecond), h.failed)
+}
+
+// hammer sends GETs from eight callers for a while.
+func (s *system) hammer(entry, url string) hammered {
+	const callers = 8
+	const span = 5 * time.Second
+	caller := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}, Timeout: callTimeout}
+	var mu sync.Mutex
+	var took []time.Duration
+	failed := 0
+	before := s.costs()[entry].cpu
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for time.Since(begun) < span {
+				sent := time.Now()
+				ok := getOnce(caller, url)
+				mu.Lock()
+				took = append(took, time.Since(sent))
+				if !ok {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	cpu := s.costs()[entry].cpu - before
+	slices.Sort(took)
+	n := len(took)
+	return hammered{
+		perS:   float64(n) / span.Seconds(),
+		p50:    took[n/2],
+		p99:    took[n*99/100],
+		cpu:    time.Duration(cpu / float64(n) * float64(time.Second)),
+		failed: failed,
+	}
+}
+
+func getOnce(caller *http.Client, url string) bool {
+	response, err := caller.Get(url)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return err == nil && response.StatusCode == http.StatusOK
+}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -105,7 +106,7 @@
 	s := &system{
 		t:         t,
 		layout:    l,
-		net:       20 + (nextNet.Add(1)+int32(os.Getpid()%8)*12)%100,
+		net:       claimNet(t),
 		dir:       t.TempDir(),
 		mesh:      newMesh(t),
 		runs:      &runs{counts: make(map[string]int)},
@@ -133,6 +134,29 @@
 	return s
 }
 
+// claimNet finds a network that no other test uses, in this process or another
+// one, and holds it by a listener until the test ends.
+func claimNet(t *testing.T) int32 {
+	t.Helper()
+	for range nets {
+		n := firstNet + nextNet.Add(1)%nets
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:19999", n))
+		if err != nil {
+			continue
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		return n
+	}
+	t.Fatal("no free network on loopback")
+	return 0
+}
+
+// Networks 127.20.0.0/16 to 127.119.0.0/16 are the tests'.
+const (
+	firstNet = 20
+	nets     = 100
+)
+
 func (s *system) awaitServing(place string) {
 	s.t.Helper()
 	s.eventually("requests served in "+place, func() bool {
