--- a/internal/cli/ctl/client.go
+++ b/internal/cli/ctl/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sassafrasreach/internal/adapter/operatorhttp"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -107,7 +108,7 @@
 	var last error
 	maybe := false
 	for round := range rounds {
-		if round > 0 && (!maybe || !pause(ctx, roundPause)) {
+		if round > 0 && (!maybe || !wait.For(ctx, roundPause)) {
 			break
 		}
 		for _, member := range c.members {
@@ -199,15 +200,3 @@
 	}
 	return errors.New(strings.Join(lines, "\n"))
 }
-
-// pause waits and says whether there is time left.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/cli/ctl/wait.go
+++ b/internal/cli/ctl/wait.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 // pollPause is the wait between two looks at the entries' versions.
@@ -39,7 +40,7 @@
 	known := make(map[string]port.EntryStatus)
 	for {
 		missing := r.look(ctx, version, entries, known)
-		if len(missing) == 0 || !pause(ctx, pollPause) {
+		if len(missing) == 0 || !wait.For(ctx, pollPause) {
 			return missing
 		}
 	}
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -24,6 +24,7 @@
 	"sassafrasreach/internal/app/entry"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -78,7 +79,7 @@
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.entry.Run(running)
-	go p.sweep(running)
+	go wait.Each(running, sweepPeriod, p.endpoints.Sweep)
 	select {
 	case err := <-p.failed:
 		return err
@@ -193,20 +194,6 @@
 	p.failed <- err
 }
 
-// sweep closes endpoint connections that were idle for too long.
-func (p *entryProcess) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.endpoints.Sweep()
-		}
-	}
-}
-
 // stop drains the entry and closes its listeners. A second signal or the limit
 // cuts the drain short.
 func (p *entryProcess) stop(ctx context.Context, signals <-chan os.Signal, limit time.Duration) {
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -175,14 +176,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(millis)*time.Millisecond)
 		defer cancel()
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d)
 }
 
 func shed(w http.ResponseWriter) {
