--- a/internal/systemtest/endpoint_test.go
+++ b/internal/systemtest/endpoint_test.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -111,7 +113,7 @@
 	e.state = port.EndpointReady
 	e.cancel = cancel
 	e.slot = make(chan struct{}, e.slots)
-	e.server = &http.Server{Handler: e}
+	e.server = &http.Server{Handler: e, ErrorLog: log.New(io.Discard, "", 0)}
 	server := e.server
 	e.mu.Unlock()
 	go func() { _ = server.Serve(ln) }()
@@ -230,6 +232,9 @@
 		e.crash()
 		return
 	}
+	if strings.HasPrefix(string(body), "drop") && e.runs.of(text) == 1 {
+		panic(http.ErrAbortHandler) // it ran, and its answer is lost
+	}
 	time.Sleep(e.work)
 	_, _ = fmt.Fprint(w, text)
 }
--- a/internal/systemtest/fault_test.go
+++ b/internal/systemtest/fault_test.go
@@ -242,3 +242,31 @@
 	})
 	s.flowIdempotent("south-a")
 }
+
+// TestLostAnswers loses the answer of each request's first run. A once-only
+// request isn't run again, through whichever entry it is resent; an idempotent
+// one is, and its caller gets the answer.
+func TestLostAnswers(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, twoRegions())
+	for range batch {
+		body := s.unique("drop")
+		key, first := s.post("north-a", body)
+		told := []result{first}
+		for _, entry := range s.entriesOf("south-a") {
+			told = append(told, s.send(entry, "north-a", "POST", key, body))
+		}
+		for _, r := range told {
+			if r.verdict != "may-have-run" {
+				t.Errorf("once-only request told %q %s", r.verdict, r.reason)
+			}
+		}
+		if runs := s.runs.of(body + "/x"); runs != 1 {
+			t.Errorf("once-only request ran %d times", runs)
+		}
+	}
+	body := s.unique("drop")
+	if r := s.get("north-b", body); !r.whole(body) {
+		t.Errorf("idempotent request got %d %s", r.status, r.reason)
+	}
+}
