--- a/internal/core/steering/crossing.go
+++ b/internal/core/steering/crossing.go
@@ -1,22 +1,26 @@
 package steering
 
 // Crossing returns what a request of a service from origin crosses when it is
-// served at place: every matching rule and every bounded link. False means
+// served at a place: every matching rule and every bounded link. False means
 // that no rule permits it, or that the place is drained for the service.
-func (t *Table) Crossing(service, origin, place string) (Choice, bool) {
+func (t *Table) Crossing(service, origin, at string) (Choice, bool) {
 	s, ok := t.services[service]
 	if !ok {
 		return Choice{}, false
 	}
-	if place == origin {
-		return Choice{Place: place}, true
+	if at == origin {
+		return Choice{Place: at}, true
 	}
-	if t.Drained(service, place) {
+	from, okFrom := t.indexes[origin]
+	index, okTo := t.indexes[at]
+	if !okFrom || !okTo || t.Drained(service, at) {
 		return Choice{}, false
 	}
-	rules := t.rules(s, origin, place)
+	to := &t.places[index]
+	rules := rulesTo(s.rulesFrom[from], to)
 	if len(rules) == 0 {
 		return Choice{}, false
 	}
-	return Choice{Place: place, Rules: rules, Links: t.crossed(origin, place)}, true
+	links := t.crossed(t.places[from].region, to.region)
+	return Choice{Place: at, Rules: rules, Links: links}, true
 }
