Keep the verdict of a first attempt that may have run

An idempotent request whose first attempt may have run was told NotRun when a second attempt was refused: the last failure won, in tryEndpoints, in better (of two hedged attempts) and in routeOnce (of two places). NotRun promises that no endpoint started the request.

moreCertain now joins the failures in all three: the second one counts unless only the first may have run. Once-only requests were not concerned, as they go to a second endpoint on NotRun alone; the tables show that too.

TestVerdicts, TestVerdictsOfPeers and TestHedgedVerdicts tell, for each outcome of endpoint calls and of forwards, what the caller is told and how many calls are made.

--- a/internal/app/entry/own.go
+++ b/internal/app/entry/own.go
@@ -54,8 +54,8 @@
 	if err != nil {
 		return nil, moreCertain(answer.Err, err)
 	}
-	answer = <-second.answer
-	return answer.Response, answer.Err
+	last := <-second.answer
+	return last.Response, moreCertain(answer.Err, last.Err)
 }
 
 // mayRetryHere says whether a failed request may go to a second endpoint of the
@@ -71,13 +71,13 @@
 	}
 }
 
-// moreCertain returns the failure that a caller is to be told when a second
-// attempt failed without having been sent: the first one's verdict holds.
+// moreCertain returns the failure that a caller is to be told of two attempts:
+// the second, unless only the first may have run. Without a first one it is nil.
 func moreCertain(first, second error) error {
-	if verdict.Of(first) == verdict.NotRun {
-		return second
+	if first != nil && verdict.Of(first) != verdict.NotRun && verdict.Of(second) == verdict.NotRun {
+		return first
 	}
-	return first
+	return second
 }
 
 // awaitHedged waits for the first attempt. When its answer is late it starts a
@@ -110,7 +110,9 @@
 		other = a
 	}
 	if answer.Err != nil {
-		return <-other.answer
+		last := <-other.answer
+		last.Err = moreCertain(answer.Err, last.Err)
+		return last
 	}
 	other.cancel()
 	go discard(other)
--- a/internal/app/entry/route.go
+++ b/internal/app/entry/route.go
@@ -61,10 +61,10 @@
 		if err == nil {
 			return response, nil
 		}
-		failure = err
+		failure = moreCertain(failure, err)
 		ownerMissing = ownerMissing || isOwnerMissing(err)
 		if !e.mayTryAgain(req, err) {
-			return nil, err
+			return nil, failure
 		}
 	}
 	if ownerMissing && verdict.Of(failure) == verdict.NotRun {
--- a/internal/app/entry/world_test.go
+++ b/internal/app/entry/world_test.go
@@ -19,8 +19,8 @@
 
 const (
 	service = "svc"
-	// settle is the time after which owners are known and endpoints are warm.
-	settle = 15 * time.Second
+	// settle is the time after which owners are known.
+	settle = 6 * time.Second
 	// patience is the deadline of a test's requests.
 	patience = 2 * time.Second
 )
