Offer a request to as many places as rules permit, spread by their room

Cause: the measured policy spreads a shift over equal places and goes on to the next after each refusal; the entry took the first two in the order of the ranking and counted its whole region's traffic as its own. Change: the ranking is spread at random for each request and look-up, up to four places are offered the request, and the reserve is kept from all traffic of other places, as in the measurements.

--- a/internal/app/entry/lookup.go
+++ b/internal/app/entry/lookup.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 
 	"sassafrasreach/internal/core/claims"
 	"sassafrasreach/internal/core/membership"
+	"sassafrasreach/internal/core/steering"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -63,7 +65,9 @@
 		}
 	}
 	places := make([]string, 0, maxLookupEntries)
-	for _, choice := range s.table.Rank(service, origin, view{e.members, now}) {
+	choices := s.table.Rank(service, origin, view{e.members, now})
+	steering.Spread(choices, rand.Uint64())
+	for _, choice := range choices {
 		places = append(places, choice.Place)
 	}
 	for _, place := range places {
--- a/internal/app/entry/own.go
+++ b/internal/app/entry/own.go
@@ -140,7 +140,7 @@
 	ticket := admission.Ticket{
 		ID:       g.ticket.Add(1),
 		Deadline: req.Deadline,
-		Own:      e.isOwnTraffic(req.Origin, g.key.place),
+		Own:      req.Origin == g.key.place,
 		Exclude:  exclude,
 	}
 	run, err := e.admitRun(ctx, g, req, ticket)
@@ -250,15 +250,6 @@
 	return admission.Failed
 }
 
-// isOwnTraffic says whether a request comes from the region of the place.
-func (e *Entry) isOwnTraffic(origin, place string) bool {
-	if origin == place {
-		return true
-	}
-	regions := e.snapshot.Load().regions
-	return regions[origin].name != "" && regions[origin].name == regions[place].name
-}
-
 // admissionConfig returns the parameters of a group from the document.
 func (e *Entry) admissionConfig(key groupKey) admission.Config {
 	s := e.snapshot.Load()
--- a/internal/app/entry/route.go
+++ b/internal/app/entry/route.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
+	"sassafrasreach/internal/core/steering"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
 
 const (
-	// maxPlaces is the number of places that one request tries: the first and
-	// one spill.
-	maxPlaces = 2
+	// maxPlaces is the number of places that one request is offered to.
+	maxPlaces = 4
 	// ownerRetryDelay is the wait before a group without an owner is tried again.
 	ownerRetryDelay = 50 * time.Millisecond
 	// peerGrace is how much longer than the deadline a forwarded request is
@@ -40,8 +41,8 @@
 	}
 }
 
-// routeOnce tries the best place and spills once, only on NotRun unless the
-// request is idempotent.
+// routeOnce offers the request to the places in their order until one runs it.
+// It goes on after NotRun only, unless the request is idempotent.
 func (e *Entry) routeOnce(ctx context.Context, req *port.Request) (*port.Response, error) {
 	s, err := e.current()
 	if err != nil {
@@ -54,6 +55,7 @@
 	if len(choices) == 0 {
 		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonNoEndpoint, errNoChoice)
 	}
+	steering.Spread(choices, rand.Uint64())
 	var failure error
 	ownerMissing := false
 	for _, choice := range choices[:min(len(choices), maxPlaces)] {
@@ -126,7 +128,7 @@
 // it once only.
 func ownerForward(req *port.Request, key groupKey, fresh bool) port.Forward {
 	one := *req
-	one.ID = rand.Text()
+	one.ID = cryptorand.Text()
 	return port.Forward{Hop: port.HopOwner, Place: key.place, Request: &one, Fresh: fresh}
 }
 
