Refuse a change without an ID

Cause: all changes without an ID would have been taken for resends of the first one.

Change: register.Apply returns ErrNoChangeID; nothing is proposed.

Shown by: TestApply.

--- a/internal/app/control/propose.go
+++ b/internal/app/control/propose.go
@@ -32,7 +32,7 @@
 }
 
 // Submit implements port.ConfigStore. Besides port.ErrNoQuorum the error may be
-// register.ErrChangeIDReused. A refused change is in the audit trail too.
+// register.ErrNoChangeID or register.ErrChangeIDReused. A refused change is in the audit trail too.
 func (n *Node) Submit(ctx context.Context, change port.Change) (port.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
--- a/internal/core/register/register_test.go
+++ b/internal/core/register/register_test.go
@@ -64,6 +64,8 @@
 		_, _, err := register.Apply(v3, other)
 		is.True(errors.Is(err, register.ErrChangeIDReused))
 	}
+	_, _, err := register.Apply(v3, proposal("", "ana", 1))
+	is.True(errors.Is(err, register.ErrNoChangeID))
 }
 
 func TestForgottenChangeIsNeitherRefusedNorAppliedAgain(t *testing.T) {
--- a/internal/core/register/value.go
+++ b/internal/core/register/value.go
@@ -19,6 +19,9 @@
 // base version or operator. Nothing was proposed.
 var ErrChangeIDReused = errors.New("change ID was used for another change")
 
+// ErrNoChangeID means that a change has no ID. Nothing was proposed.
+var ErrNoChangeID = errors.New("change has no ID")
+
 // Value is what the register holds. A Value that was proposed is never
 // changed; members share it.
 type Value struct {
@@ -70,6 +73,9 @@
 // adds a decision and an audit record. For a change that is decided already
 // the value is v itself and the outcome is the first one.
 func Apply(v *Value, p Proposal) (*Value, port.Outcome, error) {
+	if p.Change.ID == "" {
+		return nil, port.Outcome{}, ErrNoChangeID
+	}
 	if v == nil {
 		v = &Value{}
 	}
