Let a new owner use all slots of endpoints that are already at work

Cause: a new owner hears of endpoints one after the other. The first was taken as warm and the others as cold, so that four endpoints of three slots had 6 slots in place of 12 for ten seconds after each take-over (TestNewOwnerStartsAtFullCapacity, seen to fail with 6).

Change: what announces itself within the first three seconds of a group is warm; an endpoint that comes later starts slow as before.

--- a/internal/core/admission/announcement.go
+++ b/internal/core/admission/announcement.go
@@ -67,6 +67,12 @@
 func (g *Group) add(now time.Time, a Announcement) {
 	e := newEndpoint(a, g.cfg)
 	e.heard = now
+	if g.since.IsZero() {
+		g.since = now
+	}
+	if now.Sub(g.since) < g.cfg.SilentAfter {
+		e.warm = 1 // a new owner meets endpoints that have long been at work
+	}
 	g.byID[a.ID] = e
 	g.insert(e)
 	if e.leaving {
--- a/internal/core/admission/faults_test.go
+++ b/internal/core/admission/faults_test.go
@@ -395,6 +395,21 @@
 	}
 }
 
+// TestNewOwnerStartsAtFullCapacity lets endpoints announce themselves to a new
+// owner one after the other, with ticks between.
+func TestNewOwnerStartsAtFullCapacity(t *testing.T) {
+	is := is.New(t)
+	b := newBench(admission.Config{}, good("a"))
+	for _, id := range []string{"b", "c", "d"} {
+		b.run(300*time.Millisecond, 1)
+		b.g.Announce(b.now, b.report(good(id)))
+	}
+	is.Equal(b.g.Stats(b.now).Slots, 12)
+	b.run(5*time.Second, 0)
+	b.g.Announce(b.now, b.report(good("e")))
+	is.Equal(b.g.Stats(b.now).Slots, 12+1) // e comes later and is cold
+}
+
 // TestQueueLeavesTimeForSlowRequests refuses a request that would end in time
 // at the median latency, but not at that of the slowest tenth.
 func TestQueueLeavesTimeForSlowRequests(t *testing.T) {
--- a/internal/core/admission/group.go
+++ b/internal/core/admission/group.go
@@ -96,7 +96,8 @@
 	spilled    queue
 	expired    []uint64 // not yet returned by Tick
 	latency    *LatencyWindow
-	uses       uint64 // counts grants
+	uses       uint64    // counts grants
+	since      time.Time // of the first announcement
 	lastTick   time.Time
 	lastForget time.Time
 	blind      bool
