Give rankings the round trip to a place, and control VMs the bounds of both protocols

Cause: rankings stood in fixed figures for round trips; the control VMs' server took messages of 4 MB at most once its options came from one package alone. Change: heartbeats measure the round trip by place; server options of both packages are joined.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 
 # Prints the measurements that the docs cite and writes docs/MEASUREMENTS.md.
 measure: build
-	$(GO) run ./internal/measure/cmd/measure
+	$(GO) run ./internal/measure/cmd/measure -commit $$(git rev-parse --short HEAD) -out docs/MEASUREMENTS.md
 	$(GO) run ./internal/measure/controlcost
 	MEASURE=1 $(GO) test -v -count=1 -timeout 20m -run TestMeasure ./internal/systemtest
 
--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
 
 	"sassafrasreach/internal/adapter/peergrpc"
 	"sassafrasreach/internal/core/claims"
@@ -53,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := peergrpc.NewGRPCServer()
+	server := grpc.NewServer(peergrpc.ServerOptions()...)
 	peergrpc.Register(server, p, clock)
 	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(server.Stop)
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -20,9 +20,10 @@
 	clock   port.Clock
 }
 
-// NewGRPCServer returns a gRPC server with the bounds that peers expect.
-func NewGRPCServer() *grpc.Server {
-	return grpc.NewServer(
+// ServerOptions returns the bounds that the clients of this package expect of
+// a gRPC server.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
@@ -30,7 +31,7 @@
 			MinTime:             keepaliveTime / 2,
 			PermitWithoutStream: true,
 		}),
-	)
+	}
 }
 
 // Register adds the service to s.
--- a/internal/app/entry/members.go
+++ b/internal/app/entry/members.go
@@ -14,13 +14,17 @@
 
 // members guards the membership table.
 type members struct {
-	mu    sync.Mutex
-	table *membership.Table
+	mu        sync.Mutex
+	table     *membership.Table
+	roundTrip map[string]time.Duration // of heartbeats, by place
 }
 
 func newMembers(config Config, _ time.Time) *members {
 	self := membership.Member{Name: config.Name, Place: config.Place, Incarnation: config.Incarnation}
-	return &members{table: membership.NewTable(self, membership.Config{Period: beatPeriod})}
+	return &members{
+		table:     membership.NewTable(self, membership.Config{Period: beatPeriod}),
+		roundTrip: make(map[string]time.Duration),
+	}
 }
 
 // with runs do with the table locked.
@@ -60,6 +64,21 @@
 	return m.table.Live(now, place)
 }
 
+// roundTripWeight is the weight of a new sample, as a divisor.
+const roundTripWeight = 8
+
+// noteRoundTrip takes in the round trip of a heartbeat to a place.
+func (m *members) noteRoundTrip(place string, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.roundTrip[place]
+	if !ok {
+		m.roundTrip[place] = took
+		return
+	}
+	m.roundTrip[place] = known + (took-known)/roundTripWeight
+}
+
 // view shows the groups as the heartbeats tell them; it implements
 // steering.View.
 type view struct {
@@ -83,6 +102,7 @@
 		Busy:      row.Busy,
 		Queued:    row.Queued,
 		Latency:   row.Latency,
+		RoundTrip: v.members.roundTrip[place],
 		Age:       age,
 	}, true
 }
@@ -126,10 +146,12 @@
 }
 
 func (e *Entry) beatTo(ctx context.Context, target membership.Target) {
+	sent := e.clock.Now()
 	reply, err := e.peers.Heartbeat(ctx, target.Peer.Address, target.Heartbeat)
 	if err != nil {
 		return
 	}
+	e.members.noteRoundTrip(target.Peer.Place, e.clock.Now().Sub(sent))
 	e.receiveBeat(reply)
 }
 
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -16,6 +16,7 @@
 
 	"sassafrasreach/internal/adapter/operatorhttp"
 	"sassafrasreach/internal/adapter/peergrpc"
+	"sassafrasreach/internal/adapter/registergrpc"
 	"sassafrasreach/internal/adapter/settings"
 	"sassafrasreach/internal/app/control"
 	"sassafrasreach/internal/core/document"
@@ -51,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	peers := peergrpc.NewGRPCServer()
+	peers := grpc.NewServer(append(peergrpc.ServerOptions(), registergrpc.ServerOptions()...)...)
 	node.Register(peers)
 	operators := &http.Server{
 		Handler: operatorhttp.New(operatorhttp.Options{
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -123,7 +123,7 @@
 		logger:    logger,
 		failed:    make(chan error, 3),
 		metrics:   &http.Server{Handler: callerhttp.NewHealth(e, meter.Handler()), ReadHeaderTimeout: callerHeaderTimeout},
-		peers:     peergrpc.NewGRPCServer(),
+		peers:     grpc.NewServer(peergrpc.ServerOptions()...),
 		callers: &http.Server{
 			Handler:           handler,
 			IdleTimeout:       callerIdleTimeout,
