Bound the loop of a take-over test

Cause: with the fallback to the region taken out, the test looped for ever instead of failing. It now gives up after a simulated minute.

--- a/internal/core/membership/faults_test.go
+++ b/internal/core/membership/faults_test.go
@@ -131,7 +131,7 @@
 	n := newNetwork(membership.Config{}, hanbit, 1)
 	table := n.tables["pangyo-b-e00"]
 	var took time.Duration
-	for d := time.Duration(0); took == 0; d += period {
+	for d := time.Duration(0); took == 0 && d < time.Minute; d += period {
 		table.Tick(n.now.Add(d))
 		if table.OwnsSelf(n.now.Add(d), service, home) {
 			took = d
