--- a/internal/app/control/join.go
+++ b/internal/app/control/join.go
@@ -7,6 +7,7 @@
 
 	"sassafrasreach/internal/core/register"
 	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/wait"
 )
 
 // joinInterval is the pause between two tries to get a vote.
@@ -27,7 +28,7 @@
 		if start != nil {
 			n.tryJoin(ctx, start)
 		}
-		if !pause(ctx, joinInterval) {
+		if !wait.For(ctx, joinInterval) {
 			return
 		}
 	}
--- a/internal/app/control/keepup.go
+++ b/internal/app/control/keepup.go
@@ -6,6 +6,7 @@
 
 	"sassafrasreach/internal/core/register"
 	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -32,7 +33,7 @@
 			stalled = 0
 			_, _ = n.settle(ctx)
 		}
-		if !pause(ctx, keepUpInterval) {
+		if !wait.For(ctx, keepUpInterval) {
 			return
 		}
 	}
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -9,6 +9,7 @@
 	"sassafrasreach/internal/adapter/registergrpc"
 	"sassafrasreach/internal/core/register"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -47,7 +48,7 @@
 		if h, chosen := n.readRound(ctx).Chosen(); chosen {
 			return h.Value, nil
 		}
-		if !pause(ctx, readPause) {
+		if !wait.For(ctx, readPause) {
 			return nil, port.ErrNoQuorum
 		}
 	}
--- a/internal/app/control/propose.go
+++ b/internal/app/control/propose.go
@@ -8,6 +8,7 @@
 	"sassafrasreach/internal/core/audit"
 	"sassafrasreach/internal/core/register"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -99,7 +100,7 @@
 		}
 		proposed = proposed || a.Value() != nil
 		seen = a.Seen()
-		pause(ctx, backoff(time.Since(started), tries))
+		wait.For(ctx, backoff(time.Since(started), tries))
 	}
 	return port.Outcome{}, proposed, port.ErrNoQuorum
 }
--- a/internal/app/control/round.go
+++ b/internal/app/control/round.go
@@ -82,15 +82,3 @@
 		n.calls.Go(f)
 	}
 }
-
-// pause waits for d and returns false when ctx ended before.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
