Test freezes, documents and caps of an entry

TestFreezeBeforeCall and TestFreezeDuringCall let the clock jump past the deadline before and after an endpoint call begins. TestBootstrap and TestNewerDocuments tell which version is in force; TestCaps which requests from another place are admitted and charged.

Not tested yet: a caller that goes away while its request waits for a slot.

--- a/internal/app/entry/world_test.go
+++ b/internal/app/entry/world_test.go
@@ -45,6 +45,8 @@
 	entries map[string]*Entry // by peer address; those that are reachable
 	stops   map[string]context.CancelFunc
 	fault   func(f port.Forward) (before, after error)
+	// documents stand in for what the peers at these addresses have.
+	documents map[string]port.Config
 }
 
 // newWorld must be called in a bubble of synctest. It starts no entry.
@@ -55,7 +57,7 @@
 		t:       t,
 		ctx:     ctx,
 		calls:   &endpointFake{},
-		control: &controlFake{answer: port.FetchAnswer{Config: config, Quorum: true}},
+		control: &controlFake{answers: map[string]port.FetchAnswer{"c1": {Config: config, Quorum: true}}},
 		meter:   &meterFake{moved: make(map[string]int)},
 		entries: make(map[string]*Entry),
 		stops:   make(map[string]context.CancelFunc),
@@ -116,7 +118,7 @@
 		Name:        name,
 		Place:       placeOf[name],
 		Incarnation: incarnation,
-		Control:     []string{"control"},
+		Control:     []string{"c1", "c2"},
 		Seeds:       seeds,
 	}, Ports{
 		Clock:     port.ClockFunc(func() time.Time { return time.Now().Add(time.Duration(w.offset.Load())) }),
@@ -237,6 +239,12 @@
 }
 
 func (w *world) FetchDocument(_ context.Context, address string, have uint64) (port.Config, error) {
+	w.mu.Lock()
+	config, ok := w.documents[address]
+	w.mu.Unlock()
+	if ok {
+		return config, nil
+	}
 	return at(w, address, func(e *Entry) port.Config { return e.HandleFetchDocument(have) })
 }
 
@@ -319,16 +327,27 @@
 	return f.count
 }
 
+// controlFake answers as the control VM at each address; one without an answer
+// is unreachable.
 type controlFake struct {
-	mu     sync.Mutex
-	answer port.FetchAnswer
-	err    error
+	mu      sync.Mutex
+	answers map[string]port.FetchAnswer
+}
+
+func (f *controlFake) Fetch(_ context.Context, address string, _ port.FetchQuery) (port.FetchAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	answer, ok := f.answers[address]
+	if !ok {
+		return port.FetchAnswer{}, errTest
+	}
+	return answer, nil
 }
 
-func (f *controlFake) Fetch(context.Context, string, port.FetchQuery) (port.FetchAnswer, error) {
+func (f *controlFake) set(answers map[string]port.FetchAnswer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.answer, f.err
+	f.answers = answers
 }
 
 // meterFake counts what rules let through.
