--- a/internal/app/entry/group_test.go
+++ b/internal/app/entry/group_test.go
@@ -110,3 +110,22 @@
 }
 
 func (c *countingCaller) Probe(context.Context, port.Endpoint) error { return nil }
+
+// TestGiveUpAfterGrant gives a request up that was granted a slot at the same
+// moment: the slot is handed back.
+func TestGiveUpAfterGrant(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	g := oneSlot(t, now)
+	wait := make(chan admission.Grant, 1)
+	g.mu.Lock()
+	decision := g.state.Offer(now, admission.Ticket{ID: 2, Deadline: now.Add(time.Minute), Own: true})
+	g.waiting[2] = wait
+	g.mu.Unlock()
+	is.Equal(decision.Kind, admission.Queued)
+	g.done(now, 1, admission.Result{Kind: admission.OK, Latency: time.Second})
+	is.Equal(len(wait), 1) // granted, and not taken up
+	err := g.giveUp(now, 2, context.Canceled)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(g.stats(now).Busy, 0)
+}
