--- a/internal/app/entry/announce.go
+++ b/internal/app/entry/announce.go
@@ -11,6 +11,7 @@
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 // maxAnnounceSlots bounds what an endpoint may claim.
@@ -175,7 +176,7 @@
 			return
 		case <-time.After(pause):
 		case <-e.groups.queued:
-			if !sleep(ctx, tickPeriod) {
+			if !wait.For(ctx, tickPeriod) {
 				return
 			}
 		}
@@ -193,7 +194,7 @@
 
 // expireLoop forgets claims and suspects whose time is over.
 func (e *Entry) expireLoop(ctx context.Context) {
-	every(ctx, expirePeriod, func() {
+	wait.Each(ctx, expirePeriod, func() {
 		now := e.clock.Now()
 		e.claims.expire(now)
 		e.suspects.expire(now)
--- /dev/null
+++ b/internal/app/entry/blame.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+
+	"sassafrasreach/internal/core/quarantine"
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/port"
+)
+
+// checkQuarantine refuses a request that is known to crash endpoints.
+func (e *Entry) checkQuarantine(req *port.Request) error {
+	if !e.suspects.check(e.clock.Now(), fingerprintOf(req)) {
+		return nil
+	}
+	return verdict.NewError(verdict.NotRun, verdict.ReasonQuarantined, errQuarantined)
+}
+
+// runNotStarted ends a run that was never sent.
+func (e *Entry) runNotStarted(to port.Endpoint, req *port.Request) {
+	e.suspects.ended(e.clock.Now(), to, req, quarantine.NotStarted)
+}
+
+// runEnded records how a run ended. When its connection broke, the other
+// entries are told before the caller is, so that no resend through another
+// entry finds one that doesn't know.
+func (e *Entry) runEnded(to port.Endpoint, req *port.Request, err error) {
+	end := quarantine.Lost
+	switch verdict.Of(err) {
+	case verdict.Ran:
+		end = quarantine.Answered
+	case verdict.NotRun:
+		end = quarantine.NotStarted
+	}
+	if errors.Is(err, port.ErrConnectionLost) {
+		end = quarantine.Reset
+	}
+	rows := e.noteChange(e.suspects.ended(e.clock.Now(), to, req, end))
+	if errors.Is(err, port.ErrConnectionLost) {
+		rows = append(rows, e.blame(to, req)...)
+	}
+	e.spread(rows)
+}
+
+// blame checks whether the endpoint that broke a connection is gone.
+func (e *Entry) blame(to port.Endpoint, req *port.Request) []port.QuarantineRow {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	if err := e.endpoints.Probe(ctx, to); !errors.Is(err, port.ErrConnectionRefused) {
+		return nil
+	}
+	return e.died(to.ID, to.Incarnation, req.Service)
+}
+
+// endpointDied takes an endpoint out of use and tells the other entries of the
+// requests that are blamed for it.
+func (e *Entry) endpointDied(id string, incarnation uint64, service string) {
+	e.spread(e.died(id, incarnation, service))
+}
+
+// died takes an endpoint out of use and blames what ran on it.
+func (e *Entry) died(id string, incarnation uint64, service string) []port.QuarantineRow {
+	now := e.clock.Now()
+	event.Log(context.Background(), e.logger, event.EndpointDied,
+		slog.String("endpoint", id), slog.Uint64("incarnation", incarnation))
+	for _, g := range e.groups.all() {
+		if g.key.service == service {
+			g.lost(now, id, incarnation)
+		}
+	}
+	rows := e.noteChange(e.suspects.died(now, id, incarnation))
+	for i := range rows {
+		rows[i].Endpoint = id
+		rows[i].Incarnation = incarnation
+	}
+	return rows
+}
+
+// noteChange logs a change and returns what the other entries are to know.
+func (e *Entry) noteChange(change quarantine.Change) []port.QuarantineRow {
+	rows := changeRows(change)
+	if len(rows) > 0 {
+		e.logChange(change)
+		e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
+	}
+	return rows
+}
+
+// spread tells the other entries in reach, and waits for them for a while.
+func (e *Entry) spread(rows []port.QuarantineRow) {
+	if len(rows) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	var told sync.WaitGroup
+	for _, address := range e.livePeers() {
+		told.Go(func() { _ = e.peers.Quarantine(ctx, address, rows) })
+	}
+	told.Wait()
+}
+
+func changeRows(change quarantine.Change) []port.QuarantineRow {
+	var rows []port.QuarantineRow
+	for _, f := range change.Suspected {
+		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: suspectHold, Suspected: true})
+	}
+	for _, f := range change.Quarantined {
+		hold := quarantine.DefaultConfig().Hold
+		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: hold})
+	}
+	for _, f := range change.Lifted {
+		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Lifted: true})
+	}
+	return rows
+}
+
+func (e *Entry) logChange(change quarantine.Change) {
+	ctx := context.Background()
+	for _, f := range change.Quarantined {
+		event.Log(ctx, e.logger, event.Quarantined, slog.String("fingerprint", f.String()))
+	}
+	for _, f := range change.Lifted {
+		event.Log(ctx, e.logger, event.QuarantineLift, slog.String("fingerprint", f.String()))
+	}
+}
+
+// livePeers returns the addresses of the other entries that are heard of.
+func (e *Entry) livePeers() []string {
+	s := e.snapshot.Load()
+	if s == nil {
+		return nil
+	}
+	now := e.clock.Now()
+	var addresses []string
+	for name, address := range s.entries {
+		if name == e.config.Name {
+			continue
+		}
+		if _, live := e.members.member(now, name); live {
+			addresses = append(addresses, address.peer)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/app/entry/claimtable.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"sassafrasreach/internal/core/claims"
+)
+
+const (
+	// claimRetention is how long a key may be used after its look-up.
+	claimRetention = 10 * time.Minute
+	// claimClockSkew bounds the difference between the clocks of two entries.
+	claimClockSkew = 5 * time.Second
+	// maxClaims and maxClaimBytes bound the claims of one entry.
+	maxClaims     = 50_000
+	maxClaimBytes = 32 << 20
+)
+
+// claimTable guards the claims of this incarnation and wakes resends that wait
+// for the outcome of the attempt under way.
+type claimTable struct {
+	home claims.Home
+
+	mu      sync.Mutex
+	table   *claims.Table
+	waiting map[string]chan struct{} // closed when the attempt ends
+}
+
+func newClaimTable(home claims.Home) *claimTable {
+	config := claims.Config{
+		MaxEntries: maxClaims,
+		MaxBytes:   maxClaimBytes,
+		Retention:  claimRetention,
+		ClockSkew:  claimClockSkew,
+	}
+	return &claimTable{
+		home:    home,
+		table:   claims.NewTable(home, config),
+		waiting: make(map[string]chan struct{}),
+	}
+}
+
+// begin decides on an attempt; for Wait the channel tells when to ask again.
+func (t *claimTable) begin(now time.Time, k claims.Key, f claims.Fingerprint) (claims.Decision, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	decision := t.table.Begin(now, k, f)
+	switch decision.Kind {
+	case claims.Start:
+		t.waiting[k.String()] = make(chan struct{})
+	case claims.Wait:
+		return decision, t.waiting[k.String()]
+	}
+	return decision, nil
+}
+
+// finish stores the outcome of an attempt and wakes those that wait for it.
+func (t *claimTable) finish(now time.Time, k claims.Key, o claims.Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Finish(now, k, o)
+	close(t.waiting[k.String()])
+	delete(t.waiting, k.String())
+}
+
+func (t *claimTable) expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Expire(now)
+}
+
+// seal makes the table refuse keys that it doesn't know.
+func (t *claimTable) seal() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Seal()
+}
+
+func (t *claimTable) handOvers(now time.Time) []claims.HandOver {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.HandOvers(now)
+}
+
+func (t *claimTable) take(now time.Time, h claims.HandOver) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Import(now, h.From, h.Rows, h.Complete)
+}
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -135,20 +135,6 @@
 	return true, ""
 }
 
-// every calls do each period until ctx ends.
-func every(ctx context.Context, period time.Duration, do func()) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do()
-		}
-	}
-}
-
 // inBackground runs a control call on a worker with the usual time limit. It
 // is dropped when every worker stays busy for that long.
 func (e *Entry) inBackground(ctx context.Context, do func(ctx context.Context)) {
--- a/internal/app/entry/ledger.go
+++ b/internal/app/entry/ledger.go
@@ -9,6 +9,7 @@
 	"sassafrasreach/internal/core/steering"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -128,7 +129,7 @@
 // loanLoop borrows unused shares of other entries while this one lacks some.
 func (e *Entry) loanLoop(ctx context.Context) {
 	var told time.Time
-	every(ctx, loanPeriod, func() {
+	wait.Each(ctx, loanPeriod, func() {
 		now := e.clock.Now()
 		if now.Sub(told) >= versionsPeriod {
 			told = now
--- a/internal/app/entry/route.go
+++ b/internal/app/entry/route.go
@@ -11,6 +11,7 @@
 	"sassafrasreach/internal/core/steering"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -35,7 +36,7 @@
 		if err == nil || verdict.Of(err) != verdict.NotRun || !errors.Is(err, errOwnerMissing) {
 			return response, err
 		}
-		if e.remaining(req) < 2*ownerRetryDelay || !sleep(ctx, ownerRetryDelay) {
+		if e.remaining(req) < 2*ownerRetryDelay || !wait.For(ctx, ownerRetryDelay) {
 			return nil, err
 		}
 	}
@@ -200,15 +201,3 @@
 		cancel()
 	}
 }
-
-// sleep waits for d; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/app/entry/stop.go
+++ b/internal/app/entry/stop.go
@@ -8,6 +8,7 @@
 	"sassafrasreach/internal/core/claims"
 	"sassafrasreach/internal/core/membership"
 	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/wait"
 )
 
 // idlePoll is the time between looks for requests in flight.
@@ -29,7 +30,7 @@
 	event.Log(ctx, e.logger, event.StopBegun)
 	e.members.with(func(t *membership.Table) { t.Leave(begun) })
 	e.wakeBeat()
-	if sleep(ctx, lookupTTL) {
+	if wait.For(ctx, lookupTTL) {
 		e.awaitIdle(ctx)
 	}
 	e.claims.seal()
@@ -40,7 +41,7 @@
 
 func (e *Entry) awaitIdle(ctx context.Context) {
 	for e.inFlight.Load() > 0 {
-		if !sleep(ctx, idlePoll) {
+		if !wait.For(ctx, idlePoll) {
 			return
 		}
 	}
--- a/internal/app/entry/world_test.go
+++ b/internal/app/entry/world_test.go
@@ -15,6 +15,7 @@
 	"sassafrasreach/internal/core/membership"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -184,7 +185,7 @@
 				})
 			}
 		}
-		sleep(w.ctx, announceInterval)
+		wait.For(w.ctx, announceInterval)
 	}
 }
 
