Fix seeds in one place, and drop suspect connections in one

Change: the package testseed, with the seeds and checks as before; the connections judge themselves.

--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -43,21 +43,13 @@
 	}
 	defer conn.release()
 	if err := do(peerv1.NewPeerServiceClient(conn.cc)); err != nil {
-		c.suspect(address, conn, err)
+		c.conns.suspect(address, conn, err)
 		return fmt.Errorf("peer %s: %w", address, err)
 	}
 	conn.hear(c.clock.Now())
 	return nil
 }
 
-// suspect drops a connection that failed or stayed silent.
-func (c *Client) suspect(address string, conn *conn, err error) {
-	switch status.Code(err) {
-	case codes.DeadlineExceeded, codes.Unavailable:
-		c.conns.drop(address, conn)
-	}
-}
-
 // Heartbeat sends a heartbeat and returns the peer's.
 func (c *Client) Heartbeat(ctx context.Context, address string, hb membership.Heartbeat) (membership.Heartbeat, error) {
 	var reply membership.Heartbeat
@@ -143,13 +135,13 @@
 	}
 	stream, err := peerv1.NewPeerServiceClient(conn.cc).Forward(ctx, forwardToProto(f, c.clock.Now()))
 	if err != nil {
-		c.suspect(address, conn, err)
+		c.conns.suspect(address, conn, err)
 		end()
 		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonPeer, err)
 	}
 	response, err := c.receive(stream, end)
 	if err != nil {
-		c.suspect(address, conn, err)
+		c.conns.suspect(address, conn, err)
 		end()
 		return nil, forwardError(err)
 	}
--- a/internal/adapter/peergrpc/conn.go
+++ b/internal/adapter/peergrpc/conn.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"sassafrasreach/internal/port"
 )
@@ -162,6 +164,14 @@
 	c.retire()
 }
 
+// suspect drops a connection that failed or stayed silent.
+func (s *conns) suspect(address string, c *conn, err error) {
+	switch status.Code(err) {
+	case codes.DeadlineExceeded, codes.Unavailable:
+		s.drop(address, c)
+	}
+}
+
 // closeAll closes every connection.
 func (s *conns) closeAll() {
 	s.mu.Lock()
--- a/internal/adapter/peergrpc/control.go
+++ b/internal/adapter/peergrpc/control.go
@@ -5,9 +5,6 @@
 	"fmt"
 	"net"
 
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
-
 	registerv1 "sassafrasreach/api/register/v1"
 	"sassafrasreach/internal/port"
 )
@@ -36,9 +33,7 @@
 	defer conn.release()
 	response, err := registerv1.NewConfigServiceClient(conn.cc).Fetch(ctx, fetchToProto(q))
 	if err != nil {
-		if code := status.Code(err); code == codes.DeadlineExceeded || code == codes.Unavailable {
-			c.conns.drop(address, conn)
-		}
+		c.conns.suspect(address, conn, err)
 		return port.FetchAnswer{}, fmt.Errorf("control VM %s: %w", address, err)
 	}
 	conn.hear(c.clock.Now())
--- a/internal/core/budget/property_test.go
+++ b/internal/core/budget/property_test.go
@@ -1,9 +1,7 @@
 package budget_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,21 +9,16 @@
 
 	"sassafrasreach/internal/core/budget"
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/testseed"
 )
 
 const (
-	propertySeed   = "7"
-	propertyChecks = "3000"
+	propertySeed   = 7
+	propertyChecks = 3_000
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": propertySeed, "rapid.checks": propertyChecks, "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	testseed.Main(m, testseed.Settings{Seed: propertySeed, Checks: propertyChecks})
 }
 
 // world is three entries with clocks of their own that share the cap of one
--- a/internal/core/claims/schedule_test.go
+++ b/internal/core/claims/schedule_test.go
@@ -1,7 +1,6 @@
 package claims_test
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,6 +11,7 @@
 
 	"sassafrasreach/internal/core/claims"
 	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/testseed"
 )
 
 const skew = 2 * time.Second
@@ -301,15 +301,7 @@
 func (v *verdictOf) Log(...any)            {}
 
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed": "4", "rapid.checks": "20000", "rapid.steps": "80",
-		"rapid.nofailfile": "true", "rapid.shrinktime": "0s",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
+	testseed.Main(m, testseed.Settings{Seed: 4, Checks: 20_000, Steps: 80})
 }
 
 // TestSchedules runs callers, entries and endpoints through random schedules of
--- a/internal/core/document/property_test.go
+++ b/internal/core/document/property_test.go
@@ -1,25 +1,20 @@
 package document_test
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/testseed"
 )
 
 // TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	testseed.Main(m, testseed.Settings{Seed: 20261})
 }
 
 // TestClientOverlapsProperty compares the faults of random client blocks with
--- a/internal/core/quarantine/schedule_test.go
+++ b/internal/core/quarantine/schedule_test.go
@@ -1,7 +1,6 @@
 package quarantine_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 
 	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/quarantine"
+	"sassafrasreach/internal/testseed"
 )
 
 const (
@@ -19,12 +19,7 @@
 )
 
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "4", "rapid.checks": "2000", "rapid.steps": "80", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
+	testseed.Main(m, testseed.Settings{Seed: 4, Checks: 2_000, Steps: 80})
 }
 
 // job is one run of a fingerprint on an endpoint incarnation.
--- a/internal/core/steering/main_test.go
+++ b/internal/core/steering/main_test.go
@@ -1,21 +1,12 @@
 package steering_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"sassafrasreach/internal/testseed"
 )
 
 // TestMain fixes the seed of property tests; the command line may change it.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed":       "1",
-		"rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	testseed.Main(m, testseed.Settings{Seed: 1})
 }
