End an entry whose place the document doesn't have, naming file, line and field

Cause: an unknown place in an entry's settings can be told only when a document has come; then it was a log line alone. Change: the process ends with exit code 2 and the fault of its settings file, when the first document of its life doesn't have the place. After: TestUnknownPlace passes.

--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -53,6 +53,16 @@
 	return e, nil
 }
 
+// UnknownPlace is the fault of an entry's settings whose place isn't in the
+// document. It can be told only when the first document has come.
+func UnknownPlace(path, place string) *Error {
+	fault := &Error{File: path, Field: "place", Message: fmt.Sprintf("unknown place %q", place)}
+	if text, err := read(path); err == nil {
+		fault.Line = strictyaml.NewIndex(text).Line(fault.Field)
+	}
+	return fault
+}
+
 func load(path string, out any, validate func() []Fault) error {
 	text, err := read(path)
 	if err != nil {
--- a/internal/app/entry/bootstrap.go
+++ b/internal/app/entry/bootstrap.go
@@ -14,7 +14,9 @@
 func (e *Entry) bootstrap(ctx context.Context) {
 	best, quorum := e.askAllControl(ctx)
 	if quorum && best.Version > 0 {
-		e.apply(ctx, best)
+		if e.apply(ctx, best) {
+			e.checkPlace()
+		}
 		return
 	}
 	if quorum || e.clock.Now().Sub(e.pull.started) < cutOffGrace {
@@ -28,6 +30,14 @@
 	}
 	if best.Version > 0 && e.apply(ctx, best) {
 		event.Log(ctx, e.logger, event.ServingCutOff, slog.Uint64("version", best.Version))
+		e.checkPlace()
+	}
+}
+
+// checkPlace tells when the document in force doesn't have the entry's place.
+func (e *Entry) checkPlace() {
+	if _, ok := e.snapshot.Load().regions[e.config.Place]; !ok {
+		close(e.misplaced)
 	}
 }
 
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -72,11 +72,12 @@
 	retries  *retryBudget
 	outbox   *outbox
 
-	calls    *workers.Pool
-	controls *workers.Pool
-	beatNow  chan struct{}
-	stopping atomic.Bool
-	inFlight atomic.Int64
+	calls     *workers.Pool
+	controls  *workers.Pool
+	beatNow   chan struct{}
+	misplaced chan struct{} // closed when the first document lacks this entry's place
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
 }
 
 var (
@@ -107,6 +108,7 @@
 		calls:     workers.New(callWorkers),
 		controls:  workers.New(controlWorkers),
 		beatNow:   make(chan struct{}, 1),
+		misplaced: make(chan struct{}),
 	}
 }
 
@@ -124,6 +126,10 @@
 	e.controls.Close()
 }
 
+// Misplaced is closed when the first document of this process doesn't have the
+// entry's place.
+func (e *Entry) Misplaced() <-chan struct{} { return e.misplaced }
+
 // Ready says whether the entry serves; the text says why not.
 func (e *Entry) Ready() (ok bool, why string) {
 	if e.stopping.Load() {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -51,12 +51,19 @@
 		return fail(stderr, exitUsage, err)
 	}
 	logger := newLogger(stderr, config.LogLevel, "entry", config.Name)
-	if err := serveEntry(ctx, config, logger); err != nil {
+	err = serveEntry(ctx, config, logger)
+	if errors.Is(err, errMisplaced) {
+		return fail(stderr, exitUsage, settings.UnknownPlace(*path, config.Place))
+	}
+	if err != nil {
 		return fail(stderr, exitFailure, err)
 	}
 	return exitOK
 }
 
+// errMisplaced means that the first document doesn't have the entry's place.
+var errMisplaced = errors.New("the document doesn't have the entry's place")
+
 // entryProcess is a running entry with its listeners.
 type entryProcess struct {
 	entry     *entry.Entry
@@ -83,6 +90,8 @@
 	select {
 	case err := <-p.failed:
 		return err
+	case <-p.entry.Misplaced():
+		return errMisplaced
 	case <-ctx.Done():
 	case <-signals:
 	}
--- a/internal/systemtest/path_test.go
+++ b/internal/systemtest/path_test.go
@@ -1,6 +1,9 @@
 package systemtest
 
 import (
+	"errors"
+	"os/exec"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -32,3 +35,20 @@
 	}
 	is.Equal(s.runs.of(body+"/x"), 1)
 }
+
+// TestUnknownPlace starts an entry whose settings name a place that the
+// document doesn't have: it ends with the file, line and field, and exit code 2.
+func TestUnknownPlace(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSystem(t, twoRegions())
+	ip := s.ip(kindEntry+9, 1)
+	path := s.write("stray.yaml", "name: stray\nplace: nowhere\ncaller_listen: "+ip+":18080\n"+
+		"peer_listen: "+ip+":19080\ncontrol: [\""+s.ip(kindFrontControl, 1)+":19090\"]\n")
+	p := newProcess(t, "stray", "entry", "-settings", path)
+	err := p.wait(settle)
+	var exit *exec.ExitError
+	is.True(errors.As(err, &exit))
+	is.Equal(exit.ExitCode(), 2)
+	is.True(strings.Contains(p.text(), "stray.yaml:2: place: unknown place"))
+}
