Count a once-only request in flight once, and test the second signal

Cause: TestSecondSignal cut off one request and the entry reported two: a once-only request was counted for its caller and again for its attempt. Change: the attempt is counted by itself only after its caller went away. Before: cut_off 2. After: cut_off 1; the entry's tests and TestFreezeDuringHandOver pass.

--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -55,9 +55,7 @@
 	}
 	answer := make(chan port.Answer, 1)
 	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
-	e.inFlight.Add(1)
 	go func() {
-		defer e.inFlight.Add(-1)
 		defer cancel()
 		response, err := whole(e.startOnce(detached, req))
 		e.claims.finish(e.clock.Now(), key, outcomeOf(response, err))
@@ -67,10 +65,21 @@
 	case a := <-answer:
 		return a.Response, a.Err
 	case <-ctx.Done():
+		e.countUntil(answer)
 		return nil, verdict.NewError(verdict.MayHaveRun, contextReason(ctx.Err()), ctx.Err())
 	}
 }
 
+// countUntil keeps an attempt whose caller went away among the requests in
+// flight until it has ended.
+func (e *Entry) countUntil(ended <-chan port.Answer) {
+	e.inFlight.Add(1)
+	go func() {
+		<-ended
+		e.inFlight.Add(-1)
+	}()
+}
+
 // startOnce sends a claimed request on its way. Quarantine is asked only now:
 // an earlier attempt that crashed an endpoint has its outcome in the claims.
 func (e *Entry) startOnce(ctx context.Context, req *port.Request) (*port.Response, error) {
--- a/internal/systemtest/endpoint_test.go
+++ b/internal/systemtest/endpoint_test.go
@@ -130,6 +130,13 @@
 	_ = e.server.Close()
 }
 
+// setWork changes the time that a request takes.
+func (e *endpoint) setWork(work time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.work = work
+}
+
 // setEntries replaces the entries that the endpoint announces to.
 func (e *endpoint) setEntries(entries []string) {
 	e.mu.Lock()
@@ -227,6 +234,7 @@
 	e.runs.noteMove(r.Header.Get("X-Caller-Place"), e.place)
 	e.mu.Lock()
 	e.served++
+	work := e.work
 	e.mu.Unlock()
 	if string(body) == "crash" {
 		e.crash()
@@ -235,6 +243,6 @@
 	if strings.HasPrefix(string(body), "drop") && e.runs.of(text) == 1 {
 		panic(http.ErrAbortHandler) // it ran, and its answer is lost
 	}
-	time.Sleep(e.work)
+	time.Sleep(work)
 	_, _ = fmt.Fprint(w, text)
 }
--- a/internal/systemtest/fault_test.go
+++ b/internal/systemtest/fault_test.go
@@ -271,3 +271,39 @@
 		t.Errorf("idempotent request got %d %s", r.status, r.reason)
 	}
 }
+
+// TestSecondSignal ends a planned stop early: the entry says how many requests
+// it cut off.
+func TestSecondSignal(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSystem(t, twoRegions())
+	name := s.owner("south-a")
+	for _, e := range s.endpoints["south-a"] {
+		e.setWork(4 * time.Second)
+	}
+	def, _ := s.doc.EntryByName(name)
+	told := make(chan result, 1)
+	go func() { told <- s.sendWithin(def.Caller, "south-a", "POST", s.keyAt("south-a"), "slow", 5*time.Second) }()
+	s.eventually("the slow request runs", func() bool { return s.runs.of("slow/x") == 1 })
+	p := s.entries[name]
+	p.stop()
+	time.Sleep(200 * time.Millisecond)
+	begun := time.Now()
+	p.stop()
+	is.NoErr(p.wait(5 * time.Second))
+	is.True(time.Since(begun) < 3*time.Second) // it didn't wait for the request
+	is.True(strings.Contains(p.text(), `"msg":"stop-forced"`))
+	is.True(strings.Contains(p.text(), `"cut_off":1`))
+	r := <-told
+	is.True(r.err != nil || r.verdict == "may-have-run") // never told that it did not run
+}
+
+// keyAt returns a new key from a look-up.
+func (s *system) keyAt(place string) string {
+	answer, err := s.lookup(place)
+	if err != nil {
+		s.t.Errorf("look-up: %v", err)
+	}
+	return answer.Home + "." + s.unique("key")
+}
