Take out what nothing uses, and work out a group's parameters only when it is made

Found by reading the whole change again: a field, a method and a parameter of the entry that nothing used; a second spelling of a request's fingerprint; each request looked up the parameters of a group that was there already. Change: those are gone; groups.get takes the function that gives the parameters. A test's set-up passes it too; no assertion changed. After: the entry's tests pass under the race detector, the linter finds nothing.

--- a/internal/app/entry/announce.go
+++ b/internal/app/entry/announce.go
@@ -59,7 +59,7 @@
 func (e *Entry) takeAnnouncement(a port.Announcement) {
 	now := e.clock.Now()
 	key := groupKey{a.Service, a.Place}
-	g := e.groups.get(key, e.admissionConfig(key))
+	g := e.groups.get(key, e.admissionConfig)
 	former, replaced := g.announce(now, admission.Announcement{
 		ID:          a.ID,
 		Incarnation: a.Incarnation,
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -36,8 +36,6 @@
 	Control []string
 	// Seeds are IP:ports of other entries, used before there is a document.
 	Seeds []string
-	// DrainLimit bounds a planned stop.
-	DrainLimit time.Duration
 }
 
 // Ports are the adapters that an entry uses.
@@ -97,7 +95,7 @@
 		control:   ports.Control,
 		endpoints: ports.Endpoints,
 		meter:     ports.Meter,
-		members:   newMembers(config, now),
+		members:   newMembers(config),
 		groups:    newGroups(),
 		ledger:    newLedger(config, now),
 		claims:    newClaimTable(home),
--- a/internal/app/entry/group.go
+++ b/internal/app/entry/group.go
@@ -30,13 +30,14 @@
 	return &groups{queued: make(chan struct{}, 1), byKey: make(map[groupKey]*group)}
 }
 
-// get returns the group, which is made when there is none yet.
-func (s *groups) get(key groupKey, config admission.Config) *group {
+// get returns the group, which is made with the parameters that config gives
+// when there is none yet.
+func (s *groups) get(key groupKey, config func(groupKey) admission.Config) *group {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g, ok := s.byKey[key]
 	if !ok {
-		g = newGroup(key, config, s.queued)
+		g = newGroup(key, config(key), s.queued)
 		s.byKey[key] = g
 	}
 	return g
--- a/internal/app/entry/members.go
+++ b/internal/app/entry/members.go
@@ -19,7 +19,7 @@
 	roundTrip map[string]time.Duration // of heartbeats, by place
 }
 
-func newMembers(config Config, _ time.Time) *members {
+func newMembers(config Config) *members {
 	self := membership.Member{Name: config.Name, Place: config.Place, Incarnation: config.Incarnation}
 	return &members{
 		table:     membership.NewTable(self, membership.Config{Period: beatPeriod}),
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -24,7 +24,7 @@
 	if mayPass && key.Home != e.claims.home {
 		return e.passHome(ctx, req, key)
 	}
-	print := claims.FingerprintOf(req.Service, req.Method, req.Target, req.Body)
+	print := fingerprintOf(req)
 	for {
 		decision, ended := e.claims.begin(e.clock.Now(), key, print)
 		switch decision.Kind {
--- a/internal/app/entry/own.go
+++ b/internal/app/entry/own.go
@@ -30,7 +30,7 @@
 // tryEndpoints sends the request to an endpoint, and to a second one when the
 // first did not run it, or when it is idempotent and the first is late.
 func (e *Entry) tryEndpoints(ctx context.Context, req *port.Request, key groupKey) (*port.Response, error) {
-	g := e.groups.get(key, e.admissionConfig(key))
+	g := e.groups.get(key, e.admissionConfig)
 	first, err := e.start(ctx, g, req, nil)
 	if err != nil {
 		return nil, err
--- a/internal/app/entry/queue_test.go
+++ b/internal/app/entry/queue_test.go
@@ -7,7 +7,6 @@
 	"github.com/matryer/is"
 
 	"sassafrasreach/internal/app/workers"
-	"sassafrasreach/internal/core/admission"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -31,7 +30,7 @@
 			answer := make(chan port.Answer, 1)
 			go func() { answer <- serve(owner, req) }()
 			synctest.Wait()
-			g := owner.groups.get(groupKey{service, "a"}, admission.Config{})
+			g := owner.groups.get(groupKey{service, "a"}, owner.admissionConfig)
 			is.Equal(g.stats(owner.clock.Now()).Busy, 1)
 			w.offset.Add(int64(2 * patience))
 			close(worker)
--- a/internal/app/entry/route.go
+++ b/internal/app/entry/route.go
@@ -140,7 +140,7 @@
 // forwardHedged forwards an idempotent request. When its answer is late it
 // tries again over a new connection, since the first may have gone silent.
 func (e *Entry) forwardHedged(ctx context.Context, address string, req *port.Request, key groupKey) (*port.Response, error) {
-	g := e.groups.get(key, e.admissionConfig(key))
+	g := e.groups.get(key, e.admissionConfig)
 	begun := e.clock.Now()
 	first := e.startForward(ctx, address, ownerForward(req, key, false))
 	late := time.NewTimer(forwardLate * g.lateAfter())
--- a/internal/app/entry/stop.go
+++ b/internal/app/entry/stop.go
@@ -17,9 +17,6 @@
 // Stopping says whether a planned stop has begun.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
 
-// InFlight returns the number of requests that this entry works on.
-func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
-
 // Drain leaves the system without cutting off a request: look-ups stop naming
 // this entry, it serves on while cached look-ups may still name it and until
 // its requests have ended, and it hands its claims to the peers of its place.
