Count a request against its rules when it is sent, not when it is admitted

Cause: an entry took a rule's unit before the request waited for a slot and for a connection, and took none for a second attempt.

Change: the caller of endpoints passes a gate right before the first byte is written. A crossing request takes its units there, each attempt its own, and holds them until it has surely arrived: until its answer, or 50 ms after it was written whole. Then they count for a window, so that every window around the arrival counts it, however long dial and write take. Shares change hands after a window and the transit. Holds name the buckets that they reserved, so that a link which the document gains in between isn't freed twice. An entry keeps 1 of 64 of its share to itself (was 16) and asks for 5% over its demand once it has loans (was 20%), which pays for the hold.

--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -39,21 +39,11 @@
 // Call sends req to the endpoint once. A once-only request goes over a new
 // connection or one that answered within FreshWithin; an idempotent one may use
 // any that answered within IdleTimeout.
-func (c *Caller) Call(ctx context.Context, to port.Endpoint, req *port.Request) (*port.Response, error) {
+func (c *Caller) Call(ctx context.Context, to port.Endpoint, req *port.Request, gate port.Gate) (*port.Response, error) {
 	maxAge := c.opts.IdleTimeout
 	if req.OnceOnly {
 		maxAge = c.opts.FreshWithin
 	}
-	return c.call(ctx, to, req, maxAge)
-}
-
-// CallFresh is Call over a new connection, for the second try of an idempotent
-// request whose first one is late.
-func (c *Caller) CallFresh(ctx context.Context, to port.Endpoint, req *port.Request) (*port.Response, error) {
-	return c.call(ctx, to, req, -1)
-}
-
-func (c *Caller) call(ctx context.Context, to port.Endpoint, req *port.Request, maxAge time.Duration) (*port.Response, error) {
 	cancel := context.CancelFunc(func() {})
 	if !req.Deadline.IsZero() {
 		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
@@ -75,9 +65,22 @@
 		return nil, notRun(ctx, verdict.ReasonDial, err)
 	}
 	x := c.newExchange(ctx, cancel, p, conn, req, httpReq.Header.Get(HeaderRequestID))
-	return x.run(httpReq)
+	if gate == nil {
+		gate = openGate{}
+	}
+	if err := gate.Open(); err != nil {
+		x.drop()
+		return nil, err
+	}
+	return x.run(httpReq, gate)
 }
 
+// openGate stands in for none.
+type openGate struct{}
+
+func (openGate) Open() error { return nil }
+func (openGate) Written()    {}
+
 // connect returns an idle connection proven within maxAge or a new one.
 func (c *Caller) connect(ctx context.Context, p *pool, maxAge time.Duration) (*conn, error) {
 	if idle := p.reuse(c.opts.Clock.Now(), maxAge); idle != nil {
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -35,8 +35,11 @@
 }
 
 // run writes the request and reads its answer.
-func (x *exchange) run(out *http.Request) (*port.Response, error) {
+func (x *exchange) run(out *http.Request, gate port.Gate) (*port.Response, error) {
 	errWrite := x.write(out)
+	if errWrite == nil {
+		gate.Written()
+	}
 	if errWrite != nil && !x.mayBeAnswered() {
 		return nil, x.fail(verdict.ReasonConnection, errWrite)
 	}
--- a/internal/app/entry/ledger.go
+++ b/internal/app/entry/ledger.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"sassafrasreach/internal/core/budget"
-	"sassafrasreach/internal/core/steering"
-	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
 )
@@ -17,8 +15,6 @@
 	loanPeriod = 250 * time.Millisecond
 	// versionsPeriod is the time between reports of others' versions.
 	versionsPeriod = time.Second
-	// headBytes is charged for the header of a request and of its answer.
-	headBytes = 2 << 10
 )
 
 // ledger guards this entry's part of all caps.
@@ -44,16 +40,28 @@
 	l.table.SetVersions(now, versions)
 }
 
-func (l *ledger) take(now time.Time, c budget.Charge) bool {
+func (l *ledger) admit(now time.Time, c budget.Charge) *budget.Hold {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table.Take(now, c)
+	return l.table.Admit(now, c)
 }
 
-func (l *ledger) settle(now time.Time, c budget.Charge, bytes int64) {
+func (l *ledger) take(now time.Time, rules []string) *budget.Hold {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.table.Settle(now, c, bytes)
+	return l.table.Take(now, rules)
+}
+
+func (l *ledger) settle(now time.Time, h *budget.Hold, bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Settle(now, h, bytes)
+}
+
+func (l *ledger) release(h *budget.Hold) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Release(h)
 }
 
 func (l *ledger) wants(now time.Time) []budget.BorrowRequest {
@@ -74,58 +82,6 @@
 	l.table.Borrowed(now, r, sentAt, g)
 }
 
-// takeCap charges a request that is served outside its place of origin to every
-// rule and to the link that it crosses. The charge is nil for one that is not.
-func (e *Entry) takeCap(req *port.Request, key groupKey) (*budget.Charge, error) {
-	if req.Origin == key.place {
-		return nil, nil
-	}
-	crossing, ok := e.snapshot.Load().table.Crossing(req.Service, req.Origin, key.place)
-	if !ok {
-		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonCap, nil)
-	}
-	charge := e.chargeOf(req, crossing)
-	if !e.ledger.take(e.clock.Now(), charge) {
-		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonCap, nil)
-	}
-	for _, rule := range crossing.Rules {
-		e.meter.Moved(rule)
-	}
-	return &charge, nil
-}
-
-func (e *Entry) chargeOf(req *port.Request, crossing steering.Choice) budget.Charge {
-	regions := e.snapshot.Load().regions
-	charge := budget.Charge{Rules: crossing.Rules}
-	from, to := regions[req.Origin].name, regions[crossing.Place].name
-	if from != to {
-		charge.Link = &budget.LinkID{From: from, To: to}
-		charge.Bytes = int64(len(req.Body)) + headBytes
-		charge.AnswerBytes = req.MaxAnswerBytes + headBytes
-	}
-	return charge
-}
-
-// settleCap counts the bytes that an answer really took. Those of a streamed
-// answer are known when its body is closed; until then its bound counts.
-func (e *Entry) settleCap(charge *budget.Charge, response *port.Response) {
-	if charge == nil || charge.Link == nil {
-		return
-	}
-	if response == nil {
-		// A failed request may have moved as much as it reserved.
-		e.ledger.settle(e.clock.Now(), *charge, charge.AnswerBytes)
-		return
-	}
-	if response.Rest != nil {
-		response.Rest = &closer{ReadCloser: response.Rest, after: func() {
-			e.ledger.settle(e.clock.Now(), *charge, charge.AnswerBytes)
-		}}
-		return
-	}
-	e.ledger.settle(e.clock.Now(), *charge, int64(len(response.Body))+headBytes)
-}
-
 // loanLoop borrows unused shares of other entries while this one lacks some.
 func (e *Entry) loanLoop(ctx context.Context) {
 	var told time.Time
--- a/internal/app/entry/own.go
+++ b/internal/app/entry/own.go
@@ -18,37 +18,45 @@
 	if !e.members.ownsSelf(e.clock.Now(), key) {
 		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonNoOwner, nil)
 	}
-	charge, err := e.takeCap(req, key)
+	crossing, err := e.cross(req, key)
 	if err != nil {
 		return nil, err
 	}
-	response, err := e.tryEndpoints(ctx, req, key)
-	e.settleCap(charge, response)
+	o := owned{req: req, group: e.groups.get(key, e.admissionConfig), crossing: crossing}
+	response, err := e.tryEndpoints(ctx, o)
+	crossing.end(response)
 	return response, err
 }
 
+// owned is a request to a group that this entry owns.
+type owned struct {
+	req   *port.Request
+	group *group
+	// crossing is nil for a request that is served in its place of origin.
+	crossing *crossing
+}
+
 // tryEndpoints sends the request to an endpoint, and to a second one when the
 // first did not run it, or when it is idempotent and the first is late.
-func (e *Entry) tryEndpoints(ctx context.Context, req *port.Request, key groupKey) (*port.Response, error) {
-	g := e.groups.get(key, e.admissionConfig)
-	first, err := e.start(ctx, g, req, nil)
+func (e *Entry) tryEndpoints(ctx context.Context, o owned) (*port.Response, error) {
+	first, err := e.start(ctx, o, nil)
 	if err != nil {
 		return nil, err
 	}
 	var answer port.Answer
-	if req.OnceOnly {
+	if o.req.OnceOnly {
 		answer = <-first.answer
 	} else {
 		var hedged bool
-		answer, hedged = e.awaitHedged(ctx, g, req, first)
+		answer, hedged = e.awaitHedged(ctx, o, first)
 		if hedged {
 			return answer.Response, answer.Err
 		}
 	}
-	if answer.Err == nil || !e.mayRetryHere(req, answer.Err) {
+	if answer.Err == nil || !e.mayRetryHere(o.req, answer.Err) {
 		return answer.Response, answer.Err
 	}
-	second, err := e.start(ctx, g, req, []string{first.endpoint})
+	second, err := e.start(ctx, o, []string{first.endpoint})
 	if err != nil {
 		return nil, moreCertain(answer.Err, err)
 	}
@@ -80,8 +88,8 @@
 
 // awaitHedged waits for the first attempt. When its answer is late it starts a
 // second one elsewhere and takes the better of both; hedged says so.
-func (e *Entry) awaitHedged(ctx context.Context, g *group, req *port.Request, first *attempt) (port.Answer, bool) {
-	late := time.NewTimer(g.lateAfter())
+func (e *Entry) awaitHedged(ctx context.Context, o owned, first *attempt) (port.Answer, bool) {
+	late := time.NewTimer(o.group.lateAfter())
 	defer late.Stop()
 	select {
 	case answer := <-first.answer:
@@ -91,7 +99,7 @@
 	if !e.retries.withdraw(e.clock.Now()) {
 		return <-first.answer, false
 	}
-	second, err := e.start(ctx, g, req, []string{first.endpoint})
+	second, err := e.start(ctx, o, []string{first.endpoint})
 	if err != nil {
 		return <-first.answer, false
 	}
@@ -134,18 +142,18 @@
 
 // start admits the request and hands it to a worker. Every error is a
 // *verdict.Error with NotRun.
-func (e *Entry) start(ctx context.Context, g *group, req *port.Request, exclude []string) (*attempt, error) {
+func (e *Entry) start(ctx context.Context, o owned, exclude []string) (*attempt, error) {
 	ticket := admission.Ticket{
-		ID:       g.ticket.Add(1),
-		Deadline: req.Deadline,
-		Own:      req.Origin == g.key.place,
+		ID:       o.group.ticket.Add(1),
+		Deadline: o.req.Deadline,
+		Own:      o.crossing == nil,
 		Exclude:  exclude,
 	}
-	run, err := e.admitRun(ctx, g, req, ticket)
+	run, err := e.admitRun(ctx, o, ticket)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, o.req.Deadline)
 	a := &attempt{endpoint: run.grant.Endpoint.ID, answer: make(chan port.Answer, 1), cancel: cancel}
 	err = e.calls.Submit(ctx, func() { a.answer <- run.call(ctx, cancel) })
 	if err != nil {
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -13,14 +13,14 @@
 
 // admitRun waits for a slot and for leave of quarantine. While a request that
 // is under suspicion runs elsewhere, the slot is given back.
-func (e *Entry) admitRun(ctx context.Context, g *group, req *port.Request, t admission.Ticket) (*endpointRun, error) {
+func (e *Entry) admitRun(ctx context.Context, o owned, t admission.Ticket) (*endpointRun, error) {
 	for {
-		grant, err := g.admit(ctx, e.clock, t)
+		grant, err := o.group.admit(ctx, e.clock, t)
 		if err != nil {
 			return nil, err
 		}
-		run := &endpointRun{entry: e, group: g, grant: grant, req: req, granted: e.clock.Now()}
-		leave, changed := e.suspects.started(run.granted, grant.Endpoint, req)
+		run := &endpointRun{entry: e, owned: o, grant: grant, granted: e.clock.Now()}
+		leave, changed := e.suspects.started(run.granted, grant.Endpoint, o.req)
 		if leave == quarantine.Admitted {
 			return run, nil
 		}
@@ -38,10 +38,9 @@
 
 // endpointRun is a granted request on its way to an endpoint and back.
 type endpointRun struct {
+	owned
 	entry   *Entry
-	group   *group
 	grant   admission.Grant
-	req     *port.Request
 	granted time.Time
 }
 
@@ -65,7 +64,7 @@
 		r.abandon()
 		return port.Answer{Err: err}
 	}
-	response, err := e.endpoints.Call(ctx, r.grant.Endpoint, r.req)
+	response, err := r.send(ctx)
 	took := e.clock.Now().Sub(r.granted)
 	e.runEnded(r.grant.Endpoint, r.req, err)
 	result := admission.Result{Kind: resultKind(ctx, err), Latency: took}
@@ -84,6 +83,19 @@
 	return port.Answer{Response: response, Err: err}
 }
 
+// send carries the request to the endpoint, through the gate of its rules if it
+// crosses to another place.
+func (r *endpointRun) send(ctx context.Context) (*port.Response, error) {
+	endpoints := r.entry.endpoints
+	if r.crossing == nil {
+		return endpoints.Call(ctx, r.grant.Endpoint, r.req, nil)
+	}
+	gate := &sending{crossing: r.crossing}
+	response, err := endpoints.Call(ctx, r.grant.Endpoint, r.req, gate)
+	gate.end(err)
+	return response, err
+}
+
 // checkLive refuses a request whose deadline has passed or whose caller went
 // away while it waited for a worker.
 func (e *Entry) checkLive(ctx context.Context, req *port.Request) error {
@@ -106,7 +118,7 @@
 		return admission.Shed
 	case verdict.ReasonDeadline:
 		return admission.Timeout
-	case verdict.ReasonCanceled:
+	case verdict.ReasonCanceled, verdict.ReasonCap:
 		return admission.Canceled
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/core/budget/ledger.go
+++ b/internal/core/budget/ledger.go
@@ -30,7 +30,7 @@
 }
 
 // NewLedger returns the ledger of an entry that has just started. It admits
-// nothing for one term and one window: an earlier incarnation may have lent
+// nothing for one term and one lull: an earlier incarnation may have lent
 // its share or used it just now.
 func NewLedger(self Owner, cfg Config, now time.Time) *Ledger {
 	cfg = cfg.withDefaults()
@@ -45,9 +45,9 @@
 }
 
 // lenderTerm is how long a lender doesn't use what it has lent: the term on
-// the borrower's clock, and a window in which the units lie unused.
+// the borrower's clock, and the time in which the units lie unused.
 func (c Config) lenderTerm(term time.Duration) time.Duration {
-	return c.slower(term) + c.slower(c.Window)
+	return c.slower(term) + c.lull()
 }
 
 // tick returns now, or the latest time seen if that is later.
@@ -123,86 +123,3 @@
 	}
 	l.settleLimits(now)
 }
-
-// use is what a charge takes of one bucket.
-type use struct {
-	b     *bucket
-	units int64
-	// answer says that the units are bytes of the answer.
-	answer bool
-}
-
-// Take uses what a request needs of every rule and of its link in both
-// directions, or nothing if one of them has no room. A rule that isn't in the
-// document has none; a link that isn't has no bound.
-func (l *Ledger) Take(now time.Time, c Charge) bool {
-	now = l.tick(now)
-	l.settleLimits(now)
-	rules, known := l.rules(c)
-	links := l.links(c)
-	fits := known
-	for _, list := range [...][]use{rules, links} {
-		for _, u := range list {
-			u.b.touch(now, u.units)
-			fits = fits && u.b.fits(now, u.units)
-		}
-	}
-	if !fits {
-		return false
-	}
-	for _, u := range rules {
-		u.b.use.add(now, u.units)
-	}
-	for _, u := range links {
-		u.b.held += u.units
-	}
-	return true
-}
-
-// Settle ends the reservation of bytes by a charge that Take has admitted, and
-// counts what went over the link, at most what was reserved. Until then the
-// whole reservation counts. actualBytes are those of the answer when the charge
-// bounds them apart, and those of request and answer otherwise. Settle must be
-// called once for each admitted charge with a link, also when nothing was sent.
-func (l *Ledger) Settle(now time.Time, c Charge, actualBytes int64) {
-	now = l.tick(now)
-	for _, u := range l.links(c) {
-		u.b.held = max(0, u.b.held-u.units)
-		actual := u.units
-		if u.answer || c.AnswerBytes <= 0 {
-			actual = min(max(0, actualBytes), u.units)
-		}
-		u.b.use.add(now, actual)
-	}
-}
-
-// rules returns what a charge uses of rules; false if it names an unknown one.
-func (l *Ledger) rules(c Charge) ([]use, bool) {
-	list := make([]use, 0, len(c.Rules))
-	known := true
-	for _, rule := range c.Rules {
-		b, ok := l.buckets[ruleBucket(rule)]
-		if !ok {
-			known = false
-			continue
-		}
-		list = append(list, use{b: b, units: 1})
-	}
-	return list, known
-}
-
-// links returns what a charge uses of its link in both directions.
-func (l *Ledger) links(c Charge) []use {
-	if c.Link == nil {
-		return nil
-	}
-	var list []use
-	if b := l.buckets[linkBucket(*c.Link)]; b != nil && c.Bytes > 0 {
-		list = append(list, use{b: b, units: c.Bytes})
-	}
-	back := LinkID{From: c.Link.To, To: c.Link.From}
-	if b := l.buckets[linkBucket(back)]; b != nil && c.AnswerBytes > 0 {
-		list = append(list, use{b: b, units: c.AnswerBytes, answer: true})
-	}
-	return list
-}
--- a/internal/core/budget/loans.go
+++ b/internal/core/budget/loans.go
@@ -13,8 +13,10 @@
 	// hungryAbove is the demand, in percent of what is usable, above which an
 	// entry borrows.
 	hungryAbove = 80
-	// headroom is how much more than the demand is asked for, in percent.
-	headroom = 120
+	// firstAsk and nextAsk are how much of the demand is asked for, in percent:
+	// more at first, when the demand is rising, than once there are loans.
+	firstAsk = 120
+	nextAsk  = 105
 )
 
 // Wants returns the requests for loans that this entry should send now. It is
@@ -38,7 +40,11 @@
 	if demand*percent <= l.ownUsable(now, b)*hungryAbove {
 		return nil
 	}
-	missing := demand*headroom/percent - l.ownUsable(now, b)
+	asked := int64(firstAsk)
+	if len(b.borrowed) > 0 {
+		asked = nextAsk
+	}
+	missing := demand*asked/percent - l.ownUsable(now, b)
 	var requests []BorrowRequest
 	for _, lender := range slices.Sorted(maps.Keys(b.borrowed)) {
 		units, _ := largest(now, slices.Clone(b.borrowed[lender]))
--- a/internal/core/budget/raise.go
+++ b/internal/core/budget/raise.go
@@ -18,7 +18,7 @@
 		if b.clear.IsZero() {
 			b.clear = now
 		}
-		if now.Sub(b.clear) >= l.cfg.slower(l.cfg.Window) {
+		if now.Sub(b.clear) >= l.cfg.lull() {
 			b.raise(l.self.Entry)
 		}
 	}
--- a/internal/core/budget/types.go
+++ b/internal/core/budget/types.go
@@ -9,7 +9,7 @@
 	defaultTerm       = 3 * time.Second
 	defaultForget     = 30 * time.Second
 	defaultAskAtOnce  = 3
-	defaultKeepOneIn  = 16
+	defaultKeepOneIn  = 64
 	defaultMaxHistory = 16
 	partsPerMillion   = 1_000_000
 	bitsPerByte       = 8
@@ -17,6 +17,10 @@
 	percent           = 100
 )
 
+// DefaultTransit bounds the time from when a request is written to when it
+// arrives at an endpoint of the same place.
+const DefaultTransit = 50 * time.Millisecond
+
 // Owner is the entry that a ledger belongs to.
 type Owner struct {
 	// Entry is the entry's name.
@@ -25,11 +29,13 @@
 	Incarnation uint64
 }
 
-// Config holds the times and bounds of a ledger. Window, DriftPPM and Term must
-// be the same on all entries. Zero fields get defaults.
+// Config holds the times and bounds of a ledger. Window, Transit, DriftPPM and
+// Term must be the same on all entries. Zero fields get defaults.
 type Config struct {
 	// Window is the window in which a cap holds.
 	Window time.Duration
+	// Transit bounds the time from when a request is written to when it arrives.
+	Transit time.Duration
 	// Bins is the number of parts of a window; use is counted per part.
 	Bins int
 	// DriftPPM bounds how much faster or slower than true a clock may run, in
@@ -50,6 +56,7 @@
 
 func (c Config) withDefaults() Config {
 	setDuration(&c.Window, defaultWindow)
+	setDuration(&c.Transit, DefaultTransit)
 	setInt(&c.Bins, defaultBins)
 	setInt(&c.DriftPPM, defaultDriftPPM)
 	setDuration(&c.Term, defaultTerm)
@@ -80,12 +87,16 @@
 	return d + 2*time.Duration(int64(d)/partsPerMillion*int64(c.DriftPPM)) + time.Millisecond
 }
 
+// lull is how long units must lie unused before another entry may use them: a
+// window, and the transit of what was sent last.
+func (c Config) lull() time.Duration { return c.slower(c.Window + c.Transit) }
+
 // LinkID names a link by its two regions.
 type LinkID struct {
 	From, To string
 }
 
-// Charge is what one request uses.
+// Charge is what one request needs.
 type Charge struct {
 	// Rules names the rules that the request crosses.
 	Rules []string
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -63,6 +63,15 @@
 	Connections int
 }
 
+// Gate is what one attempt of a request passes on its way to an endpoint.
+type Gate interface {
+	// Open says whether the request may be sent now. Its error is a
+	// *verdict.Error with NotRun.
+	Open() error
+	// Written tells that the whole request has been written.
+	Written()
+}
+
 // EndpointCaller sends one request to one endpoint.
 //
 // A nil error means Ran, whatever the status. Every error is a *verdict.Error:
@@ -70,7 +79,9 @@
 // failed, nothing was written, or the endpoint's explicit shed answer), and
 // MayHaveRun for all else.
 type EndpointCaller interface {
-	Call(ctx context.Context, to Endpoint, req *Request) (*Response, error)
+	// Call opens the gate, if there is one, right before the request's first
+	// byte is written; nothing is written if it stays shut.
+	Call(ctx context.Context, to Endpoint, req *Request, gate Gate) (*Response, error)
 	// Probe opens a new connection and closes it. Its error wraps
 	// ErrConnectionRefused when nothing listens there.
 	Probe(ctx context.Context, to Endpoint) error
