Strike pairs of faults in the soak

Ruled out: rows of the matrix for each pair, which would take nine flows and about 20 s for each of 28 pairs; and picking places of both faults freely, as two faults could then stop one process at once.

Change: TestSoakPairs strikes every pair of the soak's faults once, at two places of one region 0.75 s apart, and judges the same promises and caps as TestSoak. `make soak` runs 90 s of each, `make test` 12 s and 6 s.

Before: no pair under load.

--- a/Makefile
+++ b/Makefile
@@ -39,9 +39,10 @@
 generate-check:
 	./scripts/generate-check.sh
 
-# A minute of load and faults on real processes at today's size.
+# Load and faults on real processes at today's size: one after the other, then
+# every pair at once.
 soak: build
-	SOAK_SECONDS=60 $(GO) test -v -count=1 -timeout 10m -run TestSoak ./internal/systemtest
+	SOAK_SECONDS=90 $(GO) test -v -count=1 -timeout 10m -run TestSoak ./internal/systemtest
 
 # Prints the measurements that the docs cite and writes docs/MEASUREMENTS.md.
 measure: build
--- a/internal/systemtest/soak_test.go
+++ b/internal/systemtest/soak_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,9 +15,10 @@
 const (
 	// soakSeed orders the faults.
 	soakSeed = 20261204
-	// soakDefault is the length of the load in a usual run; SOAK_SECONDS sets
-	// another.
-	soakDefault = 12 * time.Second
+	// soakDefault and pairsDefault are the lengths of the load in a usual run;
+	// SOAK_SECONDS sets another.
+	soakDefault  = 12 * time.Second
+	pairsDefault = 6 * time.Second
 	// soakFault is how long each fault lasts.
 	soakFault = 1500 * time.Millisecond
 	// nearCap and farCap are the caps of a shift within a region and to another.
@@ -54,10 +56,10 @@
 	return l
 }
 
-func soakLength(t *testing.T) time.Duration {
+func soakLength(t *testing.T, usual time.Duration) time.Duration {
 	text := os.Getenv("SOAK_SECONDS")
 	if text == "" {
-		return soakDefault
+		return usual
 	}
 	seconds, err := strconv.Atoi(text)
 	if err != nil {
@@ -69,57 +71,56 @@
 // soakFaults are what happens, one after the other, in the order of the seed.
 var soakFaults = []struct {
 	name string
-	run  func(s *system, pick *rand.Rand)
+	// run strikes a place or, picked at random, a control VM.
+	run func(s *system, place *document.Place, pick *rand.Rand)
 }{
-	{"kill an entry and start it again", func(s *system, pick *rand.Rand) {
-		p := s.entries[s.somePlace(pick).Entries[0].Name]
+	{"kill an entry and start it again", func(s *system, place *document.Place, _ *rand.Rand) {
+		p := s.entries[place.Entries[0].Name]
 		p.kill()
 		time.Sleep(soakFault)
 		p.start()
 	}},
-	{"freeze an entry", func(s *system, pick *rand.Rand) {
-		p := s.entries[s.somePlace(pick).Entries[1].Name]
+	{"freeze an entry", func(s *system, place *document.Place, _ *rand.Rand) {
+		p := s.entries[place.Entries[1].Name]
 		p.freeze()
 		time.Sleep(soakFault)
 		p.thaw()
 	}},
-	{"cut a place off", func(s *system, pick *rand.Rand) {
-		place := s.somePlace(pick).Name
+	{"cut a place off", func(s *system, place *document.Place, _ *rand.Rand) {
 		s.mesh.set(func(src, dst string) bool {
-			return src != "" && dst != "" && (s.placeOfVM(src) == place) != (s.placeOfVM(dst) == place)
+			return src != "" && dst != "" && (s.placeOfVM(src) == place.Name) != (s.placeOfVM(dst) == place.Name)
 		})
 		time.Sleep(soakFault)
 		s.mesh.heal()
 	}},
-	{"silence all connections", func(s *system, _ *rand.Rand) {
+	{"silence all connections", func(s *system, _ *document.Place, _ *rand.Rand) {
 		s.mesh.silence(func(_, _ string) bool { return true })
 		time.Sleep(soakFault)
 	}},
-	{"crash the workers of a place", func(s *system, pick *rand.Rand) {
-		place := s.somePlace(pick).Name
-		for _, e := range s.endpoints[place] {
+	{"crash the workers of a place", func(s *system, place *document.Place, _ *rand.Rand) {
+		for _, e := range s.endpoints[place.Name] {
 			e.crash()
 		}
 		time.Sleep(soakFault)
-		for _, e := range s.endpoints[place] {
+		for _, e := range s.endpoints[place.Name] {
 			e.start()
 		}
 	}},
-	{"kill a control VM and start it again", func(s *system, pick *rand.Rand) {
+	{"kill a control VM and start it again", func(s *system, _ *document.Place, pick *rand.Rand) {
 		p := s.controls[pick.IntN(controls)]
 		p.kill()
 		time.Sleep(soakFault)
 		p.start()
 	}},
-	{"drain a place and end the drain", func(s *system, pick *rand.Rand) {
-		s.doc.Drains = []document.Drain{{Place: s.somePlace(pick).Name, Reason: "soak"}}
+	{"drain a place and end the drain", func(s *system, place *document.Place, _ *rand.Rand) {
+		s.doc.Drains = []document.Drain{{Place: place.Name, Reason: "soak"}}
 		s.apply(s.doc)
 		time.Sleep(soakFault)
 		s.doc.Drains = nil
 		s.apply(s.doc)
 	}},
-	{"stop an entry as planned", func(s *system, pick *rand.Rand) {
-		p := s.entries[s.somePlace(pick).Entries[0].Name]
+	{"stop an entry as planned", func(s *system, place *document.Place, _ *rand.Rand) {
+		p := s.entries[place.Entries[0].Name]
 		p.stop()
 		if err := p.wait(25 * time.Second); err != nil {
 			s.t.Errorf("planned stop of %s: %v", p.name, err)
@@ -128,10 +129,6 @@
 	}},
 }
 
-func (s *system) somePlace(pick *rand.Rand) *document.Place {
-	return &s.doc.Places[pick.IntN(len(s.doc.Places))]
-}
-
 // placeOfVM says which place an entry belongs to; others have none.
 func (s *system) placeOfVM(vm string) string {
 	_, place := s.doc.EntryByName(vm)
@@ -144,19 +141,54 @@
 // TestSoak runs today's size of one user under mixed load and faults one after
 // the other, and counts broken promises.
 func TestSoak(t *testing.T) {
-	length := soakLength(t)
+	pick := rand.New(rand.NewPCG(soakSeed, 0))
+	order := pick.Perm(len(soakFaults))
+	soak(t, soakLength(t, soakDefault), func(s *system, n int) string {
+		fault := soakFaults[order[n%len(order)]]
+		fault.run(s, &s.doc.Places[pick.IntN(len(s.doc.Places))], pick)
+		return fault.name
+	})
+}
+
+// TestSoakPairs does the same with two faults at a time: every pair once, in the
+// order of the seed, as far as the time goes.
+func TestSoakPairs(t *testing.T) {
+	var pairs [][2]int
+	for i := range soakFaults {
+		for k := range i {
+			pairs = append(pairs, [2]int{i, k})
+		}
+	}
+	pick := rand.New(rand.NewPCG(soakSeed, 1))
+	pick.Shuffle(len(pairs), func(i, k int) { pairs[i], pairs[k] = pairs[k], pairs[i] })
+	soak(t, soakLength(t, pairsDefault), func(s *system, n int) string {
+		pair := pairs[n%len(pairs)]
+		first, second := soakFaults[pair[0]], soakFaults[pair[1]]
+		var other sync.WaitGroup
+		// The second place is in the same region, so that each is the other's
+		// next choice.
+		k := pick.IntN(len(s.doc.Places))
+		a, b := &s.doc.Places[k], &s.doc.Places[k^1]
+		other.Go(func() { first.run(s, a, rand.New(rand.NewPCG(soakSeed, uint64(n)))) })
+		time.Sleep(soakFault / 2)
+		second.run(s, b, pick)
+		other.Wait()
+		return first.name + " + " + second.name
+	})
+}
+
+// soak runs faults under load for a time and judges what callers were told.
+// strike is called for the nth time from 0 and returns what it did.
+func soak(t *testing.T, length time.Duration, strike func(s *system, n int) string) {
 	s := newSystem(t, todaysSize())
 	var loads []*load
 	for _, place := range s.doc.Places {
 		loads = append(loads, s.startLoad(place.Name))
 	}
-	pick := rand.New(rand.NewPCG(soakSeed, 0))
-	order := pick.Perm(len(soakFaults))
 	begun := time.Now()
 	for n := 0; time.Since(begun) < length; n++ {
-		fault := soakFaults[order[n%len(order)]]
-		t.Logf("%5.1f s: %s", time.Since(begun).Seconds(), fault.name)
-		fault.run(s, pick)
+		at := time.Since(begun)
+		t.Logf("%5.1f s: %s", at.Seconds(), strike(s, n))
 	}
 	s.mesh.heal()
 	var records []record
