Take an endpoint that broke a connection and shows no life since for dead

Cause: TestCrashingRequest failed at "the quarantine in the operators' status": the probe after a reset waits 50 ms for the connection to be closed. Where something between takes longer, as the relay of the tests on a busy machine, a dead endpoint looked alive. One that never comes back then never got blamed: nothing was in quarantine, and 5 s later its owner let two more runs through. Change: entries note when an endpoint was last heard of. A broken connection holds a request back until its endpoint was heard of a second or more later; after 5 s without that the endpoint is taken for dead, which blames the request, puts it into quarantine and tells the other entries. Before: app/entry.TestCrashingRequest "probes miss the deaths" lists 0 of 1 quarantines, core/quarantine.TestAdmission "two resets, no sign of life" admits.

--- a/internal/app/entry/announce.go
+++ b/internal/app/entry/announce.go
@@ -58,6 +58,7 @@
 // so that a new owner knows its endpoints.
 func (e *Entry) takeAnnouncement(a port.Announcement) {
 	now := e.clock.Now()
+	e.suspects.heard(now, a.ID, a.Incarnation)
 	key := groupKey{a.Service, a.Place}
 	g := e.groups.get(key, e.admissionConfig)
 	former, replaced := g.announce(now, admission.Announcement{
@@ -197,6 +198,8 @@
 	wait.Each(ctx, expirePeriod, func() {
 		now := e.clock.Now()
 		e.claims.expire(now)
-		e.suspects.expire(now)
+		for _, silent := range e.suspects.expire(now) {
+			go e.endpointDied(silent.Endpoint, silent.Number, silent.Service)
+		}
 	})
 }
--- a/internal/app/entry/suspects.go
+++ b/internal/app/entry/suspects.go
@@ -85,10 +85,18 @@
 	return s.table.List(now)
 }
 
-func (s *suspects) expire(now time.Time) {
+// expire returns the endpoints that are to be taken for dead.
+func (s *suspects) expire(now time.Time) []quarantine.Silent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Expire(now)
+	return s.table.Expire(now)
+}
+
+// heard notes that an endpoint reported itself.
+func (s *suspects) heard(now time.Time, endpoint string, incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Heard(now, endpoint, incarnation)
 }
 
 // take applies rows of another entry or of an operator.
--- a/internal/app/entry/world_test.go
+++ b/internal/app/entry/world_test.go
@@ -175,7 +175,7 @@
 // announce keeps an endpoint known to the entries of its place.
 func (w *world) announce(id string) {
 	var sequence uint64
-	for w.ctx.Err() == nil {
+	for w.ctx.Err() == nil && !w.calls.isDead(id) {
 		sequence++
 		for name, place := range placeOf {
 			if e := w.entry(name); e != nil && place == id[:1] {
@@ -305,6 +305,27 @@
 	mu    sync.Mutex
 	count int
 	call  func(n int, to port.Endpoint) port.Answer
+	dead  map[string]bool
+	probe error // what a probe of a dead endpoint finds
+}
+
+// crash makes every call end its endpoint.
+func (f *endpointFake) crash(probe error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead, f.probe = make(map[string]bool), probe
+	f.call = func(_ int, to port.Endpoint) port.Answer {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.dead[to.ID] = true
+		return connection.answer
+	}
+}
+
+func (f *endpointFake) isDead(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dead[id]
 }
 
 func (f *endpointFake) Call(_ context.Context, to port.Endpoint, _ *port.Request) (*port.Response, error) {
@@ -320,7 +341,12 @@
 	return &port.Response{Status: 200, Body: fmt.Append(nil, "run ", n)}, nil
 }
 
-func (f *endpointFake) Probe(context.Context, port.Endpoint) error { return nil }
+func (f *endpointFake) Probe(_ context.Context, to port.Endpoint) error {
+	if f.isDead(to.ID) {
+		return f.probe
+	}
+	return nil
+}
 
 func (f *endpointFake) ran() int {
 	f.mu.Lock()
--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -7,24 +7,57 @@
 	"sassafrasreach/internal/core/fingerprint"
 )
 
+// Silent is an endpoint incarnation that broke a connection under a run and has
+// shown no life for Blame since.
+type Silent struct {
+	Endpoint string
+	Number   uint64
+	// Service is the service of the run.
+	Service string
+}
+
 // Expire forgets what is too old to matter. It is cheap enough to run once a
-// second.
-func (t *Table) Expire(now time.Time) {
+// second. The endpoints that it returns are to be taken for dead.
+func (t *Table) Expire(now time.Time) []Silent {
 	t.deaths = slices.DeleteFunc(t.deaths, func(d death) bool {
 		return now.Sub(d.at) >= t.cfg.Hold
 	})
+	var silent []Silent
 	for f, r := range t.records {
 		t.dropOldRuns(now, r)
 		t.forgetIdle(now, f, r)
+		silent = append(silent, t.silent(now, r)...)
+	}
+	t.forgetEndpoints(now)
+	for f, at := range t.proven {
+		if now.Sub(at) >= t.cfg.Proven {
+			delete(t.proven, f)
+		}
+	}
+	return silent
+}
+
+// silent returns the endpoints of the record's runs that are likely dead.
+func (t *Table) silent(now time.Time, r *record) []Silent {
+	var all []Silent
+	for _, x := range r.runs {
+		if x.reset && now.Sub(x.lost) >= t.cfg.Blame {
+			all = append(all, Silent{Endpoint: x.on.endpoint, Number: x.on.number, Service: r.service})
+		}
 	}
+	return all
+}
+
+// forgetEndpoints forgets the signs of life that are too old to matter.
+func (t *Table) forgetEndpoints(now time.Time) {
 	for on, started := range t.alive {
-		if now.Sub(started) >= t.cfg.Blame {
+		if now.Sub(started) >= t.cfg.Hold {
 			delete(t.alive, on)
 		}
 	}
-	for f, at := range t.proven {
-		if now.Sub(at) >= t.cfg.Proven {
-			delete(t.proven, f)
+	for on, at := range t.heard {
+		if now.Sub(at) >= t.cfg.Blame {
+			delete(t.heard, on)
 		}
 	}
 }
@@ -32,14 +65,31 @@
 // dropOldRuns forgets the runs that were lost too long ago for any blame, and
 // the deaths when nobody has asked for Hold.
 func (t *Table) dropOldRuns(now time.Time, r *record) {
-	r.runs = slices.DeleteFunc(r.runs, func(x run) bool {
-		return !x.lost.IsZero() && now.Sub(x.lost) >= t.cfg.Blame
-	})
+	r.runs = slices.DeleteFunc(r.runs, func(x run) bool { return t.over(now, x) })
 	if !now.Before(r.until) && now.Sub(r.asked) >= t.cfg.Hold {
 		r.deaths = nil
 	}
 }
 
+// over reports whether a lost run can be blamed no more: Blame has passed and,
+// when the connection broke, its endpoint has shown since that it lives.
+func (t *Table) over(now time.Time, x run) bool {
+	if x.lost.IsZero() || now.Sub(x.lost) < t.cfg.Blame {
+		return false
+	}
+	return !x.reset || t.lives(x) || now.Sub(x.lost) >= t.cfg.Hold
+}
+
+// lives reports whether the run's endpoint showed life Settle or more after the
+// run was lost.
+func (t *Table) lives(x run) bool {
+	return t.livedOn(x) || t.heard[x.on].Sub(x.lost) >= t.cfg.Settle
+}
+
+// livedOn reports whether the run's endpoint answered a request that started
+// Settle or more after the run was lost.
+func (t *Table) livedOn(x run) bool { return t.alive[x.on].Sub(x.lost) >= t.cfg.Settle }
+
 // forgetIdle drops a record that says nothing any more.
 func (t *Table) forgetIdle(now time.Time, f fingerprint.Fingerprint, r *record) {
 	idle := len(r.runs) == 0 && len(r.deaths) == 0
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -152,7 +152,9 @@
 	records map[fingerprint.Fingerprint]*record
 	proven  map[fingerprint.Fingerprint]time.Time
 	// alive holds the latest start of an answered run by endpoint incarnation.
-	alive  map[incarnation]time.Time
+	alive map[incarnation]time.Time
+	// heard holds when an incarnation last said something of itself.
+	heard  map[incarnation]time.Time
 	deaths []death
 }
 
@@ -163,6 +165,7 @@
 		records: make(map[fingerprint.Fingerprint]*record),
 		proven:  make(map[fingerprint.Fingerprint]time.Time),
 		alive:   make(map[incarnation]time.Time),
+		heard:   make(map[incarnation]time.Time),
 	}
 }
 
@@ -211,7 +214,7 @@
 	n := 0
 	for _, x := range r.runs {
 		givenUp := !x.lost.IsZero() && !x.reset
-		if givenUp && t.alive[x.on].Sub(x.lost) >= t.cfg.Settle {
+		if givenUp && t.livedOn(x) {
 			continue
 		}
 		n++
@@ -268,6 +271,11 @@
 	return c
 }
 
+// Heard notes that an endpoint incarnation said something of itself just now.
+func (t *Table) Heard(now time.Time, endpoint string, number uint64) {
+	t.heard[incarnation{endpoint, number}] = now
+}
+
 // suspected tells the other entries of a reset; fingerprints that are only
 // given up are too many under overload.
 func (t *Table) suspected(now time.Time, f fingerprint.Fingerprint, end End) Change {
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -112,6 +112,21 @@
 		{"two given up, an endpoint answers later", func(b B) { giveUp(b, quarantine.Lost, cfg.Settle) }, ok},
 		{"two given up, an endpoint answers at once", func(b B) { giveUp(b, quarantine.Lost, cfg.Settle-1) }, no},
 		{"two resets, an endpoint answers later", func(b B) { giveUp(b, quarantine.Reset, cfg.Settle) }, no},
+		{"two resets, an endpoint answers long after", func(b B) { giveUp(b, quarantine.Reset, cfg.Blame) }, ok},
+		{"two resets, an endpoint is heard of", func(b B) {
+			giveUp(b, quarantine.Reset, cfg.Settle)
+			b.Heard(b.now, "w1", 1)
+			b.pass(cfg.Blame)
+		}, ok},
+		{"two resets, no sign of life", func(b B) {
+			giveUp(b, quarantine.Reset, 0)
+			b.Heard(b.now, "w1", 1)
+			b.pass(cfg.Blame)
+			for _, dead := range b.Expire(b.now) {
+				b.Died(b.now, dead.Endpoint, dead.Number)
+			}
+			b.pass(cfg.Hold - 1)
+		}, no},
 		{"one death", kill("w1"), ok},
 		{"one death, one under way", func(b B) { b.kill("w1", poison); b.start("w2", poison) }, wait},
 		{"one death, one lost", func(b B) { b.kill("w1", poison); b.start("w2", poison); b.end("w2", poison, quarantine.Lost) }, no},
