Tell every listed entry of a crashing request until it acknowledges

Cause: a row of quarantine went once to each peer that was heard of at that moment, within 400 ms; an entry that missed it let two more runs through. An entry can miss heartbeats, or the one message, and serve callers all the same. Change: rows are kept for each entry of the document until it acknowledges them or they are out of date, at most 1000 a peer. They go out at once, one message at a time to each peer so that they keep their order, and again each 500 ms. The caller waits until the entries that are heard of know, for 1.2 s at most; each other entry is tried once meanwhile. Operators' lifts go the same way. Cost: nothing while no connection breaks under a request that wasn't answered lately; then one message to each listed entry, and to one that is down one each 500 ms for as long as the row lasts. Before: app/entry.TestCrashingRequest "the first messages to each entry are lost" and "the other place isn't heard of" run the request more than twice. After: both pass, with the entry's other tests under the race detector.

--- a/internal/app/entry/blame.go
+++ b/internal/app/entry/blame.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync"
 
 	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/verdict"
@@ -90,20 +89,6 @@
 	return rows
 }
 
-// spread tells the other entries in reach, and waits for them for a while.
-func (e *Entry) spread(rows []port.QuarantineRow) {
-	if len(rows) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-	defer cancel()
-	var told sync.WaitGroup
-	for _, address := range e.livePeers() {
-		told.Go(func() { _ = e.peers.Quarantine(ctx, address, rows) })
-	}
-	told.Wait()
-}
-
 func changeRows(change quarantine.Change) []port.QuarantineRow {
 	var rows []port.QuarantineRow
 	for _, f := range change.Suspected {
@@ -128,22 +113,3 @@
 		event.Log(ctx, e.logger, event.QuarantineLift, slog.String("fingerprint", f.String()))
 	}
 }
-
-// livePeers returns the addresses of the other entries that are heard of.
-func (e *Entry) livePeers() []string {
-	s := e.snapshot.Load()
-	if s == nil {
-		return nil
-	}
-	now := e.clock.Now()
-	var addresses []string
-	for name, address := range s.entries {
-		if name == e.config.Name {
-			continue
-		}
-		if _, live := e.members.member(now, name); live {
-			addresses = append(addresses, address.peer)
-		}
-	}
-	return addresses
-}
--- a/internal/app/entry/crash_test.go
+++ b/internal/app/entry/crash_test.go
@@ -17,20 +17,28 @@
 	cases := []struct {
 		name  string
 		probe error // of dead endpoints
+		lose  int   // messages on quarantine to each entry
+		apart bool  // no heartbeats between places
 	}{
-		{"probes find the deaths", port.ErrConnectionRefused},
-		{"probes miss the deaths", nil},
+		{"probes find the deaths", port.ErrConnectionRefused, 0, false},
+		{"probes miss the deaths", nil, 0, false},
+		{"the first messages to each entry are lost", port.ErrConnectionRefused, 2, false},
+		{"the other place isn't heard of", port.ErrConnectionRefused, 0, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := settled(t)
+				w.mu.Lock()
+				w.lose, w.apart = c.lose, c.apart
+				w.mu.Unlock()
+				time.Sleep(settle)
 				w.calls.crash(c.probe)
 				req := w.request()
 				for range 3 {
-					for name, place := range placeOf {
-						req.Origin = place
+					for _, name := range []string{"a1", "a2", "a3", "b1"} {
+						req.Origin = placeOf[name]
 						w.resend(w.entry(name), req)
 					}
 					time.Sleep(quarantine.DefaultConfig().Blame + 2*time.Second)
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -66,6 +66,7 @@
 	ledger   *ledger
 	claims   *claimTable
 	suspects *suspects
+	spreader *spreader
 	attempts *attempts
 	retries  *retryBudget
 	outbox   *outbox
@@ -100,6 +101,7 @@
 		ledger:    newLedger(config, now),
 		claims:    newClaimTable(home),
 		suspects:  newSuspects(),
+		spreader:  newSpreader(),
 		attempts:  newAttempts(),
 		retries:   newRetryBudget(),
 		outbox:    newOutbox(),
@@ -119,6 +121,7 @@
 	wg.Go(func() { e.outboxLoop(ctx) })
 	wg.Go(func() { e.loanLoop(ctx) })
 	wg.Go(func() { e.expireLoop(ctx) })
+	wg.Go(func() { e.spreadLoop(ctx) })
 	wg.Wait()
 	e.calls.Close()
 	e.controls.Close()
--- a/internal/app/entry/pull.go
+++ b/internal/app/entry/pull.go
@@ -119,9 +119,8 @@
 		rows[i] = port.QuarantineRow{Fingerprint: f, Lifted: true}
 	}
 	e.HandleQuarantine(rows)
-	for _, address := range e.livePeers() {
-		e.inBackground(ctx, func(ctx context.Context) { _ = e.peers.Quarantine(ctx, address, rows) })
-	}
+	e.queueRows(rows)
+	e.spreadOnce(ctx)
 }
 
 // noteControl logs when the control quorum is lost or found again.
--- a/internal/app/entry/world_test.go
+++ b/internal/app/entry/world_test.go
@@ -46,6 +46,11 @@
 	entries map[string]*Entry // by peer address; those that are reachable
 	stops   map[string]context.CancelFunc
 	fault   func(f port.Forward) (before, after error)
+	// told counts the messages on quarantine by address; the first lose of each
+	// are lost, and all heartbeats between places while apart is set.
+	told  map[string]int
+	lose  int
+	apart bool
 	// documents stand in for what the peers at these addresses have.
 	documents map[string]port.Config
 }
@@ -60,6 +65,7 @@
 		calls:   &endpointFake{},
 		control: &controlFake{answers: map[string]port.FetchAnswer{"c1": {Config: config, Quorum: true}}},
 		meter:   &meterFake{moved: make(map[string]int)},
+		told:    make(map[string]int),
 		entries: make(map[string]*Entry),
 		stops:   make(map[string]context.CancelFunc),
 	}
@@ -231,6 +237,12 @@
 }
 
 func (w *world) Heartbeat(_ context.Context, address string, hb membership.Heartbeat) (membership.Heartbeat, error) {
+	w.mu.Lock()
+	cut := w.apart && address[:len("127.0.97")] != peerAddress(hb.From)[:len("127.0.97")]
+	w.mu.Unlock()
+	if cut {
+		return membership.Heartbeat{}, errTest
+	}
 	return at(w, address, func(e *Entry) membership.Heartbeat { return e.HandleHeartbeat(hb) })
 }
 
@@ -254,7 +266,15 @@
 	return err
 }
 
-func (w *world) Quarantine(_ context.Context, address string, rows []port.QuarantineRow) error {
+func (w *world) Quarantine(ctx context.Context, address string, rows []port.QuarantineRow) error {
+	w.mu.Lock()
+	w.told[address]++
+	lost := w.told[address] <= w.lose
+	w.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	_, err := at(w, address, func(e *Entry) bool { e.HandleQuarantine(rows); return true })
 	return err
 }
