Order lifts against news of crashes, and let a starting entry ask for them

Cause: an entry that started knew of no crash and let two more runs through. An operator's lift was applied at each poll for 10 s, so that it also undid a quarantine that began after it; and a row sent before a lift could arrive after. An answer after a run that was only given up told all entries of a lift that nobody had need of, and its caller waited for them. Change: rows carry a version, a time in microseconds raised above what is known; a lift wins over older rows and loses to newer ones, and is remembered as long as a quarantine. An order of an operator that comes again within 11 s is the same one. A quarantine message without rows asks for those of its receiver; an entry asks up to eight others, for 400 ms at most, before its first document is in force. Lifts by answers are told only of what was told before, and no caller waits for them. Cost: at a start eight messages; a row is 8 bytes larger. Planted: without the question, and with orders applied each time, app/entry.TestCrashingRequest fails in all its cases. After: it and core/quarantine.TestOrder pass under the race detector.

--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -96,12 +96,15 @@
 	})
 }
 
-// Quarantine spreads fingerprints.
-func (c *Client) Quarantine(ctx context.Context, address string, rows []port.QuarantineRow) error {
-	return c.call(ctx, address, func(peer peerv1.PeerServiceClient) error {
-		_, err := peer.Quarantine(ctx, quarantineToProto(rows))
+// Quarantine spreads fingerprints, or asks for those of the peer.
+func (c *Client) Quarantine(ctx context.Context, address string, rows []port.QuarantineRow) ([]port.QuarantineRow, error) {
+	var held []port.QuarantineRow
+	err := c.call(ctx, address, func(peer peerv1.PeerServiceClient) error {
+		response, err := peer.Quarantine(ctx, &peerv1.QuarantineRequest{Rows: quarantineToProto(rows)})
+		held = quarantineFromProto(response.GetRows())
 		return err
 	})
+	return held, err
 }
 
 // Borrow asks for a loan.
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -205,7 +205,7 @@
 	return out
 }
 
-func quarantineToProto(rows []port.QuarantineRow) *peerv1.QuarantineRequest {
+func quarantineToProto(rows []port.QuarantineRow) []*peerv1.QuarantineRow {
 	out := make([]*peerv1.QuarantineRow, len(rows))
 	for i, row := range rows {
 		out[i] = &peerv1.QuarantineRow{
@@ -216,14 +216,15 @@
 			Suspected:       row.Suspected,
 			Endpoint:        row.Endpoint,
 			Incarnation:     row.Incarnation,
+			Version:         row.Version,
 		}
 	}
-	return &peerv1.QuarantineRequest{Rows: out}
+	return out
 }
 
-func quarantineFromProto(r *peerv1.QuarantineRequest) []port.QuarantineRow {
-	out := make([]port.QuarantineRow, len(r.GetRows()))
-	for i, row := range r.GetRows() {
+func quarantineFromProto(rows []*peerv1.QuarantineRow) []port.QuarantineRow {
+	out := make([]port.QuarantineRow, len(rows))
+	for i, row := range rows {
 		out[i] = port.QuarantineRow{
 			Fingerprint: row.GetFingerprint(),
 			Service:     row.GetService(),
@@ -232,6 +233,7 @@
 			Suspected:   row.GetSuspected(),
 			Endpoint:    row.GetEndpoint(),
 			Incarnation: row.GetIncarnation(),
+			Version:     row.GetVersion(),
 		}
 	}
 	return out
--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -39,8 +39,11 @@
 func (p *fakePeer) HandleFetchDocument(have uint64) port.Config {
 	return port.Config{Version: have + 1, Digest: "d", Document: []byte("text")}
 }
-func (p *fakePeer) HandleHandOver(h claims.HandOver)           { p.handed = h }
-func (p *fakePeer) HandleQuarantine(rows []port.QuarantineRow) { p.rows = rows }
+func (p *fakePeer) HandleHandOver(h claims.HandOver) { p.handed = h }
+func (p *fakePeer) HandleQuarantine(rows []port.QuarantineRow) []port.QuarantineRow {
+	p.rows = rows
+	return rows
+}
 func (p *fakePeer) HandleBorrow(r port.LoanRequest) port.LoanGrant {
 	p.loan = r
 	return port.LoanGrant{Units: 3, Term: time.Second}
@@ -114,9 +117,11 @@
 	is.NoErr(client.HandOver(ctx, link.Addr(), handed))
 	is.Equal(p.handed, handed)
 
-	rows := []port.QuarantineRow{{Fingerprint: "f", Service: "s", Remaining: time.Second, Suspected: true, Endpoint: "e", Incarnation: 2}}
-	is.NoErr(client.Quarantine(ctx, link.Addr(), rows))
+	rows := []port.QuarantineRow{{Fingerprint: "f", Service: "s", Remaining: time.Second, Suspected: true, Endpoint: "e", Incarnation: 2, Version: 3}}
+	held, err := client.Quarantine(ctx, link.Addr(), rows)
+	is.NoErr(err)
 	is.Equal(p.rows, rows)
+	is.Equal(held, rows)
 
 	loan := port.LoanRequest{Bucket: "b", Borrower: "a", BorrowerIncarnation: 1, Units: 5, Term: time.Second, DocumentVersion: 9}
 	grant, err := client.Borrow(ctx, link.Addr(), loan)
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -69,8 +69,8 @@
 
 // Quarantine implements the service.
 func (s *Server) Quarantine(_ context.Context, r *peerv1.QuarantineRequest) (*peerv1.QuarantineResponse, error) {
-	s.handler.HandleQuarantine(quarantineFromProto(r))
-	return &peerv1.QuarantineResponse{}, nil
+	held := s.handler.HandleQuarantine(quarantineFromProto(r.GetRows()))
+	return &peerv1.QuarantineResponse{Rows: quarantineToProto(held)}, nil
 }
 
 // Borrow implements the service.
--- a/internal/app/entry/blame.go
+++ b/internal/app/entry/blame.go
@@ -42,6 +42,10 @@
 	if errors.Is(err, port.ErrConnectionLost) {
 		rows = append(rows, e.blame(to, req)...)
 	}
+	if end == quarantine.Answered {
+		e.spreadLater(rows) // a lift makes no caller wait
+		return
+	}
 	e.spread(rows)
 }
 
@@ -80,28 +84,12 @@
 }
 
 // noteChange logs a change and returns what the other entries are to know.
-func (e *Entry) noteChange(change quarantine.Change) []port.QuarantineRow {
-	rows := changeRows(change)
-	if len(rows) > 0 {
-		e.logChange(change)
+func (e *Entry) noteChange(n news) []port.QuarantineRow {
+	if len(n.rows) > 0 {
+		e.logChange(n.Change)
 		e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
 	}
-	return rows
-}
-
-func changeRows(change quarantine.Change) []port.QuarantineRow {
-	var rows []port.QuarantineRow
-	for _, f := range change.Suspected {
-		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: suspectHold, Suspected: true})
-	}
-	for _, f := range change.Quarantined {
-		hold := quarantine.DefaultConfig().Hold
-		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: hold})
-	}
-	for _, f := range change.Lifted {
-		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Lifted: true})
-	}
-	return rows
+	return n.rows
 }
 
 func (e *Entry) logChange(change quarantine.Change) {
--- a/internal/app/entry/crash_test.go
+++ b/internal/app/entry/crash_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestCrashingRequest resends a request that ends each endpoint that runs it,
-// through every entry. At most two endpoints end, and every entry lists it.
+// through every entry, a restarted one too. At most two endpoints end, and every
+// entry lists it; again so when it goes on after an operator's lift.
 func TestCrashingRequest(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -43,11 +44,28 @@
 					}
 					time.Sleep(quarantine.DefaultConfig().Blame + 2*time.Second)
 				}
-				is.True(w.calls.ran() <= 2)
-				for name := range placeOf {
-					e := w.entry(name)
-					is.Equal(len(e.suspects.list(e.clock.Now())), 1) // of this entry
+				listed := func(want int) {
+					for name := range placeOf {
+						e := w.entry(name)
+						is.Equal(len(e.suspects.list(e.clock.Now())), want) // of this entry
+					}
 				}
+				listed(1)
+				w.crash("b1")
+				w.start("b1", 2)
+				time.Sleep(settle)
+				w.resend(w.entry("b1"), req)
+				is.True(w.calls.ran() <= 2)
+				listed(1)
+				order := w.control.answers["c1"]
+				order.LiftedQuarantines = []string{fingerprintOf(req).String()}
+				w.control.set(map[string]port.FetchAnswer{"c1": order})
+				time.Sleep(2 * time.Second)
+				listed(0)
+				w.resend(w.entry("b1"), req)
+				time.Sleep(quarantine.DefaultConfig().Blame + 2*time.Second)
+				is.Equal(w.calls.ran(), 4)
+				listed(1) // though the lift is told still
 			})
 		})
 	}
--- a/internal/app/entry/pull.go
+++ b/internal/app/entry/pull.go
@@ -111,16 +111,12 @@
 	if len(answer.Config.Document) > 0 {
 		e.apply(ctx, answer.Config)
 	}
-	if len(answer.LiftedQuarantines) == 0 {
+	rows := e.suspects.liftByOrder(e.clock.Now(), answer.LiftedQuarantines)
+	if len(rows) == 0 {
 		return
 	}
-	rows := make([]port.QuarantineRow, len(answer.LiftedQuarantines))
-	for i, f := range answer.LiftedQuarantines {
-		rows[i] = port.QuarantineRow{Fingerprint: f, Lifted: true}
-	}
-	e.HandleQuarantine(rows)
-	e.queueRows(rows)
-	e.spreadOnce(ctx)
+	e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
+	e.spreadLater(rows)
 }
 
 // noteControl logs when the control quorum is lost or found again.
@@ -149,6 +145,9 @@
 			slog.Uint64("version", config.Version), slog.String("error", err.Error()))
 		return false
 	}
+	if e.snapshot.Load() == nil {
+		e.learn(ctx, s)
+	}
 	now := e.clock.Now()
 	e.ledger.setDocument(now, s)
 	e.snapshot.Store(s)
--- a/internal/app/entry/spread.go
+++ b/internal/app/entry/spread.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"sassafrasreach/internal/core/membership"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
 )
@@ -18,20 +19,26 @@
 	spreadRetry = 50 * time.Millisecond
 	// maxUntold bounds the rows that are kept for one peer.
 	maxUntold = 1000
+	// maxSilentTold bounds the entries that aren't heard of and told at once.
+	maxSilentTold = 4
+	// maxLearnedFrom bounds the entries that a starting one asks.
+	maxLearnedFrom = 8
 	// maxSpreadRows bounds the rows of one message.
 	maxSpreadRows = 200
 )
 
 // spreader keeps what each peer is still to be told of quarantine.
 type spreader struct {
+	queued chan struct{} // something is to be told
+
 	mu    sync.Mutex
-	peers map[string]*untold // by address
+	peers map[string]*untold // by name
 }
 
 // untold holds the rows that one peer hasn't acknowledged.
 type untold struct {
-	address string
-	turn    chan struct{} // held while a message is under way
+	name, address string
+	turn          chan struct{} // held while a message is under way
 
 	mu   sync.Mutex
 	next uint64
@@ -45,29 +52,31 @@
 	until  time.Time // when it matters no more
 }
 
-func newSpreader() *spreader { return &spreader{peers: make(map[string]*untold)} }
+func newSpreader() *spreader {
+	return &spreader{queued: make(chan struct{}, 1), peers: make(map[string]*untold)}
+}
 
-// peer returns what is kept for the peer at address.
-func (s *spreader) peer(address string) *untold {
+// peer returns what is kept for an entry, at its present address.
+func (s *spreader) peer(name, address string) *untold {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := s.peers[address]
-	if u == nil {
-		u = &untold{address: address, turn: make(chan struct{}, 1)}
-		s.peers[address] = u
+	u := s.peers[name]
+	if u == nil || u.address != address {
+		u = &untold{name: name, address: address, turn: make(chan struct{}, 1)}
+		s.peers[name] = u
 	}
 	return u
 }
 
 // waiting returns the peers that are to be told something, and forgets those
 // that aren't listed any more.
-func (s *spreader) waiting(now time.Time, listed []string) []*untold {
+func (s *spreader) waiting(now time.Time, listed map[string]entryAddress) []*untold {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []*untold
-	for address, u := range s.peers {
-		if !slices.Contains(listed, address) {
-			delete(s.peers, address)
+	for name, u := range s.peers {
+		if listed[name].peer != u.address {
+			delete(s.peers, name)
 			continue
 		}
 		if !u.empty(now) {
@@ -150,7 +159,7 @@
 	}
 	for !u.empty(e.clock.Now()) {
 		rows, last := u.message(e.clock.Now())
-		if e.peers.Quarantine(ctx, u.address, rows) != nil {
+		if _, err := e.peers.Quarantine(ctx, u.address, rows); err != nil {
 			return false
 		}
 		u.acknowledged(last)
@@ -170,59 +179,107 @@
 	var told sync.WaitGroup
 	for _, u := range e.queueRows(rows) {
 		told.Go(func() {
-			for !e.tell(ctx, u) && e.hears(u.address) && wait.For(ctx, spreadRetry) {
+			for !e.tell(ctx, u) && e.hears(u.name) && wait.For(ctx, spreadRetry) {
 			}
 		})
 	}
 	told.Wait()
 }
 
+// spreadLater has the rows told by spreadLoop.
+func (e *Entry) spreadLater(rows []port.QuarantineRow) {
+	if len(e.queueRows(rows)) > 0 {
+		signal(e.spreader.queued)
+	}
+}
+
 // queueRows keeps the rows for every other entry of the document.
 func (e *Entry) queueRows(rows []port.QuarantineRow) []*untold {
+	s := e.snapshot.Load()
+	if s == nil || len(rows) == 0 {
+		return nil
+	}
 	now := e.clock.Now()
 	var all []*untold
-	for _, address := range e.peerAddresses() {
-		u := e.spreader.peer(address)
-		u.add(now, rows)
-		all = append(all, u)
+	for name, address := range s.entries {
+		if name != e.config.Name {
+			u := e.spreader.peer(name, address.peer)
+			u.add(now, rows)
+			all = append(all, u)
+		}
 	}
 	return all
 }
 
 // spreadLoop tells the peers what they haven't acknowledged.
 func (e *Entry) spreadLoop(ctx context.Context) {
-	wait.Each(ctx, beatPeriod, func() { e.spreadOnce(ctx) })
-}
-
-func (e *Entry) spreadOnce(ctx context.Context) {
-	for _, u := range e.spreader.waiting(e.clock.Now(), e.peerAddresses()) {
-		e.inBackground(ctx, func(ctx context.Context) { e.tell(ctx, u) })
+	ticker := time.NewTicker(beatPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-e.spreader.queued:
+		}
+		e.spreadOnce(ctx)
 	}
 }
 
-// peerAddresses returns the addresses of the other entries of the document.
-func (e *Entry) peerAddresses() []string {
+// spreadOnce tells all peers that are heard of, and a few of the others.
+func (e *Entry) spreadOnce(ctx context.Context) {
 	s := e.snapshot.Load()
 	if s == nil {
-		return nil
+		return
 	}
-	var addresses []string
-	for name, address := range s.entries {
-		if name != e.config.Name {
-			addresses = append(addresses, address.peer)
+	var told sync.WaitGroup
+	silent := 0
+	for _, u := range e.spreader.waiting(e.clock.Now(), s.entries) {
+		if !e.hears(u.name) {
+			silent++
+		}
+		if e.hears(u.name) || silent <= maxSilentTold {
+			told.Go(func() { e.tell(ctx, u) })
 		}
 	}
-	return addresses
+	told.Wait()
 }
 
-// hears says whether the entry at a peer's address is heard of.
-func (e *Entry) hears(address string) bool {
-	s := e.snapshot.Load()
+// hears says whether an entry is heard of.
+func (e *Entry) hears(name string) bool {
+	_, live := e.members.member(e.clock.Now(), name)
+	return live
+}
+
+// learn asks other entries what is in quarantine, before this one serves. One
+// answer is enough; the nearest ones are asked.
+func (e *Entry) learn(ctx context.Context, s *snapshot) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	for _, peer := range e.nearest(s) {
+		asked.Go(func() {
+			rows, err := e.peers.Quarantine(ctx, peer.Address, nil)
+			if err == nil {
+				e.suspects.take(e.clock.Now(), rows)
+			}
+		})
+	}
+	asked.Wait()
+}
+
+// nearest returns a few other entries, those of the own place first.
+func (e *Entry) nearest(s *snapshot) []membership.Peer {
+	var own, others []membership.Peer
 	for _, peer := range s.peers {
-		if peer.Address == address {
-			_, live := e.members.member(e.clock.Now(), peer.Name)
-			return live
+		switch {
+		case peer.Name == e.config.Name:
+		case peer.Place == e.config.Place:
+			own = append(own, peer)
+		default:
+			others = append(others, peer)
 		}
 	}
-	return false
+	all := slices.Concat(own, others)
+	return all[:min(len(all), maxLearnedFrom)]
 }
--- a/internal/app/entry/suspects.go
+++ b/internal/app/entry/suspects.go
@@ -48,22 +48,80 @@
 	return leave, s.changed
 }
 
+// news is a change and what the other entries are to know of it.
+type news struct {
+	quarantine.Change
+	rows []port.QuarantineRow
+}
+
 // ended records the end of a run.
-func (s *suspects) ended(now time.Time, to port.Endpoint, req *port.Request, end quarantine.End) quarantine.Change {
+func (s *suspects) ended(now time.Time, to port.Endpoint, req *port.Request, end quarantine.End) news {
 	f := fingerprintOf(req)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change := s.table.Ended(now, to.ID, to.Incarnation, f, end)
 	s.wake()
-	return change
+	return s.newsOf(now, change)
 }
 
-func (s *suspects) died(now time.Time, endpoint string, incarnation uint64) quarantine.Change {
+func (s *suspects) died(now time.Time, endpoint string, incarnation uint64) news {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change := s.table.Died(now, endpoint, incarnation)
 	s.wake()
-	return change
+	return s.newsOf(now, change)
+}
+
+// newsOf gives each part of a change its version; must hold mu.
+func (s *suspects) newsOf(now time.Time, change quarantine.Change) news {
+	var rows []port.QuarantineRow
+	for _, f := range change.Suspected {
+		rows = append(rows, port.QuarantineRow{
+			Fingerprint: f.String(), Remaining: suspectHold, Suspected: true, Version: s.table.Changed(now, f),
+		})
+	}
+	for _, f := range change.Quarantined {
+		hold := quarantine.DefaultConfig().Hold
+		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: hold, Version: s.table.Changed(now, f)})
+	}
+	for _, f := range change.Lifted {
+		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Lifted: true, Version: s.table.Lifted(now, f)})
+	}
+	return news{change, rows}
+}
+
+// liftByOrder lifts what operators want and returns what is new of it, for the
+// other entries.
+func (s *suspects) liftByOrder(now time.Time, wanted []string) []port.QuarantineRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []port.QuarantineRow
+	for _, text := range wanted {
+		f, err := fingerprint.Parse(text)
+		if err != nil {
+			continue
+		}
+		if version, again := s.table.LiftByOrder(now, f); !again {
+			rows = append(rows, port.QuarantineRow{Fingerprint: text, Lifted: true, Version: version})
+		}
+	}
+	s.wake()
+	return rows
+}
+
+// held returns what another entry is to refuse.
+func (s *suspects) held(now time.Time) []port.QuarantineRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.table.Held(now)
+	rows := make([]port.QuarantineRow, 0, len(all))
+	for _, entry := range all[:min(len(all), maxUntold)] {
+		rows = append(rows, port.QuarantineRow{
+			Fingerprint: entry.Fingerprint.String(), Service: entry.Service, Remaining: entry.Remaining,
+			Suspected: entry.Suspected, Version: entry.Version,
+		})
+	}
+	return rows
 }
 
 // wake lets waiting requests ask again; must hold mu.
@@ -115,21 +173,30 @@
 // takeRow applies one row; must hold mu. Every entry counts every death, so
 // that two at different entries make a quarantine.
 func (s *suspects) takeRow(now time.Time, f fingerprint.Fingerprint, row port.QuarantineRow) {
+	if row.Lifted {
+		s.table.TakeLift(now, f, row.Version)
+		return
+	}
+	if !s.table.TakeChange(f, row.Version) {
+		return
+	}
 	if row.Endpoint != "" {
 		s.table.Died(now, row.Endpoint, row.Incarnation, f)
 	}
-	switch {
-	case row.Lifted:
-		s.table.Lift(f)
-	case row.Suspected:
+	if row.Suspected {
 		s.table.Suspect(now, f, row.Remaining)
-	default:
+	} else {
 		s.table.Add(now, f, row.Remaining)
 	}
 }
 
 // HandleQuarantine implements port.PeerHandler.
-func (e *Entry) HandleQuarantine(rows []port.QuarantineRow) {
-	e.suspects.take(e.clock.Now(), rows)
-	e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
+func (e *Entry) HandleQuarantine(rows []port.QuarantineRow) []port.QuarantineRow {
+	now := e.clock.Now()
+	if len(rows) == 0 {
+		return e.suspects.held(now)
+	}
+	e.suspects.take(now, rows)
+	e.meter.Quarantined(len(e.suspects.list(now)))
+	return nil
 }
--- a/internal/app/entry/world_test.go
+++ b/internal/app/entry/world_test.go
@@ -266,17 +266,16 @@
 	return err
 }
 
-func (w *world) Quarantine(ctx context.Context, address string, rows []port.QuarantineRow) error {
+func (w *world) Quarantine(ctx context.Context, address string, rows []port.QuarantineRow) ([]port.QuarantineRow, error) {
 	w.mu.Lock()
 	w.told[address]++
 	lost := w.told[address] <= w.lose
 	w.mu.Unlock()
 	if lost {
 		<-ctx.Done()
-		return ctx.Err()
+		return nil, ctx.Err()
 	}
-	_, err := at(w, address, func(e *Entry) bool { e.HandleQuarantine(rows); return true })
-	return err
+	return at(w, address, func(e *Entry) []port.QuarantineRow { return e.HandleQuarantine(rows) })
 }
 
 func (w *world) Borrow(_ context.Context, address string, r port.LoanRequest) (port.LoanGrant, error) {
--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -93,7 +93,8 @@
 // forgetIdle drops a record that says nothing any more.
 func (t *Table) forgetIdle(now time.Time, f fingerprint.Fingerprint, r *record) {
 	idle := len(r.runs) == 0 && len(r.deaths) == 0
-	if idle && !now.Before(r.until) && !now.Before(r.suspectUntil) {
+	remembered := now.Before(r.until) || now.Before(r.suspectUntil) || now.Before(r.liftKept)
+	if idle && !remembered {
 		delete(t.records, f)
 	}
 }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -98,6 +98,10 @@
 	Service string
 	// Remaining is how long the quarantine lasts, counted from the listing.
 	Remaining time.Duration
+	// Suspected says that the fingerprint is no more than held back.
+	Suspected bool
+	// Version is that of the newest change.
+	Version uint64
 }
 
 // incarnation is one life of an endpoint.
@@ -137,6 +141,7 @@
 	until        time.Time
 	spread       bool
 	suspectUntil time.Time
+	order
 }
 
 // death is one endpoint incarnation that died.
@@ -291,9 +296,9 @@
 		return Change{}
 	}
 	t.prove(now, f)
-	lostRuns := len(r.runs) - r.underWay()
+	reset := slices.ContainsFunc(r.runs, func(x run) bool { return x.reset })
 	r.runs = slices.DeleteFunc(r.runs, func(x run) bool { return !x.lost.IsZero() })
-	suspected := len(r.deaths) > 0 || lostRuns > 0
+	suspected := len(r.deaths) > 0 || reset
 	r.deaths = nil
 	r.countFrom = time.Time{}
 	if suspected {
@@ -336,7 +341,7 @@
 	var all []Entry
 	for f, r := range t.records {
 		if now.Before(r.until) {
-			all = append(all, Entry{Fingerprint: f, Service: r.service, Remaining: r.until.Sub(now)})
+			all = append(all, Entry{Fingerprint: f, Service: r.service, Remaining: r.until.Sub(now), Version: r.changed})
 		}
 	}
 	slices.SortFunc(all, func(a, b Entry) int {
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -208,3 +208,36 @@
 	is.Equal(lifted, all)
 	is.Equal(len(b.List(b.now)), 0)
 }
+
+// TestOrder takes news of other entries in an order that isn't theirs.
+func TestOrder(t *testing.T) {
+	const at = uint64(1_000_000_000_000) // epoch in microseconds
+	type B = *bench
+	take := func(b B, version uint64) {
+		if b.TakeChange(poison, version) {
+			b.Add(b.now, poison, cfg.Hold)
+		}
+	}
+	order := func(b B) bool { _, again := b.LiftByOrder(b.now, poison); return again }
+	cases := []struct {
+		name string
+		do   func(B)
+		want int // in quarantine
+	}{
+		{"change", func(b B) { take(b, at) }, 1},
+		{"lift after it", func(b B) { take(b, at); b.TakeLift(b.now, poison, at+1) }, 0},
+		{"lift from before it", func(b B) { take(b, at); b.TakeLift(b.now, poison, at-1) }, 1},
+		{"change from before a lift", func(b B) { b.TakeLift(b.now, poison, at+1); b.Expire(b.now); take(b, at) }, 0},
+		{"change after a lift", func(b B) { b.TakeLift(b.now, poison, at); take(b, b.Changed(b.now, poison)) }, 1},
+		{"late change after an order", func(b B) { take(b, at); order(b); take(b, at+1_000_000) }, 0},
+		{"order told again", func(b B) { order(b); take(b, b.Changed(b.now, poison)); b.pass(10 * time.Second); order(b) }, 1},
+		{"second order", func(b B) { order(b); take(b, b.Changed(b.now, poison)); b.pass(11 * time.Second); order(b) }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench()
+			c.do(b)
+			is.New(t).Equal(len(b.List(b.now)), c.want)
+		})
+	}
+}
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -50,6 +50,8 @@
 	// fingerprint; an empty Endpoint means that none is certain.
 	Endpoint    string
 	Incarnation uint64
+	// Version orders the rows of a fingerprint against its lifts.
+	Version uint64
 }
 
 // ErrPeerUnreachable is wrapped by the error of a Forward that never left this
@@ -63,7 +65,8 @@
 	Announce(ctx context.Context, address string, batch []Announcement) error
 	FetchDocument(ctx context.Context, address string, have uint64) (Config, error)
 	HandOver(ctx context.Context, address string, h claims.HandOver) error
-	Quarantine(ctx context.Context, address string, rows []QuarantineRow) error
+	// Quarantine tells rows to a peer. Without rows it asks for those of the peer.
+	Quarantine(ctx context.Context, address string, rows []QuarantineRow) ([]QuarantineRow, error)
 	Borrow(ctx context.Context, address string, r LoanRequest) (LoanGrant, error)
 }
 
@@ -74,7 +77,7 @@
 	HandleAnnounce(batch []Announcement)
 	HandleFetchDocument(have uint64) Config
 	HandleHandOver(h claims.HandOver)
-	HandleQuarantine(rows []QuarantineRow)
+	HandleQuarantine(rows []QuarantineRow) []QuarantineRow
 	HandleBorrow(r LoanRequest) LoanGrant
 }
 
