Blame a death on a run that was given up as late as a minute before

Cause: a lost run was forgotten after 5 s, so that a request whose endpoint dies later than that was never blamed; and an endpoint that neither broke a connection nor came back was never found dead at all. Change: a run that was given up holds its fingerprint back for 5 s as before, but is blamed for a death up to a minute after, unless the fingerprint was answered meanwhile; while more than half of the memory is in use it is forgotten after 5 s. An endpoint that was heard of, and has neither reported itself nor begun to answer a request for 5 s, is taken for dead for the blame, unless it said that it leaves. It stays in use: admission judges by itself. TestAdmission's "death long after the loss" meant 5 s and wants no blame; it now means a minute, and the same death after less wants blame, which is stricter.

--- a/internal/app/entry/announce.go
+++ b/internal/app/entry/announce.go
@@ -58,7 +58,7 @@
 // so that a new owner knows its endpoints.
 func (e *Entry) takeAnnouncement(a port.Announcement) {
 	now := e.clock.Now()
-	e.suspects.heard(now, a.ID, a.Incarnation)
+	e.suspects.heard(now, a)
 	key := groupKey{a.Service, a.Place}
 	g := e.groups.get(key, e.admissionConfig)
 	former, replaced := g.announce(now, admission.Announcement{
@@ -199,7 +199,7 @@
 		now := e.clock.Now()
 		e.claims.expire(now)
 		for _, silent := range e.suspects.expire(now) {
-			go e.endpointDied(silent.Endpoint, silent.Number, silent.Service)
+			go e.takeForDead(silent)
 		}
 	})
 }
--- a/internal/app/entry/blame.go
+++ b/internal/app/entry/blame.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"time"
 
 	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/verdict"
@@ -68,13 +69,24 @@
 // died takes an endpoint out of use and blames what ran on it.
 func (e *Entry) died(id string, incarnation uint64, service string) []port.QuarantineRow {
 	now := e.clock.Now()
-	event.Log(context.Background(), e.logger, event.EndpointDied,
-		slog.String("endpoint", id), slog.Uint64("incarnation", incarnation))
 	for _, g := range e.groups.all() {
 		if g.key.service == service {
 			g.lost(now, id, incarnation)
 		}
 	}
+	return e.blameFor(now, id, incarnation)
+}
+
+// takeForDead blames what ran on an endpoint that shows no life any more. It
+// stays in use: admission judges by itself.
+func (e *Entry) takeForDead(silent quarantine.Silent) {
+	e.spread(e.blameFor(e.clock.Now(), silent.Endpoint, silent.Number))
+}
+
+// blameFor blames what ran on an endpoint for its death.
+func (e *Entry) blameFor(now time.Time, id string, incarnation uint64) []port.QuarantineRow {
+	event.Log(context.Background(), e.logger, event.EndpointDied,
+		slog.String("endpoint", id), slog.Uint64("incarnation", incarnation))
 	rows := e.noteChange(e.suspects.died(now, id, incarnation))
 	for i := range rows {
 		rows[i].Endpoint = id
--- a/internal/app/entry/suspects.go
+++ b/internal/app/entry/suspects.go
@@ -151,10 +151,14 @@
 }
 
 // heard notes that an endpoint reported itself.
-func (s *suspects) heard(now time.Time, endpoint string, incarnation uint64) {
+func (s *suspects) heard(now time.Time, a port.Announcement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Heard(now, endpoint, incarnation)
+	if a.State == port.EndpointLeaving {
+		s.table.Left(a.ID, a.Incarnation)
+		return
+	}
+	s.table.Heard(now, a.ID, a.Incarnation)
 }
 
 // take applies rows of another entry or of an operator.
--- a/internal/core/quarantine/death.go
+++ b/internal/core/quarantine/death.go
@@ -8,7 +8,7 @@
 )
 
 // Died records the death of an endpoint incarnation and blames the requests
-// that were in flight on it, or whose end was lost within Blame, and those that
+// that were in flight on it, or whose end was lost lately, and those that
 // the caller names besides. Further calls for the incarnation blame what they
 // name and the earlier ones didn't.
 func (t *Table) Died(now time.Time, endpoint string, number uint64, inFlight ...fingerprint.Fingerprint) Change {
--- a/internal/core/quarantine/doc.go
+++ b/internal/core/quarantine/doc.go
@@ -2,13 +2,13 @@
 // than two of them.
 //
 // The death of an endpoint blames the requests that were in flight on it, or
-// whose end was lost shortly before. An endpoint that broke a connection and
-// showed no life for Blame after it is taken for dead. Two deaths of distinct
-// incarnations put a fingerprint into quarantine. Between the loss of a run and
-// the news of a death the fingerprint is held back as well: until one run of it
-// was answered, at most two runs may be under way or lost, and after a first
-// death one. A run that was given up, as those of slow endpoints are, counts no
-// more once its endpoint has answered a request that started well after.
+// whose end was lost within Late before. An endpoint that lost a run and shows no
+// life for Blame is taken for dead. Two deaths of distinct incarnations put a
+// fingerprint into quarantine. Between the loss of a run and the news of a death
+// the fingerprint is held back as well: until one run of it was answered, at most
+// two runs may be under way or lost, and after a first death one. A run that was
+// given up, as those of slow endpoints are, holds it back for Blame at most, and
+// no more once its endpoint has answered a request that started well after.
 //
 // A death counts only while it is not part of a wider failure, in which several
 // endpoints die at about the same time without the fingerprint. A fingerprint
--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -7,13 +7,11 @@
 	"sassafrasreach/internal/core/fingerprint"
 )
 
-// Silent is an endpoint incarnation that broke a connection under a run and has
-// shown no life for Blame since.
+// Silent is an endpoint incarnation that lost a run and has shown no life for
+// Blame.
 type Silent struct {
 	Endpoint string
 	Number   uint64
-	// Service is the service of the run.
-	Service string
 }
 
 // Expire forgets what is too old to matter. It is cheap enough to run once a
@@ -41,13 +39,22 @@
 func (t *Table) silent(now time.Time, r *record) []Silent {
 	var all []Silent
 	for _, x := range r.runs {
-		if x.reset && now.Sub(x.lost) >= t.cfg.Blame {
-			all = append(all, Silent{Endpoint: x.on.endpoint, Number: x.on.number, Service: r.service})
+		old := !x.lost.IsZero() && now.Sub(x.lost) >= t.cfg.Blame
+		if old && (x.reset || t.fellSilent(now, x.on)) {
+			all = append(all, Silent{Endpoint: x.on.endpoint, Number: x.on.number})
 		}
 	}
 	return all
 }
 
+// fellSilent reports whether an incarnation was heard of, but has neither
+// reported itself nor begun to answer a request for Blame. One that said that it
+// leaves isn't missed.
+func (t *Table) fellSilent(now time.Time, on incarnation) bool {
+	at, ok := t.heard[on]
+	return ok && now.Sub(later(at, t.alive[on])) >= t.cfg.Blame
+}
+
 // forgetEndpoints forgets the signs of life that are too old to matter.
 func (t *Table) forgetEndpoints(now time.Time) {
 	for on, started := range t.alive {
@@ -56,7 +63,7 @@
 		}
 	}
 	for on, at := range t.heard {
-		if now.Sub(at) >= t.cfg.Blame {
+		if now.Sub(at) >= t.cfg.Hold {
 			delete(t.heard, on)
 		}
 	}
@@ -71,13 +78,17 @@
 	}
 }
 
-// over reports whether a lost run can be blamed no more: Blame has passed and,
-// when the connection broke, its endpoint has shown since that it lives.
+// over reports whether a lost run can be blamed no more. One that was given up
+// is forgotten early while there are many.
 func (t *Table) over(now time.Time, x run) bool {
-	if x.lost.IsZero() || now.Sub(x.lost) < t.cfg.Blame {
+	age := now.Sub(x.lost)
+	if x.lost.IsZero() || age < t.cfg.Blame {
 		return false
 	}
-	return !x.reset || t.lives(x) || now.Sub(x.lost) >= t.cfg.Hold
+	if x.reset {
+		return t.lives(x) || age >= t.cfg.Hold
+	}
+	return age >= t.cfg.Late || len(t.records) > t.cfg.MaxEntries/2
 }
 
 // lives reports whether the run's endpoint showed life Settle or more after the
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -16,9 +16,11 @@
 	// Hold is how long after it was last asked for a fingerprint stays in
 	// quarantine, and its deaths are remembered.
 	Hold time.Duration
-	// Blame is how long after a run was lost a death is blamed on it. It must
-	// be longer than it takes to notice that an endpoint is gone.
+	// Blame is how long a lost run holds its fingerprint back. It must be longer
+	// than it takes to notice that an endpoint is gone.
 	Blame time.Duration
+	// Late is how long after a run was given up a death is blamed on it.
+	Late time.Duration
 	// Settle is how long after a run was given up its endpoint must have started
 	// another request, and answered it, to show that the run did not harm it.
 	Settle time.Duration
@@ -39,6 +41,7 @@
 	return Config{
 		Hold:        5 * time.Minute,
 		Blame:       5 * time.Second,
+		Late:        time.Minute,
 		Settle:      time.Second,
 		Proven:      time.Minute,
 		Window:      2 * time.Second,
@@ -198,7 +201,7 @@
 	t.dropOldRuns(now, r)
 	r.asked = now
 	if !t.isProven(now, f) || len(r.deaths) > 0 {
-		if a := r.admission(t.countDeaths(f, r) + t.harmful(r)); a != Admitted {
+		if a := r.admission(t.countDeaths(f, r) + t.harmful(now, r)); a != Admitted {
 			return a
 		}
 	}
@@ -215,11 +218,12 @@
 
 // harmful returns the runs that may yet turn out to end their endpoint: those
 // under way, and those lost on an endpoint that hasn't shown since that it lives.
-func (t *Table) harmful(r *record) int {
+// One that was given up counts for Blame at most.
+func (t *Table) harmful(now time.Time, r *record) int {
 	n := 0
 	for _, x := range r.runs {
 		givenUp := !x.lost.IsZero() && !x.reset
-		if givenUp && t.livedOn(x) {
+		if givenUp && (t.livedOn(x) || now.Sub(x.lost) >= t.cfg.Blame) {
 			continue
 		}
 		n++
@@ -281,6 +285,11 @@
 	t.heard[incarnation{endpoint, number}] = now
 }
 
+// Left notes that an endpoint incarnation leaves: its silence is no death.
+func (t *Table) Left(endpoint string, number uint64) {
+	delete(t.heard, incarnation{endpoint, number})
+}
+
 // suspected tells the other entries of a reset; fingerprints that are only
 // given up are too many under overload.
 func (t *Table) suspected(now time.Time, f fingerprint.Fingerprint, end End) Change {
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -81,6 +81,20 @@
 		b.start("w2", second)
 		b.end("w2", second, quarantine.Answered)
 	}
+	died := func(b B) { b.Died(b.now, "w1", 1) }
+	expire := func(b B) {
+		for _, dead := range b.Expire(b.now) {
+			b.Died(b.now, dead.Endpoint, dead.Number)
+		}
+	}
+	// late gives a run up, whose endpoint dies after a while.
+	late := func(b B, after time.Duration, die func(B)) {
+		b.start("w1", poison)
+		b.end("w1", poison, quarantine.Lost)
+		b.pass(after)
+		die(b)
+		b.kill("w2", poison)
+	}
 	cases := []struct {
 		name   string
 		before func(B)
@@ -122,9 +136,7 @@
 			giveUp(b, quarantine.Reset, 0)
 			b.Heard(b.now, "w1", 1)
 			b.pass(cfg.Blame)
-			for _, dead := range b.Expire(b.now) {
-				b.Died(b.now, dead.Endpoint, dead.Number)
-			}
+			expire(b)
 			b.pass(cfg.Hold - 1)
 		}, no},
 		{"one death", kill("w1"), ok},
@@ -146,13 +158,17 @@
 			b.Died(b.now, "w1", 1, poison)
 			b.Died(b.now, "w2", 1, poison)
 		}, no},
-		{"death long after the loss", func(b B) {
-			b.start("w1", poison)
-			b.end("w1", poison, quarantine.Lost)
-			b.pass(cfg.Blame)
-			b.Died(b.now, "w1", 1)
-			b.kill("w2", poison)
+		{"death after the fingerprint is free again", func(b B) { late(b, cfg.Late-1, died) }, no},
+		{"death long after the loss", func(b B) { late(b, cfg.Late, died) }, ok},
+		{"late death, an answer between", func(b B) {
+			late(b, cfg.Blame, func(b B) { b.prove(poison); b.pass(cfg.Proven); died(b) })
+		}, ok},
+		{"given up, the endpoint falls silent", func(b B) { b.Heard(b.now, "w1", 1); late(b, cfg.Blame, expire) }, no},
+		{"given up, the endpoint answers others", func(b B) {
+			b.Heard(b.now, "w1", 1)
+			late(b, cfg.Blame, func(b B) { b.start("w1", second); b.end("w1", second, quarantine.Answered); expire(b) })
 		}, ok},
+		{"given up, the endpoint left", func(b B) { b.Heard(b.now, "w1", 1); b.Left("w1", 1); late(b, cfg.Blame, expire) }, ok},
 		{"quarantine, asked before its end", func(b B) { kill("w1", "w2")(b); b.pass(cfg.Hold - 1); b.start("w3", poison); b.pass(cfg.Hold - 1) }, no},
 		{"quarantine over", func(b B) { kill("w1", "w2")(b); b.pass(cfg.Hold) }, ok},
 		{"quarantine lifted", func(b B) { kill("w1", "w2")(b); b.Lift(poison) }, ok},
