--- a/internal/app/entry/blame.go
+++ b/internal/app/entry/blame.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync"
+	"time"
 
 	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/verdict"
@@ -43,6 +43,10 @@
 	if errors.Is(err, port.ErrConnectionLost) {
 		rows = append(rows, e.blame(to, req)...)
 	}
+	if end == quarantine.Answered {
+		e.spreadLater(rows) // a lift makes no caller wait
+		return
+	}
 	e.spread(rows)
 }
 
@@ -65,13 +69,24 @@
 // died takes an endpoint out of use and blames what ran on it.
 func (e *Entry) died(id string, incarnation uint64, service string) []port.QuarantineRow {
 	now := e.clock.Now()
-	event.Log(context.Background(), e.logger, event.EndpointDied,
-		slog.String("endpoint", id), slog.Uint64("incarnation", incarnation))
 	for _, g := range e.groups.all() {
 		if g.key.service == service {
 			g.lost(now, id, incarnation)
 		}
 	}
+	return e.blameFor(now, id, incarnation)
+}
+
+// takeForDead blames what ran on an endpoint that shows no life any more. It
+// stays in use: admission judges by itself.
+func (e *Entry) takeForDead(silent quarantine.Silent) {
+	e.spread(e.blameFor(e.clock.Now(), silent.Endpoint, silent.Number))
+}
+
+// blameFor blames what ran on an endpoint for its death.
+func (e *Entry) blameFor(now time.Time, id string, incarnation uint64) []port.QuarantineRow {
+	event.Log(context.Background(), e.logger, event.EndpointDied,
+		slog.String("endpoint", id), slog.Uint64("incarnation", incarnation))
 	rows := e.noteChange(e.suspects.died(now, id, incarnation))
 	for i := range rows {
 		rows[i].Endpoint = id
@@ -81,42 +96,12 @@
 }
 
 // noteChange logs a change and returns what the other entries are to know.
-func (e *Entry) noteChange(change quarantine.Change) []port.QuarantineRow {
-	rows := changeRows(change)
-	if len(rows) > 0 {
-		e.logChange(change)
+func (e *Entry) noteChange(n news) []port.QuarantineRow {
+	if len(n.rows) > 0 {
+		e.logChange(n.Change)
 		e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
 	}
-	return rows
-}
-
-// spread tells the other entries in reach, and waits for them for a while.
-func (e *Entry) spread(rows []port.QuarantineRow) {
-	if len(rows) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-	defer cancel()
-	var told sync.WaitGroup
-	for _, address := range e.livePeers() {
-		told.Go(func() { _ = e.peers.Quarantine(ctx, address, rows) })
-	}
-	told.Wait()
-}
-
-func changeRows(change quarantine.Change) []port.QuarantineRow {
-	var rows []port.QuarantineRow
-	for _, f := range change.Suspected {
-		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: suspectHold, Suspected: true})
-	}
-	for _, f := range change.Quarantined {
-		hold := quarantine.DefaultConfig().Hold
-		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: hold})
-	}
-	for _, f := range change.Lifted {
-		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Lifted: true})
-	}
-	return rows
+	return n.rows
 }
 
 func (e *Entry) logChange(change quarantine.Change) {
@@ -128,22 +113,3 @@
 		event.Log(ctx, e.logger, event.QuarantineLift, slog.String("fingerprint", f.String()))
 	}
 }
-
-// livePeers returns the addresses of the other entries that are heard of.
-func (e *Entry) livePeers() []string {
-	s := e.snapshot.Load()
-	if s == nil {
-		return nil
-	}
-	now := e.clock.Now()
-	var addresses []string
-	for name, address := range s.entries {
-		if name == e.config.Name {
-			continue
-		}
-		if _, live := e.members.member(now, name); live {
-			addresses = append(addresses, address.peer)
-		}
-	}
-	return addresses
-}
--- a/internal/app/entry/world_test.go
+++ b/internal/app/entry/world_test.go
@@ -46,6 +46,11 @@
 	entries map[string]*Entry // by peer address; those that are reachable
 	stops   map[string]context.CancelFunc
 	fault   func(f port.Forward) (before, after error)
+	// told counts the messages on quarantine by address; the first lose of each
+	// are lost, and all heartbeats between places while apart is set.
+	told  map[string]int
+	lose  int
+	apart bool
 	// documents stand in for what the peers at these addresses have.
 	documents map[string]port.Config
 }
@@ -60,6 +65,7 @@
 		calls:   &endpointFake{},
 		control: &controlFake{answers: map[string]port.FetchAnswer{"c1": {Config: config, Quorum: true}}},
 		meter:   &meterFake{moved: make(map[string]int)},
+		told:    make(map[string]int),
 		entries: make(map[string]*Entry),
 		stops:   make(map[string]context.CancelFunc),
 	}
@@ -175,7 +181,7 @@
 // announce keeps an endpoint known to the entries of its place.
 func (w *world) announce(id string) {
 	var sequence uint64
-	for w.ctx.Err() == nil {
+	for w.ctx.Err() == nil && !w.calls.isDead(id) {
 		sequence++
 		for name, place := range placeOf {
 			if e := w.entry(name); e != nil && place == id[:1] {
@@ -231,6 +237,12 @@
 }
 
 func (w *world) Heartbeat(_ context.Context, address string, hb membership.Heartbeat) (membership.Heartbeat, error) {
+	w.mu.Lock()
+	cut := w.apart && address[:len("127.0.97")] != peerAddress(hb.From)[:len("127.0.97")]
+	w.mu.Unlock()
+	if cut {
+		return membership.Heartbeat{}, errTest
+	}
 	return at(w, address, func(e *Entry) membership.Heartbeat { return e.HandleHeartbeat(hb) })
 }
 
@@ -254,9 +266,16 @@
 	return err
 }
 
-func (w *world) Quarantine(_ context.Context, address string, rows []port.QuarantineRow) error {
-	_, err := at(w, address, func(e *Entry) bool { e.HandleQuarantine(rows); return true })
-	return err
+func (w *world) Quarantine(ctx context.Context, address string, rows []port.QuarantineRow) ([]port.QuarantineRow, error) {
+	w.mu.Lock()
+	w.told[address]++
+	lost := w.told[address] <= w.lose
+	w.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return at(w, address, func(e *Entry) []port.QuarantineRow { return e.HandleQuarantine(rows) })
 }
 
 func (w *world) Borrow(_ context.Context, address string, r port.LoanRequest) (port.LoanGrant, error) {
@@ -307,6 +326,27 @@
 	mu    sync.Mutex
 	count int
 	call  func(n int, to port.Endpoint) port.Answer
+	dead  map[string]bool
+	probe error // what a probe of a dead endpoint finds
+}
+
+// crash makes every call end its endpoint.
+func (f *endpointFake) crash(probe error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead, f.probe = make(map[string]bool), probe
+	f.call = func(_ int, to port.Endpoint) port.Answer {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.dead[to.ID] = true
+		return connection.answer
+	}
+}
+
+func (f *endpointFake) isDead(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dead[id]
 }
 
 func (f *endpointFake) Call(_ context.Context, to port.Endpoint, _ *port.Request, gate port.Gate) (*port.Response, error) {
@@ -329,7 +369,12 @@
 	return &port.Response{Status: 200, Body: fmt.Append(nil, "run ", n)}, nil
 }
 
-func (f *endpointFake) Probe(context.Context, port.Endpoint) error { return nil }
+func (f *endpointFake) Probe(_ context.Context, to port.Endpoint) error {
+	if f.isDead(to.ID) {
+		return f.probe
+	}
+	return nil
+}
 
 func (f *endpointFake) ran() int {
 	f.mu.Lock()
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -16,9 +16,11 @@
 	// Hold is how long after it was last asked for a fingerprint stays in
 	// quarantine, and its deaths are remembered.
 	Hold time.Duration
-	// Blame is how long after a run was lost a death is blamed on it. It must
-	// be longer than it takes to notice that an endpoint is gone.
+	// Blame is how long a lost run holds its fingerprint back. It must be longer
+	// than it takes to notice that an endpoint is gone.
 	Blame time.Duration
+	// Late is how long after a run was given up a death is blamed on it.
+	Late time.Duration
 	// Settle is how long after a run was given up its endpoint must have started
 	// another request, and answered it, to show that the run did not harm it.
 	Settle time.Duration
@@ -39,6 +41,7 @@
 	return Config{
 		Hold:        5 * time.Minute,
 		Blame:       5 * time.Second,
+		Late:        time.Minute,
 		Settle:      time.Second,
 		Proven:      time.Minute,
 		Window:      2 * time.Second,
@@ -98,6 +101,10 @@
 	Service string
 	// Remaining is how long the quarantine lasts, counted from the listing.
 	Remaining time.Duration
+	// Suspected says that the fingerprint is no more than held back.
+	Suspected bool
+	// Version is that of the newest change.
+	Version uint64
 }
 
 // incarnation is one life of an endpoint.
@@ -137,6 +144,7 @@
 	until        time.Time
 	spread       bool
 	suspectUntil time.Time
+	order
 }
 
 // death is one endpoint incarnation that died.
@@ -152,7 +160,9 @@
 	records map[fingerprint.Fingerprint]*record
 	proven  map[fingerprint.Fingerprint]time.Time
 	// alive holds the latest start of an answered run by endpoint incarnation.
-	alive  map[incarnation]time.Time
+	alive map[incarnation]time.Time
+	// heard holds when an incarnation last said something of itself.
+	heard  map[incarnation]time.Time
 	deaths []death
 }
 
@@ -163,6 +173,7 @@
 		records: make(map[fingerprint.Fingerprint]*record),
 		proven:  make(map[fingerprint.Fingerprint]time.Time),
 		alive:   make(map[incarnation]time.Time),
+		heard:   make(map[incarnation]time.Time),
 	}
 }
 
@@ -190,7 +201,7 @@
 	t.dropOldRuns(now, r)
 	r.asked = now
 	if !t.isProven(now, f) || len(r.deaths) > 0 {
-		if a := r.admission(t.countDeaths(f, r) + t.harmful(r)); a != Admitted {
+		if a := r.admission(t.countDeaths(f, r) + t.harmful(now, r)); a != Admitted {
 			return a
 		}
 	}
@@ -207,11 +218,12 @@
 
 // harmful returns the runs that may yet turn out to end their endpoint: those
 // under way, and those lost on an endpoint that hasn't shown since that it lives.
-func (t *Table) harmful(r *record) int {
+// One that was given up counts for Blame at most.
+func (t *Table) harmful(now time.Time, r *record) int {
 	n := 0
 	for _, x := range r.runs {
 		givenUp := !x.lost.IsZero() && !x.reset
-		if givenUp && t.alive[x.on].Sub(x.lost) >= t.cfg.Settle {
+		if givenUp && (t.livedOn(x) || now.Sub(x.lost) >= t.cfg.Blame) {
 			continue
 		}
 		n++
@@ -268,6 +280,16 @@
 	return c
 }
 
+// Heard notes that an endpoint incarnation said something of itself just now.
+func (t *Table) Heard(now time.Time, endpoint string, number uint64) {
+	t.heard[incarnation{endpoint, number}] = now
+}
+
+// Left notes that an endpoint incarnation leaves: its silence is no death.
+func (t *Table) Left(endpoint string, number uint64) {
+	delete(t.heard, incarnation{endpoint, number})
+}
+
 // suspected tells the other entries of a reset; fingerprints that are only
 // given up are too many under overload.
 func (t *Table) suspected(now time.Time, f fingerprint.Fingerprint, end End) Change {
@@ -283,9 +305,9 @@
 		return Change{}
 	}
 	t.prove(now, f)
-	lostRuns := len(r.runs) - r.underWay()
+	reset := slices.ContainsFunc(r.runs, func(x run) bool { return x.reset })
 	r.runs = slices.DeleteFunc(r.runs, func(x run) bool { return !x.lost.IsZero() })
-	suspected := len(r.deaths) > 0 || lostRuns > 0
+	suspected := len(r.deaths) > 0 || reset
 	r.deaths = nil
 	r.countFrom = time.Time{}
 	if suspected {
@@ -328,7 +350,7 @@
 	var all []Entry
 	for f, r := range t.records {
 		if now.Before(r.until) {
-			all = append(all, Entry{Fingerprint: f, Service: r.service, Remaining: r.until.Sub(now)})
+			all = append(all, Entry{Fingerprint: f, Service: r.service, Remaining: r.until.Sub(now), Version: r.changed})
 		}
 	}
 	slices.SortFunc(all, func(a, b Entry) int {
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -81,6 +81,20 @@
 		b.start("w2", second)
 		b.end("w2", second, quarantine.Answered)
 	}
+	died := func(b B) { b.Died(b.now, "w1", 1) }
+	expire := func(b B) {
+		for _, dead := range b.Expire(b.now) {
+			b.Died(b.now, dead.Endpoint, dead.Number)
+		}
+	}
+	// late gives a run up, whose endpoint dies after a while.
+	late := func(b B, after time.Duration, die func(B)) {
+		b.start("w1", poison)
+		b.end("w1", poison, quarantine.Lost)
+		b.pass(after)
+		die(b)
+		b.kill("w2", poison)
+	}
 	cases := []struct {
 		name   string
 		before func(B)
@@ -112,6 +126,19 @@
 		{"two given up, an endpoint answers later", func(b B) { giveUp(b, quarantine.Lost, cfg.Settle) }, ok},
 		{"two given up, an endpoint answers at once", func(b B) { giveUp(b, quarantine.Lost, cfg.Settle-1) }, no},
 		{"two resets, an endpoint answers later", func(b B) { giveUp(b, quarantine.Reset, cfg.Settle) }, no},
+		{"two resets, an endpoint answers long after", func(b B) { giveUp(b, quarantine.Reset, cfg.Blame) }, ok},
+		{"two resets, an endpoint is heard of", func(b B) {
+			giveUp(b, quarantine.Reset, cfg.Settle)
+			b.Heard(b.now, "w1", 1)
+			b.pass(cfg.Blame)
+		}, ok},
+		{"two resets, no sign of life", func(b B) {
+			giveUp(b, quarantine.Reset, 0)
+			b.Heard(b.now, "w1", 1)
+			b.pass(cfg.Blame)
+			expire(b)
+			b.pass(cfg.Hold - 1)
+		}, no},
 		{"one death", kill("w1"), ok},
 		{"one death, one under way", func(b B) { b.kill("w1", poison); b.start("w2", poison) }, wait},
 		{"one death, one lost", func(b B) { b.kill("w1", poison); b.start("w2", poison); b.end("w2", poison, quarantine.Lost) }, no},
@@ -131,13 +158,17 @@
 			b.Died(b.now, "w1", 1, poison)
 			b.Died(b.now, "w2", 1, poison)
 		}, no},
-		{"death long after the loss", func(b B) {
-			b.start("w1", poison)
-			b.end("w1", poison, quarantine.Lost)
-			b.pass(cfg.Blame)
-			b.Died(b.now, "w1", 1)
-			b.kill("w2", poison)
+		{"death after the fingerprint is free again", func(b B) { late(b, cfg.Late-1, died) }, no},
+		{"death long after the loss", func(b B) { late(b, cfg.Late, died) }, ok},
+		{"late death, an answer between", func(b B) {
+			late(b, cfg.Blame, func(b B) { b.prove(poison); b.pass(cfg.Proven); died(b) })
+		}, ok},
+		{"given up, the endpoint falls silent", func(b B) { b.Heard(b.now, "w1", 1); late(b, cfg.Blame, expire) }, no},
+		{"given up, the endpoint answers others", func(b B) {
+			b.Heard(b.now, "w1", 1)
+			late(b, cfg.Blame, func(b B) { b.start("w1", second); b.end("w1", second, quarantine.Answered); expire(b) })
 		}, ok},
+		{"given up, the endpoint left", func(b B) { b.Heard(b.now, "w1", 1); b.Left("w1", 1); late(b, cfg.Blame, expire) }, ok},
 		{"quarantine, asked before its end", func(b B) { kill("w1", "w2")(b); b.pass(cfg.Hold - 1); b.start("w3", poison); b.pass(cfg.Hold - 1) }, no},
 		{"quarantine over", func(b B) { kill("w1", "w2")(b); b.pass(cfg.Hold) }, ok},
 		{"quarantine lifted", func(b B) { kill("w1", "w2")(b); b.Lift(poison) }, ok},
@@ -193,3 +224,36 @@
 	is.Equal(lifted, all)
 	is.Equal(len(b.List(b.now)), 0)
 }
+
+// TestOrder takes news of other entries in an order that isn't theirs.
+func TestOrder(t *testing.T) {
+	const at = uint64(1_000_000_000_000) // epoch in microseconds
+	type B = *bench
+	take := func(b B, version uint64) {
+		if b.TakeChange(poison, version) {
+			b.Add(b.now, poison, cfg.Hold)
+		}
+	}
+	order := func(b B) bool { _, again := b.LiftByOrder(b.now, poison); return again }
+	cases := []struct {
+		name string
+		do   func(B)
+		want int // in quarantine
+	}{
+		{"change", func(b B) { take(b, at) }, 1},
+		{"lift after it", func(b B) { take(b, at); b.TakeLift(b.now, poison, at+1) }, 0},
+		{"lift from before it", func(b B) { take(b, at); b.TakeLift(b.now, poison, at-1) }, 1},
+		{"change from before a lift", func(b B) { b.TakeLift(b.now, poison, at+1); b.Expire(b.now); take(b, at) }, 0},
+		{"change after a lift", func(b B) { b.TakeLift(b.now, poison, at); take(b, b.Changed(b.now, poison)) }, 1},
+		{"late change after an order", func(b B) { take(b, at); order(b); take(b, at+1_000_000) }, 0},
+		{"order told again", func(b B) { order(b); take(b, b.Changed(b.now, poison)); b.pass(10 * time.Second); order(b) }, 1},
+		{"second order", func(b B) { order(b); take(b, b.Changed(b.now, poison)); b.pass(11 * time.Second); order(b) }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench()
+			c.do(b)
+			is.New(t).Equal(len(b.List(b.now)), c.want)
+		})
+	}
+}
