Put lifts of a quarantine into the audit trail

Cause: a lift went from the operators' interface to the members' tables alone; only the log of the control VMs said who lifted what, and a lost log lost it. Ruled out: a numbered event at the entry (an entry doesn't know the operator); a change of the document for each lift (it would make a version of nothing). Change: a lift is a write of its own in the register, like a refused change: the document stays, a decision and an audit record with state lifted are added, and the members are told after it is decided. Its Digest is the fingerprint, so neither the records on disks nor the messages change. ctl lift sends a change ID and resends with it. What is no fingerprint is refused with a hint; before, any text was taken. Conclusion: without a quorum nothing is lifted (a quorum was needed before too, to judge the token); a resend makes no second record.

--- a/internal/adapter/operatorhttp/change.go
+++ b/internal/adapter/operatorhttp/change.go
@@ -70,25 +70,29 @@
 // problem.
 func (h *handler) decide(ctx context.Context, change port.Change) (port.Outcome, *Problem) {
 	if !validChangeID(change.ID) {
-		return port.Outcome{}, newProblem(http.StatusBadRequest, CodeBadRequest,
-			fmt.Sprintf("the header %s needs an ID of 1 to %d visible ASCII characters", HeaderChangeID, MaxChangeIDBytes))
+		return port.Outcome{}, changeIDProblem()
 	}
 	if faults := document.FaultsOf(change.Document); len(faults) > 0 {
 		h.refuse(ctx, change)
 		return port.Outcome{}, invalidProblem(faults)
 	}
 	outcome, err := h.Store.Submit(ctx, change)
+	return h.ended(change.ID, change.Operator, outcome, err)
+}
+
+// ended logs how a change or a lift ended, and returns its outcome and problem.
+func (h *handler) ended(id, operator string, outcome port.Outcome, err error) (port.Outcome, *Problem) {
 	if errors.Is(err, port.ErrNoQuorum) {
 		return port.Outcome{}, newProblem(http.StatusServiceUnavailable, CodeNoQuorum, "too few control VMs answer; nothing was proposed")
 	}
 	if errors.Is(err, register.ErrChangeIDReused) {
-		return port.Outcome{}, newProblem(http.StatusConflict, CodeIDReused, "the change ID belongs to another change; nothing was changed by this one")
+		return port.Outcome{}, newProblem(http.StatusConflict, CodeIDReused, "the change ID belongs to another change; nothing was changed by this one; send it with a new ID")
 	}
 	if err != nil {
-		event.Log(context.Background(), h.Logger, event.ChangeUndecided, slog.Any("change", change.ID), slog.Any("operator", change.Operator), slog.Any("error", err))
-		outcome = port.Outcome{ChangeID: change.ID, State: port.ChangeUnknown}
+		event.Log(context.Background(), h.Logger, event.ChangeUndecided, slog.Any("change", id), slog.Any("operator", operator), slog.Any("error", err))
+		outcome = port.Outcome{ChangeID: id, State: port.ChangeUnknown}
 	}
-	event.Log(context.Background(), h.Logger, event.ChangeEnded, slog.Any("change", change.ID), slog.Any("operator", change.Operator), slog.Any("state", outcome.State), slog.Any("version", outcome.Version))
+	event.Log(context.Background(), h.Logger, event.ChangeEnded, slog.Any("change", id), slog.Any("operator", operator), slog.Any("state", outcome.State), slog.Any("version", outcome.Version))
 	return outcome, outcomeProblem(outcome)
 }
 
@@ -107,7 +111,7 @@
 func outcomeProblem(outcome port.Outcome) *Problem {
 	var p *Problem
 	switch outcome.State {
-	case port.ChangeAccepted:
+	case port.ChangeAccepted, port.ChangeLifted:
 		return nil
 	case port.ChangeConflict:
 		p = newProblem(http.StatusConflict, CodeConflict, conflictDetail(outcome))
@@ -184,6 +188,11 @@
 	return text, nil
 }
 
+func changeIDProblem() *Problem {
+	return newProblem(http.StatusBadRequest, CodeBadRequest,
+		fmt.Sprintf("the header %s needs an ID of 1 to %d visible ASCII characters", HeaderChangeID, MaxChangeIDBytes))
+}
+
 // validChangeID says whether an ID is visible ASCII of a bounded length.
 func validChangeID(id string) bool {
 	if id == "" || len(id) > MaxChangeIDBytes {
--- a/internal/adapter/operatorhttp/contract_test.go
+++ b/internal/adapter/operatorhttp/contract_test.go
@@ -23,6 +23,9 @@
 
 const token = "demo-token"
 
+// crashing is the fingerprint of a request in quarantine.
+var crashing = document.Digest([]byte("crashing request"))
+
 // demo returns the text of the small example.
 func demo(t *testing.T) string {
 	t.Helper()
@@ -91,7 +94,7 @@
 		{"diff", "POST", "/v1/diff", "", "DEMO", 200, `"differences":[]`},
 		{"audit", "GET", "/v1/audit", "", "", 200, `"operator":"bootstrap"`},
 		{"drain", "POST", "/v1/drains", "x", drain, 200, `"version":2`},
-		{"lift", "DELETE", "/v1/quarantine/abc", "", "", 204, ""},
+		{"lift", "DELETE", "/v1/quarantine/" + crashing, "", "", 204, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -142,7 +145,9 @@
 		{"drain with more", "POST", "/v1/drains", "x", `{"place":"norte-a","until":"8"}`, nil, 400, operatorhttp.CodeBadRequest},
 		{"two drains", "POST", "/v1/drains", "x", drain + drain, nil, 400, operatorhttp.CodeBadRequest},
 		{"no drain", "DELETE", "/v1/drains?place=norte-a", "x", "", nil, 404, operatorhttp.CodeNotFound},
-		{"lift without quorum", "DELETE", "/v1/quarantine/abc", "", "", noQuorum, 503, operatorhttp.CodeNoQuorum},
+		{"lift without quorum", "DELETE", "/v1/quarantine/" + crashing, "", "", noQuorum, 503, operatorhttp.CodeNoQuorum},
+		{"lift of no fingerprint", "DELETE", "/v1/quarantine/abc", "", "", nil, 400, operatorhttp.CodeBadRequest},
+		{"lift without an answer", "DELETE", "/v1/quarantine/" + crashing, "x", "", lost, 504, operatorhttp.CodeUnknown},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -165,7 +170,7 @@
 	requests := []struct{ method, target string }{
 		{"GET", "/v1/document"}, {"PUT", "/v1/document?base=1"}, {"POST", "/v1/validate"},
 		{"POST", "/v1/diff"}, {"GET", "/v1/audit"}, {"POST", "/v1/drains"},
-		{"DELETE", "/v1/drains?place=norte-a"}, {"DELETE", "/v1/quarantine/abc"},
+		{"DELETE", "/v1/drains?place=norte-a"}, {"DELETE", "/v1/quarantine/" + crashing},
 	}
 	for _, r := range requests {
 		for _, wrong := range []string{"", "other", "first", document.Digest([]byte(token))} {
--- a/internal/adapter/operatorhttp/drain.go
+++ b/internal/adapter/operatorhttp/drain.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"slices"
 
-	"github.com/go-chi/chi/v5"
-
 	"sassafrasreach/internal/core/document"
 	"sassafrasreach/internal/port"
 )
@@ -46,7 +44,7 @@
 			return d.Place == place && d.Service == service
 		})
 		if len(left) == len(drains) {
-			return nil, newProblem(http.StatusNotFound, CodeNotFound, "there is no such drain")
+			return nil, newProblem(http.StatusNotFound, CodeNotFound, "there is no such drain; GET /v1/document, or ctl get, shows those in force")
 		}
 		return left, nil
 	})
@@ -90,7 +88,7 @@
 		return port.Outcome{}, false, err
 	}
 	for _, record := range records {
-		if record.ChangeID == id {
+		if record.ChangeID == id && record.State != port.ChangeLifted {
 			return port.Outcome{
 				ChangeID: id,
 				State:    record.State,
@@ -110,12 +108,3 @@
 	}
 	writeJSON(w, outcome)
 }
-
-func (h *handler) liftQuarantine(w http.ResponseWriter, r *http.Request, s session) {
-	fingerprint := chi.URLParam(r, "fingerprint")
-	if err := h.Store.LiftQuarantine(r.Context(), s.operator, fingerprint); err != nil {
-		writeProblem(w, readProblem(err))
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
--- a/internal/app/control/entries_test.go
+++ b/internal/app/control/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"sassafrasreach/internal/adapter/registergrpc"
+	"sassafrasreach/internal/core/audit"
 	"sassafrasreach/internal/port"
 )
 
@@ -48,16 +50,34 @@
 		is.True(status.Entries[0].Age < time.Second)
 		is.True(status.Entries[1].Age >= 10*time.Second)
 
-		is.NoErr(c.node(0).LiftQuarantine(context.Background(), "ana", "f"))
+		lift := port.Lift{ID: "lift", Operator: "ana", Fingerprint: "f"}
+		for range 2 { // a resend makes no second record
+			out, err := c.node(0).LiftQuarantine(context.Background(), lift)
+			is.NoErr(err)
+			is.Equal(out, port.Outcome{ChangeID: "lift", State: port.ChangeLifted, Version: 1, Digest: status.Digest, Operator: "op-a"})
+		}
+		trail, err := c.node(2).Audit(context.Background())
+		is.NoErr(err)
+		is.Equal(len(trail), 2)
+		is.Equal(trail[1].Digest+trail[1].Operator, "fana")
+		is.NoErr(audit.Verify(trail))
 		for i, want := range map[int]int{0: 1, 1: 1, 2: 1} {
 			f, err = c.node(i).Fetch(1, nil)
 			is.NoErr(err)
-			is.Equal(len(f.Lifted), want)
+			is.Equal(len(f.Lifted), 2*want) // both were told
 		}
 		time.Sleep(time.Minute)
 		f, err = c.node(2).Fetch(1, nil)
 		is.NoErr(err)
 		is.Equal(len(f.Lifted), 0)
+
+		c.set(c.cut, 1, true)
+		c.set(c.cut, 2, true)
+		_, err = c.node(0).LiftQuarantine(context.Background(), port.Lift{ID: "alone", Operator: "ana", Fingerprint: "f"})
+		is.True(errors.Is(err, port.ErrNoQuorum))
+		f, err = c.node(0).Fetch(1, nil)
+		is.NoErr(err)
+		is.Equal(len(f.Lifted), 0) // nothing is lifted without a record
 	})
 }
 
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -87,16 +87,3 @@
 	}
 	return out
 }
-
-// LiftQuarantine implements port.ConfigStore: it tells the members in reach,
-// which tell the entries that ask them.
-func (n *Node) LiftQuarantine(ctx context.Context, operator, fingerprint string) error {
-	n.Lift(operator, fingerprint)
-	round[struct{}]{
-		remote: func(ctx context.Context, to Remote) (struct{}, error) {
-			return struct{}{}, to.Lift(ctx, operator, fingerprint)
-		},
-		take: func(struct{}) bool { return false },
-	}.run(ctx, n)
-	return n.failure()
-}
--- a/internal/cli/ctl/change.go
+++ b/internal/cli/ctl/change.go
@@ -121,8 +121,8 @@
 }
 
 func (r *runner) lift(ctx context.Context) error {
-	target := request{method: http.MethodDelete, path: "/v1/quarantine/" + url.PathEscape(r.args[0])}
-	if _, err := r.client.read(ctx, target); err != nil {
+	target := request{method: http.MethodDelete, path: "/v1/quarantine/" + url.PathEscape(r.args[0]), changeID: r.changeID()}
+	if _, err := r.client.change(ctx, target); err != nil {
 		return err
 	}
 	if r.json() {
--- a/internal/cli/ctl/ctl_test.go
+++ b/internal/cli/ctl/ctl_test.go
@@ -95,6 +95,7 @@
 
 func TestCommands(t *testing.T) {
 	const dead = "http://127.0.0.1:1"
+	fingerprint := document.Digest([]byte("crashing request"))
 	noQuorum := func(b *bench) { b.store.NoQuorum = true }
 	drained := func(b *bench) { b.run("drain", "norte-a", "-reason", "repair") }
 	late := func(b *bench) { b.inForce("norte-a-1 norte-a-2 norte-b-1", 1000) }
@@ -142,7 +143,10 @@
 		{"drain of no place", nil, "drain norte-z -reason repair", 1, "no place is named"},
 		{"undrain", drained, "undrain norte-a", 0, "accepted as version 3"},
 		{"undrain of nothing", nil, "undrain norte-a", 1, "no such drain"},
-		{"lift", nil, "lift abc", 0, "abc is lifted"},
+		{"lift", nil, "lift " + fingerprint, 0, fingerprint + " is lifted"},
+		{"lift of no fingerprint", nil, "lift abc", 1, "64 hex digits"},
+		{"lift without quorum", noQuorum, "lift " + fingerprint, 3, "none took the change"},
+		{"lift in the audit trail", func(b *bench) { b.run("lift", fingerprint) }, "audit", 0, "lifted    1     1   " + fingerprint},
 		{"audit", drained, "audit", 0, "trial"},
 	}
 	for _, c := range cases {
--- a/internal/cli/ctl/main.go
+++ b/internal/cli/ctl/main.go
@@ -120,7 +120,7 @@
 	flags.StringVar(&f.output, "o", "text", "output `format`: text or json")
 	flags.DurationVar(&f.timeout, "timeout", DefaultTimeout, "`time` that the whole command may take")
 	flags.StringVar(&f.base, "base", "", "apply: `version` that the file was made from; by default that of its first line, written by get, and otherwise 0")
-	flags.StringVar(&f.changeID, "change-id", "", "apply, drain, undrain: `ID` of a change to resend; by default a new one")
+	flags.StringVar(&f.changeID, "change-id", "", "apply, drain, undrain, lift: `ID` of a change to resend; by default a new one")
 	flags.StringVar(&f.service, "service", "", "drain, undrain: `service`; by default all")
 	flags.StringVar(&f.reason, "reason", "", "drain: `text` shown to other operators")
 	flags.BoolVar(&f.wait, "wait", true, "apply, drain, undrain: wait until the change is in force")
--- a/internal/cli/ctl/read.go
+++ b/internal/cli/ctl/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"strconv"
@@ -151,12 +152,21 @@
 	table := r.table()
 	sayf(table, "%s\n", "TIME\tOPERATOR\tSTATE\tFROM\tTO\tDIGEST\tCHANGE")
 	for _, a := range records {
-		sayf(table, "%s\t%s\t%s\t%d\t%d\t%.12s\t%s\n",
-			a.Time.UTC().Format(time.RFC3339), a.Operator, a.State, a.From, a.To, a.Digest, a.ChangeID)
+		sayf(table, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n",
+			a.Time.UTC().Format(time.RFC3339), a.Operator, a.State, a.From, a.To, shownDigest(a), a.ChangeID)
 	}
 	return table.Flush()
 }
 
+// shownDigest is the start of a document's digest, and the whole fingerprint of a
+// lift, which nothing else shows any more.
+func shownDigest(a port.AuditRecord) string {
+	if a.State == port.ChangeLifted {
+		return a.Digest
+	}
+	return fmt.Sprintf("%.12s", a.Digest)
+}
+
 func (r *runner) status(ctx context.Context) error {
 	got, err := r.client.read(ctx, request{method: http.MethodGet, path: "/v1/status"})
 	if err != nil {
--- a/internal/core/register/register_test.go
+++ b/internal/core/register/register_test.go
@@ -64,7 +64,18 @@
 		_, _, err := register.Apply(v3, other)
 		is.True(errors.Is(err, register.ErrChangeIDReused))
 	}
-	_, _, err := register.Apply(v3, proposal("", "ana", 1))
+	lift := register.LiftProposal{Lift: port.Lift{ID: "l", Operator: "rui", Fingerprint: "f"}}
+	v4, lifted, err := register.ApplyLift(v3, lift)
+	is.NoErr(err)
+	is.Equal(lifted.State, port.ChangeLifted)
+	is.Equal(v4.Config, v3.Config)
+	is.NoErr(audit.Verify(v4.Audit))
+	_, _, err = register.Apply(v4, proposal("l", "rui", 1)) // the ID of a lift is used
+	is.True(errors.Is(err, register.ErrChangeIDReused))
+	lift.ID = "a"
+	_, _, err = register.ApplyLift(v4, lift)
+	is.True(errors.Is(err, register.ErrChangeIDReused))
+	_, _, err = register.Apply(v3, proposal("", "ana", 1))
 	is.True(errors.Is(err, register.ErrNoChangeID))
 }
 
--- a/internal/port/config.go
+++ b/internal/port/config.go
@@ -41,8 +41,20 @@
 	// ChangeUnknown means that the change may have been accepted; the operator
 	// resends it with the same ID to learn which.
 	ChangeUnknown ChangeState = "may-have-been-accepted"
+	// ChangeLifted means that a quarantine was lifted; the document stays.
+	ChangeLifted ChangeState = "lifted"
 )
 
+// Lift is an operator's wish to take a request out of quarantine.
+type Lift struct {
+	// ID identifies the lift; a resend has the same ID.
+	ID string
+	// Operator names who asks.
+	Operator string
+	// Fingerprint is the request's.
+	Fingerprint string
+}
+
 // Outcome is what became of a change.
 type Outcome struct {
 	// ChangeID is the change's ID.
@@ -61,7 +73,8 @@
 type AuditRecord struct {
 	// Time is when the change was decided, by the deciding VM's clock.
 	Time time.Time `json:"time"`
-	// Operator, ChangeID, From, To, Digest and State describe the change.
+	// Operator, ChangeID, From, To, Digest and State describe the change; the
+	// Digest of a lift is the request's fingerprint.
 	Operator string      `json:"operator"`
 	ChangeID string      `json:"change_id"`
 	From     uint64      `json:"from_version"`
@@ -116,6 +129,8 @@
 	// Status returns what this control VM knows, from local state and a probe
 	// of its peers.
 	Status(ctx context.Context) (ControlStatus, error)
-	// LiftQuarantine asks every entry to forget a fingerprint.
-	LiftQuarantine(ctx context.Context, operator, fingerprint string) error
+	// LiftQuarantine puts a lift into the audit trail and then asks every entry
+	// to forget the fingerprint. Outcome and error are as of Submit; nothing is
+	// lifted unless the outcome's state is ChangeLifted.
+	LiftQuarantine(ctx context.Context, lift Lift) (Outcome, error)
 }
--- a/internal/port/porttest/store.go
+++ b/internal/port/porttest/store.go
@@ -118,14 +118,27 @@
 }
 
 // LiftQuarantine implements port.ConfigStore.
-func (s *Store) LiftQuarantine(_ context.Context, operator, fingerprint string) error {
+func (s *Store) LiftQuarantine(_ context.Context, lift port.Lift) (port.Outcome, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.NoQuorum {
-		return port.ErrNoQuorum
+		return port.Outcome{}, port.ErrNoQuorum
+	}
+	if s.SubmitErr != nil {
+		return port.Outcome{}, s.SubmitErr
+	}
+	outcome := port.Outcome{ChangeID: lift.ID, State: port.ChangeLifted, Version: s.current.Version, Digest: s.current.Digest}
+	if s.LoseAnswers > 0 {
+		s.LoseAnswers--
+		outcome.State = port.ChangeUnknown
+		return outcome, nil
 	}
-	s.Lifted = append(s.Lifted, operator+" "+fingerprint)
-	return nil
+	s.Lifted = append(s.Lifted, lift.Operator+" "+lift.Fingerprint)
+	s.audit = audit.Append(s.audit, port.AuditRecord{
+		Time: time.Unix(int64(len(s.audit)), 0).UTC(), Operator: lift.Operator, ChangeID: lift.ID,
+		From: s.current.Version, To: s.current.Version, Digest: lift.Fingerprint, State: outcome.State,
+	}, maxAudit)
+	return outcome, nil
 }
 
 // SetEntries replaces what Status reports; it may be called at any time.
