--- a/internal/systemtest/fault_test.go
+++ b/internal/systemtest/fault_test.go
@@ -18,7 +18,7 @@
 
 // submit applies a variant of the document at one control VM and waits until
 // it is decided. The output tells the outcome.
-func (s *system) submit(n int, base uint64, changeID, variant string) (code int, out string) {
+func (s *system) submit(n int, base uint64, changeID, variant string, flags ...string) (code int, out string) {
 	doc := *s.doc
 	doc.Drains = []document.Drain{{Place: "north-b", Reason: variant}}
 	text, err := document.Marshal(&doc)
@@ -26,8 +26,11 @@
 		s.t.Fatal(err)
 	}
 	path := s.write(fmt.Sprintf("variant-%s-%d.yaml", variant, n), string(text))
-	return s.ctlAt(s.control(n), "apply", "-wait=false", "-timeout", "3s",
-		"-base", strconv.FormatUint(base, 10), "-change-id", changeID, path)
+	args := []string{
+		"apply", "-wait=false", "-timeout", "3s",
+		"-base", strconv.FormatUint(base, 10), "-change-id", changeID,
+	}
+	return s.ctlAt(s.control(n), append(append(args, flags...), path)...)
 }
 
 // watchVersions notes every version that an entry's look-ups carry, and fails
