Say in each message of ctl and the operators' interface what to do

Cause: several errors told only what is so (no document, no quorum, already drained, an unreadable reply), and the help's exit codes were a text of its own, so that a code could change under the page. Change: these messages name the next step; the help lists the codes from the constants, and the test that compares page and help now wants all five by value (it stood there twice with a count of commands). Conclusion: page, help and constants are held alike.

--- a/internal/adapter/operatorhttp/auth.go
+++ b/internal/adapter/operatorhttp/auth.go
@@ -32,7 +32,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		token, ok := bearer(r)
 		if !ok {
-			writeProblem(w, newProblem(http.StatusUnauthorized, CodeUnauthorized, "a bearer token is needed"))
+			writeProblem(w, newProblem(http.StatusUnauthorized, CodeUnauthorized, "a bearer token is needed; ctl sends that of -token-file"))
 			return
 		}
 		s, problem := h.authenticate(r.Context(), token)
@@ -53,7 +53,7 @@
 	doc, err := h.parsed.get(config)
 	if err != nil {
 		event.Log(context.Background(), h.Logger, event.RegisterUnreadable, slog.Any("version", config.Version), slog.Any("error", err))
-		return session{}, newProblem(http.StatusInternalServerError, CodeInternal, "the document in the register can't be read")
+		return session{}, newProblem(http.StatusInternalServerError, CodeInternal, "the document in the register can't be read; see this control VM's log")
 	}
 	operator := h.operatorOf(config, doc, document.Digest([]byte(token)))
 	if operator == "" {
--- a/internal/adapter/operatorhttp/change.go
+++ b/internal/adapter/operatorhttp/change.go
@@ -17,7 +17,7 @@
 
 func (h *handler) getDocument(w http.ResponseWriter, _ *http.Request, s session) {
 	if s.config.Version == 0 {
-		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, "there is no document yet"))
+		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, noDocument))
 		return
 	}
 	w.Header().Set("Content-Type", "application/yaml")
@@ -30,7 +30,7 @@
 func (h *handler) putDocument(w http.ResponseWriter, r *http.Request, s session) {
 	base, err := strconv.ParseUint(r.URL.Query().Get(QueryBase), 10, 64)
 	if err != nil {
-		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the query needs base, the version that the change was made from"))
+		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the query needs base, the version that the change was made from; 0 for the first document"))
 		return
 	}
 	if base > s.config.Version {
@@ -83,7 +83,7 @@
 // ended logs how a change or a lift ended, and returns its outcome and problem.
 func (h *handler) ended(id, operator string, outcome port.Outcome, err error) (port.Outcome, *Problem) {
 	if errors.Is(err, port.ErrNoQuorum) {
-		return port.Outcome{}, newProblem(http.StatusServiceUnavailable, CodeNoQuorum, "too few control VMs answer; nothing was proposed")
+		return port.Outcome{}, newProblem(http.StatusServiceUnavailable, CodeNoQuorum, "too few control VMs answer; nothing was proposed; see to them and send it again")
 	}
 	if errors.Is(err, register.ErrChangeIDReused) {
 		return port.Outcome{}, newProblem(http.StatusConflict, CodeIDReused, "the change ID belongs to another change; nothing was changed by this one; send it with a new ID")
--- a/internal/adapter/operatorhttp/drain.go
+++ b/internal/adapter/operatorhttp/drain.go
@@ -29,7 +29,7 @@
 	h.editDrains(w, r, s, func(drains []document.Drain) ([]document.Drain, *Problem) {
 		for _, d := range drains {
 			if d.Place == request.Place && d.Service == request.Service {
-				return nil, newProblem(http.StatusConflict, CodeConflict, "the place is already drained: "+d.Reason)
+				return nil, newProblem(http.StatusConflict, CodeConflict, "the place is already drained; to change the reason, remove that drain first: "+d.Reason)
 			}
 		}
 		return append(drains, document.Drain(request)), nil
@@ -65,7 +65,7 @@
 		return
 	}
 	if s.config.Version == 0 {
-		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, "there is no document yet"))
+		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, noDocument))
 		return
 	}
 	drains, problem := alter(slices.Clone(s.document.Drains))
--- a/internal/adapter/operatorhttp/handler.go
+++ b/internal/adapter/operatorhttp/handler.go
@@ -56,7 +56,7 @@
 	r := chi.NewRouter()
 	r.Use(h.bounded)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
-		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, "there is nothing at "+r.URL.Path))
+		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, "there is nothing at "+r.URL.Path+"; the paths are in docs/reference/operators-http.md"))
 	})
 	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
 		writeProblem(w, newProblem(http.StatusMethodNotAllowed, CodeMethod, r.URL.Path+" has no "+r.Method))
@@ -131,7 +131,7 @@
 // readProblem is the problem of a read that failed.
 func readProblem(err error) *Problem {
 	if errors.Is(err, port.ErrNoQuorum) || errors.Is(err, context.DeadlineExceeded) {
-		return newProblem(http.StatusServiceUnavailable, CodeNoQuorum, "too few control VMs answer: "+err.Error())
+		return newProblem(http.StatusServiceUnavailable, CodeNoQuorum, "too few control VMs answer; see to them and ask again: "+err.Error())
 	}
 	return newProblem(http.StatusInternalServerError, CodeInternal, err.Error())
 }
--- a/internal/adapter/operatorhttp/problem.go
+++ b/internal/adapter/operatorhttp/problem.go
@@ -57,6 +57,9 @@
 	Faults document.Faults `json:"faults,omitempty"`
 }
 
+// noDocument is the detail of a request that needs a document.
+const noDocument = "there is no document yet; apply the first one with the bootstrap token"
+
 // typePrefix makes a code into a URI (RFC 8141).
 const typePrefix = "urn:sassafrasreach:problem:"
 
--- a/internal/cli/ctl/change.go
+++ b/internal/cli/ctl/change.go
@@ -29,7 +29,7 @@
 	}
 	base, err := strconv.ParseUint(r.flags.base, 10, 64)
 	if err != nil {
-		return 0, failf(ExitUsage, "-base %q isn't a version", r.flags.base)
+		return 0, failf(ExitUsage, "-base %q isn't a version; ctl get prints that of the document in force", r.flags.base)
 	}
 	return base, nil
 }
@@ -80,7 +80,7 @@
 	}
 	entries, err := r.entries(ctx)
 	if err != nil {
-		return failf(ExitNotInForce, "version %d was accepted, but its entries can't be read: %w", outcome.Version, err)
+		return failf(ExitNotInForce, "version %d was accepted, but its entries can't be read; ctl status shows where it is in force: %w", outcome.Version, err)
 	}
 	return r.finish(ctx, outcome, entries)
 }
@@ -107,7 +107,7 @@
 	}
 	var outcome port.Outcome
 	if err := json.Unmarshal(got.body, &outcome); err != nil {
-		return port.Outcome{}, failf(ExitUnknown, "the change %s may have been accepted; the reply can't be read: %w", req.changeID, err)
+		return port.Outcome{}, failf(ExitUnknown, "the change may have been accepted, but the reply can't be read; resend it with -change-id %s to learn which: %w", req.changeID, err)
 	}
 	return outcome, nil
 }
@@ -147,7 +147,7 @@
 	if !r.flags.wait || result.InForce {
 		return nil
 	}
-	return &exitError{code: ExitNotInForce, err: errors.New("the change was accepted but isn't in force everywhere")}
+	return &exitError{code: ExitNotInForce, err: errors.New("the change was accepted but isn't in force everywhere; it stays accepted, and ctl status shows when it is")}
 }
 
 // result is what a change came to.
--- a/internal/cli/ctl/client.go
+++ b/internal/cli/ctl/client.go
@@ -98,7 +98,7 @@
 		}
 		return got, nil
 	}
-	return reply{}, failf(ExitUnknown, "no control VM decides: %w", last)
+	return reply{}, failf(ExitUnknown, "no control VM decides; ctl status tells which answer and whether they have a quorum: %w", last)
 }
 
 // change sends a change to each control VM in turn until one decides. The
@@ -129,7 +129,7 @@
 		}
 	}
 	if !maybe {
-		return reply{}, failf(ExitUnknown, "no control VM decides, and none took the change %s: %w", req.changeID, last)
+		return reply{}, failf(ExitUnknown, "no control VM decides, and none took the change %s; nothing was changed, and ctl status tells which answer: %w", req.changeID, last)
 	}
 	return reply{}, failf(ExitUnknown, "the change may have been accepted; resend it with -change-id %s to learn which: %w", req.changeID, last)
 }
--- a/internal/cli/ctl/main.go
+++ b/internal/cli/ctl/main.go
@@ -96,7 +96,7 @@
 	}
 	if flags.NArg() == 0 {
 		flags.Usage()
-		return failf(ExitUsage, "a command is needed")
+		return failf(ExitUsage, "a command is needed; they are listed above")
 	}
 	name := flags.Arg(0)
 	positional, err := parseRest(flags, flags.Args()[1:])
@@ -137,7 +137,7 @@
 	_ = table.Flush()
 	sayf(r.stderr, "%s\n", "Flags:")
 	flags.PrintDefaults()
-	sayf(r.stderr, "%s\n", "Exit codes: 0 done, 1 refused, 2 usage, 3 may have been accepted or no quorum, 4 accepted but not yet in force everywhere.")
+	sayf(r.stderr, "%s\n", exitHelp())
 }
 
 // parseRest parses flags that stand before, between or after the positional
--- a/internal/cli/ctl/read.go
+++ b/internal/cli/ctl/read.go
@@ -22,11 +22,11 @@
 	}
 	version, err := strconv.ParseUint(got.header.Get(operatorhttp.HeaderVersion), 10, 64)
 	if err != nil {
-		return port.Config{}, failf(ExitUnknown, "the reply has no version: %w", err)
+		return port.Config{}, unreadable(err)
 	}
 	digest := document.Digest(got.body)
 	if want := got.header.Get(operatorhttp.HeaderDigest); want != digest {
-		return port.Config{}, failf(ExitUnknown, "the document's digest is %s, not %s", digest, want)
+		return port.Config{}, failf(ExitUnknown, "the document was altered on its way: its digest is %s, not %s; get it from another control VM", digest, want)
 	}
 	return port.Config{Version: version, Digest: digest, Document: got.body}, nil
 }
@@ -72,7 +72,7 @@
 	}
 	var comparison operatorhttp.Comparison
 	if err := json.Unmarshal(got.body, &comparison); err != nil {
-		return failf(ExitUnknown, "the reply can't be read: %w", err)
+		return unreadable(err)
 	}
 	if r.json() {
 		return r.printJSON(comparison)
@@ -124,7 +124,7 @@
 	for _, f := range faults {
 		sayf(r.stderr, "%s: %s\n", r.args[0], f)
 	}
-	return failf(ExitRefused, "%s has %d faults", r.args[0], len(faults))
+	return failf(ExitRefused, "%s has %d faults; mend the fields above", r.args[0], len(faults))
 }
 
 func (r *runner) audit(ctx context.Context) error {
@@ -134,13 +134,13 @@
 	}
 	var records []port.AuditRecord
 	if err := json.Unmarshal(got.body, &records); err != nil {
-		return failf(ExitUnknown, "the reply can't be read: %w", err)
+		return unreadable(err)
 	}
 	if err := r.printAudit(records); err != nil {
 		return err
 	}
 	if err := r.options.VerifyAudit(records); err != nil {
-		return failf(ExitRefused, "the audit trail was altered: %w", err)
+		return failf(ExitRefused, "the audit trail was altered; keep a copy (-o json) and ask the other control VMs one by one: %w", err)
 	}
 	return nil
 }
@@ -174,7 +174,7 @@
 	}
 	var status port.ControlStatus
 	if err := json.Unmarshal(got.body, &status); err != nil {
-		return failf(ExitUnknown, "the reply can't be read: %w", err)
+		return unreadable(err)
 	}
 	if r.json() {
 		return r.printJSON(status)
--- a/internal/cli/ctl/reference_test.go
+++ b/internal/cli/ctl/reference_test.go
@@ -26,7 +26,7 @@
 	page := string(text)
 
 	is.Equal(len(found(help, `(?m)^  ([a-z]+(?: [A-Z]+)?) +\S`)), 9)
-	is.Equal(len(found(help, `(?m)^  ([a-z]+(?: [A-Z]+)?) +\S`)), 9)
+	is.Equal(found(help, `([0-9]) [a-z]`), []string{"0", "1", "2", "3", "4"})
 	is.Equal(found(page, "(?m)^\\| `([a-z][^`]*)` \\|"), found(help, `(?m)^  ([a-z]+(?: [A-Z]+)?) +\S`))
 	is.Equal(found(page, "(?m)^\\| `-([^`]*)` \\|"), found(help, `(?m)^  -(\S+)`))
 	is.Equal(found(page, "(?m)^\\| ([0-9]) \\|"), found(help, `([0-9]) [a-z]`))
