Tell on the console how to go on after a broken form

Cause: three messages of the console said only what is missing. Change: they say to open the document again.

--- a/internal/adapter/console/edit.go
+++ b/internal/adapter/console/edit.go
@@ -125,7 +125,7 @@
 	}
 	base, err := strconv.ParseUint(r.PostForm.Get("base"), 10, 64)
 	if err != nil {
-		s.render(w, http.StatusBadRequest, "message", message("The form has no version."))
+		s.render(w, http.StatusBadRequest, "message", message("The form has no version: open the document again."))
 		return
 	}
 	d := draft{
@@ -152,7 +152,7 @@
 	case action == actionSubmit:
 		s.submit(w, r, d, opened)
 	default:
-		s.render(w, http.StatusBadRequest, "message", message("The form has no such button."))
+		s.render(w, http.StatusBadRequest, "message", message("The form has no such button: open the document again."))
 	}
 }
 
--- a/internal/adapter/console/signin.go
+++ b/internal/adapter/console/signin.go
@@ -78,7 +78,7 @@
 			return
 		}
 		if !found.accepts(r.PostForm.Get("form_token")) {
-			s.render(w, http.StatusForbidden, "message", message("The form isn't of this session."))
+			s.render(w, http.StatusForbidden, "message", message("The form isn't of this session: open the document again."))
 			return
 		}
 		next(w, r, found)
