--- a/internal/cli/ctl/main.go
+++ b/internal/cli/ctl/main.go
@@ -96,7 +96,7 @@
 	}
 	if flags.NArg() == 0 {
 		flags.Usage()
-		return failf(ExitUsage, "a command is needed")
+		return failf(ExitUsage, "a command is needed; they are listed above")
 	}
 	name := flags.Arg(0)
 	positional, err := parseRest(flags, flags.Args()[1:])
@@ -120,7 +120,7 @@
 	flags.StringVar(&f.output, "o", "text", "output `format`: text or json")
 	flags.DurationVar(&f.timeout, "timeout", DefaultTimeout, "`time` that the whole command may take")
 	flags.StringVar(&f.base, "base", "", "apply: `version` that the file was made from; by default that of its first line, written by get, and otherwise 0")
-	flags.StringVar(&f.changeID, "change-id", "", "apply, drain, undrain: `ID` of a change to resend; by default a new one")
+	flags.StringVar(&f.changeID, "change-id", "", "apply, drain, undrain, lift: `ID` of a change to resend; by default a new one")
 	flags.StringVar(&f.service, "service", "", "drain, undrain: `service`; by default all")
 	flags.StringVar(&f.reason, "reason", "", "drain: `text` shown to other operators")
 	flags.BoolVar(&f.wait, "wait", true, "apply, drain, undrain: wait until the change is in force")
@@ -137,7 +137,7 @@
 	_ = table.Flush()
 	sayf(r.stderr, "%s\n", "Flags:")
 	flags.PrintDefaults()
-	sayf(r.stderr, "%s\n", "Exit codes: 0 done, 1 refused, 2 usage, 3 may have been accepted or no quorum, 4 accepted but not yet in force everywhere.")
+	sayf(r.stderr, "%s\n", exitHelp())
 }
 
 // parseRest parses flags that stand before, between or after the positional
