Let a crash in the tests of the control node end a process whole, one at a time

Cause: the tests' network, not the node. The step's crash ran in the goroutine of a message, and the test's second crash ran beside it when the change was answered through the other member at the same instant. Each ended and started every member, so two starts of one member were alive on one folder, which no real pair of processes can have: the tests left the folder's lock out. Both wrote state.next, the second rename found it gone, the member stopped with a failed disk as it must, and the sends of the others went to the stopped start. Ruled out: a member that takes an intact folder for a lost one. Change: a crash now ends the writes of the process too, and frees the folder's lock, which the tests take for real: a second start on a folder that is in use fails at once. One crash with its restarts runs at a time. The step "learn, answer true" was never reached, since the second crash came first; the test waits for it now and checks that each crash took place. New: TestAllCrashAtEachWrite crashes all members before each of a change's 21 writes, both check that a crash alone needs no repair; TestFolderIsForOneProcess tests the lock, which no test did. No bound was changed.

--- a/internal/adapter/disk/folder_test.go
+++ b/internal/adapter/disk/folder_test.go
@@ -217,3 +217,15 @@
 	is.NoErr(err)
 	is.Equal(string(payload), "two")
 }
+
+func TestFolderIsForOneProcess(t *testing.T) {
+	is := is.New(t)
+	path := t.TempDir()
+	first, err := disk.Open(disk.OS{}, path)
+	is.NoErr(err)
+	_, err = disk.Open(disk.OS{}, path)
+	is.True(errors.Is(err, disk.ErrFailed))
+	is.NoErr(first.Close())
+	_, err = disk.Open(disk.OS{}, path)
+	is.NoErr(err)
+}
--- a/internal/app/control/cluster_test.go
+++ b/internal/app/control/cluster_test.go
@@ -59,14 +59,18 @@
 	cut     map[int]bool
 	frozen  map[int]bool
 	watch   func(event)
+	write   func() // called before each write
 	latency time.Duration
 	starts  uint64
 	all     []*running
+	// restarting is held from a crash to the restart, before mu.
+	restarting sync.Mutex
 }
 
 // running is one start of a member.
 type running struct {
 	node *control.Node
+	disk *processFS
 	dir  string
 	stop context.CancelFunc
 	done chan error
@@ -82,14 +86,69 @@
 	f, err := disk.OS{}.Create(path)
 	return unsyncedFile{f}, err
 }
-func (unsyncedFS) SyncFolder(string) error        { return nil }
-func (unsyncedFS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
-func (unsyncedFile) Sync() error                  { return nil }
+func (unsyncedFS) SyncFolder(string) error { return nil }
+func (unsyncedFile) Sync() error           { return nil }
+
+// processFS is a file system as one start of a member has it: after the crash
+// nothing is written any more, and the lock of the folder is free.
+type processFS struct {
+	disk.FS
+	c *cluster
+
+	mu      sync.Mutex
+	crashed bool
+	lock    io.Closer
+}
+
+type processFile struct {
+	disk.File
+	of *processFS
+}
+
+func (p *processFS) do(write func() error) error {
+	p.c.mu.Lock()
+	before := p.c.write
+	p.c.mu.Unlock()
+	before()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.crashed {
+		return errUnreachable
+	}
+	return write()
+}
+
+func (p *processFS) Create(path string) (f disk.File, err error) {
+	err = p.do(func() error { f, err = p.FS.Create(path); return err })
+	return processFile{f, p}, err
+}
+
+func (p *processFS) Rename(from, to string) error {
+	return p.do(func() error { return p.FS.Rename(from, to) })
+}
+
+func (p *processFS) Lock(path string) (lock io.Closer, err error) {
+	p.lock, err = p.FS.Lock(path)
+	return p.lock, err
+}
+
+func (f processFile) Write(b []byte) (n int, err error) {
+	err = f.of.do(func() error { n, err = f.File.Write(b); return err })
+	return n, err
+}
+
+// crash waits for the write that is under way.
+func (p *processFS) crash() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashed = true
+	_ = p.lock.Close()
+}
 
 func newCluster(t *testing.T, members int) *cluster {
 	c := &cluster{
 		t: t, files: make(map[int]disk.FS), cut: make(map[int]bool), frozen: make(map[int]bool),
-		watch: func(event) {}, members: make([]*running, members), latency: time.Millisecond,
+		watch: func(event) {}, write: func() {}, members: make([]*running, members), latency: time.Millisecond,
 	}
 	for i := range members {
 		c.peers = append(c.peers, control.Peer{Name: fmt.Sprint("control-", i)})
@@ -118,7 +177,7 @@
 	if files == nil {
 		files = unsyncedFS{}
 	}
-	r := &running{dir: dir, done: make(chan error, 1)}
+	r := &running{dir: dir, done: make(chan error, 1), disk: &processFS{FS: files, c: c}}
 	node, err := control.New(control.Config{
 		Name: c.peers[i].Name, Incarnation: incarnation, Peers: c.peers, DataDir: dir,
 		Validate: func(d []byte) error {
@@ -127,7 +186,7 @@
 			}
 			return nil
 		},
-		Clock: port.ClockFunc(time.Now), Logger: slog.New(slog.DiscardHandler), Files: files,
+		Clock: port.ClockFunc(time.Now), Logger: slog.New(slog.DiscardHandler), Files: r.disk,
 		Dial: func(to control.Peer, _ uint64) (control.Remote, error) {
 			var j int
 			_, err := fmt.Sscanf(to.Name, "control-%d", &j)
@@ -144,17 +203,34 @@
 	c.all = append(c.all, r)
 }
 
-// kill ends a member as a crash would: nothing it sends arrives any more.
+// kill ends a member as a crash would: nothing it sends arrives any more, and
+// nothing it writes.
 func (c *cluster) kill(i int) (dir string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.members[i].dead = true
+	c.members[i].disk.crash()
 	c.members[i].stop()
 	return c.members[i].dir
 }
 
+// crash ends all members and restarts them with their folders.
+func (c *cluster) crash() {
+	c.restarting.Lock()
+	defer c.restarting.Unlock()
+	dirs := make([]string, len(c.peers))
+	for i := range dirs {
+		dirs[i] = c.kill(i)
+	}
+	for i, dir := range dirs {
+		c.start(i, dir)
+	}
+}
+
 // lose restarts a member with an empty folder.
 func (c *cluster) lose(i int) {
+	c.restarting.Lock()
+	defer c.restarting.Unlock()
 	c.kill(i)
 	c.start(i, c.t.TempDir())
 }
--- a/internal/app/control/faults_test.go
+++ b/internal/app/control/faults_test.go
@@ -118,31 +118,63 @@
 }
 
 // TestAllCrashAtEachMessage crashes every member at each message of a change,
-// and once more right after it was accepted.
+// and once more right after it was accepted, or learned.
 func TestAllCrashAtEachMessage(t *testing.T) {
 	for _, s := range steps(prepare, accept, learn) {
 		t.Run(s.String(), func(t *testing.T) {
-			inBubble(t, 3, func(t *testing.T, c *cluster) {
-				is := is.New(t)
-				restart := func() {
-					for i := range 3 {
-						c.start(i, c.kill(i))
+			pause := time.Duration(0)
+			if s.kind == learn {
+				pause = time.Second
+			}
+			crashInChange(t, pause, func(c *cluster) { c.at(s, 0, 1, c.crash) })
+		})
+	}
+}
+
+// TestAllCrashAtEachWrite crashes every member before each step of the writes
+// that a change makes until it is answered: three members create, write and
+// rename a file for the promise and for the value, and one for the commit.
+func TestAllCrashAtEachWrite(t *testing.T) {
+	for step := range int64(3*3 + 3*3 + 3) {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			crashInChange(t, 0, func(c *cluster) {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				var written atomic.Int64
+				c.write = func() {
+					if written.Add(1) == step+1 {
+						c.crash()
 					}
 				}
-				first := c.submit(change("a", 0), 0)
-				restart()
-				is.Equal(c.submit(change("a", 0), 1), first)
-				c.at(s, 0, 1, restart)
-				out := c.submit(change("b", 1), 0, 2)
-				restart()
-				is.Equal(out.Version, uint64(2))
-				is.Equal(c.submit(change("b", 1), 1), out)
-				c.holds(2, 2)
 			})
 		})
 	}
 }
 
+// crashInChange crashes every member when arm says so and, after a pause, after
+// the change.
+func crashInChange(t *testing.T, pause time.Duration, arm func(*cluster)) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first := c.submit(change("a", 0), 0)
+		c.crash()
+		is.Equal(c.submit(change("a", 0), 1), first)
+		arm(c)
+		out := c.submit(change("b", 1), 0, 2)
+		time.Sleep(pause)
+		c.crash()
+		is.Equal(out.Version, uint64(2))
+		is.Equal(c.submit(change("b", 1), 1), out)
+		c.holds(2, 2)
+		is.Equal(len(c.all), 4*3) // the first start and three restarts
+		for i := range c.peers {
+			report, err := c.node(i).Query(register.Query{})
+			is.NoErr(err)
+			is.True(report.Voting && report.Generation.IsZero()) // a crash alone needs no repair
+		}
+	})
+}
+
 func TestTwoOfFiveDisksLostAtOnce(t *testing.T) {
 	inBubble(t, 5, func(_ *testing.T, c *cluster) {
 		c.submit(change("a", 0), 0)
@@ -381,9 +413,7 @@
 		is.True(values <= 2)
 		t.Logf("caught up after %v with %d messages, %d values", time.Since(began), messages, values)
 		mu.Unlock()
-		for i := range 3 {
-			c.start(i, c.kill(i))
-		}
+		c.crash()
 		is.Equal(c.submit(change("c499", 499), 2), last)
 		c.holds(500, 500)
 	})
