Say by test what holds for first runs of a crashing request at the same moment

Each owner lets two runs of an unknown request through, so first runs at the same moment aren't held to two over several owners; PROOFS said so without a test. Not mended: to hold all of them to two, owners would have to ask each other before the first run of every unknown request.

--- a/internal/app/entry/crash_test.go
+++ b/internal/app/entry/crash_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,3 +71,27 @@
 		})
 	}
 }
+
+// TestFirstRunsAtOnce sends a crashing request through two owners at the same
+// moment. Each has told the other before it tries again, so one of them does at
+// most.
+func TestFirstRunsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := settled(t)
+		w.calls.crash(port.ErrConnectionRefused)
+		crash := w.calls.call
+		w.calls.call = func(n int, to port.Endpoint) port.Answer {
+			time.Sleep(10 * time.Millisecond)
+			return crash(n, to)
+		}
+		var sent sync.WaitGroup
+		for _, name := range []string{"a1", "b1"} {
+			req := w.request()
+			req.Origin, req.Target = placeOf[name], "/crash"
+			sent.Go(func() { serve(w.entry(name), req) })
+		}
+		sent.Wait()
+		is.True(w.calls.ran() <= 3)
+	})
+}
--- a/internal/core/quarantine/schedule_test.go
+++ b/internal/core/quarantine/schedule_test.go
@@ -219,6 +219,43 @@
 	}
 }
 
+// TestFirstRunsAtOnce asks several entries for a request that crashes each
+// endpoint, at the same moment and more often than they let run. Each lets two
+// run, which no one can know to be too many; after the news none runs.
+func TestFirstRunsAtOnce(t *testing.T) {
+	for _, entries := range []int{1, 2, 3} {
+		is := is.New(t)
+		runs := 0
+		var told []quarantine.Change
+		tables := make([]*quarantine.Table, entries)
+		for n := range tables {
+			tables[n] = quarantine.NewTable(cfg)
+			for k := range 4 {
+				if tables[n].Started(epoch, fmt.Sprint("w", n, k), 1, poison, "s") == quarantine.Admitted {
+					runs++
+				}
+			}
+		}
+		is.Equal(runs, 2*entries)
+		for n, table := range tables {
+			for k := range 2 {
+				table.Ended(epoch, fmt.Sprint("w", n, k), 1, poison, quarantine.Reset)
+				told = append(told, table.Died(epoch, fmt.Sprint("w", n, k), 1))
+			}
+		}
+		for _, change := range told {
+			for _, f := range change.Quarantined {
+				for _, table := range tables {
+					table.Add(epoch, f, cfg.Hold)
+				}
+			}
+		}
+		for _, table := range tables {
+			is.Equal(table.Started(epoch, "w", 1, poison, "s"), quarantine.Refused)
+		}
+	}
+}
+
 func BenchmarkStartedEnded(b *testing.B) {
 	table := quarantine.NewTable(cfg)
 	all := make([]fingerprint.Fingerprint, 1000)
