Let daemons look for a change in a random order

Cause: the simulated daemons of a place looked one after the other, in the order of their names; real ones start at any moment of the period. Change: the order is drawn once, with a fixed seed.

--- a/internal/measure/controlcost/change.go
+++ b/internal/measure/controlcost/change.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sassafrasreach/internal/core/membership"
@@ -16,7 +17,8 @@
 	newVersion = 9999
 	// changeLimit bounds the simulated time that a change is followed.
 	changeLimit = 30 * time.Second
-	// changeSeed gives the moments at which daemons last asked a control VM.
+	// changeSeed gives the order in which daemons look within a period, and the
+	// moments at which they last asked a control VM.
 	changeSeed = 1
 )
 
@@ -26,6 +28,8 @@
 // for long.
 type change struct {
 	*system
+	// order is that in which daemons look within a period.
+	order   []string
 	lastOwn map[string]time.Time
 	behind  map[string]bool
 	// fetches are the requests to control VMs until all have the change;
@@ -76,12 +80,14 @@
 	sys.run(warmUp)
 	c := &change{
 		system:  sys,
+		order:   slices.Clone(sys.names),
 		lastOwn: make(map[string]time.Time),
 		behind:  make(map[string]bool),
 		served:  make(map[string]int),
 	}
 	pick := rand.New(rand.NewPCG(changeSeed, 0))
-	for _, name := range sys.names {
+	pick.Shuffle(len(c.order), func(i, j int) { c.order[i], c.order[j] = c.order[j], c.order[i] })
+	for _, name := range c.order {
 		c.behind[name] = true
 		c.lastOwn[name] = sys.now.Add(-time.Duration(pick.Int64N(int64(backupPeriod))))
 	}
@@ -91,8 +97,8 @@
 // lookAll lets every daemon look once and send its heartbeats.
 func (c *change) lookAll() {
 	begin := c.now
-	step := period / time.Duration(len(c.names))
-	for k, name := range c.names {
+	step := period / time.Duration(len(c.order))
+	for k, name := range c.order {
 		c.now = begin.Add(time.Duration(k) * step)
 		c.look(name)
 		c.tick(name)
