Test late resends on the real path, and a connection after a cancel

Cause: nothing ran a once-only resend after its first attempt's deadline through another entry on real processes, nor one after the retention at an entry, nor looked at what becomes of a kept endpoint connection whose call is cancelled. Change: systemtest.TestResendPastDeadline, a case of app/entry.TestOnceOnly with the full ten minutes in simulated time (no setting shortens them), and adapter/endpointhttp.TestCanceledCall. Planted, a connection that is kept after a failed call: TestCanceledCall fails. The other two were not tried with a planted fault; core/claims has those.

--- a/internal/adapter/endpointhttp/pool_test.go
+++ b/internal/adapter/endpointhttp/pool_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -44,6 +46,31 @@
 	}
 }
 
+// TestCanceledCall cancels a call on a kept connection while it runs: the
+// connection is closed, and the next call goes over a new one.
+func TestCanceledCall(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	closed := make(chan error, 1)
+	link := newEndpoint(t, func(c *net.TCPConn, n int64, r *http.Request) bool {
+		if n != 2 {
+			return whole(c, n, r)
+		}
+		cancel()
+		_ = c.SetReadDeadline(time.Now().Add(long))
+		_, err := c.Read(make([]byte, 1))
+		closed <- err
+		return false
+	}).link(t)
+	caller := newCaller(t, endpointhttp.Options{})
+	for n, ctx := range []context.Context{context.Background(), ctx, context.Background()} {
+		_, err := caller.Call(ctx, at(link.Addr()), filing("r", "", long))
+		is.Equal(err != nil, n == 1)
+	}
+	is.True(!errors.Is(<-closed, os.ErrDeadlineExceeded))
+	is.Equal(link.Accepted(), 2)
+}
+
 // counted is a connection that tells when it is closed.
 type counted struct {
 	*net.TCPConn
--- a/internal/app/entry/once_test.go
+++ b/internal/app/entry/once_test.go
@@ -26,6 +26,7 @@
 		{"planned stop", playPlannedStop},
 		{"restarted home", playRestart},
 		{"past deadline", playPastDeadline},
+		{"past the retention", playPastRetention},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -148,6 +149,21 @@
 	return 1
 }
 
+func playPastRetention(is *is.I, w *world) int {
+	home := w.entry("a1")
+	used, fresh := w.once(home), w.once(home)
+	is.NoErr(serve(home, used).Err)
+	time.Sleep(claimRetention)
+	for name := range placeOf {
+		for _, req := range []*port.Request{used, fresh} {
+			answer := w.resend(w.entry(name), req)
+			is.Equal(answer.Verdict(), verdict.MayHaveRun)
+			is.Equal(verdict.ReasonOf(answer.Err), verdict.ReasonKeyExpired)
+		}
+	}
+	return 1
+}
+
 // TestForwardDeliveredTwice delivers one attempt twice, at once and later.
 func TestForwardDeliveredTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/systemtest/path_test.go
+++ b/internal/systemtest/path_test.go
@@ -37,6 +37,30 @@
 	is.Equal(s.runs.of(body+"/x"), 1)
 }
 
+// TestResendPastDeadline sends a key again through every entry after its first
+// attempt ran beyond its deadline, with time left and with next to none: no
+// resend is told not-run, and nothing runs twice.
+func TestResendPastDeadline(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l := twoRegions()
+	l.work = 300 * time.Millisecond
+	s := newSystem(t, l)
+	answer, err := s.lookup("north-a")
+	is.NoErr(err)
+	body := s.unique("late")
+	key := answer.Home + "." + body
+	first := s.sendWithin(answer.Entries[0].Address, "north-a", "POST", key, body, 100*time.Millisecond)
+	is.Equal(first.verdict, "may-have-run")
+	for _, timeout := range []time.Duration{callTimeout, time.Millisecond} {
+		for _, entry := range s.entriesOf("north-a") {
+			r := s.sendWithin(entry, "north-a", "POST", key, body, timeout)
+			is.Equal(r.verdict, "may-have-run")
+		}
+	}
+	is.Equal(s.runs.of(body+"/x"), 1)
+}
+
 // TestUnknownPlace starts an entry whose settings name a place that the
 // document doesn't have: it ends with the file, line and field, and exit code 2.
 func TestUnknownPlace(t *testing.T) {
