Send a safe request of `call` a second time when its connection went silent

Cause: `call` sends its request over the connection of its look-up. When that goes silent, a GET used up its whole time and failed. Ruled out: a new connection for every request; it doesn't help when that one goes silent. Change: a GET or HEAD without a key that has no answer after half its time is sent again over a new connection; the first whole answer counts. Others are sent once and told may-have-run as before.

--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -75,22 +74,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	defer cancel()
-	target := "http://" + entry.Address + "/s/" + o.service + o.target
-	request, err := http.NewRequestWithContext(ctx, o.method, target, bytes.NewReader([]byte(o.body)))
-	if err != nil {
-		return err
+	r := send(ctx, o, entry, found.Place)
+	if r.err != nil {
+		return fmt.Errorf("%w (%s)", r.err, verdict.MayHaveRun)
 	}
-	request.Header.Set(callerhttp.HeaderTimeout, strconv.FormatInt(o.timeout.Milliseconds(), 10))
-	request.Header.Set(callerhttp.HeaderPlace, found.Place)
-	if o.key != "" {
-		request.Header.Set(callerhttp.HeaderKey, o.key)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return fmt.Errorf("%w (%s)", err, verdict.MayHaveRun)
-	}
-	defer func() { _ = response.Body.Close() }()
-	return printAnswer(stdout, entry, o.key, response)
+	return printAnswer(stdout, entry, o.key, r)
 }
 
 func chooseEntry(found port.LookupAnswer, name string) (port.LookupEntry, error) {
@@ -102,19 +90,15 @@
 	return port.LookupEntry{}, fmt.Errorf("the look-up doesn't name entry %q", name)
 }
 
-func printAnswer(stdout io.Writer, entry port.LookupEntry, key string, response *http.Response) error {
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return fmt.Errorf("truncated answer (%s): %w", verdict.MayHaveRun, err)
-	}
+func printAnswer(stdout io.Writer, entry port.LookupEntry, key string, r reply) error {
 	_, _ = fmt.Fprintf(stdout, "entry    %s (%s)\n", entry.Name, entry.Address)
-	_, _ = fmt.Fprintf(stdout, "status   %d\n", response.StatusCode)
-	_, _ = fmt.Fprintf(stdout, "verdict  %s\n", response.Header.Get(callerhttp.HeaderVerdict))
+	_, _ = fmt.Fprintf(stdout, "status   %d\n", r.status)
+	_, _ = fmt.Fprintf(stdout, "verdict  %s\n", r.header.Get(callerhttp.HeaderVerdict))
 	if key != "" {
 		_, _ = fmt.Fprintf(stdout, "key      %s\n", key)
 	}
-	_, _ = fmt.Fprintf(stdout, "%s\n", bytes.TrimSpace(body))
-	if response.Header.Get("Content-Type") == "application/problem+json" {
+	_, _ = fmt.Fprintf(stdout, "%s\n", bytes.TrimSpace(r.body))
+	if r.header.Get("Content-Type") == "application/problem+json" {
 		return errCallFailed
 	}
 	return nil
--- /dev/null
+++ b/internal/cli/call_test.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/testlink"
+)
+
+// TestSilentEntryConnection lets the connection of the look-up go silent before
+// the request: a safe one is answered in time over a second connection, another
+// one is told may-have-run and sent once.
+func TestSilentEntryConnection(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		is := is.New(t)
+		var served atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/lookup" {
+				_, _ = io.WriteString(w, "{}")
+				return
+			}
+			served.Add(1)
+		}))
+		defer server.Close()
+		link, err := testlink.New(server.Listener.Addr().String())
+		is.NoErr(err)
+		defer link.Close()
+		_, err = lookup(t.Context(), []string{link.Addr()}, "s", "")
+		is.NoErr(err)
+		link.Swallow(testlink.Both)
+		found := port.LookupAnswer{Entries: []port.LookupEntry{{Name: "e", Address: link.Addr()}}}
+		o := callOptions{service: "s", method: method, target: "/", timeout: 500 * time.Millisecond}
+		err = call(t.Context(), o, found, io.Discard)
+		is.Equal(err == nil, method == "GET")
+		is.Equal(served.Load() == 1, method == "GET")
+		is.Equal(link.Accepted() == 2, method == "GET")
+	}
+}
