Give tests that wait for an answer generous time where none is promised

Cause: with GOMAXPROCS=1 beside ten busy goroutines testlink.TestFaults failed: it gave an answer on loopback 50 ms. Change: testlink waits up to a minute for the bytes that are wanted, and 50 ms for more. The deadlines of callers and of a forwarded request in tests are longer, and the ranges checked are as tight for their size: 30 s and a minute (were 300 ms and a second) within 10 s, 20 s (was 2 s) within 10 s. Deadlines of endpointhttp's tests that are to pass while the endpoint works are 300 ms, were 100. A bare connection of the contract's test has a minute, had 5 s. The bounds that are promises stay: a silent connection to a peer is replaced at once, and one to a member within two call limits.

--- a/internal/adapter/callerhttp/handler_test.go
+++ b/internal/adapter/callerhttp/handler_test.go
@@ -43,7 +43,7 @@
 		return port.ServiceTerms{}, verdict.NewError(verdict.NotRun, verdict.ReasonUnknownService, nil)
 	}
 	return port.ServiceTerms{
-		Deadline:       time.Second,
+		Deadline:       time.Minute,
 		MaxBodyBytes:   8,
 		MaxAnswerBytes: 100,
 		OnceOnly:       method != http.MethodGet && method != http.MethodHead,
@@ -192,7 +192,7 @@
 	f := &fakeEntry{response: &port.Response{Status: 201, Header: header, Body: []byte("done")}}
 	response, body := do(t, newServer(t, f), sent{"POST", "/s/desk/a%2Fb?q=1", "body", map[string]string{
 		"Sassafrasreach-Key":        goodKey,
-		"Sassafrasreach-Timeout-Ms": "300",
+		"Sassafrasreach-Timeout-Ms": "30000",
 		"Idempotency-Key":           "caller's own",
 		"Connection":                "X-Hop",
 		"X-Hop":                     "1",
@@ -207,7 +207,7 @@
 	is.Equal(f.served.Header.Get("Idempotency-Key"), "caller's own")
 	is.Equal(f.served.Header.Get("X-Hop"), "")
 	is.Equal(f.served.Header.Get("Sassafrasreach-Key"), "")
-	is.True(f.left > 0 && f.left <= 300*time.Millisecond) // the remaining time is the request's deadline
+	is.True(f.left > 20*time.Second && f.left <= 30*time.Second) // the remaining time is the request's deadline
 }
 
 // TestDefaultDeadline wants the service's own without a caller's.
@@ -215,7 +215,7 @@
 	is := is.New(t)
 	f := &fakeEntry{response: &port.Response{Status: 200}}
 	do(t, newServer(t, f), sent{"GET", "/s/desk", "", nil})
-	is.True(f.left > 900*time.Millisecond && f.left <= time.Second)
+	is.True(f.left > 50*time.Second && f.left <= time.Minute)
 	is.Equal(f.served.Target, "/")
 }
 
--- a/internal/adapter/endpointhttp/failure_test.go
+++ b/internal/adapter/endpointhttp/failure_test.go
@@ -18,7 +18,7 @@
 
 const (
 	long  = 20 * time.Second
-	short = 100 * time.Millisecond
+	short = 300 * time.Millisecond
 	bulk  = 8 << 20
 )
 
--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -72,7 +72,7 @@
 	return &port.Request{
 		ID: "id-1", Service: "desk", Origin: "north-a", Method: "POST", Target: "/x?y=1",
 		Header: http.Header{"X-A": {"1", "2"}}, Body: []byte("body"), OnceOnly: once,
-		Deadline: time.Now().Add(2 * time.Second), MaxAnswerBytes: 4 << 20,
+		Deadline: time.Now().Add(20 * time.Second), MaxAnswerBytes: 4 << 20,
 	}
 }
 
@@ -133,7 +133,7 @@
 		body := bytes.Repeat([]byte("x"), size)
 		p := &fakePeer{forward: func(_ context.Context, f port.Forward) (*port.Response, error) {
 			left := time.Until(f.Request.Deadline)
-			is.True(left > time.Second && left <= 2*time.Second)
+			is.True(left > 10*time.Second && left <= 20*time.Second)
 			is.Equal(f.Hop, port.HopOwner)
 			is.Equal(f.Place, "south-a")
 			is.Equal(f.Request.Target, "/x?y=1")
--- a/internal/contract/grpc_test.go
+++ b/internal/contract/grpc_test.go
@@ -96,7 +96,7 @@
 				grpc.WithTransportCredentials(insecure.NewCredentials()))
 			is.NoErr(err)
 			defer func() { _ = conn.Close() }()
-			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
 			_, err = peerv1.NewPeerServiceClient(conn).Announce(ctx, &peerv1.AnnounceRequest{})
 			is.True(err != nil)
--- a/internal/testlink/link_test.go
+++ b/internal/testlink/link_test.go
@@ -38,15 +38,21 @@
 	return link
 }
 
-// say sends text over c and returns what comes back before it falls silent.
-func say(c net.Conn, text string) (string, error) {
-	_ = c.SetDeadline(time.Now().Add(50 * time.Millisecond))
+// say sends text over c and returns what comes back: what is wanted, in any
+// time, and the rest before it falls silent.
+func say(c net.Conn, text, want string) (string, error) {
+	_ = c.SetDeadline(time.Now().Add(time.Minute))
 	if _, err := c.Write([]byte(text)); err != nil {
 		return "", err
 	}
 	buf := make([]byte, len(text))
-	n, err := io.ReadFull(c, buf)
-	return string(buf[:n]), err
+	n, err := io.ReadFull(c, buf[:len(want)])
+	if err != nil {
+		return string(buf[:n]), err
+	}
+	_ = c.SetDeadline(time.Now().Add(50 * time.Millisecond))
+	rest, err := io.ReadFull(c, buf[n:])
+	return string(buf[:n+rest]), err
 }
 
 func TestFaults(t *testing.T) {
@@ -79,16 +85,16 @@
 			first, err := net.Dial("tcp", link.Addr())
 			is.NoErr(err)
 			defer func() { _ = first.Close() }()
-			_, err = say(first, "x")
+			_, err = say(first, "x", "x")
 			is.NoErr(err)
 			c.strike(link)
-			got, err := say(first, "hello")
+			got, err := say(first, "hello", c.want)
 			is.Equal(got, c.want)
 			is.True(errors.Is(err, c.err))
 			second, err := net.Dial("tcp", link.Addr())
 			is.NoErr(err)
 			defer func() { _ = second.Close() }()
-			got, _ = say(second, "hello")
+			got, _ = say(second, "hello", c.next)
 			is.Equal(got, c.next)
 		})
 	}
