Hold the default deadline in its test to the same part as before

Cause: the test's deadline went from a second to a minute, and its lower bound from 900 ms to 50 s, which is 83% in place of 90%. Change: 54 s, 90% again. After: adapter/callerhttp passes.

--- a/internal/adapter/callerhttp/handler_test.go
+++ b/internal/adapter/callerhttp/handler_test.go
@@ -215,7 +215,7 @@
 	is := is.New(t)
 	f := &fakeEntry{response: &port.Response{Status: 200}}
 	do(t, newServer(t, f), sent{"GET", "/s/desk", "", nil})
-	is.True(f.left > 50*time.Second && f.left <= time.Minute)
+	is.True(f.left > 54*time.Second && f.left <= time.Minute)
 	is.Equal(f.served.Target, "/")
 }
 
