Leave a stop half of its time to drain when it waits for relief

Cause: the wait of up to 5 s counted against drain_limit, which may be as low as 1 s; a stop could have had no time left to drain. Ruled out: a longer limit than the one that is set. Change: the wait takes half of the stop's time at most.

--- a/internal/app/entry/stop.go
+++ b/internal/app/entry/stop.go
@@ -51,12 +51,22 @@
 		return
 	}
 	event.Log(ctx, e.logger, event.StopWaits)
-	ctx, cancel := context.WithTimeout(ctx, reliefLimit)
+	ctx, cancel := context.WithTimeout(ctx, reliefTime(ctx))
 	defer cancel()
 	for !e.relieved() && wait.For(ctx, idlePoll) {
 	}
 }
 
+// reliefTime is how long a stop may wait for relief: half its time at most, so
+// that it can still drain.
+func reliefTime(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return reliefLimit
+	}
+	return min(reliefLimit, time.Until(deadline)/2)
+}
+
 func (e *Entry) relieved() bool { return e.members.relieved(e.clock.Now()) }
 
 func (e *Entry) awaitIdle(ctx context.Context) {
--- a/internal/app/entry/stop_test.go
+++ b/internal/app/entry/stop_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -45,5 +46,8 @@
 		begun := time.Now()
 		w.entry("a2").Drain(w.ctx) // the other one doesn't come back
 		is.True(time.Since(begun) <= lookupTTL+reliefLimit)
+		ctx, cancel := context.WithTimeout(w.ctx, lookupTTL)
+		defer cancel()
+		is.Equal(reliefTime(ctx), lookupTTL/2) // time to drain is left
 	})
 }
