Measure silent connections between entries, and put the cost of control on the page

Cause: the share of once-only requests that end may-have-run was known for connections to endpoints only; the tables of membership, of a change's way and of a fetch were printed by `make measure` but not kept on its page.

Ruled out: a unit test at the client of entries for the share, as heartbeats and loads of the real system decide how fresh a connection is.

Change: TestMeasureSilence silences every connection between entries and sends once-only requests through an entry that doesn't own the group, over the time since. controlcost adds its tables to the page that -append names.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 # Prints the measurements that the docs cite and writes docs/MEASUREMENTS.md.
 measure: build
 	$(GO) run ./internal/measure/cmd/measure -commit $$(git rev-parse --short HEAD) -out docs/MEASUREMENTS.md
-	$(GO) run ./internal/measure/controlcost
+	$(GO) run ./internal/measure/controlcost -append docs/MEASUREMENTS.md
 	MEASURE=1 MEASURE_OUT=$(CURDIR)/docs/MEASUREMENTS.md $(GO) test -v -count=1 -timeout 20m -run TestMeasure ./internal/systemtest
 
 clean:
--- a/internal/measure/controlcost/fetch.go
+++ b/internal/measure/controlcost/fetch.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(w, "slope per %s: handler %.2f µs, member and asker %.2f µs\n", what, own, all)
+	_, err = fmt.Fprintf(w, "- slope per %s: handler %.2f µs, member and asker %.2f µs\n", what, own, all)
 	return err
 }
 
--- a/internal/measure/controlcost/main.go
+++ b/internal/measure/controlcost/main.go
@@ -10,8 +10,10 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 )
 
@@ -21,6 +23,7 @@
 	services := flag.Int("services", 8, "services with endpoints in each place")
 	interest := flag.Int("interest", 8, "places followed beyond the own region; 0 follows all")
 	only := flag.String("only", "", "membership, change or fetch; all when empty")
+	page := flag.String("append", "", "the file that the tables are added to besides the standard output")
 	flag.Parse()
 
 	o := options{seconds: *seconds, services: *services, interest: *interest}
@@ -28,45 +31,81 @@
 	if *full {
 		sizes = []size{{75, 63}}
 	}
+	if err := run(*page, *only, sizes, o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// run prints the parts that are wanted, and adds them to a page if one is named.
+func run(page, only string, sizes []size, o options) (err error) {
+	out := io.Writer(os.Stdout)
+	if page != "" {
+		file, err := os.OpenFile(page, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644) //nolint:gosec // a page for everybody
+		if err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, file.Close()) }()
+		out = io.MultiWriter(os.Stdout, file)
+	}
 	parts := []struct {
-		name string
-		run  func() error
+		name, title string
+		run         func() error
 	}{
-		{"membership", func() error { return printMembership(sizes, o) }},
-		{"change", func() error { return printChanges(sizes, o) }},
-		{"fetch", func() error { return printFetches(os.Stdout) }},
+		{"membership", "What membership costs one daemon", func() error { return printMembership(out, sizes, o) }},
+		{"change", "The way of a change to all daemons", func() error { return printChanges(out, sizes, o) }},
+		{"fetch", "What a fetch costs a control VM", func() error { return printFetches(out) }},
 	}
 	for _, part := range parts {
-		if *only != "" && *only != part.name {
+		if only != "" && only != part.name {
 			continue
 		}
+		if _, err := fmt.Fprintf(out, "\n## %s\n\n", part.title); err != nil {
+			return err
+		}
 		if err := part.run(); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
+			return err
 		}
 	}
+	return nil
 }
 
-func printMembership(sizes []size, o options) error {
-	fmt.Println("| places | daemons a place | daemons | messages/s | bytes/s out | bytes/s in | CPU % of a core | heap KB | directory KB | owner known % | version everywhere s |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
+// line prints one line.
+func line(w io.Writer, text string) error {
+	_, err := fmt.Fprintln(w, text)
+	return err
+}
+
+func printMembership(w io.Writer, sizes []size, o options) error {
+	const head = "| places | daemons a place | daemons | messages/s | bytes/s out | bytes/s in | CPU % of a core | heap KB | directory KB | owner known % | version everywhere s |\n" +
+		"|---|---|---|---|---|---|---|---|---|---|---|"
+	if err := line(w, head); err != nil {
+		return err
+	}
 	var costs []cost
 	for _, s := range sizes {
 		c := measure(s, o)
-		fmt.Println(c.row())
+		if err := line(w, c.row()); err != nil {
+			return err
+		}
 		costs = append(costs, c)
 	}
 	if len(sizes) == 1 {
 		return nil
 	}
-	return printSlopes(os.Stdout, costs)
+	return printSlopes(w, costs)
 }
 
-func printChanges(sizes []size, o options) error {
-	fmt.Println("| places | daemons a place | daemons | fetches at control VMs | with the document | of these by speakers | most documents from one daemon | half have it s | all have it s |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+func printChanges(w io.Writer, sizes []size, o options) error {
+	const head = "| places | daemons a place | daemons | fetches at control VMs | with the document | of these by speakers | most documents from one daemon | half have it s | all have it s |\n" +
+		"|---|---|---|---|---|---|---|---|---|"
+	if err := line(w, head); err != nil {
+		return err
+	}
 	for _, s := range sizes {
-		fmt.Println(measureChange(s, o).row())
+		if err := line(w, measureChange(s, o).row()); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/measure/controlcost/slopes.go
+++ b/internal/measure/controlcost/slopes.go
@@ -11,6 +11,9 @@
 // printSlopes prints how each cost grows with the daemons in a place and with
 // the number of places, by least squares.
 func printSlopes(w io.Writer, costs []cost) error {
+	if _, err := fmt.Fprintln(w); err != nil {
+		return err
+	}
 	perPlace := func(c cost) (float64, bool) { return float64(c.perPlace), c.places == 6 }
 	places := func(c cost) (float64, bool) { return float64(c.places), c.perPlace == 16 }
 	if err := printSlope(w, "daemon in a place, at 6 places", costs, perPlace); err != nil {
@@ -42,7 +45,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintf(w, "slope per %s: %.4f %s\n", what, slope, v.unit); err != nil {
+		if _, err := fmt.Fprintf(w, "- slope per %s: %.4f %s\n", what, slope, v.unit); err != nil {
 			return err
 		}
 	}
--- a/internal/systemtest/measure_test.go
+++ b/internal/systemtest/measure_test.go
@@ -356,3 +356,54 @@
 	_ = response.Body.Close()
 	return err == nil && response.StatusCode == http.StatusOK
 }
+
+// TestMeasureSilence measures how once-only requests end whose connection
+// between two entries has gone silent, over the time since it did.
+func TestMeasureSilence(t *testing.T) {
+	measuring(t)
+	const rounds, atOnce = 10, 8
+	s := newSystem(t, twoRegions())
+	report(t, silenceHead)
+	for _, pause := range []time.Duration{0, 200 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond} {
+		ends := make(map[string]int)
+		var mu sync.Mutex
+		for range rounds {
+			answer, err := s.lookup("north-a")
+			if err != nil {
+				t.Fatal(err)
+			}
+			other := answer.Entries[1].Address // doesn't own the group
+			own, err := s.lookupAt(other, "north-a")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.get("north-a", s.unique("open"))
+			s.mesh.silence(func(src, dst string) bool { return placeOf(src) != "" && placeOf(dst) != "" })
+			time.Sleep(pause)
+			var wg sync.WaitGroup
+			for range atOnce {
+				body := s.unique("silence")
+				wg.Go(func() {
+					r := s.send(other, "north-a", "POST", own.Home+"."+body, body)
+					mu.Lock()
+					defer mu.Unlock()
+					ends[r.verdict]++
+				})
+			}
+			wg.Wait()
+			time.Sleep(time.Second)
+		}
+		report(t, fmt.Sprintf("| %v | %d | %d | %d | %d |\n", pause, rounds*atOnce, ends["ran"], ends["not-run"], ends["may-have-run"]))
+	}
+}
+
+// silenceHead is the head of the table whose rows TestMeasureSilence reports.
+const silenceHead = `
+## Once-only requests over a connection between entries that went silent
+
+Every open connection between entries goes silent, new ones work. After a pause 8
+once-only requests at a time go through an entry that doesn't own the group.
+
+| pause | requests | ran | not-run | may-have-run |
+|---|---|---|---|---|
+`
