--- a/internal/app/entry/doc.go
+++ b/internal/app/entry/doc.go
@@ -10,7 +10,8 @@
 // that stands later in this list, and none is held across a call to another
 // VM:
 //
-//	members.mu, groups.mu, group.mu, ledger.mu, claimTable.mu, suspects.mu
+//	members.mu, groups.mu, group.mu, ledger.mu, claimTable.mu, suspects.mu,
+//	spreader.mu, untold.mu
 //
 // The document in force is an immutable snapshot behind an atomic pointer.
 package entry
