Read the settings of both kinds of VM in one place

Change: withSettings reads the arguments and the file and runs the rest. The option's help says VM for both.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -100,6 +100,21 @@
 	return exitOK, false
 }
 
+// withSettings reads the arguments and the settings file of a VM's process, and
+// runs it with them. It returns the exit code.
+func withSettings[T any](name string, args []string, stderr io.Writer, load func(path string) (T, error), run func(path string, config T) int) int {
+	flags := newFlags(name, "-settings FILE", stderr)
+	path := flags.String("settings", "", "file with the VM's settings (YAML)")
+	if code, done := parse(flags, args); done {
+		return code
+	}
+	config, err := load(*path)
+	if err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	return run(*path, config)
+}
+
 // fail prints an error and returns its code.
 func fail(stderr io.Writer, code int, err error) int {
 	_, _ = fmt.Fprintln(stderr, "sassafrasreach:", err)
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -29,22 +29,15 @@
 
 // runControl runs a control VM until SIGTERM or SIGINT.
 func runControl(ctx context.Context, args []string, _, stderr io.Writer) int {
-	flags := newFlags("control", "-settings FILE", stderr)
-	path := flags.String("settings", "", "file with the control VM's settings (YAML)")
-	if code, done := parse(flags, args); done {
-		return code
-	}
-	config, err := settings.LoadControl(*path)
-	if err != nil {
-		return fail(stderr, exitUsage, err)
-	}
-	logger := newLogger(stderr, config.LogLevel, "control", config.Name)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := serveControl(ctx, config, logger); err != nil {
-		return fail(stderr, exitFailure, err)
-	}
-	return exitOK
+	return withSettings("control", args, stderr, settings.LoadControl, func(_ string, config settings.Control) int {
+		logger := newLogger(stderr, config.LogLevel, "control", config.Name)
+		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		if err := serveControl(ctx, config, logger); err != nil {
+			return fail(stderr, exitFailure, err)
+		}
+		return exitOK
+	})
 }
 
 func serveControl(ctx context.Context, config settings.Control, logger *slog.Logger) error {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -41,24 +41,17 @@
 
 // runEntry runs an entry VM until a planned stop has ended.
 func runEntry(ctx context.Context, args []string, _, stderr io.Writer) int {
-	flags := newFlags("entry", "-settings FILE", stderr)
-	path := flags.String("settings", "", "file with the entry's settings (YAML)")
-	if code, done := parse(flags, args); done {
-		return code
-	}
-	config, err := settings.LoadEntry(*path)
-	if err != nil {
-		return fail(stderr, exitUsage, err)
-	}
-	logger := newLogger(stderr, config.LogLevel, "entry", config.Name)
-	err = serveEntry(ctx, config, logger)
-	if errors.Is(err, errMisplaced) {
-		return fail(stderr, exitUsage, settings.UnknownPlace(*path, config.Place))
-	}
-	if err != nil {
-		return fail(stderr, exitFailure, err)
-	}
-	return exitOK
+	return withSettings("entry", args, stderr, settings.LoadEntry, func(path string, config settings.Entry) int {
+		logger := newLogger(stderr, config.LogLevel, "entry", config.Name)
+		err := serveEntry(ctx, config, logger)
+		if errors.Is(err, errMisplaced) {
+			return fail(stderr, exitUsage, settings.UnknownPlace(path, config.Place))
+		}
+		if err != nil {
+			return fail(stderr, exitFailure, err)
+		}
+		return exitOK
+	})
 }
 
 // errMisplaced means that the first document doesn't have the entry's place.
