Record changes and lifts in the register by one path

Cause: ApplyLift wrote again what Apply does around a decision (the ID, the empty register, the first outcome of a resend, the decision and its audit record), and the node's lift what Submit does around a proposal.

Change: once and record serve both writes, and Node.submit both callers. The document is now judged before the time of a submit begins to run, not in it.

After: core/register and app/control pass under the race detector, no test changed.

--- a/internal/app/control/propose.go
+++ b/internal/app/control/propose.go
@@ -35,19 +35,25 @@
 // Submit implements port.ConfigStore. Besides port.ErrNoQuorum the error may be
 // register.ErrNoChangeID or register.ErrChangeIDReused. A refused change is in the audit trail too.
 func (n *Node) Submit(ctx context.Context, change port.Change) (port.Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
 	proposal := register.Proposal{
 		Change: change, Digest: audit.Digest(change.Document), Invalid: n.faulty(change.Document), Time: n.clock.Now(),
 	}
-	out, proposed, err := n.propose(ctx, func(v *register.Value) (*register.Value, port.Outcome, error) {
+	return n.submit(ctx, change.ID, func(v *register.Value) (*register.Value, port.Outcome, error) {
 		return register.Apply(v, proposal)
 	})
+}
+
+// submit makes one write with an ID. One that may have been accepted has an
+// outcome that says so, and no error.
+func (n *Node) submit(ctx context.Context, id string, apply func(*register.Value) (*register.Value, port.Outcome, error)) (port.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	out, proposed, err := n.propose(ctx, apply)
 	if err == nil {
 		return out, nil
 	}
 	if proposed {
-		return n.unknown(change.ID), nil
+		return n.unknown(id), nil
 	}
 	return port.Outcome{}, err
 }
--- a/internal/core/register/lift.go
+++ b/internal/core/register/lift.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"sassafrasreach/internal/core/audit"
 	"sassafrasreach/internal/port"
 )
 
@@ -26,24 +25,11 @@
 // change. For a lift that is recorded already the value is v itself and the
 // outcome is the first one.
 func ApplyLift(v *Value, p LiftProposal) (*Value, port.Outcome, error) {
-	if p.ID == "" {
-		return nil, port.Outcome{}, ErrNoChangeID
-	}
-	if v == nil {
-		v = &Value{}
-	}
-	if d, found := v.decision(p.ID); found {
-		if d.Request != p.request() {
-			return nil, port.Outcome{}, ErrChangeIDReused
-		}
-		return v, d.Outcome, nil
-	}
-	next := &Value{Config: v.Config, Operator: v.Operator}
-	out := next.outcome(p.ID, port.ChangeLifted)
-	next.Decisions = appendDecision(v.Decisions, Decision{Outcome: out, Request: p.request()})
-	next.Audit = audit.Append(v.Audit, port.AuditRecord{
-		Time: p.Time, Operator: p.Operator, ChangeID: p.ID,
-		From: v.Version, To: v.Version, Digest: p.Fingerprint, State: port.ChangeLifted,
-	}, MaxAudit)
-	return next, out, nil
+	return once(v, p.ID, p.request(), func(v *Value) (*Value, port.Outcome) {
+		next := &Value{Config: v.Config, Operator: v.Operator}
+		return next, next.record(v, p.request(), port.AuditRecord{
+			Time: p.Time, Operator: p.Operator, ChangeID: p.ID,
+			From: v.Version, To: v.Version, Digest: p.Fingerprint, State: port.ChangeLifted,
+		})
+	})
 }
--- a/internal/core/register/value.go
+++ b/internal/core/register/value.go
@@ -73,36 +73,51 @@
 // adds a decision and an audit record. For a change that is decided already
 // the value is v itself and the outcome is the first one.
 func Apply(v *Value, p Proposal) (*Value, port.Outcome, error) {
-	if p.Change.ID == "" {
+	return once(v, p.Change.ID, p.request(), func(v *Value) (*Value, port.Outcome) {
+		if v.mayHaveForgotten(p.Change.BaseVersion) {
+			return v, v.outcome(p.Change.ID, port.ChangeUnknown)
+		}
+		next := &Value{Config: v.Config, Operator: v.Operator}
+		state := decide(v, p)
+		if state == port.ChangeAccepted {
+			next.Config = port.Config{Version: v.Version + 1, Digest: p.Digest, Document: p.Change.Document}
+			next.Operator = p.Change.Operator
+		}
+		return next, next.record(v, p.request(), port.AuditRecord{
+			Time: p.Time, Operator: p.Change.Operator, ChangeID: p.Change.ID,
+			From: p.Change.BaseVersion, To: next.Version, Digest: p.Digest, State: state,
+		})
+	})
+}
+
+// once answers a write that is decided already with v itself and its first
+// outcome, and lets any other be decided. A nil v is the empty register.
+func once(v *Value, id string, r Request, decide func(v *Value) (*Value, port.Outcome)) (*Value, port.Outcome, error) {
+	if id == "" {
 		return nil, port.Outcome{}, ErrNoChangeID
 	}
 	if v == nil {
 		v = &Value{}
 	}
-	if d, found := v.decision(p.Change.ID); found {
-		if d.Request != p.request() {
+	if d, found := v.decision(id); found {
+		if d.Request != r {
 			return nil, port.Outcome{}, ErrChangeIDReused
 		}
 		return v, d.Outcome, nil
 	}
-	if v.mayHaveForgotten(p.Change.BaseVersion) {
-		return v, v.outcome(p.Change.ID, port.ChangeUnknown), nil
-	}
-	next := &Value{Config: v.Config, Operator: v.Operator}
-	state := decide(v, p)
-	if state == port.ChangeAccepted {
-		next.Config = port.Config{Version: v.Version + 1, Digest: p.Digest, Document: p.Change.Document}
-		next.Operator = p.Change.Operator
-	}
-	out := next.outcome(p.Change.ID, state)
-	next.Decisions = appendDecision(v.Decisions, Decision{Outcome: out, Request: p.request()})
-	next.Audit = audit.Append(v.Audit, port.AuditRecord{
-		Time: p.Time, Operator: p.Change.Operator, ChangeID: p.Change.ID,
-		From: p.Change.BaseVersion, To: next.Version, Digest: p.Digest, State: state,
-	}, MaxAudit)
+	next, out := decide(v)
 	return next, out, nil
 }
 
+// record adds a decision and its audit record to those of the value before, and
+// returns the outcome.
+func (v *Value) record(before *Value, r Request, a port.AuditRecord) port.Outcome {
+	out := v.outcome(a.ChangeID, a.State)
+	v.Decisions = appendDecision(before.Decisions, Decision{Outcome: out, Request: r})
+	v.Audit = audit.Append(before.Audit, a, MaxAudit)
+	return out
+}
+
 func decide(v *Value, p Proposal) port.ChangeState {
 	switch {
 	case p.Invalid:
