Work out a request's fingerprint once at its owner

Cause: the hash over a request's body was made at the start and at the end of each attempt, and again each time that a suspected one asked for its turn. A poll of a control VM that lifts nothing took the lock of the suspects and woke every request that waits there, twice a second. The number in quarantine was told to the meter in three places, and the hold of a quarantine read from the default settings at each change.

Change: owned carries the fingerprint; an empty order of lifts ends at once; one method tells the meter; suspectHold serves both rows. Admit notes the demand of links in one place in place of two.

After: app/entry and core/budget pass under the race detector, no test changed.

--- a/internal/app/entry/blame.go
+++ b/internal/app/entry/blame.go
@@ -21,14 +21,14 @@
 }
 
 // runNotStarted ends a run that was never sent.
-func (e *Entry) runNotStarted(to port.Endpoint, req *port.Request) {
-	e.suspects.ended(e.clock.Now(), to, req, quarantine.NotStarted)
+func (e *Entry) runNotStarted(to port.Endpoint, o owned) {
+	e.suspects.ended(e.clock.Now(), to, o, quarantine.NotStarted)
 }
 
 // runEnded records how a run ended. When its connection broke, the other
 // entries are told before the caller is, so that no resend through another
 // entry finds one that doesn't know.
-func (e *Entry) runEnded(to port.Endpoint, req *port.Request, err error) {
+func (e *Entry) runEnded(to port.Endpoint, o owned, err error) {
 	end := quarantine.Lost
 	switch verdict.Of(err) {
 	case verdict.Ran:
@@ -39,9 +39,9 @@
 	if errors.Is(err, port.ErrConnectionLost) {
 		end = quarantine.Reset
 	}
-	rows := e.noteChange(e.suspects.ended(e.clock.Now(), to, req, end))
+	rows := e.noteChange(e.suspects.ended(e.clock.Now(), to, o, end))
 	if errors.Is(err, port.ErrConnectionLost) {
-		rows = append(rows, e.blame(to, req)...)
+		rows = append(rows, e.blame(to, o.req.Service)...)
 	}
 	if end == quarantine.Answered {
 		e.spreadLater(rows) // a lift makes no caller wait
@@ -51,13 +51,13 @@
 }
 
 // blame checks whether the endpoint that broke a connection is gone.
-func (e *Entry) blame(to port.Endpoint, req *port.Request) []port.QuarantineRow {
+func (e *Entry) blame(to port.Endpoint, service string) []port.QuarantineRow {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	if err := e.endpoints.Probe(ctx, to); !errors.Is(err, port.ErrConnectionRefused) {
 		return nil
 	}
-	return e.died(to.ID, to.Incarnation, req.Service)
+	return e.died(to.ID, to.Incarnation, service)
 }
 
 // endpointDied takes an endpoint out of use and tells the other entries of the
@@ -99,11 +99,16 @@
 func (e *Entry) noteChange(n news) []port.QuarantineRow {
 	if len(n.rows) > 0 {
 		e.logChange(n.Change)
-		e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
+		e.meterQuarantined()
 	}
 	return n.rows
 }
 
+// meterQuarantined tells the meter how many fingerprints are in quarantine.
+func (e *Entry) meterQuarantined() {
+	e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
+}
+
 func (e *Entry) logChange(change quarantine.Change) {
 	ctx := context.Background()
 	for _, f := range change.Quarantined {
--- a/internal/app/entry/own.go
+++ b/internal/app/entry/own.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/admission"
+	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -22,7 +23,12 @@
 	if err != nil {
 		return nil, err
 	}
-	o := owned{req: req, group: e.groups.get(key, e.admissionConfig), crossing: crossing}
+	o := owned{
+		req:      req,
+		print:    fingerprintOf(req),
+		group:    e.groups.get(key, e.admissionConfig),
+		crossing: crossing,
+	}
 	response, err := e.tryEndpoints(ctx, o)
 	crossing.end(response)
 	return response, err
@@ -30,7 +36,9 @@
 
 // owned is a request to a group that this entry owns.
 type owned struct {
-	req   *port.Request
+	req *port.Request
+	// print is the request's fingerprint, worked out once for all attempts.
+	print fingerprint.Fingerprint
 	group *group
 	// crossing is nil for a request that is served in its place of origin.
 	crossing *crossing
--- a/internal/app/entry/pull.go
+++ b/internal/app/entry/pull.go
@@ -115,7 +115,7 @@
 	if len(rows) == 0 {
 		return
 	}
-	e.meter.Quarantined(len(e.suspects.list(e.clock.Now())))
+	e.meterQuarantined()
 	e.spreadLater(rows)
 }
 
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -20,7 +20,7 @@
 			return nil, err
 		}
 		run := &endpointRun{entry: e, owned: o, grant: grant, granted: e.clock.Now()}
-		leave, changed := e.suspects.started(run.granted, grant.Endpoint, o.req)
+		leave, changed := e.suspects.started(run.granted, grant.Endpoint, o)
 		if leave == quarantine.Admitted {
 			return run, nil
 		}
@@ -46,7 +46,7 @@
 
 // abandon ends a run that was never sent.
 func (r *endpointRun) abandon() {
-	r.entry.runNotStarted(r.grant.Endpoint, r.req)
+	r.entry.runNotStarted(r.grant.Endpoint, r.owned)
 	r.end(admission.Result{Kind: admission.Canceled})
 }
 
@@ -66,7 +66,7 @@
 	}
 	response, err := r.send(ctx)
 	took := e.clock.Now().Sub(r.granted)
-	e.runEnded(r.grant.Endpoint, r.req, err)
+	e.runEnded(r.grant.Endpoint, r.owned, err)
 	result := admission.Result{Kind: resultKind(ctx, err), Latency: took}
 	if err == nil && response.Rest != nil {
 		response.Rest = &closer{ReadCloser: response.Rest, after: func() {
--- a/internal/app/entry/suspects.go
+++ b/internal/app/entry/suspects.go
@@ -10,8 +10,8 @@
 	"sassafrasreach/internal/port"
 )
 
-// suspectHold is how long other entries hold a fingerprint back after its
-// first death.
+// suspectHold is how long other entries hold a fingerprint back, after its first
+// death and in quarantine.
 var suspectHold = quarantine.DefaultConfig().Hold
 
 var (
@@ -40,11 +40,10 @@
 }
 
 // started asks for a run; for Wait the channel tells when to ask again.
-func (s *suspects) started(now time.Time, to port.Endpoint, req *port.Request) (quarantine.Admission, <-chan struct{}) {
-	f := fingerprintOf(req)
+func (s *suspects) started(now time.Time, to port.Endpoint, o owned) (quarantine.Admission, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	leave := s.table.Started(now, to.ID, to.Incarnation, f, req.Service)
+	leave := s.table.Started(now, to.ID, to.Incarnation, o.print, o.req.Service)
 	return leave, s.changed
 }
 
@@ -55,11 +54,10 @@
 }
 
 // ended records the end of a run.
-func (s *suspects) ended(now time.Time, to port.Endpoint, req *port.Request, end quarantine.End) news {
-	f := fingerprintOf(req)
+func (s *suspects) ended(now time.Time, to port.Endpoint, o owned, end quarantine.End) news {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	change := s.table.Ended(now, to.ID, to.Incarnation, f, end)
+	change := s.table.Ended(now, to.ID, to.Incarnation, o.print, end)
 	s.wake()
 	return s.newsOf(now, change)
 }
@@ -81,8 +79,7 @@
 		})
 	}
 	for _, f := range change.Quarantined {
-		hold := quarantine.DefaultConfig().Hold
-		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: hold, Version: s.table.Changed(now, f)})
+		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Remaining: suspectHold, Version: s.table.Changed(now, f)})
 	}
 	for _, f := range change.Lifted {
 		rows = append(rows, port.QuarantineRow{Fingerprint: f.String(), Lifted: true, Version: s.table.Lifted(now, f)})
@@ -93,6 +90,9 @@
 // liftByOrder lifts what operators want and returns what is new of it, for the
 // other entries.
 func (s *suspects) liftByOrder(now time.Time, wanted []string) []port.QuarantineRow {
+	if len(wanted) == 0 {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rows []port.QuarantineRow
@@ -201,6 +201,6 @@
 		return e.suspects.held(now)
 	}
 	e.suspects.take(now, rows)
-	e.meter.Quarantined(len(e.suspects.list(now)))
+	e.meterQuarantined()
 	return nil
 }
--- a/internal/core/budget/hold.go
+++ b/internal/core/budget/hold.go
@@ -25,12 +25,11 @@
 	l.settleLimits(now)
 	rules, known := l.rules(c.Rules)
 	links := l.links(c)
+	touch(now, links)
 	if !known || !fit(now, rules) || !fit(now, links) {
 		touch(now, rules)
-		touch(now, links)
 		return nil
 	}
-	touch(now, links)
 	return hold(links)
 }
 
