Make orders through the controller that presides

Cause: orders, reads, catching up and changes of voters proposed from all controllers at once; over links of 55 ms each attempt outdated the others. Ruled out: a lost majority (all six voters lived), the disk (0.5 ms a sync). Change: the first live voter presides; others pass orders and reads to it, and propose themselves only if it doesn't answer; one controller's proposals go one after the other.

--- a/internal/adapter/fleetgrpc/client.go
+++ b/internal/adapter/fleetgrpc/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	fleetv1 "sassafrasreach/api/fleet/v1"
+	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/port"
 )
@@ -168,6 +169,18 @@
 	return codec{c.clock.Now()}.replyFromProto(out), err
 }
 
+// Order implements port.ControllerPeer.
+func (c *Client) Order(ctx context.Context, o fleet.Order) (port.OrderReply, error) {
+	m, err := orderToProto(o)
+	if err != nil {
+		return port.OrderReply{}, err
+	}
+	out, err := call(ctx, c, true, func(ctx context.Context, s fleetv1.FleetServiceClient) (*fleetv1.OrderResponse, error) {
+		return s.Order(ctx, m)
+	})
+	return orderReplyFromProto(out), err
+}
+
 // Watch implements port.ControllerLink.
 func (c *Client) Watch(ctx context.Context, g port.Gateway, since port.WatchCursor) (port.Update, error) {
 	out, err := call(ctx, c, false, func(ctx context.Context, s fleetv1.FleetServiceClient) (*fleetv1.WatchResponse, error) {
--- a/internal/adapter/fleetgrpc/message.go
+++ b/internal/adapter/fleetgrpc/message.go
@@ -1,6 +1,9 @@
 package fleetgrpc
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
 	"time"
 
 	fleetv1 "sassafrasreach/api/fleet/v1"
@@ -35,6 +38,57 @@
 	}
 }
 
+const (
+	refusedConflict = "conflict"
+	refusedInForce  = "in-force"
+)
+
+func orderToProto(o fleet.Order) (*fleetv1.OrderRequest, error) {
+	m := &fleetv1.OrderRequest{Zone: o.Zone, Evacuated: o.Evacuated}
+	if o.Change == nil {
+		return m, nil
+	}
+	var err error
+	if m.Change, err = json.Marshal(o.Change); err != nil {
+		return nil, fmt.Errorf("encode change: %w", err)
+	}
+	return m, nil
+}
+
+func orderFromProto(m *fleetv1.OrderRequest) (fleet.Order, error) {
+	o := fleet.Order{Zone: m.GetZone(), Evacuated: m.GetEvacuated()}
+	if len(m.GetChange()) == 0 {
+		return o, nil
+	}
+	o.Change = &fleet.Change{}
+	if err := json.Unmarshal(m.GetChange(), o.Change); err != nil {
+		return o, fmt.Errorf("decode change: %w", err)
+	}
+	return o, nil
+}
+
+func orderReplyToProto(r port.OrderReply) *fleetv1.OrderResponse {
+	out := &fleetv1.OrderResponse{Epoch: epochToProto(r.Epoch), Chosen: acceptedToProto(r.Chosen)}
+	switch {
+	case errors.Is(r.Refused, fleet.ErrNoChange):
+		out.Refusal = refusedInForce
+	case r.Refused != nil:
+		out.Refusal = refusedConflict
+	}
+	return out
+}
+
+func orderReplyFromProto(m *fleetv1.OrderResponse) port.OrderReply {
+	r := port.OrderReply{Epoch: epochFromProto(m.GetEpoch()), Chosen: acceptedFromProto(m.GetChosen())}
+	switch m.GetRefusal() {
+	case refusedInForce:
+		r.Refused = fleet.ErrNoChange
+	case refusedConflict:
+		r.Refused = fleet.ErrConflict
+	}
+	return r
+}
+
 // neverConfirmed stands for a state that no quorum has confirmed.
 const neverConfirmed = -1
 
--- a/internal/adapter/fleetgrpc/server.go
+++ b/internal/adapter/fleetgrpc/server.go
@@ -60,6 +60,16 @@
 	return s.codec().replyToProto(reply), toStatus(err)
 }
 
+// Order implements the service.
+func (s *Server) Order(ctx context.Context, m *fleetv1.OrderRequest) (*fleetv1.OrderResponse, error) {
+	o, err := orderFromProto(m)
+	if err != nil {
+		return nil, toStatus(err)
+	}
+	reply, err := s.service.Order(ctx, o)
+	return orderReplyToProto(reply), toStatus(err)
+}
+
 // Watch implements the service.
 func (s *Server) Watch(ctx context.Context, m *fleetv1.WatchRequest) (*fleetv1.WatchResponse, error) {
 	u, err := s.service.Watch(ctx, s.codec().gatewayFromProto(m.GetGateway()), cursorFromProto(m.GetCursor()))
--- a/internal/app/controller/confirm.go
+++ b/internal/app/controller/confirm.go
@@ -8,8 +8,13 @@
 	"sassafrasreach/internal/core/quorum"
 )
 
-// doubtFor is how long a later value may be on its way before it is asked for.
-const doubtFor = 400 * time.Millisecond
+const (
+	// doubtFor is how long a later value may be on its way before it is asked for.
+	doubtFor = 400 * time.Millisecond
+	// doubtOthersFor is the same for a controller that doesn't preside: first the
+	// one that does may settle it.
+	doubtOthersFor = 1500 * time.Millisecond
+)
 
 // confirmed returns the latest moment at which a majority of the voters hadn't
 // accepted anything later than what this controller knows to be chosen; zero if
@@ -62,7 +67,11 @@
 	} else if c.doubted.IsZero() {
 		c.doubted = now.Add(jitter(doubtFor) - doubtFor)
 	}
-	due := behind && now.Sub(c.doubted) > doubtFor
+	patience := doubtFor
+	if c.presiding(now) != c.config.Address {
+		patience = doubtOthersFor
+	}
+	due := behind && now.Sub(c.doubted) > patience
 	c.mu.Unlock()
 	if !due {
 		return
@@ -70,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	// An empty register or no quorum is looked at again in the next round.
-	_, _ = c.propose(ctx, keep)
+	_, _, _ = c.propose(ctx, keep)
 }
 
 // behind must hold mu.
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -66,6 +66,8 @@
 	ports       Ports
 	incarnation uint64
 	voter       *voter
+	// proposing is full while this controller proposes.
+	proposing chan struct{}
 
 	// mu guards what follows.
 	mu       sync.Mutex
@@ -108,7 +110,7 @@
 		gateways: make(map[string]port.Gateway), watchers: make(map[string]time.Time), endpoints: registry.New(endpointMemory),
 		heardHere: make(map[string]uint64), ballots: lease.NewBallots(now),
 		regions: make(map[string]*region), rooms: make(map[roomKey]int),
-		changed: make(chan struct{}), seeds: config.Seeds,
+		proposing: make(chan struct{}, 1), changed: make(chan struct{}), seeds: config.Seeds,
 	}
 	for _, name := range config.Zones {
 		if c.regions[name] == nil {
--- a/internal/app/controller/orders.go
+++ b/internal/app/controller/orders.go
@@ -16,26 +16,26 @@
 const (
 	// orderTimeout bounds the time in which an order is made durable.
 	orderTimeout = 4 * time.Second
+	// passOnTimeout bounds the time that another controller may take for an order.
+	passOnTimeout = 2500 * time.Millisecond
 	// readTimeout bounds the time in which a read is confirmed by a quorum.
 	readTimeout = 900 * time.Millisecond
 )
 
-// Configure makes a change durable. The error wraps fleet.ErrInvalid,
-// fleet.ErrConflict or port.ErrUnsure.
+// Configure implements port.Orders.
 func (c *Controller) Configure(ctx context.Context, change fleet.Change) error {
 	if err := change.Config.Validate(); err != nil {
 		return err
 	}
-	err := c.order(ctx, func(s *fleet.State) (*fleet.State, error) { return s.Apply(change) })
+	err := c.order(ctx, fleet.Order{Change: &change})
 	event.Log(ctx, c.ports.Logger, event.ConfigOrdered, slog.Uint64("version", change.Config.Version),
 		slog.Uint64("base", change.Base), slog.Int("routes", len(change.Config.Routes)), errAttr(err))
 	return err
 }
 
-// Evacuate makes it durable that a failure domain gets no requests, or gets
-// them again. The error wraps port.ErrUnsure.
+// Evacuate implements port.Orders.
 func (c *Controller) Evacuate(ctx context.Context, zone string, evacuated bool) error {
-	err := c.order(ctx, func(s *fleet.State) (*fleet.State, error) { return s.Evacuate(zone, evacuated) })
+	err := c.order(ctx, fleet.Order{Zone: zone, Evacuated: evacuated})
 	event.Log(ctx, c.ports.Logger, event.EvacuationOrdered, slog.String("zone", zone),
 		slog.Bool("evacuated", evacuated), errAttr(err))
 	return err
@@ -48,38 +48,79 @@
 	return slog.String("outcome", err.Error())
 }
 
-// order applies a change to the newest state. One that is in force already
-// succeeds.
-func (c *Controller) order(ctx context.Context, apply func(*fleet.State) (*fleet.State, error)) error {
+// order has an order made durable. One that is in force already succeeds.
+func (c *Controller) order(ctx context.Context, o fleet.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	_, err := c.propose(ctx, func(current *quorum.Value) (*quorum.Value, error) {
-		var state *fleet.State
-		sequence := uint64(1)
-		if current == nil {
-			state = &fleet.State{}
-		} else {
-			var err error
-			if state, err = fleet.Decode(current.State); err != nil {
-				return nil, err
-			}
-			sequence = current.Sequence + 1
+	reply, err := c.preside(ctx, o)
+	if err != nil {
+		return err
+	}
+	if errors.Is(reply.Refused, fleet.ErrNoChange) {
+		return nil
+	}
+	return reply.Refused
+}
+
+// preside passes an order to the controller that presides, so that proposers
+// don't collide; when that one can't be reached, the order is made durable here.
+func (c *Controller) preside(ctx context.Context, o fleet.Order) (port.OrderReply, error) {
+	now := c.ports.Clock.Now()
+	c.mu.Lock()
+	address := c.presiding(now)
+	c.mu.Unlock()
+	if address != "" && address != c.config.Address {
+		reply, err := c.passOn(ctx, address, o)
+		if err == nil {
+			return reply, c.learn(reply.Epoch, reply.Chosen)
 		}
-		next, err := apply(state)
-		if err != nil {
+		event.Log(ctx, c.ports.Logger, event.OrderNotPassed, slog.String("controller", address), slog.Any("error", err))
+	}
+	return c.Order(ctx, o)
+}
+
+func (c *Controller) passOn(ctx context.Context, address string, o fleet.Order) (port.OrderReply, error) {
+	peer, err := c.peerAt(address)
+	if err != nil {
+		return port.OrderReply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, passOnTimeout)
+	defer cancel()
+	return peer.Order(ctx, o)
+}
+
+// Order implements port.ControllerPeer: it makes an order durable from here.
+func (c *Controller) Order(ctx context.Context, o fleet.Order) (port.OrderReply, error) {
+	value, epoch, err := c.propose(ctx, func(current *quorum.Value) (*quorum.Value, error) {
+		return applyOrder(current, o)
+	})
+	reply := port.OrderReply{Epoch: epoch, Chosen: value}
+	if errors.Is(err, fleet.ErrNoChange) || errors.Is(err, fleet.ErrConflict) {
+		reply.Refused, err = err, nil
+	}
+	return reply, err
+}
+
+// applyOrder is the Decide of an order.
+func applyOrder(current *quorum.Value, o fleet.Order) (*quorum.Value, error) {
+	next := &quorum.Value{Sequence: 1}
+	state := &fleet.State{}
+	if current != nil {
+		var err error
+		if state, err = fleet.Decode(current.State); err != nil {
 			return nil, err
 		}
-		encoded, err := next.Encode()
-		return &quorum.Value{Sequence: sequence, State: encoded}, err
-	})
-	if errors.Is(err, fleet.ErrNoChange) {
-		return nil
+		next.Sequence = current.Sequence + 1
 	}
-	return err
+	state, err := state.Apply(o)
+	if err != nil {
+		return nil, err
+	}
+	next.State, err = state.Encode()
+	return next, err
 }
 
-// Current returns the newest state, confirmed by a quorum after the call began.
-// The error wraps port.ErrUnsure.
+// Current implements port.Orders: what a quorum confirms after the call began.
 func (c *Controller) Current(ctx context.Context) (*fleet.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -91,12 +132,12 @@
 	if !confirmed.Before(now) {
 		return state, nil
 	}
-	value, err := c.propose(ctx, keep)
-	if errors.Is(err, errEmpty) {
-		return &fleet.State{}, nil
-	}
+	reply, err := c.preside(ctx, fleet.Order{})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", port.ErrUnsure, err)
 	}
-	return fleet.Decode(value.Value.State)
+	if reply.Chosen.Value == nil {
+		return &fleet.State{}, nil
+	}
+	return fleet.Decode(reply.Chosen.Value.State)
 }
--- a/internal/app/controller/propose.go
+++ b/internal/app/controller/propose.go
@@ -74,23 +74,30 @@
 		slog.Uint64("epoch", epoch.Number), slog.Any("voters", epoch.Voters))
 }
 
-// propose makes a change durable and returns the value after it. The error
-// wraps port.ErrUnsure, or is of decide.
-func (c *Controller) propose(ctx context.Context, decide quorum.Decide) (quorum.Accepted, error) {
+// propose makes a change durable and returns the value after it and its epoch.
+// The error wraps port.ErrUnsure, or is of decide. Proposals of this controller
+// go one after the other.
+func (c *Controller) propose(ctx context.Context, decide quorum.Decide) (quorum.Accepted, quorum.Epoch, error) {
+	select {
+	case c.proposing <- struct{}{}:
+		defer func() { <-c.proposing }()
+	case <-ctx.Done():
+		return quorum.Accepted{}, quorum.Epoch{}, fmt.Errorf("%w: other proposals took the time", port.ErrUnsure)
+	}
 	for collisions := 0; ; collisions++ {
-		done, value, err := c.attempt(ctx, decide)
+		epoch, ballot, seed := c.nextBallot()
+		done, value, err := c.attempt(ctx, epoch, ballot, seed, decide)
 		if done {
-			return value, err
+			return value, epoch, err
 		}
 		if !wait.For(ctx, jitter(collisionPause*time.Duration(min(collisions, maxCollisions)+1))) {
-			return quorum.Accepted{}, fmt.Errorf("%w after %d attempts", port.ErrUnsure, collisions+1)
+			return quorum.Accepted{}, quorum.Epoch{}, fmt.Errorf("%w after %d attempts", port.ErrUnsure, collisions+1)
 		}
 	}
 }
 
 // attempt runs one attempt; it isn't done when another one is to follow.
-func (c *Controller) attempt(ctx context.Context, decide quorum.Decide) (done bool, value quorum.Accepted, err error) {
-	epoch, ballot, seed := c.nextBallot()
+func (c *Controller) attempt(ctx context.Context, epoch quorum.Epoch, ballot quorum.Ballot, seed *quorum.Value, decide quorum.Decide) (done bool, value quorum.Accepted, err error) {
 	if epoch.Number == 0 {
 		return false, quorum.Accepted{}, nil
 	}
--- a/internal/app/controller/voters.go
+++ b/internal/app/controller/voters.go
@@ -41,7 +41,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, seatTimeout)
 	defer cancel()
-	_, err := c.propose(ctx, func(current *quorum.Value) (*quorum.Value, error) {
+	_, _, err := c.propose(ctx, func(current *quorum.Value) (*quorum.Value, error) {
 		if current == nil {
 			return &quorum.Value{Sequence: 1, Next: voters}, nil
 		}
@@ -51,14 +51,14 @@
 		slog.Any("voters", voters), errAttr(err))
 	if err == nil {
 		// The first value of the new epoch has to reach its voters.
-		_, _ = c.propose(ctx, keep)
+		_, _, _ = c.propose(ctx, keep)
 	}
 }
 
 // wantedVoters returns the voters that the epoch should have, or nil if it has
 // them or this controller isn't the one to change them. Must hold mu.
 func (c *Controller) wantedVoters(now time.Time) []quorum.Voter {
-	if c.stopping || !c.presides(now) {
+	if c.stopping || c.presiding(now) != c.config.Address {
 		return nil
 	}
 	voters := slices.Clone(c.epoch.Voters)
@@ -87,25 +87,23 @@
 	return voters
 }
 
-// presides says whether this controller is the first live voter. Must hold mu.
-func (c *Controller) presides(now time.Time) bool {
-	if !c.epoch.Has(c.voter.id) {
-		return false
-	}
-	alive := 0
+// presiding returns the address of the first live voter, which makes changes of
+// the register; empty without a live majority. Must hold mu.
+func (c *Controller) presiding(now time.Time) string {
+	first, alive := "", 0
 	for _, v := range c.epoch.Voters {
-		if v.ID == c.voter.id {
-			alive++
+		if c.silence(now, v) >= silentAfter {
 			continue
 		}
-		if c.silence(now, v) < silentAfter {
-			alive++
-			if v.Address < c.config.Address {
-				return false
-			}
+		alive++
+		if first == "" || v.Address < first {
+			first = v.Address
 		}
 	}
-	return alive >= c.epoch.Majority()
+	if alive < c.epoch.Majority() {
+		return ""
+	}
+	return first
 }
 
 // candidates returns the disks of live controllers that don't vote. Must hold mu.
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -41,6 +41,28 @@
 	Source []byte
 }
 
+// Order is one order of an operator; the zero Order only reads.
+type Order struct {
+	// Change is a new configuration; nil if the order is another.
+	Change *Change
+	// Zone is evacuated or taken back; empty if the order is another.
+	Zone      string
+	Evacuated bool
+}
+
+// Apply returns the state after an order. The error is ErrNoChange, or wraps
+// ErrConflict.
+func (s *State) Apply(o Order) (*State, error) {
+	switch {
+	case o.Change != nil:
+		return s.change(*o.Change)
+	case o.Zone != "":
+		return s.evacuate(o.Zone, o.Evacuated)
+	default:
+		return nil, ErrNoChange
+	}
+}
+
 // digestBytes is the length of a digest that a state remembers; 96 bits make a
 // collision among all changes of a system's life implausible.
 const digestBytes = 12
@@ -50,9 +72,8 @@
 	return hex.EncodeToString(sum[:digestBytes])
 }
 
-// Apply returns the state after a change. The error is ErrNoChange for one that
-// was accepted before, or wraps ErrConflict.
-func (s *State) Apply(c Change) (*State, error) {
+// change applies a configuration; one that was accepted before is ErrNoChange.
+func (s *State) change(c Change) (*State, error) {
 	d := digest(c.Source)
 	if slices.Contains(s.Accepted, d) {
 		return nil, ErrNoChange
@@ -66,9 +87,8 @@
 	return &next, nil
 }
 
-// Evacuate returns the state after a failure domain was evacuated or taken
-// back. The error is ErrNoChange when it is so already.
-func (s *State) Evacuate(zone string, evacuated bool) (*State, error) {
+// evacuate empties a failure domain or takes it back.
+func (s *State) evacuate(zone string, evacuated bool) (*State, error) {
 	if slices.Contains(s.Evacuated, zone) == evacuated {
 		return nil, ErrNoChange
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -78,6 +78,7 @@
 	LeavingUnsure     = Event{1610, "leaving-unsure", slog.LevelWarn, "That an endpoint leaves was not acknowledged, since too few controllers were told."}
 	DispatchBegun     = Event{1611, "dispatch-begun", slog.LevelInfo, "This controller dispatches the requests of a region."}
 	DispatchEnded     = Event{1612, "dispatch-ended", slog.LevelInfo, "This controller no longer dispatches the requests of a region."}
+	OrderNotPassed    = Event{1614, "order-not-passed", slog.LevelWarn, "The controller that presides didn't answer; the order is made durable from here."}
 	StoreFailed       = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is opened again."}
 )
 
@@ -103,6 +104,6 @@
 	ConsoleFailed, ConsolePartial,
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnsure,
-	DispatchBegun, DispatchEnded, StoreFailed,
+	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed,
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -88,12 +88,24 @@
 	Endpoints   []registry.Endpoint
 }
 
+// OrderReply answers an order.
+type OrderReply struct {
+	// Refused is fleet.ErrConflict or fleet.ErrNoChange, wrapped; nil if the order
+	// was accepted.
+	Refused error
+	// Chosen is the register's value after the order, in an epoch.
+	Epoch  quorum.Epoch
+	Chosen quorum.Accepted
+}
+
 // ControllerPeer sends messages to one controller.
 type ControllerPeer interface {
 	Prepare(ctx context.Context, m quorum.Prepare) (quorum.Promise, error)
 	Accept(ctx context.Context, m quorum.Accept) (*quorum.Refusal, error)
 	Learn(ctx context.Context, epoch quorum.Epoch, chosen quorum.Accepted) error
 	Exchange(ctx context.Context, n News) (NewsReply, error)
+	// Order makes an order durable; the error wraps ErrUnsure.
+	Order(ctx context.Context, o fleet.Order) (OrderReply, error)
 }
 
 // VoterStore keeps a voter's state.
