Send requests where their object is warm, and wait for that endpoint when it pays

Change: the pool compares endpoints by the expected time to the answer: the wait for a slot, then the run with the object warm or not, learned by kind of request, times the endpoint's own speed and failures.

--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -231,7 +231,7 @@
 		Ask: dispatch.Ask{
 			ID:      fmt.Sprintf("%s/%d/%d", g.config.Name, g.incarnation, g.serial.Add(1)),
 			Gateway: fmt.Sprintf("%s/%d", g.config.Name, g.incarnation), Service: x.service,
-			Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
+			Kind: x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
 			Deadline: x.request.Deadline, Exclude: x.exclude, Visiting: visiting,
 		},
 	}
@@ -247,7 +247,7 @@
 	attrs := []slog.Attr{
 		slog.String("request", x.request.ID), slog.Uint64("version", x.version), slog.String("service", x.service),
 		slog.String("endpoint", x.endpoint), slog.String("region", x.region), slog.Int("tries", x.tries),
-		slog.Int64("waited_ms", x.waited.Milliseconds()),
+		slog.String("affinity", x.request.Affinity), slog.Int64("waited_ms", x.waited.Milliseconds()),
 		slog.Int64("took_ms", x.gateway.ports.Clock.Now().Sub(x.began).Milliseconds()),
 	}
 	if x.route != nil {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -26,21 +26,24 @@
 	name    string
 	servers []*server
 	queue   []waiting
-	// took is the moving average over all its endpoints, in seconds.
+	kinds   map[string]*kind
+	// took is the moving average over all its answers, in seconds.
 	took float64
 }
 
 type waiting struct {
-	ask     Ask
-	arrived time.Time
-	until   time.Time
+	ask   Ask
+	until time.Time
+	// want is the endpoint that it waits for; nil if any will do.
+	want *server
 }
 
 type grant struct {
-	server   *server
-	service  *service
-	affinity string
-	expires  time.Time
+	server  *server
+	service *service
+	kind    *kind
+	warm    bool
+	expires time.Time
 }
 
 // NewPool returns an empty pool whose grants' names begin with prefix.
@@ -65,7 +68,7 @@
 	if e.Gone {
 		return
 	}
-	s := &server{endpoint: e, warm: make(map[string]time.Time)}
+	s := newServer(e)
 	p.servers[e.ID] = s
 	svc := p.service(e.Service)
 	svc.servers = append(svc.servers, s)
@@ -87,7 +90,7 @@
 func (p *Pool) service(name string) *service {
 	svc := p.services[name]
 	if svc == nil {
-		svc = &service{name: name}
+		svc = &service{name: name, kinds: make(map[string]*kind)}
 		p.services[name] = svc
 	}
 	return svc
@@ -100,20 +103,35 @@
 	if !slices.ContainsFunc(svc.servers, func(s *server) bool { return s.usable(now) }) {
 		return p.refuse(now, a, ReasonNoEndpoint), true
 	}
-	if !svc.blocked(a) {
-		if s := svc.choose(now, a); s != nil {
-			return p.grant(now, svc, s, a), true
-		}
+	best := svc.choose(now, a)
+	if best != nil && best.free(now) {
+		return p.grant(now, svc, best, a), true
 	}
 	until := now.Add(maxWait(a))
 	if !until.Before(a.Deadline) || !until.After(now) || p.hopeless(now, svc, a) {
-		return p.refuse(now, a, ReasonOverload), true
+		return p.lastResort(now, svc, a), true
 	}
-	svc.queue = append(svc.queue, waiting{ask: a, arrived: now, until: until})
-	slices.SortStableFunc(svc.queue, func(x, y waiting) int { return cmp.Compare(x.ask.Priority, y.ask.Priority) })
+	svc.enqueue(waiting{ask: a, until: until, want: best})
 	return Decision{}, false
 }
 
+// enqueue adds an ask behind those of its priority.
+func (svc *service) enqueue(w waiting) {
+	if w.want != nil {
+		w.want.wanted++
+	}
+	svc.queue = append(svc.queue, w)
+	slices.SortStableFunc(svc.queue, func(x, y waiting) int { return cmp.Compare(x.ask.Priority, y.ask.Priority) })
+}
+
+// lastResort grants any free slot, however little it suits, or refuses.
+func (p *Pool) lastResort(now time.Time, svc *service, a Ask) Decision {
+	if s := svc.cheapest(now, a, func(s *server) bool { return s.free(now) }); s != nil {
+		return p.grant(now, svc, s, a)
+	}
+	return p.refuse(now, a, ReasonOverload)
+}
+
 func maxWait(a Ask) time.Duration {
 	share := waitShare
 	if a.Visiting {
@@ -145,21 +163,23 @@
 	return float64(slots) / svc.took
 }
 
-// blocked says whether a request waits that goes before the ask.
-func (svc *service) blocked(a Ask) bool {
-	return len(svc.queue) > 0 && svc.queue[0].ask.Priority <= a.Priority
+// choose returns the endpoint from which an answer is expected first, or nil. It
+// may have no free slot: then the wait for one pays.
+func (svc *service) choose(now time.Time, a Ask) *server {
+	return svc.cheapest(now, a, func(s *server) bool { return s.usable(now) })
 }
 
-// choose returns the endpoint with a free slot that costs least, or nil. Equal
-// ones are told apart by the object, so that its requests meet again.
-func (svc *service) choose(now time.Time, a Ask) *server {
+// cheapest returns the endpoint that costs least among those that fit. Equal
+// ones are told apart by the object, so that its requests meet.
+func (svc *service) cheapest(now time.Time, a Ask, fits func(*server) bool) *server {
+	k, object := svc.kind(a), a.object()
 	var best *server
 	bestCost, bestHash := 0.0, uint64(0)
 	for _, s := range svc.servers {
-		if !s.free(now) || slices.Contains(a.Exclude, s.endpoint.ID) {
+		if !fits(s) || slices.Contains(a.Exclude, s.endpoint.ID) {
 			continue
 		}
-		cost, hash := s.cost(svc.took, a.Affinity), rendezvous(s.endpoint.ID, a.Affinity)
+		cost, hash := s.cost(now, svc, k, object), rendezvous(s.endpoint.ID, object)
 		if best == nil || cost < bestCost || cost == bestCost && hash > bestHash {
 			best, bestCost, bestHash = s, cost, hash
 		}
@@ -167,6 +187,25 @@
 	return best
 }
 
+// kind returns what is known of the ask's kind; at first its time is taken to
+// be the target.
+func (svc *service) kind(a Ask) *kind {
+	k := svc.kinds[a.Kind]
+	if k == nil {
+		k = &kind{cold: a.Target.Seconds()}
+		svc.kinds[a.Kind] = k
+	}
+	return k
+}
+
+// object names what an endpoint keeps warm; empty if nothing.
+func (a Ask) object() string {
+	if a.Affinity == "" {
+		return ""
+	}
+	return a.Kind + "/" + a.Affinity
+}
+
 func rendezvous(id, key string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
@@ -178,12 +217,13 @@
 func (p *Pool) grant(now time.Time, svc *service, s *server, a Ask) Decision {
 	p.count++
 	id := p.prefix + strconv.FormatUint(p.count, 36)
+	g := grant{server: s, service: svc, kind: svc.kind(a), warm: s.keeps(a.object()), expires: a.Deadline.Add(graceAfterDeadline)}
 	s.inFlight++
-	s.touch(now, a.Affinity)
+	s.touch(now, a.object())
 	if s.cold(now) {
 		s.coldNext = now.Add(coldGap(p.setup.ColdRate(svc.name)))
 	}
-	p.grants[id] = grant{server: s, service: svc, affinity: a.Affinity, expires: a.Deadline.Add(graceAfterDeadline)}
+	p.grants[id] = g
 	return Decision{Ask: a, Grant: id, Endpoint: s.endpoint}
 }
 
@@ -210,8 +250,9 @@
 	}
 	delete(p.grants, id)
 	g.server.inFlight--
-	g.server.ended(now, outcome, took)
+	g.server.ended(now, outcome, took.Seconds(), g.kind.expected(g.warm))
 	if outcome == Served {
+		g.kind.observe(g.warm, took.Seconds())
 		if g.service.took == 0 {
 			g.service.took = took.Seconds()
 		}
@@ -223,16 +264,24 @@
 // serve grants free slots to the queue in order.
 func (p *Pool) serve(now time.Time, svc *service) []Decision {
 	var out []Decision
-	kept := svc.queue[:0]
-	for _, w := range svc.queue {
-		if s := svc.choose(now, w.ask); s != nil {
-			out = append(out, p.grant(now, svc, s, w.ask))
-			continue
+	queue := svc.queue
+	svc.queue = queue[:0]
+	for _, s := range svc.servers {
+		s.wanted = 0
+	}
+	for _, w := range queue {
+		w.want = svc.choose(now, w.ask)
+		switch {
+		case w.want == nil:
+			svc.queue = append(svc.queue, w)
+		case w.want.free(now):
+			out = append(out, p.grant(now, svc, w.want, w.ask))
+		default:
+			w.want.wanted++
+			svc.queue = append(svc.queue, w)
 		}
-		kept = append(kept, w)
 	}
-	clear(svc.queue[len(kept):])
-	svc.queue = kept
+	clear(queue[len(svc.queue):])
 	return out
 }
 
@@ -252,7 +301,7 @@
 			if now.Before(w.until) {
 				return false
 			}
-			out = append(out, p.refuse(now, w.ask, ReasonOverload))
+			out = append(out, p.lastResort(now, svc, w.ask))
 			return true
 		})
 	}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -15,7 +15,10 @@
 	Service string
 	// Priority is the rank, 0 the highest.
 	Priority int
-	// Affinity names the object that the request concerns; empty if none.
+	// Kind names requests that take about the same time.
+	Kind string
+	// Affinity names the object that the request concerns; empty if none. Objects
+	// of different kinds are different.
 	Affinity string
 	// Zone is the failure domain of the gateway.
 	Zone string
@@ -98,11 +101,19 @@
 	failureWeight = 6.0
 	// loadWeight is how much a full endpoint is put behind an empty one.
 	loadWeight = 0.25
-	// warmKept bounds the objects that an endpoint is taken to keep warm.
+	// warmKept bounds the objects that an endpoint is taken to keep warm; what it
+	// keeps beyond is not relied on.
 	warmKept = 40
 	// warmFactor is the expected part of the time that a warm object takes,
 	// before it has been seen.
 	warmFactor = 0.6
+	// crowdWeight is how much an endpoint that keeps many objects warm is put
+	// behind one that keeps none, when an object is new to both.
+	crowdWeight = 0.5
+	// speedSmoothing is the weight of the newest answer in an endpoint's speed, and
+	// speedMost bounds what one answer can say of it.
+	speedSmoothing = 0.1
+	speedMost      = 8.0
 	// retryThird bounds the time until a refused client returns: clients honour
 	// up to a third of what they have left.
 	retryThird = 3
