Dispatch without a majority while nobody holds a region; bound copies and second sends

Change: the first controller in reach dispatches while it knows of no holder; gateways ask the controllers in that same order, so they agree on one; cold endpoints get nothing meanwhile. Change: two copies at most, and no cold run as a last resort unless a quarter of the slots is free. Change: the dispatchers grant second sends within a fixed share of the budget.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -140,11 +140,11 @@
 }
 
 func leaseToProto(l port.Lease) *fleetv1.Lease {
-	return &fleetv1.Lease{Region: l.Region, Holder: l.Holder, LeftMs: l.Left.Milliseconds()}
+	return &fleetv1.Lease{Region: l.Region, Holder: l.Holder, LeftMs: l.Left.Milliseconds(), Firm: l.Firm}
 }
 
 func leaseFromProto(m *fleetv1.Lease) port.Lease {
-	return port.Lease{Region: m.GetRegion(), Holder: m.GetHolder(), Left: millis(m.GetLeftMs())}
+	return port.Lease{Region: m.GetRegion(), Holder: m.GetHolder(), Left: millis(m.GetLeftMs()), Firm: m.GetFirm()}
 }
 
 func roomToProto(r port.Room) *fleetv1.Room {
@@ -200,7 +200,7 @@
 	return &fleetv1.AcquireRequest{
 		Id: a.ID, Gateway: a.Gateway, Region: a.Region, Service: a.Service, Priority: int32(a.Priority),
 		Affinity: a.Affinity, Zone: a.Zone, TargetMs: a.Target.Milliseconds(), DeadlineMs: -c.age(a.Deadline),
-		Homes: a.Homes, Exclude: a.Exclude, Visiting: a.Visiting, Kind: a.Kind,
+		Homes: a.Homes, Exclude: a.Exclude, Visiting: a.Visiting, Kind: a.Kind, Hint: a.Hint,
 	}
 }
 
@@ -210,7 +210,7 @@
 		Ask: dispatch.Ask{
 			ID: m.GetId(), Gateway: m.GetGateway(), Service: m.GetService(), Priority: int(m.GetPriority()),
 			Affinity: m.GetAffinity(), Zone: m.GetZone(), Target: millis(m.GetTargetMs()),
-			Deadline: c.moment(-m.GetDeadlineMs()), Exclude: m.GetExclude(), Visiting: m.GetVisiting(), Kind: m.GetKind(),
+			Deadline: c.moment(-m.GetDeadlineMs()), Exclude: m.GetExclude(), Visiting: m.GetVisiting(), Kind: m.GetKind(), Hint: m.GetHint(),
 		},
 	}
 }
--- a/internal/app/controller/confirm.go
+++ b/internal/app/controller/confirm.go
@@ -68,10 +68,13 @@
 		c.doubted = now.Add(jitter(doubtFor) - doubtFor)
 	}
 	patience := doubtFor
-	if c.presiding(now) != c.config.Address {
+	switch {
+	case c.presiding(now) != c.config.Address:
 		patience = doubtOthersFor
+	case c.chosen.Value == nil:
+		patience = 0 // a start: nobody can be expected to tell
 	}
-	due := behind && now.Sub(c.doubted) > patience
+	due := behind && now.Sub(c.doubted) >= patience
 	c.mu.Unlock()
 	if !due {
 		return
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -47,6 +47,8 @@
 	// Seeds are addresses of controllers; at the first start of the system all
 	// are told the same, and these found it.
 	Seeds []string
+	// Retries bounds the second sends in the whole system.
+	Retries dispatch.RetryBudget
 	// Founding says that the system starts for the first time.
 	Founding bool
 }
@@ -114,7 +116,7 @@
 	}
 	for _, name := range config.Zones {
 		if c.regions[name] == nil {
-			c.regions[name] = &region{name: name, candidate: lease.NewCandidate()}
+			c.regions[name] = &region{name: name, candidate: lease.NewCandidate(), spilled: make(map[string]string)}
 		}
 	}
 	v, err := newVoter(config, ports)
@@ -195,7 +197,10 @@
 
 // newDispatchSetup returns the figures of a pool.
 func (c *Controller) newDispatchSetup() dispatch.Setup {
+	retries := c.config.Retries
+	retries.Extra /= float64(len(c.regions))
 	return dispatch.Setup{
+		Retries: retries,
 		// ColdRate is called with mu held, as all of a pool is.
 		ColdRate: func(service string) float64 {
 			for _, s := range c.state.Config.Services {
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -1,10 +1,8 @@
 package controller
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"hash/fnv"
 	"log/slog"
 	"slices"
 	"time"
@@ -28,8 +26,14 @@
 	until  time.Time
 	// resigned says that the lease is to be given up.
 	resigned bool
+	// spilled holds the region that last took an object for which this one had no
+	// room, so that the object stays warm there.
+	spilled map[string]string
 }
 
+// mostSpilled bounds the objects whose other region is remembered.
+const mostSpilled = 8192
+
 type roomKey struct{ region, service string }
 
 // voterAddresses must hold mu.
@@ -43,39 +47,54 @@
 
 // settleRegions takes up and gives up regions. Must hold mu.
 func (c *Controller) settleRegions(now time.Time) {
-	voters := c.voterAddresses()
 	for _, r := range c.regions {
-		holds, _ := r.candidate.Holds(now, voters)
+		holds := c.holds(now, r)
 		if holds && !c.wants(now, r) {
 			r.candidate.Resign()
 			c.ballots.Drop(r.name, c.config.Address)
 			r.resigned = true
 			holds = false
 		}
-		c.hold(now, r, holds)
+		if holds {
+			r.holder, r.until = c.config.Address, now.Add(lease.Term)
+		}
+		c.settle(now, r, holds)
 	}
 }
 
-// hold starts or ends the dispatch of a region. Must hold mu.
-func (c *Controller) hold(now time.Time, r *region, holds bool) {
-	switch {
-	case holds && r.pool == nil:
+// holds says whether this controller has the votes for a region. Must hold mu.
+func (c *Controller) holds(now time.Time, r *region) bool {
+	holds, _ := r.candidate.Holds(now, c.voterAddresses())
+	return holds
+}
+
+// settle starts, goes on with or ends the dispatch of a region. Without the votes
+// of a majority this controller dispatches as well, as long as it is the first
+// that it can reach and knows of no holder: gateways then agree on one of those
+// that do. Must hold mu.
+func (c *Controller) settle(now time.Time, r *region, firm bool) {
+	held := r.holder != c.config.Address && now.Before(r.until)
+	dispatches := firm || !held && c.wants(now, r)
+	if dispatches && r.pool == nil {
 		r.pool = dispatch.NewPool(fmt.Sprintf("%s/%d/", r.name, now.UnixNano()), c.newDispatchSetup())
 		r.waiting = make(map[string]chan dispatch.Decision)
 		c.fill(r)
-		event.Log(context.Background(), c.ports.Logger, event.DispatchBegun, slog.String("region", r.name))
+		event.Log(context.Background(), c.ports.Logger, event.DispatchBegun,
+			slog.String("region", r.name), slog.Bool("firm", firm))
 		c.wake()
-	case !holds && r.pool != nil:
+	}
+	if !dispatches && r.pool != nil {
 		r.pool = nil
 		for _, w := range r.waiting {
 			close(w)
 		}
 		r.waiting = nil
-		event.Log(context.Background(), c.ports.Logger, event.DispatchEnded, slog.String("region", r.name))
+		event.Log(context.Background(), c.ports.Logger, event.DispatchEnded,
+			slog.String("region", r.name), slog.String("holder", r.holder))
 		c.wake()
 	}
-	if holds {
-		r.holder, r.until = c.config.Address, now.Add(lease.Term)
+	if r.pool != nil {
+		r.pool.SetFirm(now, firm)
 	}
 }
 
@@ -129,28 +148,13 @@
 	}
 	best := c.self(now)
 	for _, p := range c.peers {
-		if live(now, p.Heard) && before(r.name, p.Controller, best) {
+		if live(now, p.Heard) && lease.Before(r.name, p.Region, p.Address, best.Region, best.Address) {
 			best = p.Controller
 		}
 	}
 	return best.Address == c.config.Address
 }
 
-// before says whether a is to dispatch a region rather than b.
-func before(region string, a, b port.Controller) bool {
-	if (a.Region == region) != (b.Region == region) {
-		return a.Region == region
-	}
-	return cmp.Or(cmp.Compare(weight(region, a.Address), weight(region, b.Address)), cmp.Compare(a.Address, b.Address)) > 0
-}
-
-// weight spreads regions over controllers by rendezvous hashing.
-func weight(region, address string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(region + "/" + address))
-	return h.Sum64()
-}
-
 // asks returns the regions that this controller wants, and votes for itself.
 // Must hold mu.
 func (c *Controller) asks(now time.Time) []string {
@@ -184,11 +188,11 @@
 }
 
 // held returns the leases that this controller holds. Must hold mu.
-func (c *Controller) held() []port.Lease {
+func (c *Controller) held(now time.Time) []port.Lease {
 	var out []port.Lease
 	for _, r := range c.regions {
-		if r.pool != nil {
-			out = append(out, port.Lease{Region: r.name, Holder: c.config.Address, Left: lease.Term})
+		if r.pool != nil && r.holder == c.config.Address && now.Before(r.until) {
+			out = append(out, port.Lease{Region: r.name, Holder: c.config.Address, Left: r.until.Sub(now), Firm: true})
 		}
 	}
 	return out
@@ -212,7 +216,7 @@
 	var out []port.Lease
 	for _, name := range sortedKeys(c.regions) {
 		if r := c.regions[name]; now.Before(r.until) {
-			out = append(out, port.Lease{Region: name, Holder: r.holder, Left: r.until.Sub(now)})
+			out = append(out, port.Lease{Region: name, Holder: r.holder, Left: r.until.Sub(now), Firm: true})
 		}
 	}
 	return out
@@ -280,6 +284,11 @@
 	if a.Visiting || r.pool.Free(now, a.Service) > 0 {
 		return ""
 	}
+	object := a.Service + "/" + a.Kind + "/" + a.Affinity
+	if last := r.spilled[object]; last != "" && c.rooms[roomKey{last, a.Service}] > 0 {
+		c.rooms[roomKey{last, a.Service}]--
+		return last
+	}
 	best, most := "", 0
 	for _, name := range sortedKeys(c.regions) {
 		if name == r.name || len(a.Homes) > 0 && !slices.Contains(a.Homes, name) {
@@ -291,6 +300,10 @@
 	}
 	if best != "" {
 		c.rooms[roomKey{best, a.Service}]--
+		if len(r.spilled) >= mostSpilled {
+			clear(r.spilled)
+		}
+		r.spilled[object] = best
 	}
 	return best
 }
@@ -347,10 +360,9 @@
 		if r.pool == nil {
 			continue
 		}
-		if holds, _ := r.candidate.Holds(now, c.voterAddresses()); !holds {
-			c.hold(now, r, false)
-			continue
+		c.settle(now, r, c.holds(now, r))
+		if r.pool != nil {
+			c.deliver(r, r.pool.Tick(now))
 		}
-		c.deliver(r, r.pool.Tick(now))
 	}
 }
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -234,7 +234,7 @@
 	}
 	reply := port.NewsReply{
 		From: c.self(now), Epoch: standing.Epoch, Accepted: standing.Accepted.Ballot,
-		Controllers: c.controllers(now), Known: c.held(),
+		Controllers: c.controllers(now), Known: c.held(now),
 	}
 	for _, name := range n.Drops {
 		c.ballots.Drop(name, n.From.Address)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -48,6 +48,10 @@
 	links    map[string]port.ControllerLink
 	known    map[string]port.Controller
 	avoid    map[string]time.Time
+	// deaf holds until when a controller that didn't answer isn't asked for slots.
+	deaf map[string]time.Time
+	// served remembers which endpoint last served an object.
+	served   map[string]string
 	watching [watchers]string
 	regions  map[string]dispatcher
 	releases map[string]*outbox
@@ -66,7 +70,7 @@
 	return &Gateway{
 		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds,
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
-		avoid: make(map[string]time.Time), regions: make(map[string]dispatcher),
+		avoid: make(map[string]time.Time), deaf: make(map[string]time.Time), served: make(map[string]string), regions: make(map[string]dispatcher),
 		releases: make(map[string]*outbox),
 	}
 }
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -26,6 +26,9 @@
 	fewestLeft = 30 * time.Millisecond
 	// redirects bounds the regions that are asked for one slot.
 	redirects = 2
+	// askFloor is the shortest time that a dispatcher is given for an answer: a few
+	// round trips to another region.
+	askFloor = 400 * time.Millisecond
 	// noDispatcherRetry is when a client returns while no dispatcher is known: a
 	// lease ends after about as long.
 	noDispatcherRetry = 500 * time.Millisecond
@@ -121,6 +124,9 @@
 	if x.open != nil {
 		return port.ClientAnswer{Err: x.open}
 	}
+	if retryAfter == 0 {
+		retryAfter = dispatchRetry(x.request.Deadline.Sub(x.gateway.ports.Clock.Now()))
+	}
 	if ctx.Err() != nil {
 		reason = verdict.ReasonDeadline
 	}
@@ -145,6 +151,9 @@
 	x.exclude = append(x.exclude, d.Endpoint.ID)
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
 	outcome = outcomeOf(ctx, response, err)
+	if outcome == dispatch.Served {
+		g.remember(x.object(), d.Endpoint.ID)
+	}
 	switch {
 	case err == nil:
 		return port.ClientAnswer{Response: response}, false
@@ -214,32 +223,59 @@
 	return homes[rand.IntN(len(homes))]
 }
 
+// askRegion asks the holder of a region, or if none is known or in reach the
+// controllers in the order in which they would dispatch it.
 func (x *exchange) askRegion(ctx context.Context, region string, visiting bool) (port.SlotAnswer, string, error) {
 	g := x.gateway
-	g.mu.Lock()
-	d := g.regions[region]
-	g.mu.Unlock()
-	if d.address == "" || !g.ports.Clock.Now().Before(d.until) {
-		return port.SlotAnswer{}, "", fmt.Errorf("%w: region %q has none", port.ErrNotDispatcher, region)
+	ask := x.ask(region, visiting)
+	err := fmt.Errorf("%w: region %q has none", port.ErrNotDispatcher, region)
+	for _, address := range g.dispatchersOf(region) {
+		var slot port.SlotAnswer
+		if slot, err = g.askOne(ctx, address, ask); err == nil {
+			return slot, address, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		g.ignore(address, err)
 	}
-	link, err := g.link(d.address)
+	return port.SlotAnswer{}, "", err
+}
+
+func (g *Gateway) askOne(ctx context.Context, address string, ask port.AskSlot) (port.SlotAnswer, error) {
+	link, err := g.link(address)
 	if err != nil {
-		return port.SlotAnswer{}, "", err
+		return port.SlotAnswer{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, max(askFloor, ask.Target))
+	defer cancel()
+	return link.Acquire(ctx, ask)
+}
+
+func (x *exchange) ask(region string, visiting bool) port.AskSlot {
+	g := x.gateway
+	incarnation := fmt.Sprintf("%s/%d", g.config.Name, g.incarnation)
 	ask := port.AskSlot{
 		Region: region, Homes: x.route.Homes,
 		Ask: dispatch.Ask{
-			ID:      fmt.Sprintf("%s/%d/%d", g.config.Name, g.incarnation, g.serial.Add(1)),
-			Gateway: fmt.Sprintf("%s/%d", g.config.Name, g.incarnation), Service: x.service,
+			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Kind: x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
 			Deadline: x.request.Deadline, Exclude: x.exclude, Visiting: visiting,
 		},
 	}
 	if x.route.Sticky {
 		ask.Affinity = x.request.Affinity
+		ask.Hint = g.lastServed(x.object())
+	}
+	return ask
+}
+
+// object names what the request concerns; empty if nothing.
+func (x *exchange) object() string {
+	if !x.route.Sticky || x.request.Affinity == "" {
+		return ""
 	}
-	slot, err := link.Acquire(ctx, ask)
-	return slot, d.address, err
+	return x.service + "/" + x.route.Name + "/" + x.request.Affinity
 }
 
 // log writes the end of a request.
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -19,6 +19,9 @@
 	grants   map[string]grant
 	count    uint64
 	prefix   string
+	// firmSince is since when no other pool has the same endpoints; zero while
+	// that isn't sure.
+	firmSince time.Time
 }
 
 // service is the part of a pool that serves one service.
@@ -27,6 +30,7 @@
 	servers []*server
 	queue   []waiting
 	kinds   map[string]*kind
+	retries retries
 	// took is the moving average over all its answers, in seconds.
 	took float64
 }
@@ -96,6 +100,47 @@
 	return svc
 }
 
+// SetFirm says whether no other pool can have the same endpoints. While that
+// isn't sure, and for as long after as a former pool's grants may still be on
+// their way, cold endpoints get nothing: their rate counts over all pools.
+func (p *Pool) SetFirm(now time.Time, firm bool) {
+	switch {
+	case !firm:
+		p.firmSince = time.Time{}
+	case p.firmSince.IsZero():
+		p.firmSince = now
+	}
+	holdBack := now.Add(coldHoldBack)
+	if firm {
+		holdBack = p.firmSince.Add(coldHoldBack)
+	}
+	for _, s := range p.servers {
+		if s.coldNext.Before(holdBack) {
+			s.coldNext = holdBack
+		}
+	}
+}
+
+// adopt takes the gateway's word for where an object is warm, if none is known.
+func (svc *service) adopt(now time.Time, a Ask) {
+	object := a.object()
+	if a.Hint == "" || object == "" {
+		return
+	}
+	var hinted *server
+	for _, s := range svc.servers {
+		if s.keeps(object) {
+			return
+		}
+		if s.endpoint.ID == a.Hint {
+			hinted = s
+		}
+	}
+	if hinted != nil {
+		hinted.touch(now, object)
+	}
+}
+
 // Acquire decides an ask at once, or returns false when it has to wait; Release
 // and Tick decide it then.
 func (p *Pool) Acquire(now time.Time, a Ask) (Decision, bool) {
@@ -103,6 +148,13 @@
 	if !slices.ContainsFunc(svc.servers, func(s *server) bool { return s.usable(now) }) {
 		return p.refuse(now, a, ReasonNoEndpoint), true
 	}
+	switch {
+	case len(a.Exclude) > 0 && !svc.retries.take(now, p.setup.Retries):
+		return p.refuse(now, a, ReasonRetryBudget), true
+	case len(a.Exclude) == 0 && !a.Visiting:
+		svc.retries.request(now, p.setup.Retries)
+	}
+	svc.adopt(now, a)
 	best := svc.choose(now, a)
 	if best != nil && best.free(now) {
 		return p.grant(now, svc, best, a), true
@@ -126,12 +178,36 @@
 
 // lastResort grants any free slot, however little it suits, or refuses.
 func (p *Pool) lastResort(now time.Time, svc *service, a Ask) Decision {
-	if s := svc.cheapest(now, a, func(s *server) bool { return s.free(now) }); s != nil {
+	spare := svc.spare(now)
+	object := a.object()
+	if s := svc.cheapest(now, a, func(s *server) bool {
+		return s.free(now) && (spare || object == "" || s.keeps(object))
+	}); s != nil {
 		return p.grant(now, svc, s, a)
 	}
 	return p.refuse(now, a, ReasonOverload)
 }
 
+// spare says whether enough slots are free for runs that displace nothing.
+func (svc *service) spare(now time.Time) bool {
+	slots, free := 0, 0
+	for _, s := range svc.servers {
+		if s.usable(now) {
+			slots += s.endpoint.Slots
+			free += max(0, s.endpoint.Slots-s.inFlight)
+		}
+	}
+	return float64(free) > spareShare*float64(slots)
+}
+
+// Suits says whether an ask would be served at once and without displacing the
+// objects of others.
+func (p *Pool) Suits(now time.Time, a Ask) bool {
+	svc := p.service(a.Service)
+	best := svc.choose(now, a)
+	return best != nil && best.free(now) && (best.keeps(a.object()) || svc.spare(now))
+}
+
 func maxWait(a Ask) time.Duration {
 	share := waitShare
 	if a.Visiting {
@@ -166,7 +242,16 @@
 // choose returns the endpoint from which an answer is expected first, or nil. It
 // may have no free slot: then the wait for one pays.
 func (svc *service) choose(now time.Time, a Ask) *server {
-	return svc.cheapest(now, a, func(s *server) bool { return s.usable(now) })
+	object := a.object()
+	copies := 0
+	for _, s := range svc.servers {
+		if s.usable(now) && s.keeps(object) && !slices.Contains(a.Exclude, s.endpoint.ID) {
+			copies++
+		}
+	}
+	return svc.cheapest(now, a, func(s *server) bool {
+		return s.usable(now) && (copies < mostCopies || s.keeps(object))
+	})
 }
 
 // cheapest returns the endpoint that costs least among those that fit. Equal
--- /dev/null
+++ b/internal/core/dispatch/retry_test.go
@@ -0,0 +1,58 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/registry"
+)
+
+// TestRetryBudget answers the load of endpoints that refuse most requests while
+// they seem healthy: second sends in any window stay within the ratio of its
+// requests and the extra.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	budget := dispatch.RetryBudget{Ratio: 0.2, Extra: 30, Window: 10 * time.Second}
+	pool := dispatch.NewPool("t/", dispatch.Setup{
+		ColdRate: func(string) float64 { return 0 }, Draw: func() float64 { return 0 }, Retries: budget,
+	})
+	now := time.Unix(1_800_000_000, 0)
+	for i := range 10 {
+		pool.Learn(registry.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Slots: 9, Born: 1, Heard: now})
+	}
+	var sends []time.Time
+	requests := 0
+	for i := range 4000 { // 100 requests a second
+		now = now.Add(10 * time.Millisecond)
+		requests++
+		ask := dispatch.Ask{ID: fmt.Sprint(i), Service: "s", Target: 100 * time.Millisecond, Deadline: now.Add(time.Second)}
+		first, decided := pool.Acquire(now, ask)
+		is.True(decided)
+		if first.Grant == "" {
+			continue
+		}
+		pool.Release(now, first.Grant, dispatch.Refused, 0)
+		ask.ID += "/2"
+		ask.Exclude = []string{first.Endpoint.ID}
+		second, decided := pool.Acquire(now, ask)
+		is.True(decided)
+		if second.Grant == "" {
+			continue
+		}
+		pool.Release(now, second.Grant, dispatch.Refused, 0)
+		sends = append(sends, now)
+	}
+	perWindow := int(budget.Ratio*100*budget.Window.Seconds() + budget.Extra)
+	for i := range sends {
+		j := i
+		for j < len(sends) && sends[j].Sub(sends[i]) < budget.Window {
+			j++
+		}
+		is.True(j-i <= perWindow)
+	}
+	is.True(len(sends) > perWindow) // the budget is used
+}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -20,6 +20,9 @@
 	// Affinity names the object that the request concerns; empty if none. Objects
 	// of different kinds are different.
 	Affinity string
+	// Hint names the endpoint that last served the object for the gateway, for a
+	// dispatcher that doesn't know yet what is warm; empty if none.
+	Hint string
 	// Zone is the failure domain of the gateway.
 	Zone string
 	// Target is the time within which the answer earns full credit.
@@ -41,6 +44,8 @@
 	// ReasonOverload means that no slot came free in the time that the request
 	// may wait.
 	ReasonOverload Reason = "overload"
+	// ReasonRetryBudget means that too many requests were sent a second time.
+	ReasonRetryBudget Reason = "retry-budget"
 )
 
 // Decision ends an ask.
@@ -75,6 +80,8 @@
 	// ColdRate returns the rate of requests that a cold endpoint of a service
 	// bears.
 	ColdRate func(service string) float64
+	// Retries bounds second sends; the zero value allows none.
+	Retries RetryBudget
 	// Draw returns a number in [0, 1) that spreads what would else coincide.
 	Draw func() float64
 }
@@ -110,10 +117,20 @@
 	// crowdWeight is how much an endpoint that keeps many objects warm is put
 	// behind one that keeps none, when an object is new to both.
 	crowdWeight = 0.5
+	// mostCopies bounds the endpoints that keep the same object warm on purpose:
+	// each copy pushes another object out, and its first run takes several times
+	// as long.
+	mostCopies = 2
+	// spareShare is the share of free slots above which a cold run displaces
+	// nothing.
+	spareShare = 0.25
 	// speedSmoothing is the weight of the newest answer in an endpoint's speed, and
 	// speedMost bounds what one answer can say of it.
 	speedSmoothing = 0.1
 	speedMost      = 8.0
+	// coldHoldBack is how long a new pool sends nothing to cold endpoints: as long
+	// as the second over which their rate counts.
+	coldHoldBack = 1200 * time.Millisecond
 	// retryThird bounds the time until a refused client returns: clients honour
 	// up to a third of what they have left.
 	retryThird = 3
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -7,7 +7,11 @@
 // covers clocks that run apart: no two holders overlap.
 package lease
 
-import "time"
+import (
+	"cmp"
+	"hash/fnv"
+	"time"
+)
 
 const (
 	// Term is how long a vote binds.
@@ -97,3 +101,20 @@
 
 // Resign forgets all votes.
 func (c *Candidate) Resign() { c.until, c.since = make(map[string]time.Time), time.Time{} }
+
+// Before says whether a controller is to dispatch a region rather than another:
+// one of the region's own first, then by rendezvous hashing, which spreads the
+// regions and needs no agreement.
+func Before(region, regionA, addressA, regionB, addressB string) bool {
+	if (regionA == region) != (regionB == region) {
+		return regionA == region
+	}
+	return cmp.Or(
+		cmp.Compare(weight(region, addressA), weight(region, addressB)), cmp.Compare(addressA, addressB)) > 0
+}
+
+func weight(region, address string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(region + "/" + address))
+	return h.Sum64()
+}
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -52,6 +52,9 @@
 	Holder string
 	// Left is the rest of the term.
 	Left time.Duration
+	// Firm says that a majority has voted for the holder; else it dispatches only
+	// as long as nobody holds the region.
+	Firm bool
 }
 
 // Room is the number of free slots of a service in a region.
