Compress states and leave out values that the other side has

Change: the stored state is compressed; promises and notices leave out a value that the other side holds; the first value of an epoch goes only to voters that haven't entered it; of the two controllers that a gateway watches the far one sends the state only when the near one is late with it.

--- a/internal/adapter/fleetgrpc/message.go
+++ b/internal/adapter/fleetgrpc/message.go
@@ -15,13 +15,14 @@
 func prepareToProto(m quorum.Prepare) *fleetv1.PrepareRequest {
 	return &fleetv1.PrepareRequest{
 		To: m.To, Epoch: epochToProto(m.Epoch), Ballot: ballotToProto(m.Ballot), Seed: valueToProto(m.Seed),
+		Have: ballotToProto(m.Have),
 	}
 }
 
 func prepareFromProto(m *fleetv1.PrepareRequest) quorum.Prepare {
 	return quorum.Prepare{
 		To: m.GetTo(), Epoch: epochFromProto(m.GetEpoch()), Ballot: ballotFromProto(m.GetBallot()),
-		Seed: valueFromProto(m.GetSeed()),
+		Seed: valueFromProto(m.GetSeed()), Have: ballotFromProto(m.GetHave()),
 	}
 }
 
--- a/internal/app/controller/propose.go
+++ b/internal/app/controller/propose.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"sassafrasreach/internal/core/fleet"
@@ -34,6 +35,13 @@
 
 // Learn implements port.ControllerPeer.
 func (c *Controller) Learn(_ context.Context, epoch quorum.Epoch, chosen quorum.Accepted) error {
+	if chosen.Value == nil {
+		s := c.voter.standing()
+		if s.Epoch.Number != epoch.Number || s.Accepted.Ballot != chosen.Ballot {
+			return errValueMissing
+		}
+		chosen = s.Accepted
+	}
 	return c.learn(epoch, chosen)
 }
 
@@ -85,8 +93,8 @@
 		return quorum.Accepted{}, quorum.Epoch{}, fmt.Errorf("%w: other proposals took the time", port.ErrUnsure)
 	}
 	for collisions := 0; ; collisions++ {
-		epoch, ballot, seed := c.nextBallot()
-		done, value, err := c.attempt(ctx, epoch, ballot, seed, decide)
+		epoch, ballot, seed, have := c.nextBallot()
+		done, value, err := c.attempt(ctx, epoch, quorum.NewAttempt(epoch, ballot, seed, have, decide))
 		if done {
 			return value, epoch, err
 		}
@@ -97,11 +105,10 @@
 }
 
 // attempt runs one attempt; it isn't done when another one is to follow.
-func (c *Controller) attempt(ctx context.Context, epoch quorum.Epoch, ballot quorum.Ballot, seed *quorum.Value, decide quorum.Decide) (done bool, value quorum.Accepted, err error) {
+func (c *Controller) attempt(ctx context.Context, epoch quorum.Epoch, a *quorum.Attempt) (done bool, value quorum.Accepted, err error) {
 	if epoch.Number == 0 {
 		return false, quorum.Accepted{}, nil
 	}
-	a := quorum.NewAttempt(epoch, ballot, seed, decide)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	c.run(ctx, epoch, a)
@@ -118,18 +125,18 @@
 }
 
 // nextBallot returns where the next attempt is to be made.
-func (c *Controller) nextBallot() (quorum.Epoch, quorum.Ballot, *quorum.Value) {
+func (c *Controller) nextBallot() (epoch quorum.Epoch, ballot quorum.Ballot, seed *quorum.Value, have quorum.Accepted) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.round++
-	ballot := quorum.Ballot{Round: c.round, Proposer: fmt.Sprintf("%s/%d", c.config.Address, c.incarnation)}
+	ballot = quorum.Ballot{Round: c.round, Proposer: fmt.Sprintf("%s/%d", c.config.Address, c.incarnation)}
 	if c.chosenIn == c.epoch.Number {
-		return c.epoch, ballot, c.chosen.Value
+		return c.epoch, ballot, c.chosen.Value, c.chosen
 	}
 	if c.seedIn == c.epoch.Number {
-		return c.epoch, ballot, c.seed
+		return c.epoch, ballot, c.seed, quorum.Accepted{}
 	}
-	return c.epoch, ballot, nil
+	return c.epoch, ballot, nil, quorum.Accepted{}
 }
 
 // observe takes note of what an attempt has heard.
@@ -154,7 +161,11 @@
 func (c *Controller) run(ctx context.Context, epoch quorum.Epoch, a *quorum.Attempt) {
 	answers := make(chan answer, 2*len(epoch.Voters))
 	left := c.ask(epoch, answers, func(p port.ControllerPeer, to string) (answer, error) {
-		promise, err := p.Prepare(ctx, a.Prepare(to))
+		m := a.Prepare(to)
+		if c.entered(to, epoch) {
+			m.Seed = nil
+		}
+		promise, err := p.Prepare(ctx, m)
 		return answer{from: to, promise: &promise}, err
 	})
 	for left > 0 {
@@ -180,6 +191,22 @@
 	}
 }
 
+// entered says whether a voter is known to have entered an epoch, so that it
+// needs no first value.
+func (c *Controller) entered(disk string, epoch quorum.Epoch) bool {
+	if disk == c.voter.id {
+		return c.voter.standing().Epoch.Number == epoch.Number
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		if p.Disk == disk {
+			return p.epoch == epoch.Number
+		}
+	}
+	return false
+}
+
 // ask sends a message to each voter and returns how many answers will come; a
 // failed call's answer is empty.
 func (c *Controller) ask(epoch quorum.Epoch, answers chan<- answer, send func(p port.ControllerPeer, to string) (answer, error)) int {
@@ -215,9 +242,13 @@
 		if err != nil {
 			continue
 		}
+		votes := slices.ContainsFunc(epoch.Voters, func(v quorum.Voter) bool { return v.Address == address })
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 			defer cancel()
+			if votes && peer.Learn(ctx, epoch, quorum.Accepted{Ballot: chosen.Ballot}) == nil {
+				return
+			}
 			// A controller that misses it finds out by the next round of news.
 			_ = peer.Learn(ctx, epoch, chosen)
 		}()
@@ -246,5 +277,9 @@
 	return current, nil
 }
 
+// errValueMissing means that a controller was told of a choice whose value it
+// hasn't accepted.
+var errValueMissing = errors.New("chosen value is missing here")
+
 // errEmpty means that nothing was ever accepted.
 var errEmpty = errors.New("register is empty")
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -45,9 +45,12 @@
 	mu       sync.Mutex
 	seeds    []string
 	sequence uint64
-	links    map[string]port.ControllerLink
-	known    map[string]port.Controller
-	avoid    map[string]time.Time
+	// newest is the latest state that a controller told of, since a moment.
+	newest      uint64
+	newestSince time.Time
+	links       map[string]port.ControllerLink
+	known       map[string]port.Controller
+	avoid       map[string]time.Time
 	// deaf holds until when a controller that didn't answer isn't asked for slots.
 	deaf map[string]time.Time
 	// served remembers which endpoint last served an object.
--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -25,6 +25,9 @@
 	// avoidFor is how long a controller that failed or has no quorum is passed
 	// over: a few rounds of news among controllers.
 	avoidFor = time.Second
+	// behindFor is how long the near controller may take to tell of a new state
+	// before the other one is asked for it: its own call is held for less.
+	behindFor = 500 * time.Millisecond
 	// staleAfter is the age at which a controller's state counts as unconfirmed.
 	staleAfter = 1200 * time.Millisecond
 )
@@ -41,10 +44,11 @@
 				continue
 			}
 		}
-		update, err := g.watchOnce(ctx, address, cursor)
+		update, err := g.watchOnce(ctx, address, g.wanted(slot, cursor))
 		now := g.ports.Clock.Now()
 		if err == nil {
 			cursor = update.Cursor
+			g.heardOf(now, update.Sequence)
 			g.apply(now, update)
 			if now.Sub(update.Confirmed) < staleAfter || !g.better(slot, address) {
 				continue
@@ -56,6 +60,29 @@
 	}
 }
 
+// wanted is the cursor that a watcher asks with. The second one leaves the state
+// to the first, which is near, unless that one is behind.
+func (g *Gateway) wanted(slot int, cursor port.WatchCursor) port.WatchCursor {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	late := g.newest > g.sequence && g.ports.Clock.Now().Sub(g.newestSince) > behindFor
+	if slot == 0 || late || g.sequence == 0 {
+		cursor.Sequence = g.sequence
+		return cursor
+	}
+	cursor.Sequence = max(g.sequence, g.newest)
+	return cursor
+}
+
+// heardOf notes the newest state that any controller has told of.
+func (g *Gateway) heardOf(now time.Time, sequence uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if sequence > g.newest {
+		g.newest, g.newestSince = sequence, now
+	}
+}
+
 func (g *Gateway) watchOnce(ctx context.Context, address string, cursor port.WatchCursor) (port.Update, error) {
 	link, err := g.link(address)
 	if err != nil {
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"bytes"
+	"compress/gzip"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 )
 
@@ -104,13 +107,21 @@
 // InForce returns the part of the state that gateways need.
 func (s *State) InForce() *State { return &State{Config: s.Config, Evacuated: s.Evacuated} }
 
-// Encode returns the stored form of a state.
+// Encode returns the stored form of a state: compressed, since it crosses links
+// between regions with each change.
 func (s *State) Encode() ([]byte, error) {
-	encoded, err := json.Marshal(s)
+	var out bytes.Buffer
+	packed, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
 	}
-	return encoded, nil
+	if err := json.NewEncoder(packed).Encode(s); err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	if err := packed.Close(); err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return out.Bytes(), nil
 }
 
 // Decode reads the stored form; nothing stored is the empty state. The error
@@ -120,7 +131,15 @@
 	if len(encoded) == 0 {
 		return s, nil
 	}
-	if err := json.Unmarshal(encoded, s); err != nil {
+	packed, err := gzip.NewReader(bytes.NewReader(encoded))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	if err := json.NewDecoder(packed).Decode(s); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	// The end of the stream holds its checksum.
+	if _, err := io.Copy(io.Discard, packed); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	return s, nil
--- a/internal/core/quorum/acceptor.go
+++ b/internal/core/quorum/acceptor.go
@@ -46,7 +46,11 @@
 	}
 	changed := entered || a.state.Promised != m.Ballot
 	a.state.Promised = m.Ballot
-	return Promise{Accepted: a.state.Accepted}, changed
+	promise := Promise{Accepted: a.state.Accepted}
+	if m.Have != (Ballot{}) && m.Have == a.state.Accepted.Ballot {
+		promise.Accepted.Value = nil
+	}
+	return promise, changed
 }
 
 // Accept accepts or refuses a value. The flag says whether the state changed.
--- a/internal/core/quorum/attempt.go
+++ b/internal/core/quorum/attempt.go
@@ -27,6 +27,7 @@
 	epoch    Epoch
 	ballot   Ballot
 	seed     *Value
+	have     Accepted
 	decide   Decide
 	phase    Phase
 	promised map[string]bool
@@ -41,16 +42,17 @@
 
 // NewAttempt returns an attempt under a ballot that no other attempt has. The
 // seed is a value of the epoch for voters that haven't entered it; it may be nil.
-func NewAttempt(epoch Epoch, ballot Ballot, seed *Value, decide Decide) *Attempt {
+// The proposer has what was accepted under a ballot of the epoch; it may be none.
+func NewAttempt(epoch Epoch, ballot Ballot, seed *Value, have Accepted, decide Decide) *Attempt {
 	return &Attempt{
-		epoch: epoch, ballot: ballot, seed: seed, decide: decide, seen: ballot,
+		epoch: epoch, ballot: ballot, seed: seed, have: have, decide: decide, seen: ballot,
 		promised: make(map[string]bool), accepted: make(map[string]bool),
 	}
 }
 
 // Prepare returns the message to a voter that starts the attempt.
 func (a *Attempt) Prepare(to string) Prepare {
-	return Prepare{To: to, Epoch: a.epoch, Ballot: a.ballot, Seed: a.seed}
+	return Prepare{To: to, Epoch: a.epoch, Ballot: a.ballot, Seed: a.seed, Have: a.have.Ballot}
 }
 
 // Promise takes a voter's answer. It returns true when Accept is to be sent to
@@ -60,6 +62,9 @@
 		return false
 	}
 	a.promised[from] = true
+	if m.Accepted.Value == nil && m.Accepted.Ballot == a.have.Ballot {
+		m.Accepted.Value = a.have.Value
+	}
 	if a.highest.Value == nil || a.highest.Ballot.Less(m.Accepted.Ballot) {
 		a.highest = m.Accepted
 	}
--- a/internal/core/quorum/types.go
+++ b/internal/core/quorum/types.go
@@ -78,9 +78,11 @@
 	Ballot Ballot
 	// Seed is the epoch's first value, or a later one; nil when it isn't known.
 	Seed *Value
+	// Have is the accepted ballot whose value the proposer holds; zero if none.
+	Have Ballot
 }
 
-// Promise answers Prepare.
+// Promise answers Prepare. Accepted lacks its value if the proposer holds it.
 type Promise struct {
 	Refusal  *Refusal
 	Accepted Accepted
