--- /dev/null
+++ b/internal/app/controller/cluster_test.go
@@ -0,0 +1,291 @@
+package controller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/app/controller"
+	"sassafrasreach/internal/core/fleet"
+	"sassafrasreach/internal/core/quorum"
+	"sassafrasreach/internal/port"
+)
+
+// errUnreachable is the error of a call to a controller that is down or cut off.
+var errUnreachable = errors.New("unreachable")
+
+// disk is a VoterStore whose content outlives its controller.
+type disk struct {
+	mu    sync.Mutex
+	state quorum.State
+	used  bool
+}
+
+func (d *disk) Load() (quorum.State, bool, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state, d.used, nil
+}
+
+func (d *disk) Save(s quorum.State) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state, d.used = s, true
+	return nil
+}
+
+// member is one VM with a controller.
+type member struct {
+	name, zone, region string
+	disk               *disk
+	controller         *controller.Controller
+	stop               context.CancelFunc
+}
+
+// cluster is a system of controllers on an in-memory network.
+type cluster struct {
+	t       *testing.T
+	mu      sync.Mutex
+	members map[string]*member
+	cut     map[[2]string]bool
+	delay   time.Duration
+	seeds   []string
+}
+
+var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+
+// newCluster starts a controller in each zone for the first time, in any order.
+func newCluster(t *testing.T, delay time.Duration) *cluster {
+	c := &cluster{
+		t: t, members: make(map[string]*member), cut: make(map[[2]string]bool), delay: delay,
+		seeds: []string{"a1:1", "b1:1", "c1:1"},
+	}
+	for zone, region := range regions {
+		c.members[zone+":1"] = &member{name: zone, zone: zone, region: region, disk: &disk{}}
+	}
+	for address := range c.members {
+		c.start(address, true)
+	}
+	t.Cleanup(func() {
+		for address := range c.members {
+			c.kill(address)
+		}
+	})
+	return c
+}
+
+// link is the way from one controller to another.
+type link struct {
+	cluster  *cluster
+	from, to string
+}
+
+// reach waits for the way and returns the controller there, or none.
+func (l link) reach(ctx context.Context) (*controller.Controller, error) {
+	select {
+	case <-time.After(l.cluster.delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	l.cluster.mu.Lock()
+	defer l.cluster.mu.Unlock()
+	m := l.cluster.members[l.to]
+	if m == nil || m.controller == nil || l.cluster.cut[[2]string{l.from, l.to}] {
+		return nil, errUnreachable
+	}
+	return m.controller, nil
+}
+
+func over[A any](ctx context.Context, l link, do func(*controller.Controller) (A, error)) (A, error) {
+	var none A
+	c, err := l.reach(ctx)
+	if err != nil {
+		return none, err
+	}
+	out, err := do(c)
+	if err != nil {
+		return none, err
+	}
+	if _, err := l.reach(ctx); err != nil {
+		return none, err // the answer is lost
+	}
+	return out, nil
+}
+
+func (l link) Prepare(ctx context.Context, m quorum.Prepare) (quorum.Promise, error) {
+	return over(ctx, l, func(c *controller.Controller) (quorum.Promise, error) { return c.Prepare(ctx, m) })
+}
+
+func (l link) Accept(ctx context.Context, m quorum.Accept) (*quorum.Refusal, error) {
+	return over(ctx, l, func(c *controller.Controller) (*quorum.Refusal, error) { return c.Accept(ctx, m) })
+}
+
+func (l link) Learn(ctx context.Context, e quorum.Epoch, v quorum.Accepted) error {
+	_, err := over(ctx, l, func(c *controller.Controller) (struct{}, error) { return struct{}{}, c.Learn(ctx, e, v) })
+	return err
+}
+
+func (l link) Exchange(ctx context.Context, n port.News) (port.NewsReply, error) {
+	return over(ctx, l, func(c *controller.Controller) (port.NewsReply, error) { return c.Exchange(ctx, n) })
+}
+
+func (l link) Order(ctx context.Context, o fleet.Order) (port.OrderReply, error) {
+	return over(ctx, l, func(c *controller.Controller) (port.OrderReply, error) { return c.Order(ctx, o) })
+}
+
+func (c *cluster) start(address string, founding bool) {
+	m := c.members[address]
+	logs := io.Discard
+	if os.Getenv("CLUSTER_LOG") != "" {
+		logs = os.Stderr
+	}
+	made, err := controller.New(controller.Config{
+		Name: m.name, Address: address, Zone: m.zone, Region: m.region, Zones: regions, Seeds: c.seeds, Founding: founding,
+	}, controller.Ports{
+		Clock:  port.ClockFunc(time.Now),
+		Logger: slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
+		Store:  m.disk,
+		Dial: func(to string) (port.ControllerPeer, error) {
+			return link{cluster: c, from: address, to: to}, nil
+		},
+	})
+	is.New(c.t).NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.mu.Lock()
+	m.controller, m.stop = made, cancel
+	c.mu.Unlock()
+	go made.Run(ctx)
+}
+
+// kill ends a controller at once; wipe takes its disk besides.
+func (c *cluster) kill(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.members[address]
+	if m.stop != nil {
+		m.stop()
+	}
+	m.controller, m.stop = nil, nil
+}
+
+func (c *cluster) wipe(address string) { c.members[address].disk = &disk{} }
+
+func (c *cluster) any() *controller.Controller {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.members {
+		if m.controller != nil {
+			return m.controller
+		}
+	}
+	return nil
+}
+
+// order sends a configuration to any controller until it is accepted.
+func (c *cluster) order(base, version uint64) error {
+	change := fleet.Change{
+		Base: base, Source: fmt.Appendf(nil, "source %d", version), Config: fleet.Config{
+			Version: version, Services: []fleet.Service{{Name: "s"}},
+			Routes: []fleet.Route{{
+				Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Attempts: 1,
+				Parts: []fleet.Part{{Service: "s", Weight: 1}},
+			}},
+		},
+	}
+	var err error
+	for deadline := time.Now().Add(orderLimit); time.Now().Before(deadline); {
+		if at := c.any(); at != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			err = at.Configure(ctx, change)
+			cancel()
+			if err == nil {
+				return nil
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
+// read returns the version that a controller is sure of, within a time.
+func (c *cluster) read(address string, within time.Duration) (uint64, error) {
+	err := errUnreachable
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		c.mu.Lock()
+		at := c.members[address].controller
+		c.mu.Unlock()
+		var state *fleet.State
+		if state, err = at.Current(context.Background()); err == nil {
+			return state.Config.Version, nil
+		}
+	}
+	return 0, err
+}
+
+const (
+	// orderLimit bounds the time in which an order is accepted by a stable system.
+	orderLimit = 10 * time.Second
+	// readLimit bounds the time in which the configuration is read back after the
+	// machines are back.
+	readLimit = 10 * time.Second
+)
+
+// voters waits until the newest epoch has all live controllers as voters.
+func (c *cluster) settled() {
+	time.Sleep(1500 * time.Millisecond)
+}
+
+// TestFinalFault loses two disks and the power of all controllers right after an
+// acknowledgement, for random pairs of disks after random earlier losses. What
+// was acknowledged is read back at every controller, and the next order is
+// accepted.
+func TestFinalFault(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			draw := rand.New(rand.NewPCG(seed, 1))
+			c := newCluster(t, time.Duration(1+draw.IntN(30))*time.Millisecond)
+			is.NoErr(c.order(0, 2))
+			c.settled()
+			addresses := make([]string, 0, len(c.members))
+			for zone := range regions {
+				addresses = append(addresses, zone+":1")
+			}
+			if draw.IntN(2) == 0 { // an earlier lost disk
+				draw.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+				c.kill(addresses[0])
+				c.wipe(addresses[0])
+				time.Sleep(time.Duration(draw.IntN(1500)) * time.Millisecond)
+				c.start(addresses[0], false)
+				time.Sleep(4 * time.Second) // a lost machine is lost until then
+			}
+			is.NoErr(c.order(2, 5))
+			time.Sleep(time.Duration(draw.IntN(20)) * time.Millisecond)
+			for _, a := range addresses {
+				c.kill(a)
+			}
+			draw.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+			c.wipe(addresses[0])
+			c.wipe(addresses[1])
+			for _, a := range addresses {
+				c.start(a, false)
+			}
+			for _, a := range addresses {
+				version, err := c.read(a, readLimit)
+				is.NoErr(err)
+				is.Equal(version, uint64(5))
+			}
+			is.NoErr(c.order(5, 9))
+		})
+	}
+}
