Place new objects among equal endpoints by rendezvous hashing

Change: among endpoints whose cost is within 15% the object's hash decides, so that a dispatcher that knows nothing finds it again.

--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -254,19 +255,40 @@
 	})
 }
 
-// cheapest returns the endpoint that costs least among those that fit. Equal
-// ones are told apart by the object, so that its requests meet.
+// cheapest returns the endpoint that costs least among those that fit. Where an
+// object is new, its place among endpoints of about the same cost goes by
+// rendezvous hashing: a dispatcher that knows nothing finds it where an earlier
+// one left it.
 func (svc *service) cheapest(now time.Time, a Ask, fits func(*server) bool) *server {
 	k, object := svc.kind(a), a.object()
-	var best *server
-	bestCost, bestHash := 0.0, uint64(0)
-	for _, s := range svc.servers {
+	var best, keeper *server
+	least, keeperLeast := math.Inf(1), math.Inf(1)
+	costs := make([]float64, len(svc.servers))
+	for i, s := range svc.servers {
+		costs[i] = math.Inf(1)
 		if !fits(s) || slices.Contains(a.Exclude, s.endpoint.ID) {
 			continue
 		}
-		cost, hash := s.cost(now, svc, k, object), rendezvous(s.endpoint.ID, object)
-		if best == nil || cost < bestCost || cost == bestCost && hash > bestHash {
-			best, bestCost, bestHash = s, cost, hash
+		cost := s.cost(now, svc, k, object)
+		if s.keeps(object) {
+			if cost < keeperLeast {
+				keeper, keeperLeast = s, cost
+			}
+			continue
+		}
+		costs[i] = cost
+		least = min(least, cost)
+	}
+	if keeper != nil && keeperLeast <= least {
+		return keeper
+	}
+	highest := uint64(0)
+	for i, s := range svc.servers {
+		if costs[i] > placeSlack*least || math.IsInf(costs[i], 1) {
+			continue
+		}
+		if hash := rendezvous(s.endpoint.ID, object); best == nil || hash > highest {
+			best, highest = s, hash
 		}
 	}
 	return best
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -124,6 +124,9 @@
 	// spareShare is the share of free slots above which a cold run displaces
 	// nothing.
 	spareShare = 0.25
+	// placeSlack is how much more than the least an endpoint may cost and still be
+	// chosen for a new object by its hash.
+	placeSlack = 1.15
 	// speedSmoothing is the weight of the newest answer in an endpoint's speed, and
 	// speedMost bounds what one answer can say of it.
 	speedSmoothing = 0.1
