Keep spilled objects in the region that has them warm, and wait at home when it is full

A request that the other region refused after all was refused to the client, though its own region might have had room a moment later. Change: an object that was sent to another region stays there unless it is warm at home; after a refusal by the other region the request waits at home.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -200,13 +200,13 @@
 	return &fleetv1.AcquireRequest{
 		Id: a.ID, Gateway: a.Gateway, Region: a.Region, Service: a.Service, Priority: int32(a.Priority),
 		Affinity: a.Affinity, Zone: a.Zone, TargetMs: a.Target.Milliseconds(), DeadlineMs: -c.age(a.Deadline),
-		Homes: a.Homes, Exclude: a.Exclude, Visiting: a.Visiting, Kind: a.Kind, Hint: a.Hint,
+		Homes: a.Homes, Exclude: a.Exclude, Visiting: a.Visiting, Kind: a.Kind, Hint: a.Hint, Stay: a.Stay,
 	}
 }
 
 func (c codec) askFromProto(m *fleetv1.AcquireRequest) port.AskSlot {
 	return port.AskSlot{
-		Region: m.GetRegion(), Homes: m.GetHomes(),
+		Region: m.GetRegion(), Homes: m.GetHomes(), Stay: m.GetStay(),
 		Ask: dispatch.Ask{
 			ID: m.GetId(), Gateway: m.GetGateway(), Service: m.GetService(), Priority: int(m.GetPriority()),
 			Affinity: m.GetAffinity(), Zone: m.GetZone(), Target: millis(m.GetTargetMs()),
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -281,11 +281,15 @@
 // roomElsewhere names another region with room for an ask that its own region
 // has no free slot for; empty if there is none. Must hold mu.
 func (c *Controller) roomElsewhere(now time.Time, r *region, a port.AskSlot) string {
-	if a.Visiting || r.pool.Free(now, a.Service) > 0 {
+	if a.Visiting || a.Stay {
 		return ""
 	}
 	object := a.Service + "/" + a.Kind + "/" + a.Affinity
-	if last := r.spilled[object]; last != "" && c.rooms[roomKey{last, a.Service}] > 0 {
+	last := r.spilled[object]
+	if r.pool.Free(now, a.Service) > 0 && (last == "" || a.Affinity == "" || r.pool.Keeps(now, a.Ask)) {
+		return ""
+	}
+	if last != "" && c.rooms[roomKey{last, a.Service}] > 0 {
 		c.rooms[roomKey{last, a.Service}]--
 		return last
 	}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -24,8 +24,6 @@
 	// fewestLeft is the time below which a request isn't sent to an endpoint: it
 	// couldn't answer any more.
 	fewestLeft = 30 * time.Millisecond
-	// redirects bounds the regions that are asked for one slot.
-	redirects = 2
 	// askFloor is the shortest time that a dispatcher is given for an answer: a few
 	// round trips to another region.
 	askFloor = 400 * time.Millisecond
@@ -197,20 +195,28 @@
 }
 
 // acquire asks the dispatcher of a region for a slot, and that of another one
-// which has room if it says so.
+// which has room if it says so; when that one has none after all, the request
+// waits at home.
 func (x *exchange) acquire(ctx context.Context) (slot port.SlotAnswer, address string, err error) {
 	began := x.gateway.ports.Clock.Now()
 	defer func() { x.waited += x.gateway.ports.Clock.Now().Sub(began) }()
-	region, visiting := x.home(), false
-	for range redirects {
-		slot, address, err = x.askRegion(ctx, region, visiting)
-		if err != nil || slot.Region == "" {
-			slot.Region = region
-			return slot, address, err
-		}
-		region, visiting = slot.Region, true
+	home := x.home()
+	slot, address, err = x.askRegion(ctx, x.ask(home))
+	if err != nil || slot.Region == "" {
+		slot.Region = home
+		return slot, address, err
+	}
+	visit := x.ask(slot.Region)
+	visit.Visiting = true
+	slot, address, err = x.askRegion(ctx, visit)
+	slot.Region = visit.Region
+	if err == nil && slot.Grant != "" || ctx.Err() != nil {
+		return slot, address, err
 	}
-	slot.Region = region
+	stay := x.ask(home)
+	stay.Stay = true
+	slot, address, err = x.askRegion(ctx, stay)
+	slot.Region = home
 	return slot, address, err
 }
 
@@ -225,11 +231,10 @@
 
 // askRegion asks the holder of a region, or if none is known or in reach the
 // controllers in the order in which they would dispatch it.
-func (x *exchange) askRegion(ctx context.Context, region string, visiting bool) (port.SlotAnswer, string, error) {
+func (x *exchange) askRegion(ctx context.Context, ask port.AskSlot) (port.SlotAnswer, string, error) {
 	g := x.gateway
-	ask := x.ask(region, visiting)
-	err := fmt.Errorf("%w: region %q has none", port.ErrNotDispatcher, region)
-	for _, address := range g.dispatchersOf(region) {
+	err := fmt.Errorf("%w: region %q has none", port.ErrNotDispatcher, ask.Region)
+	for _, address := range g.dispatchersOf(ask.Region) {
 		var slot port.SlotAnswer
 		if slot, err = g.askOne(ctx, address, ask); err == nil {
 			return slot, address, nil
@@ -252,7 +257,7 @@
 	return link.Acquire(ctx, ask)
 }
 
-func (x *exchange) ask(region string, visiting bool) port.AskSlot {
+func (x *exchange) ask(region string) port.AskSlot {
 	g := x.gateway
 	incarnation := fmt.Sprintf("%s/%d", g.config.Name, g.incarnation)
 	ask := port.AskSlot{
@@ -260,7 +265,7 @@
 		Ask: dispatch.Ask{
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Kind: x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
-			Deadline: x.request.Deadline, Exclude: x.exclude, Visiting: visiting,
+			Deadline: x.request.Deadline, Exclude: x.exclude,
 		},
 	}
 	if x.route.Sticky {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -209,6 +209,14 @@
 	return best != nil && best.free(now) && (best.keeps(a.object()) || svc.spare(now))
 }
 
+// Keeps says whether a usable endpoint keeps the ask's object warm.
+func (p *Pool) Keeps(now time.Time, a Ask) bool {
+	object := a.object()
+	return slices.ContainsFunc(p.service(a.Service).servers, func(s *server) bool {
+		return s.usable(now) && s.keeps(object)
+	})
+}
+
 func maxWait(a Ask) time.Duration {
 	share := waitShare
 	if a.Visiting {
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -148,6 +148,8 @@
 	Region string
 	// Homes are the regions in which the request may run; empty means all.
 	Homes []string
+	// Stay says that no other region is to be named: one had no room after all.
+	Stay bool
 }
 
 // SlotAnswer answers AskSlot.
