Let a request wait for a slot as long as its answer can be in time

Cause: every request waited a third of its target at most; with its object warm its run takes less than half of the target, so that many were refused that could have been in time, and came back late (refused again was the largest price). Change: the wait ends when the target less the expected warm run is used up, and no earlier than a fifth of the target.

--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -160,7 +160,7 @@
 	if best != nil && best.free(now) {
 		return p.grant(now, svc, best, a), true
 	}
-	until := now.Add(maxWait(a))
+	until := now.Add(svc.maxWait(a))
 	if !until.Before(a.Deadline) || !until.After(now) || p.hopeless(now, svc, a) {
 		return p.lastResort(now, svc, a), true
 	}
@@ -217,12 +217,14 @@
 	})
 }
 
-func maxWait(a Ask) time.Duration {
-	share := waitShare
+// maxWait is how long an ask may wait: as long as the answer can still be in
+// time if its object is warm, and a little if it can't.
+func (svc *service) maxWait(a Ask) time.Duration {
 	if a.Visiting {
-		share = visitShare
+		return time.Duration(visitShare * float64(a.Target))
 	}
-	return time.Duration(share * float64(a.Target))
+	run := time.Duration(svc.kind(a).expected(a.object() != "") * float64(time.Second))
+	return max(a.Target-run, time.Duration(waitShare*float64(a.Target)))
 }
 
 // hopeless says whether the requests that go first will take all slots that
@@ -234,7 +236,7 @@
 			ahead++
 		}
 	}
-	return svc.took > 0 && float64(ahead+1) > svc.rate(now)*maxWait(a).Seconds()
+	return svc.took > 0 && float64(ahead+1) > svc.rate(now)*svc.maxWait(a).Seconds()
 }
 
 // rate is the number of slots that come free in a second.
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -87,9 +87,10 @@
 }
 
 const (
-	// waitShare is the part of the target that a request may wait for a slot.
-	waitShare = 0.35
-	// visitShare is the same for requests of other regions, whose way is longer.
+	// waitShare is the part of the target that any request may wait for a slot,
+	// also one that will be late.
+	waitShare = 0.2
+	// visitShare is the part for requests of other regions, whose way is longer.
 	visitShare = 0.1
 	// graceAfterDeadline is how long after its deadline a grant that wasn't given
 	// back ends by itself: the release of a timed-out request is on its way.
