--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -91,7 +91,7 @@
 	// also one that will be late.
 	waitShare = 0.2
 	// visitShare is the part for requests of other regions, whose way is longer.
-	visitShare = 0.1
+	visitShare = 0.03
 	// graceAfterDeadline is how long after its deadline a grant that wasn't given
 	// back ends by itself: the release of a timed-out request is on its way.
 	graceAfterDeadline = time.Second
