Bound how fast a region's requests change the region in which they run

Change: a meter for each region holds the share of its requests that runs in each region to a level that drifts slowly; a region that has just lost endpoints, connections or controllers is free of it.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -49,6 +49,9 @@
 	Seeds []string
 	// Retries bounds the second sends in the whole system.
 	Retries dispatch.RetryBudget
+	// MaxShift is the share of a region's requests that may change the region in
+	// which they run from one window to the next; 0 sets no bound.
+	MaxShift float64
 	// Founding says that the system starts for the first time.
 	Founding bool
 }
@@ -116,7 +119,7 @@
 	}
 	for _, name := range config.Zones {
 		if c.regions[name] == nil {
-			c.regions[name] = &region{name: name, candidate: lease.NewCandidate(), spilled: make(map[string]string)}
+			c.regions[name] = &region{name: name, candidate: lease.NewCandidate(), spilled: make(map[string]string), shift: dispatch.NewShiftMeter(config.MaxShift)}
 		}
 	}
 	v, err := newVoter(config, ports)
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -29,6 +29,12 @@
 	// spilled holds the region that last took an object for which this one had no
 	// room, so that the object stays warm there.
 	spilled map[string]string
+	shift   *dispatch.ShiftMeter
+	// slots are the region's as last seen; until unsettledUntil its requests may
+	// change regions freely, since it has lost some.
+	slots          int
+	brokeOff       time.Time
+	unsettledUntil time.Time
 }
 
 // mostSpilled bounds the objects whose other region is remembered.
@@ -93,8 +99,40 @@
 			slog.String("region", r.name), slog.String("holder", r.holder))
 		c.wake()
 	}
-	if r.pool != nil {
-		r.pool.SetFirm(now, firm)
+	if r.pool == nil {
+		return
+	}
+	r.pool.SetFirm(now, firm)
+	slots := r.pool.Slots()
+	if slots < r.slots {
+		r.unsettledUntil = now.Add(unsettledFor)
+	}
+	r.slots = slots
+}
+
+const (
+	// unsettledFor is how long after a loss of endpoints, controllers or connections
+	// requests may change regions freely: the time in which the load of what was
+	// lost finds its place.
+	unsettledFor = 4 * time.Second
+	// breaksApart is the time within which two broken connections are taken for a
+	// fault; a single one may be an endpoint's own idle timeout.
+	breaksApart = time.Second
+)
+
+// brokeOff notes that an endpoint broke a connection. Must hold mu.
+func (c *Controller) brokeOff(now time.Time, r *region) {
+	if now.Sub(r.brokeOff) < breaksApart {
+		r.unsettledUntil = now.Add(unsettledFor)
+	}
+	r.brokeOff = now
+}
+
+// unsettle lets requests of all regions change regions freely for a while. Must
+// hold mu.
+func (c *Controller) unsettle(now time.Time) {
+	for _, r := range c.regions {
+		r.unsettledUntil = now.Add(unsettledFor)
 	}
 }
 
@@ -266,7 +304,9 @@
 	if r == nil || r.pool == nil {
 		return port.SlotAnswer{}, nil, fmt.Errorf("%w: %q", port.ErrNotDispatcher, a.Region)
 	}
-	if other := c.roomElsewhere(now, r, a); other != "" {
+	other := c.roomElsewhere(now, r, a)
+	c.countShift(now, r, other, a)
+	if other != "" {
 		return port.SlotAnswer{Region: other}, nil, nil
 	}
 	d, decided := r.pool.Acquire(now, a.Ask)
@@ -278,38 +318,66 @@
 	return port.SlotAnswer{}, wait, nil
 }
 
-// roomElsewhere names another region with room for an ask that its own region
-// has no free slot for; empty if there is none. Must hold mu.
+// roomElsewhere names another region for an ask that is better served there;
+// empty if there is none. What runs elsewhere changes only so fast, unless this
+// region has just lost endpoints. Must hold mu.
 func (c *Controller) roomElsewhere(now time.Time, r *region, a port.AskSlot) string {
 	if a.Visiting || a.Stay {
 		return ""
 	}
 	object := a.Service + "/" + a.Kind + "/" + a.Affinity
 	last := r.spilled[object]
-	if r.pool.Free(now, a.Service) > 0 && (last == "" || a.Affinity == "" || r.pool.Keeps(now, a.Ask)) {
+	here := r.pool.Free(now, a.Service) > 0 && (last == "" || a.Affinity == "" || r.pool.Keeps(now, a.Ask))
+	if here && c.mayRun(now, r, r.name) {
 		return ""
 	}
-	if last != "" && c.rooms[roomKey{last, a.Service}] > 0 {
-		c.rooms[roomKey{last, a.Service}]--
-		return last
+	if last != "" && c.takes(r, last, a) && c.mayRun(now, r, last) {
+		return c.spill(r, object, last, a)
 	}
 	best, most := "", 0
 	for _, name := range sortedKeys(c.regions) {
-		if name == r.name || len(a.Homes) > 0 && !slices.Contains(a.Homes, name) {
-			continue
-		}
-		if free := c.rooms[roomKey{name, a.Service}]; free > most {
+		if free := c.rooms[roomKey{name, a.Service}]; free > most && c.takes(r, name, a) && c.mayRun(now, r, name) {
 			best, most = name, free
 		}
 	}
-	if best != "" {
-		c.rooms[roomKey{best, a.Service}]--
-		if len(r.spilled) >= mostSpilled {
-			clear(r.spilled)
-		}
-		r.spilled[object] = best
+	if best == "" {
+		return ""
+	}
+	return c.spill(r, object, best, a)
+}
+
+// takes says whether another region can run an ask. Must hold mu.
+func (c *Controller) takes(r *region, name string, a port.AskSlot) bool {
+	return name != r.name && c.rooms[roomKey{name, a.Service}] > 0 &&
+		(len(a.Homes) == 0 || slices.Contains(a.Homes, name))
+}
+
+// mayRun says whether one more request of a region may run in another, or at
+// home. Must hold mu.
+func (c *Controller) mayRun(now time.Time, r *region, name string) bool {
+	return now.Before(r.unsettledUntil) || r.shift.Allows(now, name)
+}
+
+// countShift notes where a request of the region is to run; one that comes back
+// from another region was counted before. Must hold mu.
+func (c *Controller) countShift(now time.Time, r *region, other string, a port.AskSlot) {
+	if a.Visiting || a.Stay {
+		return
 	}
-	return best
+	if other == "" {
+		other = r.name
+	}
+	r.shift.Count(now, other, now.Before(r.unsettledUntil))
+}
+
+// spill notes that an object goes to another region. Must hold mu.
+func (c *Controller) spill(r *region, object, to string, a port.AskSlot) string {
+	c.rooms[roomKey{to, a.Service}]--
+	if len(r.spilled) >= mostSpilled {
+		clear(r.spilled)
+	}
+	r.spilled[object] = to
+	return to
 }
 
 // cancel takes back an ask whose gateway no longer waits.
@@ -349,6 +417,9 @@
 	defer c.mu.Unlock()
 	for _, s := range released {
 		if r := c.regions[s.Region]; r != nil && r.pool != nil {
+			if s.Outcome == dispatch.Broken {
+				c.brokeOff(now, r)
+			}
 			c.deliver(r, r.pool.Release(now, s.Grant, s.Outcome, s.Took))
 		}
 	}
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -128,6 +128,7 @@
 		}
 		if lost := !live(now, p.Heard); lost != p.lost {
 			p.lost = lost
+			c.unsettle(now)
 			e := event.ControllerFound
 			if lost {
 				e = event.ControllerLost
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -180,7 +180,7 @@
 func newControllerOf(p *vmProcess, store port.VoterStore) (*controller.Controller, error) {
 	return controller.New(controller.Config{
 		Name: p.settings.Name, Address: p.settings.FleetAddress, Zone: p.settings.Zone, Region: p.settings.Region,
-		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Founding: p.settings.Founding, Retries: p.settings.Retries,
+		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Founding: p.settings.Founding, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
 	}, controller.Ports{
 		Clock: p.clock, Logger: p.logger, Store: store,
 		Dial: func(address string) (port.ControllerPeer, error) { return p.dial(address) },
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -446,6 +446,17 @@
 	return n
 }
 
+// Slots returns the slots of all usable endpoints.
+func (p *Pool) Slots() int {
+	n := 0
+	for _, s := range p.servers {
+		if !s.endpoint.Leaving && !s.endpoint.Gone && s.breaks < lostAfterBreaks {
+			n += s.endpoint.Slots
+		}
+	}
+	return n
+}
+
 // Services returns the names of the services that the pool knows.
 func (p *Pool) Services() []string {
 	names := make([]string, 0, len(p.services))
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -100,6 +100,9 @@
 	// endpoint that lives has been heard of again.
 	brokenPause    = 300 * time.Millisecond
 	brokenPauseMax = 2400 * time.Millisecond
+	// lostAfterBreaks is the number of broken connections in a row after which an
+	// endpoint counts as lost.
+	lostAfterBreaks = 3
 	// fullPause is how long an endpoint that refused a request is passed over.
 	fullPause = 40 * time.Millisecond
 	// smoothing is the weight of the newest sample in a moving average.
