--- /dev/null
+++ b/internal/app/gateway/serve_test.go
@@ -0,0 +1,200 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/fleet"
+	"sassafrasreach/internal/core/registry"
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
+)
+
+// oneController is a controller that dispatches its region and grants whatever
+// is asked, until it is told otherwise.
+type oneController struct {
+	mu       sync.Mutex
+	grants   int
+	released []port.SlotRelease
+	answer   func(a port.AskSlot) (port.SlotAnswer, error)
+}
+
+func (c *oneController) Watch(ctx context.Context, _ port.Gateway, since port.WatchCursor) (port.Update, error) {
+	u := port.Update{
+		Confirmed: time.Now(), Sequence: 1, Cursor: port.WatchCursor{Incarnation: 1, Sequence: 1},
+		Dispatchers: []port.Lease{{Region: "east", Holder: "c:1", Left: time.Minute, Firm: true}},
+		Controllers: []port.Controller{{Address: "c:1", Zone: "east-1", Region: "east"}},
+	}
+	if since.Sequence == 0 {
+		u.State = &fleet.State{Config: fleet.Config{
+			Version: 1, Services: []fleet.Service{{Name: "s"}}, Routes: []fleet.Route{
+				route("safe", "/safe/", true, 2), route("once", "/once/", false, 2), route("single", "/single/", true, 1),
+			},
+		}}
+		return u, nil
+	}
+	select {
+	case <-time.After(20 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	return u, nil
+}
+
+func route(name, prefix string, idempotent bool, attempts int) fleet.Route {
+	return fleet.Route{
+		Name: name, Host: "shop", Prefix: prefix, Idempotent: idempotent, Attempts: attempts,
+		Target: 100 * time.Millisecond, Timeout: 300 * time.Millisecond, Parts: []fleet.Part{{Service: "s", Weight: 1}},
+	}
+}
+
+func (c *oneController) Acquire(_ context.Context, a port.AskSlot) (port.SlotAnswer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answer != nil {
+		return c.answer(a)
+	}
+	c.grants++
+	ids := []string{"e0", "e1", "e2", "e3"}
+	return port.SlotAnswer{Decision: dispatch.Decision{
+		Grant: ids[c.grants-1], Endpoint: registry.Endpoint{ID: ids[c.grants-1], Address: "e:1"},
+	}}, nil
+}
+
+func (c *oneController) Release(_ context.Context, r []port.SlotRelease) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.released = append(c.released, r...)
+	return nil
+}
+
+// endpoints answer one call after the other.
+type endpoints struct {
+	mu    sync.Mutex
+	calls int
+	ends  []error
+	waits bool
+}
+
+func (e *endpoints) Call(ctx context.Context, _ port.Endpoint, _ *port.Request, _ port.Gate) (*port.Response, error) {
+	e.mu.Lock()
+	end := e.ends[min(e.calls, len(e.ends)-1)]
+	e.calls++
+	e.mu.Unlock()
+	if e.waits {
+		<-ctx.Done()
+		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonDeadline, ctx.Err())
+	}
+	if end != nil {
+		return nil, end
+	}
+	return &port.Response{Status: http.StatusOK}, nil
+}
+
+func (e *endpoints) Probe(context.Context, port.Endpoint) error { return nil }
+
+func serve(t *testing.T, c *oneController, e *endpoints, path string) port.ClientAnswer {
+	g := gateway.New(gateway.Config{Name: "g", Zone: "east-1", Region: "east", Seeds: []string{"c:1"}}, gateway.Ports{
+		Clock: port.ClockFunc(time.Now), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Endpoints: e,
+		Dial: func(string) (port.ControllerLink, error) { return c, nil },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go g.Run(ctx)
+	for !g.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return g.Serve(ctx, &port.ClientRequest{
+		Request:   port.Request{ID: "r", Deadline: time.Now().Add(2 * time.Second)},
+		RouteHost: "shop", Path: path,
+	})
+}
+
+// TestAttempts holds how often a request is sent and what its client is told,
+// for each kind of route and each end of the calls.
+func TestAttempts(t *testing.T) {
+	shed := verdict.NewError(verdict.NotRun, verdict.ReasonShed, nil)
+	dial := verdict.NewError(verdict.NotRun, verdict.ReasonDial, nil)
+	broken := verdict.NewError(verdict.MayHaveRun, verdict.ReasonConnection, port.ErrConnectionLost)
+	cases := []struct {
+		name, path string
+		ends       []error
+		calls      int
+		want       verdict.Verdict
+	}{
+		{"served", "/once/", []error{nil}, 1, verdict.Ran},
+		{"once-only, refused, then served", "/once/", []error{shed, nil}, 2, verdict.Ran},
+		{"once-only, not reached, then served", "/once/", []error{dial, nil}, 2, verdict.Ran},
+		{"once-only, refused twice", "/once/", []error{shed}, 2, verdict.NotRun},
+		{"once-only, broken off", "/once/", []error{broken, nil}, 1, verdict.MayHaveRun},
+		{"once-only, refused, then broken off", "/once/", []error{shed, broken}, 2, verdict.MayHaveRun},
+		{"idempotent, broken off, then served", "/safe/", []error{broken, nil}, 2, verdict.Ran},
+		{"idempotent, broken off, then refused", "/safe/", []error{broken, shed}, 2, verdict.MayHaveRun},
+		{"one attempt alone", "/single/", []error{broken, nil}, 1, verdict.MayHaveRun},
+		{"no route", "/other/", []error{nil}, 0, verdict.NotRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := &endpoints{ends: c.ends}
+			a := serve(t, &oneController{}, e, c.path)
+			is.Equal(verdict.Of(a.Err), c.want)
+			is.Equal(e.calls, c.calls)
+		})
+	}
+}
+
+// TestTimeout ends a request at its route's timeout and gives its slot back.
+func TestTimeout(t *testing.T) {
+	is := is.New(t)
+	c := &oneController{}
+	began := time.Now()
+	a := serve(t, c, &endpoints{ends: []error{nil}, waits: true}, "/once/")
+	is.Equal(verdict.Of(a.Err), verdict.MayHaveRun)
+	is.True(time.Since(began) < 700*time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	is.Equal(len(c.released), 1)
+	is.Equal(c.released[0].Outcome, dispatch.Failed)
+}
+
+// TestNoSlot tells a client when to come back, and that its request didn't run.
+func TestNoSlot(t *testing.T) {
+	cases := map[string]func(port.AskSlot) (port.SlotAnswer, error){
+		"refused": func(port.AskSlot) (port.SlotAnswer, error) {
+			return port.SlotAnswer{Decision: dispatch.Decision{Reason: dispatch.ReasonOverload, RetryAfter: time.Second}}, nil
+		},
+		"no dispatcher": func(port.AskSlot) (port.SlotAnswer, error) {
+			return port.SlotAnswer{}, port.ErrNotDispatcher
+		},
+		"out of reach": func(port.AskSlot) (port.SlotAnswer, error) {
+			return port.SlotAnswer{}, errors.New("unreachable")
+		},
+		"no room elsewhere after all": func(a port.AskSlot) (port.SlotAnswer, error) {
+			if !a.Visiting && !a.Stay {
+				return port.SlotAnswer{Region: "east"}, nil
+			}
+			return port.SlotAnswer{Decision: dispatch.Decision{Reason: dispatch.ReasonOverload, RetryAfter: time.Second}}, nil
+		},
+	}
+	for name, answer := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := &endpoints{ends: []error{nil}}
+			a := serve(t, &oneController{answer: answer}, e, "/once/")
+			is.Equal(verdict.Of(a.Err), verdict.NotRun)
+			is.True(a.RetryAfter > 0)
+			is.Equal(e.calls, 0)
+		})
+	}
+}
