Keep asking a dispatcher whose answer came late once

Change: three late answers in a row do that; a dispatcher is given 0.6 s. Test: gateway.TestSlowDispatcher, failing before.

--- a/internal/adapter/fleetgrpc/server.go
+++ b/internal/adapter/fleetgrpc/server.go
@@ -105,8 +105,12 @@
 
 // fromStatus restores the typed error behind a code.
 func fromStatus(err error, address string) error {
-	if status.Code(err) == codes.FailedPrecondition {
+	switch status.Code(err) {
+	case codes.FailedPrecondition:
 		err = fmt.Errorf("%w: %w", port.ErrNotDispatcher, err)
+	case codes.DeadlineExceeded:
+		err = fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
+	default:
 	}
 	return fmt.Errorf("controller %s: %w", address, err)
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -53,6 +53,8 @@
 	avoid       map[string]time.Time
 	// deaf holds until when a controller that didn't answer isn't asked for slots.
 	deaf map[string]time.Time
+	// late counts the asks in a row that a controller hasn't answered in time.
+	late map[string]int
 	// served remembers which endpoint last served an object.
 	served   map[string]string
 	watching [watchers]string
@@ -73,7 +75,7 @@
 	return &Gateway{
 		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds,
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
-		avoid: make(map[string]time.Time), deaf: make(map[string]time.Time), served: make(map[string]string), regions: make(map[string]dispatcher),
+		avoid: make(map[string]time.Time), deaf: make(map[string]time.Time), late: make(map[string]int), served: make(map[string]string), regions: make(map[string]dispatcher),
 		releases: make(map[string]*outbox),
 	}
 }
--- a/internal/app/gateway/locate.go
+++ b/internal/app/gateway/locate.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"slices"
 	"time"
 
 	"sassafrasreach/internal/core/lease"
+	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
 
@@ -13,6 +16,9 @@
 	// deafFor is how long a controller that didn't answer isn't asked for slots: a
 	// lease ends after about as long.
 	deafFor = time.Second
+	// lateMost is the number of answers in a row that come too late before a
+	// controller isn't asked for a while: a lost packet alone delays one.
+	lateMost = 3
 	// mostAsked bounds the controllers that are asked for one slot: one that holds
 	// the region, one that has just ended, one that takes over.
 	mostAsked = 3
@@ -57,7 +63,21 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if errors.Is(err, context.DeadlineExceeded) {
+		if g.late[address]++; g.late[address] < lateMost {
+			return
+		}
+	}
 	g.deaf[address] = g.ports.Clock.Now().Add(deafFor)
+	event.Log(context.Background(), g.ports.Logger, event.ControllerDeaf,
+		slog.String("controller", address), slog.String("why", err.Error()))
+}
+
+// answered notes that a controller has answered in time.
+func (g *Gateway) answered(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.late, address)
 }
 
 // lastServed returns the endpoint that last served an object; empty if none is
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -26,7 +26,7 @@
 	fewestLeft = 30 * time.Millisecond
 	// askFloor is the shortest time that a dispatcher is given for an answer: a few
 	// round trips to another region.
-	askFloor = 400 * time.Millisecond
+	askFloor = 600 * time.Millisecond
 	// noDispatcherRetry is when a client returns while no dispatcher is known: a
 	// lease ends after about as long.
 	noDispatcherRetry = 500 * time.Millisecond
@@ -237,6 +237,7 @@
 	for _, address := range g.dispatchersOf(ask.Region) {
 		var slot port.SlotAnswer
 		if slot, err = g.askOne(ctx, address, ask); err == nil {
+			g.answered(address)
 			return slot, address, nil
 		}
 		if ctx.Err() != nil {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -89,6 +89,7 @@
 	WatchBegun     = Event{1702, "watch-begun", slog.LevelInfo, "This gateway watches a controller."}
 	RequestEnded   = Event{1703, "request-ended", slog.LevelInfo, "A request ended; attributes tell its route, service, endpoint, tries, verdict and times."}
 	RecordsDropped = Event{1704, "records-dropped", slog.LevelWarn, "Log records were dropped since standard output was too slow or the bound was reached; the attribute tells how many."}
+	ControllerDeaf = Event{1707, "controller-deaf", slog.LevelWarn, "A controller failed to answer an ask for a slot; others are asked for a while."}
 	SettingsLoaded = Event{1705, "settings-loaded", slog.LevelInfo, "The settings were read again; attributes tell what changed."}
 	SettingsFailed = Event{1706, "settings-failed", slog.LevelError, "The settings can't be read; those in force stay."}
 )
@@ -105,5 +106,5 @@
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnsure,
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed,
-	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed,
+	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerDeaf,
 }
