--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -189,11 +189,11 @@
 }
 
 func cursorToProto(c port.WatchCursor) *fleetv1.Cursor {
-	return &fleetv1.Cursor{Incarnation: c.Incarnation, Sequence: c.Sequence, Endpoints: c.Endpoints}
+	return &fleetv1.Cursor{Incarnation: c.Incarnation, Sequence: c.Sequence}
 }
 
 func cursorFromProto(m *fleetv1.Cursor) port.WatchCursor {
-	return port.WatchCursor{Incarnation: m.GetIncarnation(), Sequence: m.GetSequence(), Endpoints: m.GetEndpoints()}
+	return port.WatchCursor{Incarnation: m.GetIncarnation(), Sequence: m.GetSequence()}
 }
 
 func (c codec) askToProto(a port.AskSlot) *fleetv1.AcquireRequest {
--- a/internal/adapter/fleetgrpc/message.go
+++ b/internal/adapter/fleetgrpc/message.go
@@ -96,8 +96,7 @@
 func (c codec) updateToProto(u port.Update) (*fleetv1.WatchResponse, error) {
 	out := &fleetv1.WatchResponse{
 		ConfirmedAgeMs: neverConfirmed, Sequence: u.Sequence, Dispatchers: each(u.Dispatchers, leaseToProto),
-		Endpoints: each(u.Endpoints, c.endpointToProto), Controllers: each(u.Controllers, c.controllerToProto),
-		Cursor: cursorToProto(u.Cursor),
+		Controllers: each(u.Controllers, c.controllerToProto), Cursor: cursorToProto(u.Cursor),
 	}
 	if !u.Confirmed.IsZero() {
 		out.ConfirmedAgeMs = max(0, c.age(u.Confirmed))
@@ -113,8 +112,7 @@
 func (c codec) updateFromProto(m *fleetv1.WatchResponse) (port.Update, error) {
 	u := port.Update{
 		Sequence: m.GetSequence(), Dispatchers: each(m.GetDispatchers(), leaseFromProto),
-		Endpoints: each(m.GetEndpoints(), c.endpointFromProto), Controllers: each(m.GetControllers(), c.controllerFromProto),
-		Cursor: cursorFromProto(m.GetCursor()),
+		Controllers: each(m.GetControllers(), c.controllerFromProto), Cursor: cursorFromProto(m.GetCursor()),
 	}
 	if m.GetConfirmedAgeMs() != neverConfirmed {
 		u.Confirmed = c.now.Add(-time.Duration(m.GetConfirmedAgeMs()) * time.Millisecond)
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -72,6 +72,19 @@
 	return true
 }
 
+// forgetEndpoints drops the endpoints that were not heard of for long. Must hold
+// mu.
+func (c *Controller) forgetEndpoints(now time.Time) {
+	for _, e := range c.endpoints.Sweep(now) {
+		delete(c.heardHere, e.ID)
+		for _, r := range c.regions {
+			if r.pool != nil {
+				r.pool.Forget(e.ID)
+			}
+		}
+	}
+}
+
 // spread tells the other controllers of an endpoint at once.
 func (c *Controller) spread(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -98,7 +98,7 @@
 		sendings = append(sendings, sending{p, news, c.heardSeq})
 	}
 	c.dropped()
-	c.endpoints.Sweep(now)
+	c.forgetEndpoints(now)
 	c.mu.Unlock()
 	for _, s := range sendings {
 		go func() {
--- a/internal/app/controller/watch.go
+++ b/internal/app/controller/watch.go
@@ -24,7 +24,7 @@
 	changed := c.changed
 	update := c.update(since)
 	c.mu.Unlock()
-	if update.State != nil || len(update.Endpoints) > 0 || since.Incarnation != c.incarnation {
+	if update.State != nil || since.Incarnation != c.incarnation {
 		return update, nil
 	}
 	timer := time.NewTimer(watchHold)
@@ -56,7 +56,6 @@
 		u.State = c.state.InForce()
 		u.Cursor.Sequence = u.Sequence
 	}
-	u.Endpoints, u.Cursor.Endpoints = nil, since.Endpoints
 	return u
 }
 
--- a/internal/core/fleet/config.go
+++ b/internal/core/fleet/config.go
@@ -107,9 +107,6 @@
 	return nil
 }
 
-// HasHost says whether any route belongs to the host.
-func (t *Table) HasHost(host string) bool { return len(t.byHost[strings.ToLower(host)]) > 0 }
-
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -124,7 +124,6 @@
 type WatchCursor struct {
 	Incarnation uint64
 	Sequence    uint64
-	Endpoints   uint64
 }
 
 // Update is what a controller tells a gateway.
@@ -136,7 +135,6 @@
 	Sequence    uint64
 	State       *fleet.State
 	Dispatchers []Lease
-	Endpoints   []registry.Endpoint
 	Controllers []Controller
 	Cursor      WatchCursor
 }
