Believe no former life of a restarted entry, and no silence of one that leaves

Traced by dumping both tables at the moment without an owner. (1) A restart that an entry hears of first from another place replaced its mate's row but kept the time since which the former life was heard: the mate counted as settled, nobody owned the group. (2) A mate that leaves and ends is silent for a lease before it counts as gone; its silence fenced the only owner, which then started anew. Ruled out: load (virtual time). Change: hearsay of a new incarnation ends the former life's times; a leaving member's silence means nothing to the fence. Tests: membership.TestRestartHeardFromAfar and TestSilenceOfALeavingMate, both seen failing first.

--- a/internal/core/membership/faults_test.go
+++ b/internal/core/membership/faults_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -228,3 +229,77 @@
 	incarnation, _ := table.KnownIncarnation("a")
 	is.Equal(incarnation, uint64(6))
 }
+
+// TestRestartHeardFromAfar has an entry hear from another place first that its
+// mate has restarted: the mate has to become an owner anew.
+func TestRestartHeardFromAfar(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := membership.NewTable(membership.Member{Name: "b", Place: "p", Incarnation: 1}, membership.Config{})
+	table.SetPeers(now, []membership.Peer{
+		{Name: "a", Place: "p", Region: "r"}, {Name: "b", Place: "p", Region: "r"}, {Name: "far", Place: "q", Region: "r"},
+	})
+	counter := uint64(0)
+	round := func(from, place string, incarnation uint64) {
+		table.Tick(now)
+		counter++
+		rows := []membership.MemberRow{
+			{Name: from, Place: place, Incarnation: 1, Counter: counter},
+			{Name: "a", Place: "p", Incarnation: incarnation, Counter: counter},
+			{Name: "b", Place: "p", Incarnation: 1, Counter: counter},
+		}
+		if from == "a" {
+			rows = rows[1:]
+		}
+		table.Receive(now, membership.Heartbeat{From: from, Members: rows})
+		now = now.Add(500 * time.Millisecond)
+	}
+	for range 10 {
+		round("a", "p", 1)
+	}
+	service := ""
+	for n := range 100 { // a service that belongs to a
+		s := fmt.Sprint("s", n)
+		if owner, ok := table.Owner(now, s, "p"); ok && owner.Name == "a" {
+			service = s
+			break
+		}
+	}
+	round("far", "q", 2)
+	round("a", "p", 2)
+	is.True(table.OwnsSelf(now, service, "p"))
+	owner, ok := table.Owner(now, service, "p")
+	is.True(ok)
+	is.Equal(owner.Name, "b")
+}
+
+// TestSilenceOfALeavingMate has the only other entry of a place leave and end,
+// and a new one start in its stead: the silence between the two fences nobody.
+func TestSilenceOfALeavingMate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := membership.NewTable(membership.Member{Name: "b", Place: "p", Incarnation: 1}, membership.Config{})
+	table.SetPeers(now, []membership.Peer{{Name: "a", Place: "p", Region: "r"}, {Name: "b", Place: "p", Region: "r"}})
+	counter := uint64(0)
+	round := func(incarnation uint64, leaving bool) {
+		table.Tick(now)
+		counter++
+		if incarnation > 0 {
+			table.Receive(now, membership.Heartbeat{From: "a", Members: []membership.MemberRow{
+				{Name: "a", Place: "p", Incarnation: incarnation, Counter: counter, Leaving: leaving},
+				{Name: "b", Place: "p", Incarnation: 1, Counter: counter},
+			}})
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	for range 10 {
+		round(1, false)
+	}
+	round(1, true)
+	for range 3 {
+		round(0, false)
+		is.True(table.OwnsSelf(now, "s", "p"))
+	}
+	round(2, false)
+	is.True(table.OwnsSelf(now, "s", "p"))
+}
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -90,6 +90,7 @@
 	case row.Incarnation > s.row.Incarnation:
 		row.Counter = 0
 		s.row = row
+		s.heard, s.since = time.Time{}, time.Time{} // the former life's
 	case row.Incarnation == s.row.Incarnation && row.Leaving && !s.row.Leaving:
 		s.row.Leaving = true
 		s.times = 0
--- a/internal/core/membership/liveness.go
+++ b/internal/core/membership/liveness.go
@@ -65,10 +65,11 @@
 	t.acked = sent
 }
 
-// noteHearing keeps the time since which the cell has been heard.
+// noteHearing keeps the time since which the cell has been heard. A member that
+// leaves takes nothing over, so that its silence means nothing.
 func (t *Table) noteHearing(now time.Time) {
 	for _, i := range t.cell {
-		if s, ok := t.members[t.dir.peers[i].Name]; ok && t.alive(now, s) {
+		if s, ok := t.members[t.dir.peers[i].Name]; ok && !s.row.Leaving && t.alive(now, s) {
 			if t.hears.IsZero() {
 				t.hears = now
 			}
