Lend endpoints between regions, learn how many objects they keep, bound moves alone

Ruled out: the way itself (two ways of 110 ms fit the targets when warm); naming gateways of other regions to clients (an object would be asked for at two dispatchers). Change: a dispatcher lends whole endpoints to regions that need more slots than they have, worked out by all from the same loads; ahead of traffic by the gateways. One pool then knows the objects of its region wherever they run. How many objects endpoints keep is found out from the runs. The bound on shifts holds for objects that are placed or moved. New endpoints get a request soon. Spilling is gone. Tests, seen failing without the change: dispatch.TestLending and five beside it, TestShiftOfLoans, TestGoneWhileAwaited, TestKeptObjects; rendezvous.TestSpread. Left out of the same change: Pool.Suits, Ballots.Holder and other unused parts.

--- a/internal/adapter/fleetgrpc/client.go
+++ b/internal/adapter/fleetgrpc/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	fleetv1 "sassafrasreach/api/fleet/v1"
+	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/port"
@@ -195,7 +196,7 @@
 }
 
 // Acquire implements port.ControllerLink.
-func (c *Client) Acquire(ctx context.Context, a port.AskSlot) (port.SlotAnswer, error) {
+func (c *Client) Acquire(ctx context.Context, a port.AskSlot) (dispatch.Decision, error) {
 	out, err := call(ctx, c, true, func(ctx context.Context, s fleetv1.FleetServiceClient) (*fleetv1.AcquireResponse, error) {
 		return s.Acquire(ctx, codec{c.clock.Now()}.askToProto(a))
 	})
--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -147,19 +147,37 @@
 	return port.Lease{Region: m.GetRegion(), Holder: m.GetHolder(), Left: millis(m.GetLeftMs()), Firm: m.GetFirm()}
 }
 
-func roomToProto(r port.Room) *fleetv1.Room {
-	return &fleetv1.Room{Region: r.Region, Service: r.Service, Free: int32(r.Free)}
+// hundredths are the unit of a load's need.
+const hundredths = 100
+
+func loadToProto(l dispatch.Load) *fleetv1.Load {
+	return &fleetv1.Load{
+		Region: l.Region, Service: l.Service, NeedHundredths: int64(l.Need * hundredths), Slots: int32(l.Slots),
+		Gateways: int32(l.Gateways),
+	}
+}
+
+func loadFromProto(m *fleetv1.Load) dispatch.Load {
+	return dispatch.Load{
+		Region: m.GetRegion(), Service: m.GetService(), Need: float64(m.GetNeedHundredths()) / hundredths,
+		Slots: int(m.GetSlots()), Gateways: int(m.GetGateways()),
+	}
 }
 
-func roomFromProto(m *fleetv1.Room) port.Room {
-	return port.Room{Region: m.GetRegion(), Service: m.GetService(), Free: int(m.GetFree())}
+func loanToProto(l dispatch.Loan) *fleetv1.Loan {
+	return &fleetv1.Loan{Lender: l.Lender, Borrower: l.Borrower, Endpoints: l.Endpoints}
+}
+
+func loanFromProto(m *fleetv1.Loan) dispatch.Loan {
+	return dispatch.Loan{Lender: m.GetLender(), Borrower: m.GetBorrower(), Endpoints: m.GetEndpoints()}
 }
 
 func (c codec) newsToProto(n port.News) *fleetv1.ExchangeRequest {
 	return &fleetv1.ExchangeRequest{
 		From: c.controllerToProto(n.From), Controllers: each(n.Controllers, c.controllerToProto),
 		Gateways: each(n.Gateways, c.gatewayToProto), Endpoints: each(n.Endpoints, c.endpointToProto),
-		Asks: n.Asks, Drops: n.Drops, Rooms: each(n.Rooms, roomToProto), Whole: n.Whole,
+		Asks: n.Asks, Drops: n.Drops, Whole: n.Whole,
+		Loads: each(n.Loads, loadToProto), Loans: each(n.Loans, loanToProto),
 	}
 }
 
@@ -167,7 +185,8 @@
 	return port.News{
 		From: c.controllerFromProto(m.GetFrom()), Controllers: each(m.GetControllers(), c.controllerFromProto),
 		Gateways: each(m.GetGateways(), c.gatewayFromProto), Endpoints: each(m.GetEndpoints(), c.endpointFromProto),
-		Asks: m.GetAsks(), Drops: m.GetDrops(), Rooms: each(m.GetRooms(), roomFromProto), Whole: m.GetWhole(),
+		Asks: m.GetAsks(), Drops: m.GetDrops(), Whole: m.GetWhole(),
+		Loads: each(m.GetLoads(), loadFromProto), Loans: each(m.GetLoans(), loanFromProto),
 	}
 }
 
@@ -200,22 +219,23 @@
 	return &fleetv1.AcquireRequest{
 		Id: a.ID, Gateway: a.Gateway, Region: a.Region, Service: a.Service, Priority: int32(a.Priority),
 		Affinity: a.Affinity, Zone: a.Zone, TargetMs: a.Target.Milliseconds(), DeadlineMs: -c.age(a.Deadline),
-		Homes: a.Homes, Exclude: a.Exclude, Visiting: a.Visiting, Kind: a.Kind, Hint: a.Hint, Stay: a.Stay,
+		Homes: a.Homes, Exclude: a.Exclude, Kind: a.Kind, Hint: a.Hint,
 	}
 }
 
 func (c codec) askFromProto(m *fleetv1.AcquireRequest) port.AskSlot {
 	return port.AskSlot{
-		Region: m.GetRegion(), Homes: m.GetHomes(), Stay: m.GetStay(),
+		Region: m.GetRegion(),
 		Ask: dispatch.Ask{
 			ID: m.GetId(), Gateway: m.GetGateway(), Service: m.GetService(), Priority: int(m.GetPriority()),
 			Affinity: m.GetAffinity(), Zone: m.GetZone(), Target: millis(m.GetTargetMs()),
-			Deadline: c.moment(-m.GetDeadlineMs()), Exclude: m.GetExclude(), Visiting: m.GetVisiting(), Kind: m.GetKind(), Hint: m.GetHint(),
+			Deadline: c.moment(-m.GetDeadlineMs()), Exclude: m.GetExclude(), Homes: m.GetHomes(),
+			Kind: m.GetKind(), Hint: m.GetHint(),
 		},
 	}
 }
 
-func (c codec) answerToProto(a port.SlotAnswer) *fleetv1.AcquireResponse {
+func (c codec) answerToProto(a dispatch.Decision) *fleetv1.AcquireResponse {
 	out := &fleetv1.AcquireResponse{
 		Grant: a.Grant, Region: a.Region, RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: string(a.Reason),
 	}
@@ -225,13 +245,10 @@
 	return out
 }
 
-func (c codec) answerFromProto(m *fleetv1.AcquireResponse) port.SlotAnswer {
-	return port.SlotAnswer{
-		Region: m.GetRegion(),
-		Decision: dispatch.Decision{
-			Grant: m.GetGrant(), Endpoint: c.endpointFromProto(m.GetEndpoint()),
-			RetryAfter: millis(m.GetRetryAfterMs()), Reason: dispatch.Reason(m.GetReason()),
-		},
+func (c codec) answerFromProto(m *fleetv1.AcquireResponse) dispatch.Decision {
+	return dispatch.Decision{
+		Grant: m.GetGrant(), Endpoint: c.endpointFromProto(m.GetEndpoint()), Region: m.GetRegion(),
+		RetryAfter: millis(m.GetRetryAfterMs()), Reason: dispatch.Reason(m.GetReason()),
 	}
 }
 
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -97,10 +97,13 @@
 	heardSeq  uint64
 	ballots   *lease.Ballots
 	regions   map[string]*region
-	rooms     map[roomKey]int
-	changed   chan struct{}
-	seeds     []string
-	stopping  bool
+	// loads and loans are what regions were last said to need, and to lend by
+	// lender.
+	loads    map[loadKey]heardLoad
+	loans    map[string]heardLoans
+	changed  chan struct{}
+	seeds    []string
+	stopping bool
 }
 
 var _ port.ControllerService = (*Controller)(nil)
@@ -114,12 +117,12 @@
 		peers: make(map[string]*peer), state: &fleet.State{},
 		gateways: make(map[string]port.Gateway), watchers: make(map[string]time.Time), endpoints: registry.New(endpointMemory),
 		heardHere: make(map[string]uint64), ballots: lease.NewBallots(now),
-		regions: make(map[string]*region), rooms: make(map[roomKey]int),
+		regions: make(map[string]*region), loads: make(map[loadKey]heardLoad), loans: make(map[string]heardLoans),
 		proposing: make(chan struct{}, 1), changed: make(chan struct{}), seeds: config.Seeds,
 	}
 	for _, name := range config.Zones {
 		if c.regions[name] == nil {
-			c.regions[name] = &region{name: name, candidate: lease.NewCandidate(), spilled: make(map[string]string), shift: dispatch.NewShiftMeter(config.MaxShift)}
+			c.regions[name] = &region{name: name, candidate: lease.NewCandidate()}
 		}
 	}
 	v, err := newVoter(config, ports)
@@ -198,13 +201,14 @@
 	return keys
 }
 
-// newDispatchSetup returns the figures of a pool.
-func (c *Controller) newDispatchSetup() dispatch.Setup {
+// newDispatchSetup returns the figures of a region's pool. The pool calls them with
+// mu held, as all of a pool is called.
+func (c *Controller) newDispatchSetup(region string) dispatch.Setup {
 	retries := c.config.Retries
 	retries.Extra /= float64(len(c.regions))
 	return dispatch.Setup{
-		Retries: retries,
-		// ColdRate is called with mu held, as all of a pool is.
+		Retries: retries, Region: region, Way: c.way, MaxShift: c.config.MaxShift,
+		RegionOf: func(zone string) string { return c.config.Zones[zone] },
 		ColdRate: func(service string) float64 {
 			for _, s := range c.state.Config.Services {
 				if s.Name == service {
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -79,7 +79,7 @@
 		delete(c.heardHere, e.ID)
 		for _, r := range c.regions {
 			if r.pool != nil {
-				r.pool.Forget(e.ID)
+				r.pool.Forget(now, e.ID)
 			}
 		}
 	}
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -28,12 +28,24 @@
 	// told counts the announcements that it was told of; a peer of a new
 	// incarnation is told all.
 	told uint64
+	// way is the moving average of the time that news and its answer take.
+	way time.Duration
 	// tried is when it first was to be reached without success.
 	tried time.Time
 	busy  bool
 	lost  bool
 }
 
+// wayWeight is the weight of a new sample of a peer's way, as a divisor.
+const wayWeight = 8
+
+func (p *peer) noteWay(took time.Duration) {
+	if p.way == 0 {
+		p.way = took
+	}
+	p.way += (took - p.way) / wayWeight
+}
+
 // peerAt returns the way to a controller, this one included.
 func (c *Controller) peerAt(address string) (port.ControllerPeer, error) {
 	if address == c.config.Address {
@@ -83,6 +95,7 @@
 	c.mu.Lock()
 	c.meetAll(now)
 	c.settleRegions(now)
+	loads, loans := c.shareOut(now)
 	type sending struct {
 		p    *peer
 		news port.News
@@ -95,6 +108,7 @@
 		}
 		p.busy = true
 		news := c.news(now, p)
+		news.Loads, news.Loans = loads, loans
 		sendings = append(sendings, sending{p, news, c.heardSeq})
 	}
 	c.dropped()
@@ -150,7 +164,7 @@
 func (c *Controller) news(now time.Time, p *peer) port.News {
 	n := port.News{
 		From: c.self(now), Controllers: c.controllers(now), Gateways: c.ownGateways(now),
-		Asks: c.asks(now), Drops: c.drops(), Rooms: c.ownRooms(now), Whole: p.told == 0,
+		Asks: c.asks(now), Drops: c.drops(), Whole: p.told == 0,
 	}
 	if p.told == 0 {
 		n.Endpoints, _ = c.endpoints.Since(0)
@@ -193,6 +207,7 @@
 	}
 	p.Controller = reply.From
 	p.asked, p.told = asked, told
+	p.noteWay(c.ports.Clock.Now().Sub(asked))
 	p.epoch, p.accepted = reply.Epoch.Number, reply.Accepted
 	c.enter(reply.Epoch)
 	c.hear(reply.Controllers)
@@ -230,9 +245,7 @@
 	for _, e := range n.Endpoints {
 		c.learnEndpoint(e)
 	}
-	for _, r := range n.Rooms {
-		c.rooms[roomKey{r.Region, r.Service}] = r.Free
-	}
+	c.hearShares(now, n)
 	reply := port.NewsReply{
 		From: c.self(now), Epoch: standing.Epoch, Accepted: standing.Accepted.Ballot,
 		Controllers: c.controllers(now), Known: c.held(now),
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -39,7 +39,9 @@
 	table   *fleet.Table
 	route   *fleet.Route
 	service string
-	began   time.Time
+	// home is the region whose dispatcher grants the slots.
+	home  string
+	began time.Time
 	// tries counts the endpoints that the request was sent to.
 	tries    int
 	exclude  []string
@@ -75,7 +77,7 @@
 	if x.route == nil {
 		return refusal(verdict.ReasonNoRoute, nil, 0)
 	}
-	x.service = x.route.Pick(rand.Float64())
+	x.service, x.home = x.route.Pick(rand.Float64()), x.homeRegion()
 	x.request.Service = x.service
 	x.request.OnceOnly = !x.route.Idempotent
 	limit := x.began.Add(x.route.Timeout)
@@ -113,7 +115,7 @@
 		}
 		return x.unserved(ctx, reason, nil, slot.RetryAfter), false
 	}
-	return x.send(ctx, slot.Decision, slot.Region, address)
+	return x.send(ctx, slot, address)
 }
 
 // unserved ends a request for which no slot was found. What an earlier try may
@@ -132,14 +134,14 @@
 }
 
 // send uses a slot.
-func (x *exchange) send(ctx context.Context, d dispatch.Decision, region, address string) (port.ClientAnswer, bool) {
+func (x *exchange) send(ctx context.Context, d dispatch.Decision, address string) (port.ClientAnswer, bool) {
 	g := x.gateway
 	began := g.ports.Clock.Now()
-	x.endpoint, x.region = d.Endpoint.ID, region
+	x.endpoint, x.region = d.Endpoint.ID, d.Region
 	outcome := dispatch.Unsent
 	defer func() {
 		g.release(address, port.SlotRelease{
-			Region: region, Grant: d.Grant, Outcome: outcome, Took: g.ports.Clock.Now().Sub(began),
+			Region: x.home, Grant: d.Grant, Outcome: outcome, Took: g.ports.Clock.Now().Sub(began),
 		})
 	}()
 	if x.request.Deadline.Sub(began) < fewestLeft {
@@ -194,34 +196,16 @@
 	}
 }
 
-// acquire asks the dispatcher of a region for a slot, and that of another one
-// which has room if it says so; when that one has none after all, the request
-// waits at home.
-func (x *exchange) acquire(ctx context.Context) (slot port.SlotAnswer, address string, err error) {
+// acquire asks the dispatcher of the home region for a slot.
+func (x *exchange) acquire(ctx context.Context) (d dispatch.Decision, address string, err error) {
 	began := x.gateway.ports.Clock.Now()
 	defer func() { x.waited += x.gateway.ports.Clock.Now().Sub(began) }()
-	home := x.home()
-	slot, address, err = x.askRegion(ctx, x.ask(home))
-	if err != nil || slot.Region == "" {
-		slot.Region = home
-		return slot, address, err
-	}
-	visit := x.ask(slot.Region)
-	visit.Visiting = true
-	slot, address, err = x.askRegion(ctx, visit)
-	slot.Region = visit.Region
-	if err == nil && slot.Grant != "" || ctx.Err() != nil {
-		return slot, address, err
-	}
-	stay := x.ask(home)
-	stay.Stay = true
-	slot, address, err = x.askRegion(ctx, stay)
-	slot.Region = home
-	return slot, address, err
+	return x.askRegion(ctx, x.ask())
 }
 
-// home is the region whose endpoints are asked first.
-func (x *exchange) home() string {
+// homeRegion is the region whose dispatcher is asked: the gateway's own, unless
+// the request may not run there.
+func (x *exchange) homeRegion() string {
 	homes := x.route.Homes
 	if len(homes) == 0 || slices.Contains(homes, x.gateway.config.Region) {
 		return x.gateway.config.Region
@@ -231,11 +215,11 @@
 
 // askRegion asks the holder of a region, or if none is known or in reach the
 // controllers in the order in which they would dispatch it.
-func (x *exchange) askRegion(ctx context.Context, ask port.AskSlot) (port.SlotAnswer, string, error) {
+func (x *exchange) askRegion(ctx context.Context, ask port.AskSlot) (dispatch.Decision, string, error) {
 	g := x.gateway
 	err := fmt.Errorf("%w: region %q has none", port.ErrNotDispatcher, ask.Region)
 	for _, address := range g.dispatchersOf(ask.Region) {
-		var slot port.SlotAnswer
+		var slot dispatch.Decision
 		if slot, err = g.askOne(ctx, address, ask); err == nil {
 			g.answered(address)
 			return slot, address, nil
@@ -245,28 +229,28 @@
 		}
 		g.ignore(address, err)
 	}
-	return port.SlotAnswer{}, "", err
+	return dispatch.Decision{}, "", err
 }
 
-func (g *Gateway) askOne(ctx context.Context, address string, ask port.AskSlot) (port.SlotAnswer, error) {
+func (g *Gateway) askOne(ctx context.Context, address string, ask port.AskSlot) (dispatch.Decision, error) {
 	link, err := g.link(address)
 	if err != nil {
-		return port.SlotAnswer{}, err
+		return dispatch.Decision{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(askFloor, ask.Target))
 	defer cancel()
 	return link.Acquire(ctx, ask)
 }
 
-func (x *exchange) ask(region string) port.AskSlot {
+func (x *exchange) ask() port.AskSlot {
 	g := x.gateway
 	incarnation := fmt.Sprintf("%s/%d", g.config.Name, g.incarnation)
 	ask := port.AskSlot{
-		Region: region, Homes: x.route.Homes,
+		Region: x.home,
 		Ask: dispatch.Ask{
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Kind: x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
-			Deadline: x.request.Deadline, Exclude: x.exclude,
+			Deadline: x.request.Deadline, Exclude: x.exclude, Homes: x.route.Homes,
 		},
 	}
 	if x.route.Sticky {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -1,9 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"hash/fnv"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -11,8 +8,8 @@
 	"sassafrasreach/internal/core/registry"
 )
 
-// Pool holds the slots of a region's endpoints. It is not safe for concurrent
-// use.
+// Pool grants the slots of a region's endpoints, and of those that other regions
+// lend it. It is not safe for concurrent use.
 type Pool struct {
 	setup    Setup
 	services map[string]*service
@@ -20,6 +17,10 @@
 	grants   map[string]grant
 	count    uint64
 	prefix   string
+	shift    *ShiftMeter
+	// unsettledUntil is until when objects may change regions freely.
+	unsettledUntil time.Time
+	brokeOff       time.Time
 	// firmSince is since when no other pool has the same endpoints; zero while
 	// that isn't sure.
 	firmSince time.Time
@@ -27,75 +28,100 @@
 
 // service is the part of a pool that serves one service.
 type service struct {
-	name    string
 	servers []*server
+	// keepers are the endpoints that remember an object.
+	keepers map[string][]*server
 	queue   []waiting
 	kinds   map[string]*kind
 	retries retries
+	kept    *keptMeter
+	load    loadMeter
 	// took is the moving average over all its answers, in seconds.
 	took float64
-}
-
-type waiting struct {
-	ask   Ask
-	until time.Time
-	// want is the endpoint that it waits for; nil if any will do.
-	want *server
+	// served is when it was served first; zero before.
+	served time.Time
+	// least is the least urgent priority that was seen.
+	least int
+	// recalled is when an endpoint was last called back.
+	recalled time.Time
 }
 
 type grant struct {
 	server  *server
 	service *service
 	kind    *kind
-	warm    bool
+	// depth is the number of other objects that the endpoint has served since it
+	// last served this one; -1 if it isn't known to have.
+	depth   int
 	expires time.Time
 }
 
 // NewPool returns an empty pool whose grants' names begin with prefix.
 func NewPool(prefix string, setup Setup) *Pool {
 	return &Pool{
-		setup: setup, prefix: prefix,
+		setup: setup, prefix: prefix, shift: NewShiftMeter(setup.MaxShift),
 		services: make(map[string]*service), servers: make(map[string]*server), grants: make(map[string]grant),
 	}
 }
 
-// Learn takes news of an endpoint. One that is gone keeps its grants until they
-// end.
-func (p *Pool) Learn(e registry.Endpoint) {
+// Learn takes news of an endpoint, of the own region or another. One that is gone
+// keeps its grants until they end.
+func (p *Pool) Learn(now time.Time, e registry.Endpoint) {
 	old := p.servers[e.ID]
 	if old != nil && old.endpoint.Service == e.Service && old.endpoint.Born == e.Born && !e.Gone {
+		if e.Leaving && !old.endpoint.Leaving {
+			p.lost(now, old)
+		}
 		old.endpoint = e
 		return
 	}
-	if old != nil {
-		p.forget(e.ID)
-	}
+	p.Forget(now, e.ID)
 	if e.Gone {
 		return
 	}
 	s := newServer(e)
+	s.region = p.setup.RegionOf(e.Zone)
+	if s.own = s.region == p.setup.Region; !s.own {
+		s.way = p.setup.Way(s.region)
+	}
 	p.servers[e.ID] = s
 	svc := p.service(e.Service)
 	svc.servers = append(svc.servers, s)
 }
 
 // Forget removes an endpoint.
-func (p *Pool) Forget(id string) { p.forget(id) }
-
-func (p *Pool) forget(id string) {
+func (p *Pool) Forget(now time.Time, id string) {
 	s := p.servers[id]
 	if s == nil {
 		return
 	}
+	p.lost(now, s)
+	s.endpoint.Gone = true // asks may still wait for it
 	delete(p.servers, id)
 	svc := p.service(s.endpoint.Service)
 	svc.servers = slices.DeleteFunc(svc.servers, func(o *server) bool { return o == s })
+	for object := range s.memory.used {
+		svc.forget(object, s)
+	}
+}
+
+// lost notes that an endpoint takes no more requests.
+func (p *Pool) lost(now time.Time, s *server) {
+	if s.held(now) && !s.endpoint.Leaving {
+		p.Unsettle(now)
+	}
 }
 
+// Unsettle lets objects change regions freely for a while, because endpoints,
+// controllers or connections were lost.
+func (p *Pool) Unsettle(now time.Time) { p.unsettledUntil = now.Add(unsettledFor) }
+
 func (p *Pool) service(name string) *service {
 	svc := p.services[name]
 	if svc == nil {
-		svc = &service{name: name, kinds: make(map[string]*kind)}
+		svc = &service{
+			kinds: make(map[string]*kind), keepers: make(map[string][]*server), kept: newKeptMeter(),
+		}
 		p.services[name] = svc
 	}
 	return svc
@@ -122,188 +148,35 @@
 	}
 }
 
-// adopt takes the gateway's word for where an object is warm, if none is known.
-func (svc *service) adopt(now time.Time, a Ask) {
-	object := a.object()
-	if a.Hint == "" || object == "" {
-		return
-	}
-	var hinted *server
-	for _, s := range svc.servers {
-		if s.keeps(object) {
-			return
-		}
-		if s.endpoint.ID == a.Hint {
-			hinted = s
-		}
-	}
-	if hinted != nil {
-		hinted.touch(now, object)
-	}
-}
-
 // Acquire decides an ask at once, or returns false when it has to wait; Release
 // and Tick decide it then.
 func (p *Pool) Acquire(now time.Time, a Ask) (Decision, bool) {
 	svc := p.service(a.Service)
+	again := len(a.Exclude) > 0
+	if !again {
+		svc.load.add(now, svc.kind(a).expected(a.object() != ""))
+		svc.retries.request(now, p.setup.Retries)
+		svc.least = max(svc.least, a.Priority)
+	}
 	if !slices.ContainsFunc(svc.servers, func(s *server) bool { return s.usable(now) }) {
 		return p.refuse(now, a, ReasonNoEndpoint), true
 	}
-	switch {
-	case len(a.Exclude) > 0 && !svc.retries.take(now, p.setup.Retries):
+	if again && !svc.retries.take(now, p.setup.Retries) {
 		return p.refuse(now, a, ReasonRetryBudget), true
-	case len(a.Exclude) == 0 && !a.Visiting:
-		svc.retries.request(now, p.setup.Retries)
 	}
-	svc.adopt(now, a)
-	best := svc.choose(now, a)
+	svc.adopt(a)
+	best := p.choose(now, svc, a)
 	if best != nil && best.free(now) {
 		return p.grant(now, svc, best, a), true
 	}
 	until := now.Add(svc.maxWait(a))
-	if !until.Before(a.Deadline) || !until.After(now) || p.hopeless(now, svc, a) {
+	if !until.Before(a.Deadline) || !until.After(now) || svc.hopeless(now, a) {
 		return p.lastResort(now, svc, a), true
 	}
 	svc.enqueue(waiting{ask: a, until: until, want: best})
 	return Decision{}, false
 }
 
-// enqueue adds an ask behind those of its priority.
-func (svc *service) enqueue(w waiting) {
-	if w.want != nil {
-		w.want.wanted++
-	}
-	svc.queue = append(svc.queue, w)
-	slices.SortStableFunc(svc.queue, func(x, y waiting) int { return cmp.Compare(x.ask.Priority, y.ask.Priority) })
-}
-
-// lastResort grants any free slot, however little it suits, or refuses.
-func (p *Pool) lastResort(now time.Time, svc *service, a Ask) Decision {
-	spare := svc.spare(now)
-	object := a.object()
-	if s := svc.cheapest(now, a, func(s *server) bool {
-		return s.free(now) && (spare || object == "" || s.keeps(object))
-	}); s != nil {
-		return p.grant(now, svc, s, a)
-	}
-	return p.refuse(now, a, ReasonOverload)
-}
-
-// spare says whether enough slots are free for runs that displace nothing.
-func (svc *service) spare(now time.Time) bool {
-	slots, free := 0, 0
-	for _, s := range svc.servers {
-		if s.usable(now) {
-			slots += s.endpoint.Slots
-			free += max(0, s.endpoint.Slots-s.inFlight)
-		}
-	}
-	return float64(free) > spareShare*float64(slots)
-}
-
-// Suits says whether an ask would be served at once and without displacing the
-// objects of others.
-func (p *Pool) Suits(now time.Time, a Ask) bool {
-	svc := p.service(a.Service)
-	best := svc.choose(now, a)
-	return best != nil && best.free(now) && (best.keeps(a.object()) || svc.spare(now))
-}
-
-// Keeps says whether a usable endpoint keeps the ask's object warm.
-func (p *Pool) Keeps(now time.Time, a Ask) bool {
-	object := a.object()
-	return slices.ContainsFunc(p.service(a.Service).servers, func(s *server) bool {
-		return s.usable(now) && s.keeps(object)
-	})
-}
-
-// maxWait is how long an ask may wait: as long as the answer can still be in
-// time if its object is warm, and a little if it can't.
-func (svc *service) maxWait(a Ask) time.Duration {
-	if a.Visiting {
-		return time.Duration(visitShare * float64(a.Target))
-	}
-	run := time.Duration(svc.kind(a).expected(a.object() != "") * float64(time.Second))
-	return max(a.Target-run, time.Duration(waitShare*float64(a.Target)))
-}
-
-// hopeless says whether the requests that go first will take all slots that
-// come free in the time that the ask may wait.
-func (p *Pool) hopeless(now time.Time, svc *service, a Ask) bool {
-	ahead := 0
-	for _, w := range svc.queue {
-		if w.ask.Priority <= a.Priority {
-			ahead++
-		}
-	}
-	return svc.took > 0 && float64(ahead+1) > svc.rate(now)*svc.maxWait(a).Seconds()
-}
-
-// rate is the number of slots that come free in a second.
-func (svc *service) rate(now time.Time) float64 {
-	slots := 0
-	for _, s := range svc.servers {
-		if s.usable(now) {
-			slots += s.endpoint.Slots
-		}
-	}
-	return float64(slots) / svc.took
-}
-
-// choose returns the endpoint from which an answer is expected first, or nil. It
-// may have no free slot: then the wait for one pays.
-func (svc *service) choose(now time.Time, a Ask) *server {
-	object := a.object()
-	copies := 0
-	for _, s := range svc.servers {
-		if s.usable(now) && s.keeps(object) && !slices.Contains(a.Exclude, s.endpoint.ID) {
-			copies++
-		}
-	}
-	return svc.cheapest(now, a, func(s *server) bool {
-		return s.usable(now) && (copies < mostCopies || s.keeps(object))
-	})
-}
-
-// cheapest returns the endpoint that costs least among those that fit. Where an
-// object is new, its place among endpoints of about the same cost goes by
-// rendezvous hashing: a dispatcher that knows nothing finds it where an earlier
-// one left it.
-func (svc *service) cheapest(now time.Time, a Ask, fits func(*server) bool) *server {
-	k, object := svc.kind(a), a.object()
-	var best, keeper *server
-	least, keeperLeast := math.Inf(1), math.Inf(1)
-	costs := make([]float64, len(svc.servers))
-	for i, s := range svc.servers {
-		costs[i] = math.Inf(1)
-		if !fits(s) || slices.Contains(a.Exclude, s.endpoint.ID) {
-			continue
-		}
-		cost := s.cost(now, svc, k, object)
-		if s.keeps(object) {
-			if cost < keeperLeast {
-				keeper, keeperLeast = s, cost
-			}
-			continue
-		}
-		costs[i] = cost
-		least = min(least, cost)
-	}
-	if keeper != nil && keeperLeast <= least {
-		return keeper
-	}
-	highest := uint64(0)
-	for i, s := range svc.servers {
-		if costs[i] > placeSlack*least || math.IsInf(costs[i], 1) {
-			continue
-		}
-		if hash := rendezvous(s.endpoint.ID, object); best == nil || hash > highest {
-			best, highest = s, hash
-		}
-	}
-	return best
-}
-
 // kind returns what is known of the ask's kind; at first its time is taken to
 // be the target.
 func (svc *service) kind(a Ask) *kind {
@@ -323,25 +196,23 @@
 	return a.Kind + "/" + a.Affinity
 }
 
-func rendezvous(id, key string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(key))
-	return h.Sum64()
-}
-
 func (p *Pool) grant(now time.Time, svc *service, s *server, a Ask) Decision {
 	p.count++
 	id := p.prefix + strconv.FormatUint(p.count, 36)
-	g := grant{server: s, service: svc, kind: svc.kind(a), warm: s.keeps(a.object()), expires: a.Deadline.Add(graceAfterDeadline)}
+	object := a.object()
+	g := grant{server: s, service: svc, kind: svc.kind(a), depth: -1, expires: a.Deadline.Add(graceAfterDeadline)}
+	if depth, known := s.memory.depth(object); known {
+		g.depth = depth
+	}
 	s.inFlight++
-	s.touch(now, a.object())
+	s.granted++
+	svc.touch(object, s)
 	if s.cold(now) {
-		s.coldNext = now.Add(coldGap(p.setup.ColdRate(svc.name)))
+		s.coldNext = now.Add(coldGap(p.setup.ColdRate(a.Service)))
 	}
+	p.shift.Count(now, s.region, now.Before(p.unsettledUntil))
 	p.grants[id] = g
-	return Decision{Ask: a, Grant: id, Endpoint: s.endpoint}
+	return Decision{Ask: a, Grant: id, Endpoint: s.endpoint, Region: s.region}
 }
 
 // coldGap is the time between two requests at a cold endpoint.
@@ -366,40 +237,35 @@
 		return nil
 	}
 	delete(p.grants, id)
-	g.server.inFlight--
-	g.server.ended(now, outcome, took.Seconds(), g.kind.expected(g.warm))
+	s, svc := g.server, g.service
+	s.inFlight--
+	warm := g.depth >= 0 && g.depth < svc.kept.limit
+	run := max(0, (took - s.way).Seconds())
+	s.ended(now, outcome, run, g.kind.expected(warm))
 	if outcome == Served {
-		g.kind.observe(g.warm, took.Seconds())
-		if g.service.took == 0 {
-			g.service.took = took.Seconds()
+		svc.ran(now, g, run, took.Seconds())
+	}
+	if outcome == Broken {
+		if now.Sub(p.brokeOff) < breaksApart {
+			p.Unsettle(now)
 		}
-		g.service.took += smoothing / 2 * (took.Seconds() - g.service.took)
+		p.brokeOff = now
 	}
-	return p.serve(now, g.service)
+	return p.serveAt(now, svc, s)
 }
 
-// serve grants free slots to the queue in order.
-func (p *Pool) serve(now time.Time, svc *service) []Decision {
-	var out []Decision
-	queue := svc.queue
-	svc.queue = queue[:0]
-	for _, s := range svc.servers {
-		s.wanted = 0
-	}
-	for _, w := range queue {
-		w.want = svc.choose(now, w.ask)
-		switch {
-		case w.want == nil:
-			svc.queue = append(svc.queue, w)
-		case w.want.free(now):
-			out = append(out, p.grant(now, svc, w.want, w.ask))
-		default:
-			w.want.wanted++
-			svc.queue = append(svc.queue, w)
+// ran takes the time of a run, and of its whole use of a slot.
+func (svc *service) ran(now time.Time, g grant, run, took float64) {
+	if g.depth >= 0 {
+		if warm, known := g.kind.ranWarm(run); known {
+			svc.kept.observe(g.depth, warm)
 		}
 	}
-	clear(queue[len(svc.queue):])
-	return out
+	g.kind.observe(g.depth >= 0 && g.depth < svc.kept.limit, run)
+	if svc.took == 0 {
+		svc.took, svc.served = took, now
+	}
+	svc.took += smoothing / 2 * (took - svc.took)
 }
 
 // Tick ends the waits and the grants whose time is over and returns the asks
@@ -413,55 +279,9 @@
 	}
 	var out []Decision
 	for _, svc := range p.services {
-		out = append(out, p.serve(now, svc)...)
-		svc.queue = slices.DeleteFunc(svc.queue, func(w waiting) bool {
-			if now.Before(w.until) {
-				return false
-			}
-			out = append(out, p.lastResort(now, svc, w.ask))
-			return true
-		})
-	}
-	return out
-}
-
-// Cancel takes an ask out of its queue.
-func (p *Pool) Cancel(serviceName, id string) {
-	svc := p.service(serviceName)
-	svc.queue = slices.DeleteFunc(svc.queue, func(w waiting) bool { return w.ask.ID == id })
-}
-
-// Free returns the free slots of a service less the requests that wait for one.
-func (p *Pool) Free(now time.Time, serviceName string) int {
-	svc := p.services[serviceName]
-	if svc == nil {
-		return 0
-	}
-	n := -len(svc.queue)
-	for _, s := range svc.servers {
-		if s.usable(now) && !s.cold(now) {
-			n += max(0, s.endpoint.Slots-s.inFlight)
+		if len(svc.queue) > 0 {
+			out = append(out, p.serve(now, svc)...)
 		}
 	}
-	return n
-}
-
-// Slots returns the slots of all usable endpoints.
-func (p *Pool) Slots() int {
-	n := 0
-	for _, s := range p.servers {
-		if !s.endpoint.Leaving && !s.endpoint.Gone && s.breaks < lostAfterBreaks {
-			n += s.endpoint.Slots
-		}
-	}
-	return n
-}
-
-// Services returns the names of the services that the pool knows.
-func (p *Pool) Services() []string {
-	names := make([]string, 0, len(p.services))
-	for name := range p.services {
-		names = append(names, name)
-	}
-	return names
+	return out
 }
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -10,7 +10,12 @@
 // server is an endpoint with what its requests have shown.
 type server struct {
 	endpoint registry.Endpoint
+	region   string
+	// way is the time to the endpoint's region and back.
+	way      time.Duration
 	inFlight int
+	// granted counts the slots that were given.
+	granted int
 	// wanted counts the waiting requests that would rather wait for it than run
 	// elsewhere.
 	wanted int
@@ -22,14 +27,14 @@
 	breaks int
 	// pausedUntil is when it may be used again.
 	pausedUntil time.Time
-	// warm holds when an object was last served.
-	warm map[string]time.Time
+	memory      memory
 	// coldNext is when the next request is due while it is cold.
 	coldNext time.Time
+	tenure
 }
 
 func newServer(e registry.Endpoint) *server {
-	return &server{endpoint: e, speed: 1, warm: make(map[string]time.Time)}
+	return &server{endpoint: e, speed: 1, memory: newMemory()}
 }
 
 func (s *server) free(now time.Time) bool {
@@ -37,53 +42,46 @@
 }
 
 func (s *server) usable(now time.Time) bool {
-	return !s.endpoint.Leaving && !s.endpoint.Gone && !now.Before(s.pausedUntil)
+	return !s.endpoint.Leaving && !s.endpoint.Gone && !now.Before(s.pausedUntil) && s.held(now)
+}
+
+// held says whether this pool grants the endpoint's slots. One that is cold gets
+// requests only from the pool of its own region, so that their rate is bounded.
+func (s *server) held(now time.Time) bool {
+	if s.own {
+		return s.lentTo == ""
+	}
+	return now.Before(s.borrowedUntil) && !s.cold(now)
 }
 
 func (s *server) cold(now time.Time) bool { return now.Before(s.endpoint.ColdUntil) }
 
-func (s *server) keeps(object string) bool {
-	_, warm := s.warm[object]
-	return warm && object != ""
-}
+// sound says whether its requests have shown nothing against it.
+func (s *server) sound() bool { return s.failures < soundFailures }
 
-// cost is the expected time in seconds until a request has been answered: the
-// wait for a slot, and its run with a penalty for failures, load and objects
-// that would be pushed out.
-func (s *server) cost(now time.Time, svc *service, k *kind, object string) float64 {
-	run := s.speed * k.expected(s.keeps(object))
-	if !s.keeps(object) {
-		run *= 1 + crowdWeight*float64(len(s.warm))/warmKept
-	}
-	run *= 1 + failureWeight*s.failures
-	slots := math.Max(1, float64(s.endpoint.Slots))
-	run *= 1 + loadWeight*float64(s.inFlight)/slots
+// wait is the expected time in seconds until it has a free slot.
+func (s *server) wait(now time.Time, svc *service) float64 {
 	wait := 0.0
 	if s.inFlight >= s.endpoint.Slots {
-		wait = float64(s.wanted+1) * s.speed * svc.took / slots
+		wait = float64(s.wanted+1) * s.speed * svc.took / math.Max(1, float64(s.endpoint.Slots))
 	}
 	if s.cold(now) && now.Before(s.coldNext) {
 		wait += s.coldNext.Sub(now).Seconds()
 	}
-	return wait + run
+	return wait
 }
 
-// touch notes that the endpoint serves an object, and forgets the oldest.
-func (s *server) touch(now time.Time, object string) {
-	if object == "" {
-		return
-	}
-	s.warm[object] = now
-	if len(s.warm) <= warmKept {
-		return
-	}
-	oldest := object
-	for key, at := range s.warm {
-		if at.Before(s.warm[oldest]) {
-			oldest = key
-		}
+// cost is the expected time in seconds until a request has been answered: the
+// wait for a slot, the way, and its run with a penalty for failures, load and
+// objects that would be pushed out.
+func (s *server) cost(now time.Time, svc *service, k *kind, warm bool) float64 {
+	run := s.speed * k.expected(warm)
+	if !warm {
+		run *= 1 + crowdWeight*math.Min(1, float64(len(s.memory.used))/math.Max(1, float64(svc.kept.limit)))
 	}
-	delete(s.warm, oldest)
+	run *= 1 + failureWeight*s.failures
+	run *= 1 + loadWeight*float64(s.inFlight)/math.Max(1, float64(s.endpoint.Slots))
+	return s.wait(now, svc) + s.way.Seconds() + run
 }
 
 // ended takes the outcome of a request that was expected to take a time.
@@ -107,34 +105,3 @@
 	case Unsent:
 	}
 }
-
-// kind is what requests of one kind have shown.
-type kind struct {
-	// cold and warm are moving averages of their times in seconds, with and
-	// without an endpoint that keeps their object warm; zero before the first.
-	cold, warm float64
-}
-
-// expected is the time of a request at an endpoint of ordinary speed.
-func (k *kind) expected(warm bool) float64 {
-	switch {
-	case warm && k.warm > 0:
-		return k.warm
-	case warm:
-		return warmFactor * k.cold
-	default:
-		return k.cold
-	}
-}
-
-// observe takes the time of a served request.
-func (k *kind) observe(warm bool, took float64) {
-	if !warm {
-		k.cold += smoothing * (took - k.cold)
-		return
-	}
-	if k.warm == 0 {
-		k.warm = took
-	}
-	k.warm += smoothing * (took - k.warm)
-}
--- a/internal/core/dispatch/shift.go
+++ b/internal/core/dispatch/shift.go
@@ -14,7 +14,8 @@
 	shiftSlack = 0.2
 	// shiftFollow is the weight of one run in the recent shares.
 	shiftFollow = 0.02
-	// shiftBurst bounds the runs that a region may catch up on.
+	// shiftBurst bounds the runs that a region may catch up on, and those beyond its
+	// level that it makes up for.
 	shiftBurst = 3.0
 	// shiftLearn is how long a meter only learns, at first and after silence.
 	shiftLearn = time.Second
@@ -81,7 +82,7 @@
 			continue
 		}
 		l.share += math.Max(-step, math.Min(step, l.recent-l.share))
-		l.room = math.Min(l.room+l.share+shiftSlack*m.most-ran, shiftBurst)
+		l.room = math.Max(-shiftBurst, math.Min(l.room+l.share+shiftSlack*m.most-ran, shiftBurst))
 	}
 }
 
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -31,8 +31,8 @@
 	Deadline time.Time
 	// Exclude lists endpoints that the request was sent to before.
 	Exclude []string
-	// Visiting says that the request comes from another region.
-	Visiting bool
+	// Homes are the regions in which the request may run; empty means all.
+	Homes []string
 }
 
 // Reason says why a slot was refused.
@@ -51,9 +51,10 @@
 // Decision ends an ask.
 type Decision struct {
 	Ask Ask
-	// Grant is set when a slot is given.
+	// Grant is set when a slot is given, of an endpoint in a region.
 	Grant    string
 	Endpoint registry.Endpoint
+	Region   string
 	// Reason and RetryAfter are set when none is.
 	Reason     Reason
 	RetryAfter time.Duration
@@ -84,14 +85,20 @@
 	Retries RetryBudget
 	// Draw returns a number in [0, 1) that spreads what would else coincide.
 	Draw func() float64
+	// Region is the pool's own; RegionOf gives the region of a failure domain, and
+	// Way the time that a message and its answer take to another region.
+	Region   string
+	RegionOf func(zone string) string
+	Way      func(region string) time.Duration
+	// MaxShift is the share of the requests that may change the region in which
+	// they run from one window to the next; 0 sets no bound.
+	MaxShift float64
 }
 
 const (
 	// waitShare is the part of the target that any request may wait for a slot,
 	// also one that will be late.
 	waitShare = 0.2
-	// visitShare is the part for requests of other regions, whose way is longer.
-	visitShare = 0.03
 	// graceAfterDeadline is how long after its deadline a grant that wasn't given
 	// back ends by itself: the release of a timed-out request is on its way.
 	graceAfterDeadline = time.Second
@@ -112,9 +119,6 @@
 	failureWeight = 6.0
 	// loadWeight is how much a full endpoint is put behind an empty one.
 	loadWeight = 0.25
-	// warmKept bounds the objects that an endpoint is taken to keep warm; what it
-	// keeps beyond is not relied on.
-	warmKept = 40
 	// warmFactor is the expected part of the time that a warm object takes,
 	// before it has been seen.
 	warmFactor = 0.6
@@ -131,6 +135,19 @@
 	// placeSlack is how much more than the least an endpoint may cost and still be
 	// chosen for a new object by its hash.
 	placeSlack = 1.15
+	// untriedAfter is how long a service has been served before an endpoint that
+	// has served nothing yet goes first.
+	untriedAfter = 2 * time.Second
+	// soundFailures is the share of failures below which an endpoint that keeps an
+	// object warm and has a free slot isn't compared with others.
+	soundFailures = 0.1
+	// unsettledFor is how long after a loss of endpoints, controllers or connections
+	// objects may change regions freely: the time in which the load of what was lost
+	// finds its place.
+	unsettledFor = 4 * time.Second
+	// breaksApart is the time within which two broken connections are taken for a
+	// fault; a single one may be an endpoint's own idle timeout.
+	breaksApart = time.Second
 	// speedSmoothing is the weight of the newest answer in an endpoint's speed, and
 	// speedMost bounds what one answer can say of it.
 	speedSmoothing = 0.1
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -9,8 +9,9 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"time"
+
+	"sassafrasreach/internal/core/rendezvous"
 )
 
 const (
@@ -55,20 +56,8 @@
 	}
 }
 
-// Holder returns who has the vote for a region, or nothing.
-func (b *Ballots) Holder(now time.Time, region string) (holder string, left time.Duration) {
-	v := b.votes[region]
-	if !now.Before(v.until) {
-		return "", 0
-	}
-	return v.holder, v.until.Sub(now)
-}
-
 // Candidate gathers the votes for one region. Not safe for concurrent use.
-type Candidate struct {
-	until map[string]time.Time
-	since time.Time
-}
+type Candidate struct{ until map[string]time.Time }
 
 // NewCandidate returns a candidate without votes.
 func NewCandidate() *Candidate { return &Candidate{until: make(map[string]time.Time)} }
@@ -80,27 +69,19 @@
 	}
 }
 
-// Holds says whether a majority of the voters has given its votes, and since
-// when without a break.
-func (c *Candidate) Holds(now time.Time, voters []string) (bool, time.Time) {
+// Holds says whether a majority of the voters has given its votes.
+func (c *Candidate) Holds(now time.Time, voters []string) bool {
 	n := 0
 	for _, v := range voters {
 		if now.Before(c.until[v]) {
 			n++
 		}
 	}
-	if len(voters) == 0 || n <= len(voters)/2 {
-		c.since = time.Time{}
-		return false, time.Time{}
-	}
-	if c.since.IsZero() {
-		c.since = now
-	}
-	return true, c.since
+	return n > len(voters)/2
 }
 
 // Resign forgets all votes.
-func (c *Candidate) Resign() { c.until, c.since = make(map[string]time.Time), time.Time{} }
+func (c *Candidate) Resign() { c.until = make(map[string]time.Time) }
 
 // Before says whether a controller is to dispatch a region rather than another:
 // one of the region's own first, then by rendezvous hashing, which spreads the
@@ -110,11 +91,5 @@
 		return regionA == region
 	}
 	return cmp.Or(
-		cmp.Compare(weight(region, addressA), weight(region, addressB)), cmp.Compare(addressA, addressB)) > 0
-}
-
-func weight(region, address string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(region + "/" + address))
-	return h.Sum64()
+		cmp.Compare(rendezvous.Weight(addressA, region), rendezvous.Weight(addressB, region)), cmp.Compare(addressA, addressB)) > 0
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -57,12 +57,6 @@
 	Firm bool
 }
 
-// Room is the number of free slots of a service in a region.
-type Room struct {
-	Region, Service string
-	Free            int
-}
-
 // News is what a controller tells another.
 type News struct {
 	From        Controller
@@ -72,7 +66,10 @@
 	// Asks names regions that the sender wants to dispatch; Drops, those that it
 	// gives up.
 	Asks, Drops []string
-	Rooms       []Room
+	// Loads are those of the regions that the sender dispatches; Loans, what these
+	// lend to others.
+	Loads []dispatch.Load
+	Loans []dispatch.Loan
 	// Whole asks for all endpoints that the receiver knows.
 	Whole bool
 }
@@ -139,26 +136,15 @@
 	Cursor      WatchCursor
 }
 
-// AskSlot asks a dispatcher for a slot.
+// AskSlot asks the dispatcher of a region for a slot.
 type AskSlot struct {
 	dispatch.Ask
-	// Region is whose endpoints are asked for.
-	Region string
-	// Homes are the regions in which the request may run; empty means all.
-	Homes []string
-	// Stay says that no other region is to be named: one had no room after all.
-	Stay bool
-}
-
-// SlotAnswer answers AskSlot.
-type SlotAnswer struct {
-	dispatch.Decision
-	// Region names another region with room; empty if none.
 	Region string
 }
 
 // SlotRelease gives a slot back.
 type SlotRelease struct {
+	// Region is whose dispatcher granted it.
 	Region  string
 	Grant   string
 	Outcome dispatch.Outcome
@@ -170,7 +156,7 @@
 	// Watch gives a sign of life and returns what is new since the cursor, at the
 	// latest after a short while.
 	Watch(ctx context.Context, g Gateway, since WatchCursor) (Update, error)
-	Acquire(ctx context.Context, a AskSlot) (SlotAnswer, error)
+	Acquire(ctx context.Context, a AskSlot) (dispatch.Decision, error)
 	Release(ctx context.Context, r []SlotRelease) error
 }
 
