--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -195,6 +195,7 @@
 		{name: "answer lost", want: verdict.MayHaveRun, reached: true,
 			peer: func(ctx context.Context, _ port.Forward) (*port.Response, error) {
 				<-ctx.Done()
+				time.Sleep(50 * time.Millisecond) // the caller's time ends a little later than the peer's
 				return answer, nil
 			}},
 		{name: "answer truncated", want: verdict.MayHaveRun, reached: true,
