Serve metrics of gateways and controllers

Counters and latency histograms (rcrowley/go-metrics) of requests, slots, decisions, orders and announcements, and gauges of the dispatch, the register and what is known of others, read when they are asked for.

--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -22,15 +22,24 @@
 	registry gometrics.Registry
 }
 
-var _ port.Meter = (*Meter)(nil)
+var (
+	_ port.Meter      = (*Meter)(nil)
+	_ port.FleetMeter = (*Meter)(nil)
+)
 
 // New returns a meter with a registry of its own.
 func New() *Meter { return &Meter{registry: gometrics.NewRegistry()} }
 
-// Handler serves the registry as JSON.
-func (m *Meter) Handler() http.Handler {
+// Handler serves the registry as JSON; gauges are read at each request, nil means
+// none.
+func (m *Meter) Handler(gauges func() map[string]int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
+		if gauges != nil {
+			for name, value := range gauges() {
+				m.set(name, value)
+			}
+		}
 		gometrics.WriteJSONOnce(m.registry, w)
 	})
 }
@@ -83,3 +92,42 @@
 
 // Drained implements port.Meter.
 func (m *Meter) Drained(took time.Duration) { m.set("stop.drain_ms", took.Milliseconds()) }
+
+// Slot implements port.FleetMeter.
+func (m *Meter) Slot(service string, waited time.Duration, tries int) {
+	m.observe("slot.waited_us."+service, waited.Microseconds())
+	if tries > 1 {
+		gometrics.GetOrRegisterCounter("request.resent."+service, m.registry).Inc(int64(tries - 1))
+	}
+}
+
+// Decided implements port.FleetMeter.
+func (m *Meter) Decided(service, reason string) {
+	if reason == "" {
+		m.count("dispatch.granted." + service)
+		return
+	}
+	m.count("dispatch.refused." + reason + "." + service)
+}
+
+// Ordered implements port.FleetMeter.
+func (m *Meter) Ordered(accepted bool, took time.Duration) {
+	m.observe("order.latency_us", took.Microseconds())
+	m.count("order." + outcome(accepted))
+}
+
+// Announced implements port.FleetMeter.
+func (m *Meter) Announced(leaving, accepted bool) {
+	if leaving {
+		m.count("endpoint.leaving." + outcome(accepted))
+		return
+	}
+	m.count("endpoint.announced." + outcome(accepted))
+}
+
+func outcome(accepted bool) string {
+	if accepted {
+		return "accepted"
+	}
+	return "refused"
+}
--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quorum"
@@ -153,6 +154,7 @@
 	}, controller.Ports{
 		Clock:  port.ClockFunc(time.Now),
 		Logger: slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
+		Meter:  metrics.New(),
 		Store:  m.disk,
 		Dial: func(to string) (port.ControllerPeer, error) {
 			return link{cluster: c, from: address, to: to}, nil
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -61,6 +61,7 @@
 	Clock  port.Clock
 	Logger *slog.Logger
 	Store  port.VoterStore
+	Meter  port.FleetMeter
 	// Dial returns the way to another controller.
 	Dial func(address string) (port.ControllerPeer, error)
 }
@@ -163,6 +164,33 @@
 	c.stopping = true
 }
 
+// Gauges returns what the controller is at: counts by name.
+func (c *Controller) Gauges() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.ports.Clock.Now()
+	out := map[string]int64{
+		"register.epoch": int64(c.epoch.Number), "register.voters": int64(len(c.epoch.Voters)),
+		"register.confirmed_ms_ago": -1, "config.version": int64(c.state.Config.Version),
+		"controllers.live": int64(len(c.controllers(now))), "gateways.known": int64(len(c.gateways)),
+	}
+	if at := c.confirmed(now); !at.IsZero() {
+		out["register.confirmed_ms_ago"] = now.Sub(at).Milliseconds()
+	}
+	for name, r := range c.regions {
+		if r.pool == nil {
+			continue
+		}
+		for service, use := range r.pool.Use(now) {
+			key := name + "." + service
+			out["dispatch.slots."+key], out["dispatch.busy."+key] = int64(use.Slots), int64(use.Busy)
+			out["dispatch.waiting."+key], out["dispatch.lent."+key] = int64(use.Waiting), int64(use.Lent)
+			out["dispatch.borrowed."+key], out["dispatch.kept_objects."+key] = int64(use.Borrowed), int64(use.KeptObjects)
+		}
+	}
+	return out
+}
+
 // SetSeeds replaces the addresses to look for other controllers at.
 func (c *Controller) SetSeeds(seeds []string) {
 	c.mu.Lock()
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -342,6 +342,7 @@
 func (c *Controller) Acquire(ctx context.Context, a port.AskSlot) (dispatch.Decision, error) {
 	decision, wait, err := c.acquire(a)
 	if err != nil || wait == nil {
+		c.decided(a, decision, err)
 		return decision, err
 	}
 	select {
@@ -349,6 +350,7 @@
 		if !ok {
 			return dispatch.Decision{}, fmt.Errorf("%w: it ended", port.ErrNotDispatcher)
 		}
+		c.decided(a, d, nil)
 		return d, nil
 	case <-ctx.Done():
 		c.cancel(a, wait)
@@ -356,6 +358,12 @@
 	}
 }
 
+func (c *Controller) decided(a port.AskSlot, d dispatch.Decision, err error) {
+	if err == nil {
+		c.ports.Meter.Decided(a.Service, string(d.Reason))
+	}
+}
+
 // acquire decides at once, or returns the channel on which the decision comes.
 func (c *Controller) acquire(a port.AskSlot) (dispatch.Decision, chan dispatch.Decision, error) {
 	now := c.ports.Clock.Now()
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -25,6 +25,7 @@
 	c.hearEndpoint(e)
 	c.mu.Unlock()
 	if !e.Leaving {
+		c.ports.Meter.Announced(false, true)
 		return nil
 	}
 	return c.spread(ctx, e.ID)
@@ -120,6 +121,7 @@
 			n++
 		}
 	}
+	c.ports.Meter.Announced(true, n >= epoch.Majority())
 	if n < epoch.Majority() {
 		event.Log(ctx, c.ports.Logger, event.LeavingUnsure, slog.String("endpoint", id),
 			slog.Int("told", n), slog.Int("needed", epoch.Majority()))
--- a/internal/app/controller/orders.go
+++ b/internal/app/controller/orders.go
@@ -52,14 +52,13 @@
 func (c *Controller) order(ctx context.Context, o fleet.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	began := c.ports.Clock.Now()
 	reply, err := c.preside(ctx, o)
-	if err != nil {
-		return err
+	if err == nil && !errors.Is(reply.Refused, fleet.ErrNoChange) {
+		err = reply.Refused
 	}
-	if errors.Is(reply.Refused, fleet.ErrNoChange) {
-		return nil
-	}
-	return reply.Refused
+	c.ports.Meter.Ordered(err == nil, c.ports.Clock.Now().Sub(began))
+	return err
 }
 
 // preside passes an order to the controller that presides, so that proposers
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -27,6 +27,7 @@
 	Clock     port.Clock
 	Logger    *slog.Logger
 	Endpoints port.EndpointCaller
+	Meter     port.FleetMeter
 	// Dial returns the way to a controller.
 	Dial func(address string) (port.ControllerLink, error)
 }
@@ -105,6 +106,23 @@
 // InFlight is the number of requests that are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// Gauges returns what the gateway is at: counts by name.
+func (g *Gateway) Gauges() map[string]int64 {
+	out := map[string]int64{"request.in_flight": g.InFlight()}
+	if table := g.table.Load(); table != nil {
+		out["config.version"] = int64(table.Config().Version)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out["controllers.known"] = int64(len(g.known))
+	for _, address := range g.watching {
+		if address != "" {
+			out["controllers.watched"]++
+		}
+	}
+	return out
+}
+
 // Ready implements port.GatewayService.
 func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
 
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -60,6 +60,7 @@
 	x := &exchange{gateway: g, request: r, began: g.ports.Clock.Now()}
 	answer := x.serve(ctx)
 	x.log(ctx, answer)
+	x.measure(answer)
 	return answer
 }
 
@@ -268,6 +269,17 @@
 	return x.service + "/" + x.route.Name + "/" + x.request.Affinity
 }
 
+// measure counts the end of a request.
+func (x *exchange) measure(a port.ClientAnswer) {
+	took := x.gateway.ports.Clock.Now().Sub(x.began)
+	if a.Err == nil {
+		x.gateway.ports.Meter.Request(x.service, verdict.Ran, "", took)
+	} else {
+		x.gateway.ports.Meter.Request(x.service, verdict.Of(a.Err), verdict.ReasonOf(a.Err), took)
+	}
+	x.gateway.ports.Meter.Slot(x.service, x.waited, x.tries)
+}
+
 // log writes the end of a request.
 func (x *exchange) log(ctx context.Context, a port.ClientAnswer) {
 	attrs := []slog.Attr{
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fleet"
@@ -117,7 +118,7 @@
 // started returns a gateway that knows its routes.
 func started(t *testing.T, c *oneController, e *endpoints) *gateway.Gateway {
 	g := gateway.New(gateway.Config{Name: "g", Zone: "east-1", Region: "east", Seeds: []string{"c:1"}}, gateway.Ports{
-		Clock: port.ClockFunc(time.Now), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Endpoints: e,
+		Clock: port.ClockFunc(time.Now), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Endpoints: e, Meter: metrics.New(),
 		Dial: func(string) (port.ControllerLink, error) { return c, nil },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -48,6 +48,7 @@
 	if _, err := p.serve(ctx, "look-ups", p.settings.DirectoryListen, lookups); err != nil {
 		return err
 	}
+	p.serveMetrics(ctx, c.Gauges)
 	go c.Run(ctx)
 	go p.reload(ctx, c.SetSeeds)
 	if err := p.awaitStop(); err != nil {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -115,7 +115,7 @@
 		Entry:    e,
 		Name:     config.Name,
 		Clock:    clock,
-		Metrics:  meter.Handler(),
+		Metrics:  meter.Handler(nil),
 		Stopping: e.Stopping,
 	})
 	p := &entryProcess{
@@ -123,7 +123,7 @@
 		endpoints: endpoints,
 		logger:    logger,
 		failed:    make(chan error, 3),
-		metrics:   &http.Server{Handler: callerhttp.NewHealth(e, meter.Handler()), ReadHeaderTimeout: callerHeaderTimeout},
+		metrics:   &http.Server{Handler: callerhttp.NewHealth(e, meter.Handler(nil)), ReadHeaderTimeout: callerHeaderTimeout},
 		peers:     grpc.NewServer(peergrpc.ServerOptions()...),
 		callers: &http.Server{
 			Handler:           handler,
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -9,12 +9,16 @@
 	"os"
 	"os/signal"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"sassafrasreach/internal/adapter/endpointhttp"
 	"sassafrasreach/internal/adapter/fleetgrpc"
 	"sassafrasreach/internal/adapter/logsink"
+	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/event"
@@ -49,13 +53,17 @@
 	sink     *logsink.Sink
 	logger   *slog.Logger
 	clock    port.Clock
-	failed   chan error
+	meter    *metrics.Meter
+	// metricsPort is where metrics are served; 0 means nowhere.
+	metricsPort int
+	failed      chan error
 }
 
 // withVM reads the arguments and settings of a process of the fleet and runs it.
 func withVM(name string, args []string, stdout, stderr io.Writer, run func(ctx context.Context, p *vmProcess) error) int {
 	flags := newFlags(name, "[-settings FILE]", stderr)
 	path := flags.String("settings", platform.SettingsPath(), "the platform's settings file of this process")
+	metricsPort := flags.Int("metrics", 0, "the port to serve metrics at, under /metrics; 0 for none")
 	check := flags.Bool("check", false, "only check the settings")
 	if code, done := parse(flags, args); done {
 		return code
@@ -71,7 +79,7 @@
 	defer sink.Flush()
 	p := &vmProcess{
 		path: *path, settings: settings, sink: sink, logger: newLogger(sink, "info", name, settings.Name),
-		clock: port.ClockFunc(time.Now), failed: make(chan error, 4),
+		clock: port.ClockFunc(time.Now), meter: metrics.New(), metricsPort: *metricsPort, failed: make(chan error, 4),
 	}
 	event.Log(context.Background(), p.logger, event.Started, slog.String("zone", settings.Zone),
 		slog.String("region", settings.Region), slog.Any("seeds", settings.Seeds), slog.Bool("founding", settings.Founding))
@@ -139,6 +147,20 @@
 	return server, nil
 }
 
+// serveMetrics serves the process's metrics, if there is a port for them. It does
+// without when the port is taken: requests matter more.
+func (p *vmProcess) serveMetrics(ctx context.Context, gauges func() map[string]int64) {
+	if p.metricsPort == 0 {
+		return
+	}
+	routes := chi.NewRouter()
+	routes.Method(http.MethodGet, "/metrics", p.meter.Handler(gauges))
+	address := net.JoinHostPort(p.settings.IP.String(), strconv.Itoa(p.metricsPort))
+	if _, err := p.serve(ctx, "metrics", address, routes); err != nil {
+		event.Log(ctx, p.logger, event.ServeFailed, slog.Any("error", err))
+	}
+}
+
 // awaitStop waits for a signal to stop or a failed listener.
 func (p *vmProcess) awaitStop() error {
 	stops := make(chan os.Signal, 1)
@@ -170,7 +192,7 @@
 		Name: p.settings.Name, Address: p.settings.ClientListen,
 		Zone: p.settings.Zone, Region: p.settings.Region, Seeds: p.settings.Seeds,
 	}, gateway.Ports{
-		Clock: p.clock, Logger: p.logger, Endpoints: endpoints,
+		Clock: p.clock, Logger: p.logger, Endpoints: endpoints, Meter: p.meter,
 		Dial: func(address string) (port.ControllerLink, error) { return p.dial(address) },
 	})
 	return g, endpoints
@@ -182,7 +204,7 @@
 		Name: p.settings.Name, Address: p.settings.FleetAddress, Zone: p.settings.Zone, Region: p.settings.Region,
 		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Founding: p.settings.Founding, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
 	}, controller.Ports{
-		Clock: p.clock, Logger: p.logger, Store: store,
+		Clock: p.clock, Logger: p.logger, Store: store, Meter: p.meter,
 		Dial: func(address string) (port.ControllerPeer, error) { return p.dial(address) },
 	})
 }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -37,6 +37,7 @@
 	if _, err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g)); err != nil {
 		return err
 	}
+	p.serveMetrics(ctx, g.Gauges)
 	go g.Run(ctx)
 	go p.reload(ctx, g.SetSeeds)
 	go wait.Each(ctx, sweepPeriod, endpoints.Sweep)
