Have a dispatcher without the votes give way to the first in order

Cause: two dispatchers of a region that began without votes (all controllers started at once, or the core was cut in halves) both stayed, and each renewed its half of the votes for good. Nobody held the region; both granted all of its slots, and cold endpoints got nothing. Change: only one that holds the votes stays; else the first in order does. Test: controller.TestSplitVote, failing in each of 3 runs before (no holder 4 s after the halves were joined).

--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -253,13 +253,14 @@
 }
 
 // wants says whether this controller should dispatch a region: the first live
-// one of the region's own, or of all if it has none. A holder in the region
-// stays. Must hold mu.
+// one of the region's own, or of all if it has none. One of the region that has
+// the votes stays; without them it gives way to the first, since two that both
+// stay would halve the votes for good. Must hold mu.
 func (c *Controller) wants(now time.Time, r *region) bool {
 	if c.stopping {
 		return false
 	}
-	if r.pool != nil && c.config.Region == r.name {
+	if r.pool != nil && c.config.Region == r.name && c.holds(now, r) {
 		return true
 	}
 	best := c.self(now)
