Apply the configuration's limits on quiet client connections

Idle and header limits were decoded and not used: connections were kept two minutes. A reaper closes connections that send no request within the header limit, or carry nothing for the idle limit, as the configuration in force has them. Test: idleconns.TestSweep.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -132,10 +132,14 @@
 	event.Log(ctx, p.logger, event.SettingsLoaded, slog.Any("seeds", fresh.Seeds))
 }
 
-// serve serves HTTP at an address.
-func (p *vmProcess) serve(ctx context.Context, clients, address string, h http.Handler) (*http.Server, error) {
+// serve serves HTTP at an address. The hook is told of its connections' states; it
+// may be nil.
+func (p *vmProcess) serve(
+	ctx context.Context, clients, address string, h http.Handler, hook func(net.Conn, http.ConnState),
+) (*http.Server, error) {
 	server := &http.Server{
-		Handler: h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: clientHeaderBytes,
+		ConnState: hook,
+		Handler:   h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: clientHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
 	}
 	listener, err := listenFor(ctx, clients, address)
@@ -156,7 +160,7 @@
 	routes := chi.NewRouter()
 	routes.Method(http.MethodGet, "/metrics", p.meter.Handler(gauges))
 	address := net.JoinHostPort(p.settings.IP.String(), strconv.Itoa(p.metricsPort))
-	if _, err := p.serve(ctx, "metrics", address, routes); err != nil {
+	if _, err := p.serve(ctx, "metrics", address, routes, nil); err != nil {
 		event.Log(ctx, p.logger, event.ServeFailed, slog.Any("error", err))
 	}
 }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"sassafrasreach/internal/adapter/idleconns"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/wait"
@@ -30,11 +31,16 @@
 
 func serveGateway(ctx context.Context, p *vmProcess) error {
 	g, endpoints := newGateway(p)
-	clients, err := p.serve(ctx, "clients", p.settings.ClientListen, platform.NewClients(g, p.clock))
+	idle := idleconns.New(p.clock, func() idleconns.Limits {
+		limits, _ := g.Limits()
+		return idleconns.Limits{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
+	})
+	clients, err := p.serve(ctx, "clients", p.settings.ClientListen, platform.NewClients(g, p.clock), idle.ConnState)
 	if err != nil {
 		return err
 	}
-	if _, err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g)); err != nil {
+	go wait.Each(ctx, sweepPeriod, idle.Sweep)
+	if _, err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g), nil); err != nil {
 		return err
 	}
 	p.serveMetrics(ctx, g.Gauges)
