Add a fault soak of gateways and controllers

Six controllers and six gateways as processes, twelve stand-in endpoints, clients and an operator that race, with links before controllers and endpoints. Faults by seed, in series and overlapping: kills, planned stops, freezes, lost disks, all controllers at once, cuts of each direction, delay, resets, silence, crashes, leaving endpoints whose acknowledger is killed, hang-ups. Checked while it runs: whole answers to one's own request, once-only runs, promises of not-run, leaving, versions read, races, stops in time; at the end, recovery and the newest acknowledged version at each controller. A controller may listen for the fleet at another address than others are told.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 unit:
 	GO=$(GO) ./scripts/unit.sh
 	$(GO) test -race -parallel 6 -timeout 20m ./internal/systemtest
+	$(GO) test -count=1 -v -timeout 10m -run '^TestFleetSoak' ./platform
 
 generate:
 	./scripts/generate.sh api
@@ -40,9 +41,11 @@
 	./scripts/generate-check.sh
 
 # Load and faults on real processes at today's size: one after the other, then
-# every pair at once.
+# every pair at once. Then random faults on gateways and controllers, with seeds
+# that weren't played before.
 soak: build
 	SOAK_SECONDS=90 $(GO) test -v -count=1 -timeout 10m -run TestSoak ./internal/systemtest
+	SOAK_SECONDS=40 SOAK_SEEDS=3 SOAK_FIRST=$$(date +%s) $(GO) test -v -count=1 -timeout 10m -run 'TestFleetSoak$$' ./platform
 
 # Prints the measurements that the docs cite and writes docs/MEASUREMENTS.md.
 measure: build
--- a/internal/adapter/idleconns/idleconns_test.go
+++ b/internal/adapter/idleconns/idleconns_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 
@@ -47,8 +49,7 @@
 				r.Sweep()
 				is.NoErr(conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond)))
 				_, err := conn.Read(make([]byte, 1))
-				timeout, ok := err.(net.Error)
-				return ok && timeout.Timeout()
+				return errors.Is(err, os.ErrDeadlineExceeded)
 			}
 			ahead = limit - time.Second
 			is.True(open())
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -32,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := listenFor(ctx, "the fleet", p.settings.FleetAddress)
+	listener, err := listenFor(ctx, "the fleet", cmp.Or(p.fleetListen, p.settings.FleetAddress))
 	if err != nil {
 		return err
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -54,6 +54,9 @@
 	logger   *slog.Logger
 	clock    port.Clock
 	meter    *metrics.Meter
+	// fleetListen is where a controller listens for the fleet, if that isn't the
+	// address that others are told.
+	fleetListen string
 	// metricsPort is where metrics are served; 0 means nowhere.
 	metricsPort int
 	failed      chan error
@@ -63,6 +66,7 @@
 func withVM(name string, args []string, stdout, stderr io.Writer, run func(ctx context.Context, p *vmProcess) error) int {
 	flags := newFlags(name, "[-settings FILE]", stderr)
 	path := flags.String("settings", platform.SettingsPath(), "the platform's settings file of this process")
+	fleetListen := flags.String("fleet-listen", "", "the address (IP:port) to listen at for other VMs, if they reach it at another")
 	metricsPort := flags.Int("metrics", 0, "the port to serve metrics at, under /metrics; 0 for none")
 	check := flags.Bool("check", false, "only check the settings")
 	if code, done := parse(flags, args); done {
@@ -79,7 +83,7 @@
 	defer sink.Flush()
 	p := &vmProcess{
 		path: *path, settings: settings, sink: sink, logger: newLogger(sink, "info", name, settings.Name),
-		clock: port.ClockFunc(time.Now), meter: metrics.New(), metricsPort: *metricsPort, failed: make(chan error, 4),
+		clock: port.ClockFunc(time.Now), meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4),
 	}
 	event.Log(context.Background(), p.logger, event.Started, slog.String("zone", settings.Zone),
 		slog.String("region", settings.Region), slog.Any("seeds", settings.Seeds), slog.Bool("founding", settings.Founding))
@@ -180,11 +184,7 @@
 
 // dial returns the way to a controller.
 func (p *vmProcess) dial(address string) (*fleetgrpc.Client, error) {
-	var local net.IP
-	if !p.settings.IP.IsLoopback() {
-		local = p.settings.IP
-	}
-	return fleetgrpc.NewClient(address, local, p.clock)
+	return fleetgrpc.NewClient(address, p.settings.IP, p.clock)
 }
 
 // newGateway returns a gateway with the platform's endpoints.
--- a/internal/testlink/link.go
+++ b/internal/testlink/link.go
@@ -60,9 +60,12 @@
 }
 
 // New starts a link to the target address on a free loopback port.
-func New(target string) (*Link, error) {
+func New(target string) (*Link, error) { return Listen("127.0.0.1:0", target) }
+
+// Listen starts a link to the target address at an address of its own.
+func Listen(address, target string) (*Link, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs the tests of all packages but those of the whole system. Tests that
+# Runs the tests of all packages but those of the whole system, which run real
+# processes and come later. Tests that
 # KNOWN-RED.txt lists as "PACKAGE TEST: ..." don't decide; they run after the
 # others, and what they gave is printed.
 set -euo pipefail
@@ -11,7 +12,7 @@
   packages=$(grep -v "/$package\$" <<<"$packages")
 done
 # shellcheck disable=SC2086
-$GO test -race $packages
+$GO test -race -skip '^TestFleetSoak' $packages
 for package in $(cut -d' ' -f1 <<<"$red" | sort -u); do
   skip=$(sed -n "s|^$package \(.*\)|^\1\$|p" <<<"$red" | paste -sd'|')
   $GO test -race -skip "$skip" "./$package"
