Don't pass over endpoints that refuse with free slots, and ask them again

Each refusal passed its endpoint over for 40 ms as if it were full, and the second send went to another endpoint, where the object was cold; refused clients came back after a quarter of their time. Ruled out: the retry budget alone (it allows some 70 of 165 second sends a second). Change: an endpoint is passed over only when it refuses with all slots in use; else the refusal counts as a failure when endpoints are compared. A request may go to the endpoint that refused it again, within attempts and budget. A client whose request endpoints refused comes back soon.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -219,7 +219,7 @@
 	return &fleetv1.AcquireRequest{
 		Id: a.ID, Gateway: a.Gateway, Region: a.Region, Service: a.Service, Priority: int32(a.Priority),
 		Affinity: a.Affinity, Zone: a.Zone, TargetMs: a.Target.Milliseconds(), DeadlineMs: -c.age(a.Deadline),
-		Homes: a.Homes, Exclude: a.Exclude, Kind: a.Kind, Hint: a.Hint,
+		Homes: a.Homes, Exclude: a.Exclude, Kind: a.Kind, Hint: a.Hint, Again: a.Again,
 	}
 }
 
@@ -230,7 +230,7 @@
 			ID: m.GetId(), Gateway: m.GetGateway(), Service: m.GetService(), Priority: int(m.GetPriority()),
 			Affinity: m.GetAffinity(), Zone: m.GetZone(), Target: millis(m.GetTargetMs()),
 			Deadline: c.moment(-m.GetDeadlineMs()), Exclude: m.GetExclude(), Homes: m.GetHomes(),
-			Kind: m.GetKind(), Hint: m.GetHint(),
+			Kind: m.GetKind(), Hint: m.GetHint(), Again: m.GetAgain(),
 		},
 	}
 }
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -149,9 +149,12 @@
 		return x.unserved(ctx, verdict.ReasonDeadline, nil, 0), false
 	}
 	x.tries++
-	x.exclude = append(x.exclude, d.Endpoint.ID)
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
 	outcome = outcomeOf(ctx, response, err)
+	if outcome != dispatch.Refused {
+		// One that refused may have its object warm, and free slots.
+		x.exclude = append(x.exclude, d.Endpoint.ID)
+	}
 	if outcome == dispatch.Served {
 		g.remember(x.object(), d.Endpoint.ID)
 	}
@@ -161,14 +164,18 @@
 	case verdict.Of(err) == verdict.NotRun && x.open != nil:
 		return port.ClientAnswer{Err: x.open}, true
 	case verdict.Of(err) == verdict.NotRun:
-		return port.ClientAnswer{Err: err, RetryAfter: dispatchRetry(x.request.Deadline.Sub(began))}, true
+		return port.ClientAnswer{Err: err, RetryAfter: refusedRetry}, true
 	default:
 		x.open = err
 		return port.ClientAnswer{Err: err}, x.route.Idempotent
 	}
 }
 
-// dispatchRetry is when a client returns whose endpoints refused it.
+// refusedRetry is when a client returns whose request endpoints refused although
+// they had a free slot: soon, since nothing has to be waited for.
+const refusedRetry = 50 * time.Millisecond
+
+// dispatchRetry is when a client returns for which no slot came free.
 func dispatchRetry(left time.Duration) time.Duration { return left / 4 }
 
 func (x *exchange) target(e registry.Endpoint) port.Endpoint {
@@ -251,7 +258,7 @@
 		Ask: dispatch.Ask{
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Kind: x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
-			Deadline: x.request.Deadline, Exclude: x.exclude, Homes: x.route.Homes,
+			Deadline: x.request.Deadline, Again: x.tries > 0, Exclude: x.exclude, Homes: x.route.Homes,
 		},
 	}
 	if x.route.Sticky {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -162,8 +162,7 @@
 // and Tick decide it then.
 func (p *Pool) Acquire(now time.Time, a Ask) (Decision, bool) {
 	svc := p.service(a.Service)
-	again := len(a.Exclude) > 0
-	if !again {
+	if !a.Again {
 		svc.load.add(now, svc.kind(a).expected(a.object() != ""))
 		svc.retries.request(now, p.setup.Retries)
 		svc.least = max(svc.least, a.Priority)
@@ -171,7 +170,7 @@
 	if !slices.ContainsFunc(svc.servers, func(s *server) bool { return s.usable(now) }) {
 		return p.refuse(now, a, ReasonNoEndpoint), true
 	}
-	if again && !svc.retries.take(now, p.setup.Retries) {
+	if a.Again && !svc.retries.take(now, p.setup.Retries) {
 		return p.refuse(now, a, ReasonRetryBudget), true
 	}
 	svc.adopt(a)
--- a/internal/core/dispatch/retry_test.go
+++ b/internal/core/dispatch/retry_test.go
@@ -37,7 +37,7 @@
 		}
 		pool.Release(now, first.Grant, dispatch.Refused, 0)
 		ask.ID += "/2"
-		ask.Exclude = []string{first.Endpoint.ID}
+		ask.Again, ask.Exclude = true, []string{first.Endpoint.ID}
 		second, decided := pool.Acquire(now, ask)
 		is.True(decided)
 		if second.Grant == "" {
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -98,7 +98,13 @@
 	case Failed:
 		s.failures += smoothing * (1 - s.failures)
 	case Refused:
-		s.pausedUntil = now.Add(fullPause)
+		// One that refuses while it has free slots isn't full: a pause would drive
+		// its warm objects elsewhere.
+		if s.inFlight+1 >= s.endpoint.Slots {
+			s.pausedUntil = now.Add(fullPause)
+		} else {
+			s.failures += smoothing * (1 - s.failures)
+		}
 	case Broken:
 		s.failures += smoothing * (1 - s.failures)
 		pause := min(brokenPause<<min(s.breaks, 4), brokenPauseMax)
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -29,7 +29,9 @@
 	Target time.Duration
 	// Deadline is when the answer is of no use any more.
 	Deadline time.Time
-	// Exclude lists endpoints that the request was sent to before.
+	// Again says that the request was sent to an endpoint before; Exclude lists those
+	// that aren't to get it again.
+	Again   bool
 	Exclude []string
 	// Homes are the regions in which the request may run; empty means all.
 	Homes []string
