Call loans back in proportion, and at once when the lender is short

The states of the pools, logged in a trial: a region that needed 93 of its 558 slots had lent 513 of them, since a storm of retries at second 10 had lent over a hundred endpoints and one a second was called back. Ruled out: processor time; the plan itself (it asked for 28 endpoints). Change: an eighth of a borrower's endpoints is called back each second, and all that is over at once when the lender is short itself.

--- a/internal/core/dispatch/lend.go
+++ b/internal/core/dispatch/lend.go
@@ -24,8 +24,11 @@
 	// expectBelow is the part of all slots needed below which the loads say little
 	// of where clients are.
 	expectBelow = 0.1
-	// recallPause is the time between two recalls of a service's endpoints.
+	// recallPause is the time between two recalls of a service's endpoints, each of
+	// one in recallPart of those that a borrower has, while the lender isn't short
+	// itself: what is called back leaves warm objects behind.
 	recallPause = time.Second
+	recallPart  = 8
 	// returnHoldBack is how long a cold endpoint gets nothing after a loan ended: the
 	// borrower may still go by it for its term.
 	returnHoldBack = LoanTerm + coldHoldBack
@@ -176,33 +179,63 @@
 // lend brings the loans of a service closer to a plan.
 func (p *Pool) lend(now time.Time, svc *service, plan map[string]float64) {
 	lent := make(map[string][]*server)
+	held := 0.0
 	for _, s := range svc.servers {
 		switch {
-		case !s.own || s.lentTo == "":
+		case !s.own && s.usable(now), s.own && s.lentTo == "":
+			held += float64(s.endpoint.Slots)
+		case !s.own:
 		case s.endpoint.Leaving || s.cold(now):
 			s.recall(now)
 		default:
 			lent[s.lentTo] = append(lent[s.lentTo], s)
 		}
 	}
+	// A region that is short itself calls back all that is over at once.
+	short := held < svc.load.slots(now)/useTarget
 	for _, borrower := range sortedNames(plan, lent) {
-		svc.adjust(now, borrower, plan[borrower], lent[borrower])
+		if !svc.recallSome(now, plan[borrower], lent[borrower], short) {
+			svc.lendMore(now, borrower, plan[borrower], lent[borrower])
+		}
 	}
 }
 
-// adjust lends a borrower more or calls one endpoint back.
-func (svc *service) adjust(now time.Time, borrower string, slots float64, lent []*server) {
-	for _, s := range lent {
-		slots -= float64(s.endpoint.Slots)
+func slotsOf(servers []*server) float64 {
+	n := 0.0
+	for _, s := range servers {
+		n += float64(s.endpoint.Slots)
 	}
-	if len(lent) > 0 && now.Sub(svc.recalled) >= recallPause {
-		last := slices.MaxFunc(lent, func(a, b *server) int { return a.lentAt.Compare(b.lentAt) })
-		if slots < -recallBelow*float64(last.endpoint.Slots) {
-			svc.recalled = now
-			last.recall(now)
-			return
+	return n
+}
+
+// recallSome calls endpoints back if a borrower has too many, those that it has had
+// for the shortest time first. It reports whether the borrower has too many.
+func (svc *service) recallSome(now time.Time, slots float64, lent []*server, short bool) bool {
+	over := slotsOf(lent) - slots
+	if len(lent) == 0 || over <= recallBelow*float64(lent[0].endpoint.Slots) {
+		return false
+	}
+	if !short && now.Sub(svc.recalled) < recallPause {
+		return true
+	}
+	svc.recalled = now
+	most := max(1, len(lent)/recallPart)
+	if short {
+		most = len(lent)
+	}
+	slices.SortFunc(lent, func(a, b *server) int { return b.lentAt.Compare(a.lentAt) })
+	for _, s := range lent[:most] {
+		if over -= float64(s.endpoint.Slots); over < 0 {
+			return true
 		}
+		s.recall(now)
 	}
+	return true
+}
+
+// lendMore lends a borrower what it lacks.
+func (svc *service) lendMore(now time.Time, borrower string, slots float64, lent []*server) {
+	slots -= slotsOf(lent)
 	for {
 		next := svc.lendable(now)
 		if next == nil || slots <= lendAbove*float64(next.endpoint.Slots) {
--- a/internal/core/dispatch/lend_test.go
+++ b/internal/core/dispatch/lend_test.go
@@ -228,6 +228,21 @@
 	is.True(s.lent("few") <= 1)
 }
 
+// TestLendingAfterAStorm answers a storm of retries that has passed: a large region
+// that lent most of its endpoints has as many as it needs again within two seconds
+// of news.
+func TestLendingAfterAStorm(t *testing.T) {
+	is := is.New(t)
+	s := newLendingSystem(map[string]int{"big": 120, "few": 4})
+	s.play(6, map[string]float64{"big": 20, "few": 1400})
+	is.True(s.lent("few") >= 80)
+	s.play(4, map[string]float64{"big": 20, "few": 200}) // the average follows
+	s.play(4, map[string]float64{"big": 1000, "few": 200})
+	refused := s.play(4, map[string]float64{"big": 1000, "few": 200})
+	is.True(refused["big"] < 0.02)
+	is.True(s.lent("few") <= 30)
+}
+
 // TestLendingAhead has nobody ask anything yet: each region gets the part of the
 // endpoints that its gateways let expect.
 func TestLendingAhead(t *testing.T) {
