Tell a lost answer from an endpoint that can't be reached

Ruled out: the retry budget; endpoints that ended (their connections can't be opened). Change: an endpoint is passed over when no connection to it can be opened; a broken one counts as a failure when endpoints are compared, and the request may go there again if it may be repeated. A connection that can't be opened isn't one of the route's attempts; at most four are tried.

--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -24,6 +24,8 @@
 	// fewestLeft is the time below which a request isn't sent to an endpoint: it
 	// couldn't answer any more.
 	fewestLeft = 30 * time.Millisecond
+	// mostMisses bounds the endpoints that a request tries to reach in vain.
+	mostMisses = 3
 	// askFloor is the shortest time that a dispatcher is given for an answer: a few
 	// round trips to another region.
 	askFloor = 600 * time.Millisecond
@@ -42,8 +44,10 @@
 	// home is the region whose dispatcher grants the slots.
 	home  string
 	began time.Time
-	// tries counts the endpoints that the request was sent to.
+	// tries counts how often the request was sent, and misses the endpoints that
+	// couldn't be reached.
 	tries    int
+	misses   int
 	exclude  []string
 	endpoint string
 	region   string
@@ -96,7 +100,7 @@
 func (x *exchange) attempts(ctx context.Context) port.ClientAnswer {
 	for {
 		answer, again := x.attempt(ctx)
-		if !again || x.tries >= x.route.Attempts || ctx.Err() != nil {
+		if !again || x.tries >= x.route.Attempts || x.misses > mostMisses || ctx.Err() != nil {
 			return answer
 		}
 	}
@@ -152,12 +156,14 @@
 	if x.request.Deadline.Sub(began) < fewestLeft {
 		return x.unserved(ctx, verdict.ReasonDeadline, nil, 0), false
 	}
-	x.tries++
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
 	outcome = outcomeOf(ctx, response, err)
-	if outcome != dispatch.Refused {
-		// One that refused may have its object warm, and free slots.
+	if outcome == dispatch.Unreachable {
+		x.misses++
 		x.exclude = append(x.exclude, d.Endpoint.ID)
+	} else {
+		// It may be sent there again: the object is warm at it.
+		x.tries++
 	}
 	if outcome == dispatch.Served {
 		g.remember(x.object(), d.Endpoint.ID)
@@ -203,6 +209,8 @@
 		return dispatch.Refused
 	case verdict.ReasonOf(err) == verdict.ReasonBadAnswer || verdict.ReasonOf(err) == verdict.ReasonDeadline:
 		return dispatch.Failed
+	case verdict.ReasonOf(err) == verdict.ReasonDial:
+		return dispatch.Unreachable
 	default:
 		return dispatch.Broken
 	}
@@ -262,7 +270,7 @@
 		Ask: dispatch.Ask{
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Kind: x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
-			Deadline: x.request.Deadline, Again: x.tries > 0, Exclude: x.exclude, Homes: x.route.Homes,
+			Deadline: x.request.Deadline, Again: x.tries+x.misses > 0, Exclude: x.exclude, Homes: x.route.Homes,
 		},
 	}
 	if x.route.Sticky {
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -171,6 +171,7 @@
 		{"served", "/once/", []error{nil}, 1, verdict.Ran},
 		{"once-only, refused, then served", "/once/", []error{shed, nil}, 2, verdict.Ran},
 		{"once-only, not reached, then served", "/once/", []error{dial, nil}, 2, verdict.Ran},
+		{"once-only, not reached twice, then served", "/once/", []error{dial, dial, nil}, 3, verdict.Ran},
 		{"once-only, refused twice", "/once/", []error{shed}, 2, verdict.NotRun},
 		{"once-only, broken off", "/once/", []error{broken, nil}, 1, verdict.MayHaveRun},
 		{"once-only, refused, then broken off", "/once/", []error{shed, broken}, 2, verdict.MayHaveRun},
--- a/internal/core/dispatch/lend.go
+++ b/internal/core/dispatch/lend.go
@@ -99,7 +99,7 @@
 			Region: p.setup.Region, Service: name, Need: svc.load.slots(now) / useTarget, Gateways: gateways,
 		}
 		for _, s := range svc.servers {
-			if s.own && !s.endpoint.Leaving && !s.cold(now) && s.breaks < lostAfterBreaks {
+			if s.own && !s.endpoint.Leaving && !s.cold(now) && s.misses < lostAfterMisses {
 				l.Slots += s.endpoint.Slots
 			}
 		}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -254,7 +254,7 @@
 	if outcome == Served {
 		svc.ran(now, g, run, took.Seconds())
 	}
-	if outcome == Broken {
+	if outcome == Broken || outcome == Unreachable {
 		if now.Sub(p.brokeOff) < breaksApart {
 			p.Unsettle(now)
 		}
--- a/internal/core/dispatch/refusal_test.go
+++ b/internal/core/dispatch/refusal_test.go
@@ -14,7 +14,14 @@
 // TestRefusalsWithFreeSlots answers the load of endpoints that refuse a share of
 // their requests while they are nearly idle: their objects stay where they are
 // warm, and no request is turned away for want of an endpoint.
-func TestRefusalsWithFreeSlots(t *testing.T) {
+func TestRefusalsWithFreeSlots(t *testing.T) { keepObjects(t, dispatch.Refused) }
+
+// TestLostAnswers answers the load of endpoints that lose a share of their answers
+// or forget idle connections, in the same way.
+func TestLostAnswers(t *testing.T) { keepObjects(t, dispatch.Broken) }
+
+// keepObjects has half of the requests end with an outcome, at all endpoints.
+func keepObjects(t *testing.T, end dispatch.Outcome) {
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
 	pool := regionPool(now, "own", map[string]int{"own": 6})
@@ -33,7 +40,7 @@
 		places[object][d.Endpoint.ID] = true
 		outcome, took := dispatch.Served, 50*time.Millisecond
 		if i > 300 && i%2 == i/12%2 {
-			outcome, took = dispatch.Refused, time.Millisecond
+			outcome, took = end, time.Millisecond
 		}
 		pool.Release(now.Add(time.Millisecond), d.Grant, outcome, took)
 	}
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -25,8 +25,8 @@
 	speed float64
 	// failures is the moving share of failed requests.
 	failures float64
-	// breaks counts the broken connections in a row.
-	breaks int
+	// misses counts how often in a row it couldn't be reached.
+	misses int
 	// pausedUntil is when it may be used again.
 	pausedUntil time.Time
 	memory      memory
@@ -90,7 +90,7 @@
 func (s *server) ended(now time.Time, outcome Outcome, took, expected float64) {
 	switch outcome {
 	case Served:
-		s.breaks = 0
+		s.misses = 0
 		s.failures -= smoothing * s.failures
 		if expected > 0 {
 			s.speed += speedSmoothing * (math.Min(took/expected, speedMost) - s.speed)
@@ -106,9 +106,13 @@
 			s.failures += smoothing * (1 - s.failures)
 		}
 	case Broken:
+		// A lost answer or a forgotten connection says little of the next one; if the
+		// endpoint has ended, that one can't be opened.
 		s.failures += smoothing * (1 - s.failures)
-		pause := min(brokenPause<<min(s.breaks, 4), brokenPauseMax)
-		s.breaks++
+	case Unreachable:
+		s.failures += smoothing * (1 - s.failures)
+		pause := min(unreachablePause<<min(s.misses, 4), unreachablePauseMax)
+		s.misses++
 		s.pausedUntil = now.Add(pause)
 	case Unsent:
 	}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -72,8 +72,10 @@
 	Failed Outcome = "failed"
 	// Refused means that the endpoint said that it didn't run the request.
 	Refused Outcome = "refused"
-	// Broken means that the endpoint couldn't be reached or broke off.
+	// Broken means that the endpoint broke off.
 	Broken Outcome = "broken"
+	// Unreachable means that no connection to the endpoint could be opened.
+	Unreachable Outcome = "unreachable"
 	// Unsent means that nothing was sent, or the client left.
 	Unsent Outcome = "unsent"
 )
@@ -104,14 +106,14 @@
 	// graceAfterDeadline is how long after its deadline a grant that wasn't given
 	// back ends by itself: the release of a timed-out request is on its way.
 	graceAfterDeadline = time.Second
-	// brokenPause is how long an endpoint that broke a connection is passed over;
-	// each further break doubles it up to brokenPauseMax, the time in which an
-	// endpoint that lives has been heard of again.
-	brokenPause    = 300 * time.Millisecond
-	brokenPauseMax = 2400 * time.Millisecond
-	// lostAfterBreaks is the number of broken connections in a row after which an
-	// endpoint counts as lost.
-	lostAfterBreaks = 3
+	// unreachablePause is how long an endpoint that couldn't be reached is passed
+	// over; each further time doubles it up to unreachablePauseMax, the time in which
+	// an endpoint that lives has been heard of again.
+	unreachablePause    = 300 * time.Millisecond
+	unreachablePauseMax = 2400 * time.Millisecond
+	// lostAfterMisses is the number of times in a row that an endpoint can't be
+	// reached after which it counts as lost.
+	lostAfterMisses = 3
 	// fullPause is how long an endpoint that refused a request is passed over.
 	fullPause = 40 * time.Millisecond
 	// smoothing is the weight of the newest sample in a moving average.
