--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"sassafrasreach/internal/core/dispatch"
@@ -182,6 +183,7 @@
 	for _, name := range sortedKeys(c.regions) {
 		if r := c.regions[name]; r.pool != nil {
 			own := r.pool.Lend(now, known)
+			c.logLoans(name, own)
 			c.hearLoans(now, name, own)
 			loans = append(loans, own...)
 		}
@@ -189,6 +191,37 @@
 	return loads, loans
 }
 
+// logLoans tells of loans of a region that differ in number from before. Must hold
+// mu.
+func (c *Controller) logLoans(lender string, loans []dispatch.Loan) {
+	before, after := make(map[string]int), make(map[string]int)
+	for _, l := range c.loans[lender].loans {
+		before[l.Borrower] = len(l.Endpoints)
+	}
+	for _, l := range loans {
+		after[l.Borrower] = len(l.Endpoints)
+	}
+	for borrower := range c.regions {
+		if before[borrower] != after[borrower] {
+			event.Log(context.Background(), c.ports.Logger, event.LoansChanged, slog.String("lender", lender),
+				slog.String("borrower", borrower), slog.Int("endpoints", after[borrower]), slog.Int("before", before[borrower]),
+				slog.String("lender_load", c.loadText(lender)), slog.String("borrower_load", c.loadText(borrower)))
+		}
+	}
+}
+
+// loadText tells what a region's requests need and have, by service. Must hold mu.
+func (c *Controller) loadText(region string) string {
+	var out []string
+	for key, l := range c.loads {
+		if key.region == region {
+			out = append(out, fmt.Sprintf("%s %.0f/%d", key.service, l.Need, l.Slots))
+		}
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
 // gatewaysOf counts the live gateways of a region. Must hold mu.
 func (c *Controller) gatewaysOf(now time.Time, region string) int {
 	n := 0
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -79,6 +79,7 @@
 	DispatchBegun     = Event{1611, "dispatch-begun", slog.LevelInfo, "This controller dispatches the requests of a region."}
 	DispatchEnded     = Event{1612, "dispatch-ended", slog.LevelInfo, "This controller no longer dispatches the requests of a region."}
 	OrderNotPassed    = Event{1614, "order-not-passed", slog.LevelWarn, "The controller that presides didn't answer; the order is made durable from here."}
+	LoansChanged      = Event{1615, "loans-changed", slog.LevelInfo, "A region lends another more or fewer endpoints; attributes tell how many, and what the two need and have."}
 	StoreFailed       = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is opened again."}
 )
 
@@ -105,6 +106,6 @@
 	ConsoleFailed, ConsolePartial,
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnsure,
-	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed,
+	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerDeaf,
 }
