--- a/internal/adapter/idleconns/idleconns_test.go
+++ b/internal/adapter/idleconns/idleconns_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,10 +24,10 @@
 	for _, answered := range []bool{false, true} {
 		t.Run(fmt.Sprint("answered ", answered), func(t *testing.T) {
 			is := is.New(t)
-			var ahead time.Duration
+			var ahead atomic.Int64 // how far the clock has jumped
 			limits := idleconns.Limits{Header: 3 * time.Second, Idle: 15 * time.Second}
 			r := idleconns.New(
-				port.ClockFunc(func() time.Time { return time.Now().Add(ahead) }),
+				port.ClockFunc(func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }),
 				func() idleconns.Limits { return limits },
 			)
 			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
@@ -51,9 +52,9 @@
 				_, err := conn.Read(make([]byte, 1))
 				return errors.Is(err, os.ErrDeadlineExceeded)
 			}
-			ahead = limit - time.Second
+			ahead.Store(int64(limit - time.Second))
 			is.True(open())
-			ahead = limit + time.Second
+			ahead.Store(int64(limit + time.Second))
 			is.True(!open())
 		})
 	}
