--- a/internal/core/membership/faults_test.go
+++ b/internal/core/membership/faults_test.go
@@ -303,3 +303,33 @@
 	round(2, false)
 	is.True(table.OwnsSelf(now, "s", "p"))
 }
+
+// TestReliefThatIsOnlyHeardOf has the only other entry of a place restart, known from
+// another place alone: it is about to come, so this one isn't relieved yet.
+func TestReliefThatIsOnlyHeardOf(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := membership.NewTable(membership.Member{Name: "b", Place: "p", Incarnation: 1}, membership.Config{})
+	table.SetPeers(now, []membership.Peer{
+		{Name: "a", Place: "p", Region: "r"}, {Name: "b", Place: "p", Region: "r"}, {Name: "far", Place: "q", Region: "r"},
+	})
+	hear := func(from, place string, incarnation, counter uint64, leaving bool) {
+		table.Tick(now)
+		rows := []membership.MemberRow{{Name: from, Place: place, Incarnation: 1, Counter: counter}}
+		if from == "a" {
+			rows = nil
+		}
+		rows = append(rows,
+			membership.MemberRow{Name: "a", Place: "p", Incarnation: incarnation, Counter: counter, Leaving: leaving},
+			membership.MemberRow{Name: "b", Place: "p", Incarnation: 1, Counter: counter})
+		table.Receive(now, membership.Heartbeat{From: from, Members: rows})
+		now = now.Add(500 * time.Millisecond)
+	}
+	for n := range uint64(10) {
+		hear("a", "p", 1, n+1, false)
+	}
+	hear("a", "p", 1, 11, true)
+	is.True(!table.Relieved(now))
+	hear("far", "q", 2, 12, false)
+	is.True(!table.Relieved(now))
+}
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -8,7 +8,8 @@
 // state is what the table holds of one other entry.
 type state struct {
 	row MemberRow
-	// heard is when a higher counter last came in.
+	// heard is when a higher counter last came in; zero while the entry is known to
+	// have started again from others alone.
 	heard time.Time
 	// since is when the entry's present unbroken stretch of life began.
 	since time.Time
