Compare the pool with the usual policies on the same requests

At random, least in flight at each endpoint's queue, and the pool, under five loads: dispatch.TestPolicies holds that the pool serves no fewer within the target, and twice as many when offered work is above capacity.

--- /dev/null
+++ b/internal/core/dispatch/policies_test.go
@@ -0,0 +1,123 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/registry"
+)
+
+// baseline sends each request to an endpoint at once, where it waits for a slot or,
+// if the endpoint's queue is full, is refused.
+type baseline struct {
+	pick      func(b *baseline) int
+	slots     int
+	busy      []int
+	queues    [][]dispatch.Ask
+	endpoints map[string]int // by grant
+	count     int
+}
+
+func newBaseline(s scene, pick func(b *baseline) int) *baseline {
+	return &baseline{
+		pick: pick, slots: s.slots, busy: make([]int, s.endpoints), queues: make([][]dispatch.Ask, s.endpoints),
+		endpoints: make(map[string]int),
+	}
+}
+
+// atRandom and leastInFlight are the usual policies without a common view.
+func atRandom() func(b *baseline) int {
+	draw := rand.New(rand.NewPCG(5, 6))
+	return func(b *baseline) int { return draw.IntN(len(b.busy)) }
+}
+
+func leastInFlight(b *baseline) int {
+	best := 0
+	for i := range b.busy {
+		if b.busy[i]+len(b.queues[i]) < b.busy[best]+len(b.queues[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// queueFactor is the length of an endpoint's queue in slots.
+const queueFactor = 3
+
+func (b *baseline) grant(i int, a dispatch.Ask) dispatch.Decision {
+	b.count++
+	b.busy[i]++
+	grant := fmt.Sprint(b.count)
+	b.endpoints[grant] = i
+	return dispatch.Decision{Ask: a, Grant: grant, Endpoint: registry.Endpoint{ID: fmt.Sprintf("e%d", i)}}
+}
+
+func (b *baseline) Acquire(_ time.Time, a dispatch.Ask) (dispatch.Decision, bool) {
+	i := b.pick(b)
+	switch {
+	case b.busy[i] < b.slots:
+		return b.grant(i, a), true
+	case len(b.queues[i]) < queueFactor*b.slots:
+		b.queues[i] = append(b.queues[i], a)
+		return dispatch.Decision{}, false
+	default:
+		return dispatch.Decision{Ask: a}, true
+	}
+}
+
+func (b *baseline) Release(_ time.Time, id string, _ dispatch.Outcome, _ time.Duration) []dispatch.Decision {
+	i := b.endpoints[id]
+	delete(b.endpoints, id)
+	b.busy[i]--
+	if len(b.queues[i]) == 0 {
+		return nil
+	}
+	next := b.queues[i][0]
+	b.queues[i] = b.queues[i][1:]
+	return []dispatch.Decision{b.grant(i, next)}
+}
+
+func (b *baseline) Tick(time.Time) []dispatch.Decision { return nil }
+
+// TestPolicies compares the pool with the usual policies, on the same requests: by
+// the share that is served within the target. It has to serve at least as many as
+// either under each load, and at least twice as many under offered work that is
+// above capacity when cold.
+func TestPolicies(t *testing.T) {
+	usual := scene{
+		endpoints: 8, slots: 9, keeps: 30, objects: 150, perSecond: 60, lasts: 30 * time.Second,
+		cold: 900 * time.Millisecond, warm: 270 * time.Millisecond, target: 600 * time.Millisecond,
+	}
+	loads := map[string]func(s scene) scene{
+		"usual":          func(s scene) scene { return s },
+		"above capacity": func(s scene) scene { s.perSecond = 130; return s },
+		"a burst":        func(s scene) scene { s.perSecond, s.burst = 100, 2.5; return s },
+		"nothing is kept warm": func(s scene) scene {
+			s.warm, s.cold = 270*time.Millisecond, 270*time.Millisecond
+			s.perSecond = 200
+			return s
+		},
+		"more objects than fit": func(s scene) scene { s.objects, s.perSecond = 400, 100; return s },
+	}
+	for name, load := range loads {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := load(usual)
+			now := time.Unix(1_800_000_000, 0)
+			share := func(p played) float64 { return float64(p.inTarget) / float64(p.asked) }
+			random := share(s.playOn(now, newBaseline(s, atRandom()), true))
+			least := share(s.playOn(now, newBaseline(s, leastInFlight), true))
+			pool := share(s.play(true))
+			t.Logf("in target: at random %.3f, least in flight %.3f, pool %.3f", random, least, pool)
+			is.True(pool >= max(random, least)-0.01)
+			if name == "above capacity" {
+				is.True(pool >= 2*max(random, least))
+			}
+		})
+	}
+}
--- a/internal/core/dispatch/warm_test.go
+++ b/internal/core/dispatch/warm_test.go
@@ -19,6 +19,8 @@
 	perSecond                        float64
 	cold, warm, target               time.Duration
 	lasts                            time.Duration
+	// burst is how many times as many requests come for 3 s in the middle; 0 for none.
+	burst float64
 }
 
 // happening is the end of a run, at a moment.
@@ -63,17 +65,33 @@
 // played counts what became of the requests of a scene.
 type played struct{ asked, inTarget, late, refused int }
 
-// play runs a scene; without affinity the pool isn't told the objects.
+// policy decides who gets a slot; a pool is one.
+type policy interface {
+	Acquire(now time.Time, a dispatch.Ask) (dispatch.Decision, bool)
+	Release(now time.Time, id string, outcome dispatch.Outcome, took time.Duration) []dispatch.Decision
+	Tick(now time.Time) []dispatch.Decision
+}
+
+// play runs a scene on a pool; without affinity it isn't told the objects.
 func (s scene) play(affinity bool) played {
-	draw := rand.New(rand.NewPCG(1, 2))
 	now := time.Unix(1_800_000_000, 0)
-	end := now.Add(s.lasts)
-	pool := dispatch.NewPool("t/", dispatch.Setup{ColdRate: func(string) float64 { return 0 }, RegionOf: func(string) string { return "" }, Draw: draw.Float64})
+	pool := dispatch.NewPool("t/", dispatch.Setup{
+		ColdRate: func(string) float64 { return 0 }, RegionOf: func(string) string { return "" },
+		Draw: func() float64 { return 0.5 },
+	})
+	for i := range s.endpoints {
+		pool.Learn(now, registry.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Slots: s.slots, Born: 1, Heard: now})
+	}
+	return s.playOn(now, pool, affinity)
+}
+
+// playOn runs a scene on a policy from a time on; all see the same requests.
+func (s scene) playOn(now time.Time, pool policy, affinity bool) played {
+	draw := rand.New(rand.NewPCG(1, 2))
+	began, end := now, now.Add(s.lasts)
 	memories := make(map[string]*memory)
 	for i := range s.endpoints {
-		id := fmt.Sprintf("e%d", i)
-		pool.Learn(now, registry.Endpoint{ID: id, Service: "s", Slots: s.slots, Born: 1, Heard: now})
-		memories[id] = &memory{keeps: s.keeps}
+		memories[fmt.Sprintf("e%d", i)] = &memory{keeps: s.keeps}
 	}
 	var out played
 	var runs agenda
@@ -126,7 +144,11 @@
 		if d, decided := pool.Acquire(now, ask); decided {
 			start(d)
 		}
-		next = now.Add(time.Duration(draw.ExpFloat64() / s.perSecond * float64(time.Second)))
+		perSecond := s.perSecond
+		if since := now.Sub(began); s.burst > 0 && since > s.lasts/2 && since < s.lasts/2+3*time.Second {
+			perSecond *= s.burst
+		}
+		next = now.Add(time.Duration(draw.ExpFloat64() / perSecond * float64(time.Second)))
 	}
 	return out
 }
