Log the fingerprint of a request's content with its end

request-ended named only the client's ID of an attempt, which is new each time. So logs couldn't tell whether the crashes of several endpoints belong to one request that comes again (hypothesis 1 of docs/incidents/crashing-requests.md) or to the retries of one arrival (hypothesis 2).

--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/core/verdict"
@@ -46,7 +47,9 @@
 	service string
 	// dispatchRegion is the region whose dispatcher grants the slots.
 	dispatchRegion string
-	began          time.Time
+	// fingerprint identifies the content of the request, whoever sends it.
+	fingerprint fingerprint.Fingerprint
+	began       time.Time
 	// tries counts the attempts at endpoints that could be reached,
 	// unreachable those at endpoints that couldn't.
 	tries       int
@@ -89,6 +92,7 @@
 	x.service, x.dispatchRegion = x.route.Pick(rand.Float64()), x.chooseDispatchRegion()
 	x.request.Service = x.service
 	x.request.OnceOnly = !x.route.Idempotent
+	x.fingerprint = fingerprint.Of(x.request.RouteHost, x.request.Method, x.request.Target, x.request.Body)
 	limit := x.began.Add(x.route.Timeout)
 	if d := x.request.Deadline; !d.IsZero() && d.Add(-answerMargin).Before(limit) {
 		limit = d.Add(-answerMargin)
@@ -311,6 +315,10 @@
 	x.gateway.ports.Meter.RecordSlot(x.service, x.waited, x.tries)
 }
 
+// loggedFingerprint is the number of hexadecimal digits of a fingerprint that are
+// logged, which are enough to find the requests of the same content.
+const loggedFingerprint = 16
+
 // log logs the result of a request.
 func (x *inFlightRequest) log(ctx context.Context, a port.ClientAnswer) {
 	attrs := []slog.Attr{
@@ -320,7 +328,8 @@
 		slog.Int64("took_ms", x.gateway.ports.Clock.Now().Sub(x.began).Milliseconds()),
 	}
 	if x.route != nil {
-		attrs = append(attrs, slog.String("route", x.route.Name))
+		attrs = append(attrs, slog.String("route", x.route.Name),
+			slog.String("fingerprint", x.fingerprint.String()[:loggedFingerprint]))
 	}
 	if a.Err != nil {
 		attrs = append(attrs, slog.String("verdict", verdict.Of(a.Err).String()),
--- a/internal/core/fingerprint/fingerprint.go
+++ b/internal/core/fingerprint/fingerprint.go
@@ -12,14 +12,15 @@
 // ErrBad is returned by Parse for text that isn't a fingerprint.
 var ErrBad = errors.New("bad fingerprint")
 
-// Fingerprint is the SHA-256 of a request's service, method, target and body.
+// Fingerprint is the SHA-256 of a request's scope, method, target and body.
 type Fingerprint [sha256.Size]byte
 
-// Of returns the fingerprint of a request. Each part is preceded by its length,
-// so that different requests have different encodings.
-func Of(service, method, target string, body []byte) Fingerprint {
+// Of returns the fingerprint of a request. The scope is what gives the target its
+// meaning: a service, or a host whose routes lead to several services. Each part is
+// preceded by its length, so that different requests have different encodings.
+func Of(scope, method, target string, body []byte) Fingerprint {
 	h := sha256.New()
-	addPart(h, []byte(service))
+	addPart(h, []byte(scope))
 	addPart(h, []byte(method))
 	addPart(h, []byte(target))
 	addPart(h, body)
