Stop requests that crash their endpoints at all dispatchers

Cause: only the own interface recognizes such requests. The path of gateways and controllers kept no record of which request ran where when an endpoint ended.

Fix: core/quarantine serves both paths. The dispatcher records the run of each slot by the fingerprint of the request's content, resets are exchanged among controllers, and every controller sees endpoints that start again. Two deaths, or two resets at endpoints that show no sign of life since, stop the request. A request that was answered lately isn't held back for resets alone, so popular objects stay served when their endpoints crash.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -5,6 +5,7 @@
 
 	fleetv1 "sassafrasreach/api/fleet/v1"
 	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/port"
@@ -174,12 +175,44 @@
 	return dispatch.Loan{Lender: m.GetLender(), Borrower: m.GetBorrower(), Endpoints: m.GetEndpoints()}
 }
 
+func fingerprintToProto(f fingerprint.Fingerprint) []byte {
+	if f.IsZero() {
+		return nil
+	}
+	return f[:]
+}
+
+// fingerprintFromProto returns the zero fingerprint if the length isn't that of a
+// fingerprint: the request's content is then unknown.
+func fingerprintFromProto(b []byte) fingerprint.Fingerprint {
+	var f fingerprint.Fingerprint
+	if len(b) == len(f) {
+		copy(f[:], b)
+	}
+	return f
+}
+
+func suspicionToProto(s port.Suspicion) *fleetv1.Suspicion {
+	return &fleetv1.Suspicion{
+		Fingerprint: fingerprintToProto(s.Fingerprint), Endpoint: s.Endpoint, BornMs: s.StartedMillis,
+		Cleared: s.Cleared, QuarantineMs: s.Quarantined.Milliseconds(), Version: s.Version,
+	}
+}
+
+func suspicionFromProto(m *fleetv1.Suspicion) port.Suspicion {
+	return port.Suspicion{
+		Fingerprint: fingerprintFromProto(m.GetFingerprint()), Endpoint: m.GetEndpoint(), StartedMillis: m.GetBornMs(),
+		Cleared: m.GetCleared(), Quarantined: millis(m.GetQuarantineMs()), Version: m.GetVersion(),
+	}
+}
+
 func (c codec) exchangeToProto(m port.ExchangeRequest) *fleetv1.ExchangeRequest {
 	return &fleetv1.ExchangeRequest{
 		From: c.controllerToProto(m.From), Controllers: convertAll(m.Controllers, c.controllerToProto),
 		Gateways: convertAll(m.Gateways, c.gatewayToProto), Endpoints: convertAll(m.Endpoints, c.endpointToProto),
 		Asks: m.VoteRequests, Drops: m.VoteReleases, Whole: m.FullSync,
 		Loads: convertAll(m.Loads, loadToProto), Loans: convertAll(m.Loans, loanToProto),
+		Suspicions: convertAll(m.Suspicions, suspicionToProto),
 	}
 }
 
@@ -189,6 +222,7 @@
 		Gateways: convertAll(m.GetGateways(), c.gatewayFromProto), Endpoints: convertAll(m.GetEndpoints(), c.endpointFromProto),
 		VoteRequests: m.GetAsks(), VoteReleases: m.GetDrops(), FullSync: m.GetWhole(),
 		Loads: convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
+		Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto),
 	}
 }
 
@@ -222,6 +256,7 @@
 		Id: req.ID, Gateway: req.Gateway, Region: req.Region, Service: req.Service, Priority: int32(req.Priority),
 		Affinity: req.Affinity, Zone: req.Zone, TargetMs: req.Target.Milliseconds(), DeadlineMs: -c.age(req.Deadline),
 		Homes: req.Regions, Exclude: req.Exclude, Kind: req.Kind, Hint: req.Hint, Again: req.Retry,
+		Fingerprint: fingerprintToProto(req.Fingerprint),
 	}
 }
 
@@ -233,6 +268,7 @@
 			Affinity: m.GetAffinity(), Zone: m.GetZone(), Target: millis(m.GetTargetMs()),
 			Deadline: c.timeAt(-m.GetDeadlineMs()), Exclude: m.GetExclude(), Regions: m.GetHomes(),
 			Kind: m.GetKind(), Hint: m.GetHint(), Retry: m.GetAgain(),
+			Fingerprint: fingerprintFromProto(m.GetFingerprint()),
 		},
 	}
 }
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -107,6 +107,7 @@
 	// controller.
 	localAnnounceSeq map[string]uint64
 	announceSeq      uint64
+	suspicions       *suspicions
 	grantedVotes     *lease.GrantedVotes
 	regions          map[string]*region
 	// loads holds the last reported load of each region and service; loans,
@@ -129,7 +130,7 @@
 		config: config, ports: ports, incarnation: uint64(now.UnixNano()),
 		peers: make(map[string]*peer), state: &fleet.State{},
 		gateways: make(map[string]port.Gateway), watchers: make(map[string]time.Time), endpoints: registry.New(endpointRetention),
-		localAnnounceSeq: make(map[string]uint64), grantedVotes: lease.NewGrantedVotes(now),
+		localAnnounceSeq: make(map[string]uint64), suspicions: newSuspicions(ports.Logger), grantedVotes: lease.NewGrantedVotes(now),
 		regions: make(map[string]*region), loads: make(map[loadKey]reportedLoad), loans: make(map[string]reportedLoans),
 		proposing: make(chan struct{}, 1), changed: make(chan struct{}), seeds: config.Seeds,
 	}
@@ -252,6 +253,7 @@
 	retries.Extra /= float64(len(c.regions))
 	return dispatch.Config{
 		Retries: retries, Region: region, RoundTrip: c.roundTrip, MaxShift: c.config.MaxShift,
+		Runs:     c.suspicions,
 		RegionOf: func(zone string) string { return c.config.Zones[zone] },
 		ColdRate: func(service string) float64 {
 			for _, s := range c.state.Config.Services {
--- /dev/null
+++ b/internal/app/controller/crash_test.go
@@ -0,0 +1,189 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/adapter/metrics"
+	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/registry"
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
+)
+
+func (l link) Watch(ctx context.Context, g port.Gateway, since port.WatchCursor) (port.Update, error) {
+	c, err := l.reach(ctx)
+	if err != nil {
+		return port.Update{}, err
+	}
+	return c.Watch(ctx, g, since)
+}
+
+func (l link) Acquire(ctx context.Context, req port.SlotRequest) (dispatch.Decision, error) {
+	c, err := l.reach(ctx)
+	if err != nil {
+		return dispatch.Decision{}, err
+	}
+	return c.Acquire(ctx, req)
+}
+
+func (l link) Release(ctx context.Context, r []port.SlotRelease) error {
+	c, err := l.reach(ctx)
+	if err != nil {
+		return err
+	}
+	return c.Release(ctx, r)
+}
+
+// crashTarget is the target of the request that crashes each endpoint that
+// runs it.
+const crashTarget = "/crash"
+
+// fragileEndpoints are endpoints of which each ends when it runs a request for
+// crashTarget, and starts again under another ID after restartAfter.
+type fragileEndpoints struct {
+	mu      sync.Mutex
+	cluster *cluster
+	live    map[string]registry.Endpoint
+	starts  int
+	crashes int
+}
+
+const restartAfter = 700 * time.Millisecond
+
+func (f *fragileEndpoints) start(address, zone string) {
+	f.mu.Lock()
+	f.starts++
+	e := registry.Endpoint{
+		ID: fmt.Sprintf("e%d", f.starts), Address: address, Service: "s", Zone: zone, Slots: 4,
+		StartedMillis: time.Now().UnixMilli(), Sequence: 1, LastSeen: time.Now(),
+	}
+	f.live[e.ID] = e
+	f.mu.Unlock()
+	f.announce(e)
+}
+
+func (f *fragileEndpoints) announce(e registry.Endpoint) {
+	if at := f.cluster.anyRunning(); at != nil {
+		_ = at.Announce(context.Background(), e)
+	}
+}
+
+// announceAll announces all live endpoints, until ctx ends.
+func (f *fragileEndpoints) announceAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		var all []registry.Endpoint
+		for id, e := range f.live {
+			e.Sequence++
+			e.LastSeen = time.Now()
+			f.live[id] = e
+			all = append(all, e)
+		}
+		f.mu.Unlock()
+		for _, e := range all {
+			f.announce(e)
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
+func (f *fragileEndpoints) Call(_ context.Context, to port.Endpoint, req *port.Request, _ port.Gate) (*port.Response, error) {
+	f.mu.Lock()
+	e, live := f.live[to.ID]
+	if live && req.Target == crashTarget {
+		delete(f.live, to.ID)
+		f.crashes++
+		time.AfterFunc(restartAfter, func() { f.start(e.Address, e.Zone) })
+	}
+	f.mu.Unlock()
+	switch {
+	case !live:
+		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonDial, nil)
+	case req.Target == crashTarget:
+		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonConnection, port.ErrConnectionLost)
+	}
+	time.Sleep(5 * time.Millisecond)
+	return &port.Response{Status: http.StatusOK}, nil
+}
+
+func (f *fragileEndpoints) Probe(context.Context, port.Endpoint) error { return nil }
+
+func (f *fragileEndpoints) crashCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes
+}
+
+// startGateways starts a gateway in each region, which use the given
+// endpoints, and waits until they are ready.
+func (c *cluster) startGateways(endpoints port.EndpointCaller) []*gateway.Gateway {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	var out []*gateway.Gateway
+	for _, region := range []string{"a", "b", "c"} {
+		address := "gateway-" + region
+		g := gateway.New(gateway.Config{Name: address, Address: address, Zone: region + "1", Region: region, Seeds: c.seeds}, gateway.Ports{
+			Clock: port.ClockFunc(time.Now), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Endpoints: endpoints, Meter: metrics.New(),
+			Dial: func(to string) (port.ControllerLink, error) { return link{cluster: c, from: address, to: to}, nil },
+		})
+		go g.Run(ctx)
+		for !g.Ready() {
+			time.Sleep(5 * time.Millisecond)
+		}
+		out = append(out, g)
+	}
+	return out
+}
+
+// send sends a request for a target to a gateway.
+func send(g *gateway.Gateway, id, target string) port.ClientAnswer {
+	return g.Serve(context.Background(), &port.ClientRequest{
+		Request:   port.Request{ID: id, Method: http.MethodPost, Target: target, Deadline: time.Now().Add(2 * time.Second)},
+		RouteHost: "h", Path: target,
+	})
+}
+
+// TestCrashingRequestStops guards against a request that crashes its endpoints
+// and is sent on as often as it comes, at gateways of all regions: after the
+// third crash at most three more follow. Other requests are served meanwhile.
+func TestCrashingRequestStops(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2*time.Millisecond)
+	is.NoErr(c.order(0, 2))
+	c.settle()
+	endpoints := &fragileEndpoints{cluster: c, live: make(map[string]registry.Endpoint)}
+	for zone := range regions {
+		endpoints.start(zone+":100", zone)
+		endpoints.start(zone+":200", zone)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go endpoints.announceAll(ctx)
+	gateways := c.startGateways(endpoints)
+	time.Sleep(time.Second) // the announcements reach all controllers
+	const rounds = 50
+	served := 0
+	for i := range rounds {
+		g := gateways[i%len(gateways)]
+		answer := send(g, fmt.Sprint("crash", i), crashTarget)
+		is.True(answer.Err != nil)
+		if send(g, fmt.Sprint("other", i), fmt.Sprintf("/other/%d", i%5)).Err == nil {
+			served++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("%d crashes, %d of %d other requests served", endpoints.crashCount(), served, rounds)
+	is.True(endpoints.crashCount() <= 6)
+	is.True(served >= rounds*9/10)
+}
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -80,6 +80,7 @@
 		c.notifyChanged()
 	}
 	if !dispatches && r.pool != nil {
+		r.pool.Close(now)
 		r.pool = nil
 		for _, w := range r.waiting {
 			close(w)
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -60,10 +60,21 @@
 // recordEndpoint records an announcement, made to this controller or passed on,
 // and reports whether it changed the registry. Must hold mu.
 func (c *Controller) recordEndpoint(e registry.Endpoint) bool {
+	now := c.ports.Clock.Now()
 	before, known := c.endpoints.Get(e.ID)
+	var replaced []registry.Endpoint
+	if !known || before.StartedMillis != e.StartedMillis {
+		replaced = c.endpoints.ReplacedBy(e)
+	}
 	if !c.endpoints.Record(e) {
 		return false
 	}
+	for _, old := range replaced {
+		if !old.Leaving {
+			c.suspicions.recordDeath(now, old)
+		}
+	}
+	c.suspicions.recordAnnouncement(now, e)
 	c.updatePools(e)
 	if !known || before.StartedMillis != e.StartedMillis || before.Leaving != e.Leaving || before.Gone != e.Gone {
 		event.Log(context.Background(), c.ports.Logger, event.EndpointChanged,
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -30,6 +30,9 @@
 	// the announcements; it is 0 for a peer of a new incarnation, which is
 	// sent all endpoints.
 	acked uint64
+	// ackedSuspicions is the number of the last change of suspicions that the
+	// peer has acknowledged; it is 0 for a peer of a new incarnation.
+	ackedSuspicions uint64
 	// roundTrip is the moving average of the duration of an exchange.
 	roundTrip time.Duration
 	// addedAt is when it was added to the peers.
@@ -106,7 +109,7 @@
 	type sending struct {
 		p        *peer
 		exchange port.ExchangeRequest
-		acked    uint64
+		acked    acknowledged
 	}
 	var sendings []sending
 	for _, p := range c.peers {
@@ -116,10 +119,11 @@
 		p.inFlight = true
 		exchange := c.exchange(now, p)
 		exchange.Loads, exchange.Loans = loads, loans
-		sendings = append(sendings, sending{p, exchange, c.announceSeq})
+		sendings = append(sendings, sending{p, exchange, acknowledged{c.announceSeq, c.suspicions.madeSeq}})
 	}
 	c.clearReleased()
 	c.forgetEndpoints(now)
+	c.suspicions.expire(now)
 	c.mu.Unlock()
 	for _, s := range sendings {
 		go func() {
@@ -176,6 +180,7 @@
 	m := port.ExchangeRequest{
 		From: c.self(now), Controllers: c.liveControllers(now), Gateways: c.watchingGateways(now),
 		VoteRequests: c.requestedRegions(now), VoteReleases: c.releasedRegions(), FullSync: p.acked == 0,
+		Suspicions: c.suspicions.since(now, p.ackedSuspicions),
 	}
 	if p.acked == 0 {
 		m.Endpoints, _ = c.endpoints.Since(0)
@@ -203,8 +208,11 @@
 	return out
 }
 
+// acknowledged is what a peer has received when it answers an exchange.
+type acknowledged struct{ announcements, suspicions uint64 }
+
 // sendExchange sends a message to a peer and records its answer.
-func (c *Controller) sendExchange(ctx context.Context, p *peer, m port.ExchangeRequest, acked uint64) (port.ExchangeReply, error) {
+func (c *Controller) sendExchange(ctx context.Context, p *peer, m port.ExchangeRequest, acked acknowledged) (port.ExchangeReply, error) {
 	sentAt := c.ports.Clock.Now()
 	reply, err := p.link.Exchange(ctx, m)
 	c.mu.Lock()
@@ -214,10 +222,10 @@
 		return reply, err
 	}
 	if p.Incarnation != 0 && p.Incarnation != reply.From.Incarnation {
-		acked = 0
+		acked = acknowledged{}
 	}
 	p.Controller = reply.From
-	p.sentAt, p.acked = sentAt, acked
+	p.sentAt, p.acked, p.ackedSuspicions = sentAt, acked.announcements, acked.suspicions
 	p.recordRoundTrip(c.ports.Clock.Now().Sub(sentAt))
 	p.epoch, p.accepted = reply.Epoch.Number, reply.Accepted
 	c.enterEpoch(reply.Epoch)
@@ -257,6 +265,9 @@
 	for _, e := range m.Endpoints {
 		c.recordEndpoint(e)
 	}
+	for _, s := range m.Suspicions {
+		c.suspicions.apply(now, s)
+	}
 	c.recordLoadsAndLoans(now, m)
 	reply := port.ExchangeReply{
 		From: c.self(now), Epoch: savedState.Epoch, Accepted: savedState.Accepted.Ballot,
--- /dev/null
+++ b/internal/app/controller/suspicions.go
@@ -0,0 +1,139 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/fingerprint"
+	"sassafrasreach/internal/core/quarantine"
+	"sassafrasreach/internal/core/registry"
+	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/port"
+)
+
+// maxSuspicions bounds the suspicions that are kept for the other controllers.
+// The oldest are dropped first; a controller that misses some learns less about
+// requests that crash endpoints, and counts their crashes from then on.
+const maxSuspicions = 1024
+
+// suspicions finds requests that crash endpoints, from the runs that this
+// controller dispatches, from those that other controllers report, and from the
+// announcements of endpoints that have started again. It implements
+// dispatch.RunRecorder. Controller.mu guards it.
+type suspicions struct {
+	logger *slog.Logger
+	table  *quarantine.Table
+	// made are the last changes made by this controller, which are sent to the
+	// others. The last one has the number madeSeq.
+	made    []port.Suspicion
+	madeSeq uint64
+}
+
+var _ dispatch.RunRecorder = (*suspicions)(nil)
+
+func newSuspicions(logger *slog.Logger) *suspicions {
+	return &suspicions{logger: logger, table: quarantine.NewTable(quarantine.DefaultConfig())}
+}
+
+// MayStart implements dispatch.RunRecorder.
+func (s *suspicions) MayStart(now time.Time, f fingerprint.Fingerprint) bool {
+	return s.table.MayStart(now, f)
+}
+
+// Begin implements dispatch.RunRecorder.
+func (s *suspicions) Begin(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint) {
+	s.table.BeginRun(now, e.ID, uint64(e.StartedMillis), f, e.Service)
+}
+
+// End implements dispatch.RunRecorder. Only a reset connection makes a request
+// suspected: under overload too many runs are given up.
+func (s *suspicions) End(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint, outcome dispatch.Outcome) {
+	end := quarantine.NotStarted
+	switch outcome {
+	case dispatch.Served:
+		end = quarantine.Answered
+	case dispatch.Broken:
+		end = quarantine.Reset
+	}
+	change := s.table.EndRun(now, e.ID, uint64(e.StartedMillis), f, end)
+	if end == quarantine.Reset {
+		// The death of the endpoint may have been recorded before the reset.
+		s.log(s.table.RecordReset(now, e.ID, uint64(e.StartedMillis), f))
+		s.add(port.Suspicion{
+			Fingerprint: f, Endpoint: e.ID, StartedMillis: e.StartedMillis, Version: s.table.NewChangeVersion(now, f),
+		})
+		return
+	}
+	for _, f := range change.Lifted {
+		s.add(port.Suspicion{Fingerprint: f, Cleared: true, Version: s.table.NewLiftVersion(now, f)})
+	}
+	s.log(change)
+}
+
+// recordAnnouncement records that an endpoint is alive. An endpoint that leaves
+// isn't presumed dead when it starts again or its announcements end.
+func (s *suspicions) recordAnnouncement(now time.Time, e registry.Endpoint) {
+	if e.Leaving || e.Gone {
+		s.table.RecordLeaving(e.ID, uint64(e.StartedMillis))
+		return
+	}
+	s.table.RecordReport(now, e.ID, uint64(e.StartedMillis))
+}
+
+// recordDeath attributes the death of an endpoint to the requests whose runs it
+// ended.
+func (s *suspicions) recordDeath(now time.Time, e registry.Endpoint) {
+	event.Log(context.Background(), s.logger, event.EndpointDied,
+		slog.String("endpoint", e.ID), slog.Int64("incarnation", e.StartedMillis))
+	s.log(s.table.RecordDeath(now, e.ID, uint64(e.StartedMillis)))
+}
+
+// apply applies a change that another controller made.
+func (s *suspicions) apply(now time.Time, x port.Suspicion) {
+	switch {
+	case x.Fingerprint.IsZero():
+	case x.Cleared:
+		s.table.ApplyLift(now, x.Fingerprint, x.Version)
+	case !s.table.AcceptChange(x.Fingerprint, x.Version):
+	case x.Quarantined > 0:
+		s.table.Add(now, x.Fingerprint, x.Quarantined)
+	default:
+		s.log(s.table.RecordReset(now, x.Endpoint, uint64(x.StartedMillis), x.Fingerprint))
+	}
+}
+
+// expire removes expired records.
+func (s *suspicions) expire(now time.Time) { s.table.Expire(now) }
+
+// add keeps a change for the other controllers.
+func (s *suspicions) add(x port.Suspicion) {
+	s.made = append(s.made, x)
+	s.madeSeq++
+	if len(s.made) > maxSuspicions {
+		s.made = s.made[len(s.made)-maxSuspicions:]
+	}
+}
+
+// since returns the changes after a number. After 0 it also returns the requests
+// in quarantine, for a controller that has started.
+func (s *suspicions) since(now time.Time, seq uint64) []port.Suspicion {
+	var out []port.Suspicion
+	if seq == 0 {
+		for _, q := range s.table.List(now) {
+			out = append(out, port.Suspicion{Fingerprint: q.Fingerprint, Quarantined: q.Remaining, Version: q.Version})
+		}
+	}
+	first := s.madeSeq - uint64(len(s.made))
+	return append(out, s.made[max(seq, first)-first:]...)
+}
+
+func (s *suspicions) log(change quarantine.Change) {
+	for _, f := range change.Quarantined {
+		event.Log(context.Background(), s.logger, event.Quarantined, slog.String("fingerprint", f.String()))
+	}
+	for _, f := range change.Lifted {
+		event.Log(context.Background(), s.logger, event.QuarantineLift, slog.String("fingerprint", f.String()))
+	}
+}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -126,6 +126,8 @@
 		switch slot.Reason {
 		case dispatch.ReasonNoEndpoint:
 			reason = verdict.ReasonNoEndpoint
+		case dispatch.ReasonQuarantined:
+			reason = verdict.ReasonQuarantined
 		case dispatch.ReasonRetryBudget:
 			// The earlier attempts were granted slots, so this isn't a lack of
 			// slots.
@@ -284,7 +286,8 @@
 		Region: x.dispatchRegion,
 		SlotRequest: dispatch.SlotRequest{
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
-			Kind: x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
+			Fingerprint: x.fingerprint,
+			Kind:        x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
 			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable > 0, Exclude: x.exclude, Regions: x.route.Regions,
 		},
 	}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/registry"
 )
 
@@ -72,10 +73,17 @@
 	// it last served this one; -1 if its memory doesn't hold the object.
 	depth   int
 	expires time.Time
+	// fingerprint is that of the request, and started the endpoint's incarnation
+	// that was granted.
+	fingerprint fingerprint.Fingerprint
+	started     registry.Endpoint
 }
 
 // NewPool returns an empty pool. The IDs of its grants begin with prefix.
 func NewPool(prefix string, config Config) *Pool {
+	if config.Runs == nil {
+		config.Runs = noRuns{}
+	}
 	return &Pool{
 		config: config, prefix: prefix, shift: NewShiftMeter(config.MaxShift),
 		services: make(map[string]*service), servers: make(map[string]*server), grants: make(map[string]grant),
@@ -179,6 +187,9 @@
 		svc.retries.countRequest(now, p.config.Retries)
 		svc.leastUrgent = max(svc.leastUrgent, req.Priority)
 	}
+	if !p.mayStart(now, req) {
+		return p.refuse(now, req, ReasonQuarantined), true
+	}
 	if !slices.ContainsFunc(svc.servers, func(s *server) bool { return s.usable(now) }) {
 		return p.refuse(now, req, ReasonNoEndpoint), true
 	}
@@ -223,6 +234,7 @@
 	id := p.prefix + strconv.FormatUint(p.grantCount, 36)
 	object := req.object()
 	g := grant{server: s, service: svc, kind: svc.kind(req), depth: -1, expires: req.Deadline.Add(graceAfterDeadline)}
+	g.fingerprint, g.started = req.Fingerprint, s.endpoint
 	if depth, known := s.memory.depth(object); known {
 		g.depth = depth
 	}
@@ -234,6 +246,7 @@
 	}
 	p.shift.Count(now, s.region, now.Before(p.shiftSuspendedUntil))
 	p.grants[id] = g
+	p.beginRun(now, s, req)
 	return Decision{Request: req, Grant: id, Endpoint: s.endpoint, Region: s.region}
 }
 
@@ -261,9 +274,8 @@
 	if !ok {
 		return nil
 	}
-	delete(p.grants, id)
+	p.endRun(now, id, g, outcome)
 	s, svc := g.server, g.service
-	s.inFlight--
 	warm := g.depth >= 0 && g.depth < svc.kept.limit
 	run := max(0, (took - s.roundTrip).Seconds())
 	s.observeOutcome(now, outcome, run, g.kind.expected(warm))
@@ -299,8 +311,7 @@
 func (p *Pool) Tick(now time.Time) []Decision {
 	for id, g := range p.grants {
 		if now.After(g.expires) {
-			delete(p.grants, id)
-			g.server.inFlight--
+			p.endRun(now, id, g, Unsent)
 		}
 	}
 	var out []Decision
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/registry"
 )
 
@@ -13,6 +14,8 @@
 	// Gateway names the incarnation of the gateway that sent the slot request.
 	Gateway string
 	Service string
+	// Fingerprint identifies the content of the request; zero if unknown.
+	Fingerprint fingerprint.Fingerprint
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
 	// Kind groups requests that take about the same time.
@@ -49,6 +52,9 @@
 	ReasonOverload Reason = "overload"
 	// ReasonRetryBudget means that the retry budget is used up.
 	ReasonRetryBudget Reason = "retry-budget"
+	// ReasonQuarantined means that the request crashed endpoints, or is held
+	// back because it may have.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Decision is the result of a slot request: a grant or a refusal.
@@ -93,6 +99,8 @@
 	ColdRate func(service string) float64
 	// Retries limits retries; the zero value allows none.
 	Retries RetryBudget
+	// Runs records the runs of requests; nil records none.
+	Runs RunRecorder
 	// Random returns a random number in [0, 1). It spreads the return of
 	// refused clients.
 	Random func() float64
--- a/internal/core/fingerprint/fingerprint.go
+++ b/internal/core/fingerprint/fingerprint.go
@@ -29,6 +29,9 @@
 	return f
 }
 
+// IsZero reports whether f is the zero value, which is no request's fingerprint.
+func (f Fingerprint) IsZero() bool { return f == Fingerprint{} }
+
 func addPart(h hash.Hash, part []byte) {
 	var size [8]byte
 	binary.BigEndian.PutUint64(size[:], uint64(len(part)))
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -65,9 +65,61 @@
 			return a
 		}
 	}
+	t.addRun(now, endpoint, number, r, service)
+	return Admitted
+}
+
+func (t *Table) addRun(now time.Time, endpoint string, number uint64, r *record, service string) {
 	r.service = service
 	r.runs = append(r.runs, run{on: incarnation{endpoint, number}, started: now})
-	return Admitted
+}
+
+// MayStart reports whether a run of f may start, for owners that don't limit the
+// runs of requests without an answer: it is false in quarantine, and while the
+// deaths of f and the runs of f whose connection was reset and whose endpoint has
+// shown no evidence of liveness since amount to maxDeaths. The resets alone don't
+// hold back a proven fingerprint. Like Check, it extends a quarantine.
+func (t *Table) MayStart(now time.Time, f fingerprint.Fingerprint) bool {
+	if _, quarantined := t.Check(now, f); quarantined {
+		return false
+	}
+	r := t.records[f]
+	if r == nil || t.isProven(now, f) && len(r.deaths) == 0 {
+		return true
+	}
+	t.dropOldRuns(now, r)
+	r.lastRequested = now
+	unresolved := 0
+	for _, x := range r.runs {
+		if x.reset && !t.endpointAlive(x) {
+			unresolved++
+		}
+	}
+	return t.countDeaths(f, r)+unresolved < maxDeaths
+}
+
+// BeginRun records a run that starts after MayStart allowed it. Its end must be
+// recorded by EndRun.
+func (t *Table) BeginRun(now time.Time, endpoint string, number uint64, f fingerprint.Fingerprint, service string) {
+	r := t.record(f)
+	r.lastRequested = now
+	t.addRun(now, endpoint, number, r, service)
+}
+
+// RecordReset records a run of another table's owner whose connection was reset.
+// If the endpoint's death is known, it is attributed to f.
+func (t *Table) RecordReset(now time.Time, endpoint string, number uint64, f fingerprint.Fingerprint) Change {
+	on := incarnation{endpoint, number}
+	if slices.ContainsFunc(t.deaths, func(d death) bool { return d.on == on }) {
+		return t.RecordDeath(now, endpoint, number, f)
+	}
+	r := t.record(f)
+	r.lastRequested = later(r.lastRequested, now)
+	known := slices.ContainsFunc(r.runs, func(x run) bool { return x.on == on && x.reset })
+	if !known && len(t.records) <= t.cfg.MaxEntries {
+		r.runs = append(r.runs, run{on: on, started: now, lost: now, reset: true})
+	}
+	return Change{}
 }
 
 // suspectedByPeer reports whether another entry's suspicion keeps f from
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -83,17 +83,31 @@
 	return true
 }
 
-// endReplaced marks the other endpoints at e's address that started before e as
-// gone.
-func (r *Registry) endReplaced(e Endpoint) {
+// ReplacedBy returns the recorded endpoints that have ended if e's announcement
+// is true: an earlier incarnation of e, and other endpoints at e's address that
+// started before e.
+func (r *Registry) ReplacedBy(e Endpoint) []Endpoint {
 	if e.Gone {
-		return
+		return nil
 	}
+	var out []Endpoint
 	for id, other := range r.endpoints {
-		if id != e.ID && other.Address == e.Address && !other.Gone && other.StartedMillis < e.StartedMillis {
-			other.Gone, other.Leaving = true, true
+		if (id == e.ID || other.Address == e.Address) && !other.Gone && other.StartedMillis < e.StartedMillis {
+			out = append(out, *other)
+		}
+	}
+	return out
+}
+
+// endReplaced marks the other endpoints at e's address that started before e as
+// gone.
+func (r *Registry) endReplaced(e Endpoint) {
+	for _, other := range r.ReplacedBy(e) {
+		if other.ID != e.ID {
+			ended := r.endpoints[other.ID]
+			ended.Gone, ended.Leaving = true, true
 			r.revision++
-			r.changedAt[id] = r.revision
+			r.changedAt[other.ID] = r.revision
 		}
 	}
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/core/registry"
@@ -72,10 +73,28 @@
 	// the endpoints that these regions lend to others.
 	Loads []dispatch.Load
 	Loans []dispatch.Loan
+	// Suspicions are the changes that the receiver hasn't acknowledged.
+	Suspicions []Suspicion
 	// FullSync requests all endpoints that the receiver knows.
 	FullSync bool
 }
 
+// Suspicion is a change to the suspicion that a request crashes endpoints. Either
+// Endpoint, Cleared or Quarantined is set.
+type Suspicion struct {
+	Fingerprint fingerprint.Fingerprint
+	// Endpoint is the endpoint on which a run ended with a reset connection, and
+	// StartedMillis identifies its incarnation.
+	Endpoint      string
+	StartedMillis int64
+	// Cleared means that a run was answered.
+	Cleared bool
+	// Quarantined is the time left in quarantine.
+	Quarantined time.Duration
+	// Version orders the changes of a fingerprint, in Unix microseconds.
+	Version uint64
+}
+
 // ExchangeReply is the answer to ExchangeRequest.
 type ExchangeReply struct {
 	From Controller
