Measure a region's load from its first request on

Cause: the load was averaged from the start of the dispatcher, some 8 s before the first request. The idle time made every need look small, so that endpoints lent before the traffic were recalled, and lent again 3 s later.

--- a/internal/core/dispatch/lend.go
+++ b/internal/core/dispatch/lend.go
@@ -71,22 +71,27 @@
 	Endpoints        []string
 }
 
-// loadMeter is a moving average of the number of slots that requests need.
+// loadMeter is a moving average of the number of slots that requests need. It
+// starts anew after a time without requests, so that this time doesn't count
+// towards the average of the traffic that begins after it.
 type loadMeter struct {
-	start, last time.Time
-	sum         float64
+	// start is the time of the first request, and lastRequest that of the last
+	// one. last is the time up to which sum has decayed.
+	start, lastRequest, last time.Time
+	sum                      float64
 }
 
 func (m *loadMeter) decay(now time.Time) {
-	if m.start.IsZero() {
-		m.start, m.last = now, now
-	}
 	m.sum *= math.Exp(-now.Sub(m.last).Seconds() / loadWindow.Seconds())
 	m.last = now
 }
 
 // add counts a request that needs a slot for the given time in seconds.
 func (m *loadMeter) add(now time.Time, seconds float64) {
+	if now.Sub(m.lastRequest) > loadWindow {
+		m.start, m.last, m.sum = now, now, 0
+	}
+	m.lastRequest = now
 	m.decay(now)
 	m.sum += seconds
 }
