Let a region return recalled endpoints within the limit on shifts

Cause: the limit bound where objects are placed, not whether the endpoint stays. The lender ended a loan by no longer listing it, and all objects that were warm there moved at once.

Fix: a loan names the endpoints that the lender wants back. The borrower moves their objects as the limit allows and returns endpoints that are idle. The limit's levels now follow the region that requests want, since those of held-back requests hardly moved at low rates.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -168,11 +168,19 @@
 }
 
 func loanToProto(l dispatch.Loan) *fleetv1.Loan {
-	return &fleetv1.Loan{Lender: l.Lender, Borrower: l.Borrower, Endpoints: l.Endpoints}
+	return &fleetv1.Loan{Lender: l.Lender, Borrower: l.Borrower, Endpoints: l.Endpoints, Recalled: l.Recalled}
 }
 
 func loanFromProto(m *fleetv1.Loan) dispatch.Loan {
-	return dispatch.Loan{Lender: m.GetLender(), Borrower: m.GetBorrower(), Endpoints: m.GetEndpoints()}
+	return dispatch.Loan{Lender: m.GetLender(), Borrower: m.GetBorrower(), Endpoints: m.GetEndpoints(), Recalled: m.GetRecalled()}
+}
+
+func returnToProto(r dispatch.Return) *fleetv1.Return {
+	return &fleetv1.Return{Lender: r.Lender, Borrower: r.Borrower, Endpoints: r.Endpoints}
+}
+
+func returnFromProto(m *fleetv1.Return) dispatch.Return {
+	return dispatch.Return{Lender: m.GetLender(), Borrower: m.GetBorrower(), Endpoints: m.GetEndpoints()}
 }
 
 func fingerprintToProto(f fingerprint.Fingerprint) []byte {
@@ -212,7 +220,7 @@
 		Gateways: convertAll(m.Gateways, c.gatewayToProto), Endpoints: convertAll(m.Endpoints, c.endpointToProto),
 		Asks: m.VoteRequests, Drops: m.VoteReleases, Whole: m.FullSync,
 		Loads: convertAll(m.Loads, loadToProto), Loans: convertAll(m.Loans, loanToProto),
-		Suspicions: convertAll(m.Suspicions, suspicionToProto),
+		Suspicions: convertAll(m.Suspicions, suspicionToProto), Returns: convertAll(m.Returns, returnToProto),
 	}
 }
 
@@ -222,7 +230,7 @@
 		Gateways: convertAll(m.GetGateways(), c.gatewayFromProto), Endpoints: convertAll(m.GetEndpoints(), c.endpointFromProto),
 		VoteRequests: m.GetAsks(), VoteReleases: m.GetDrops(), FullSync: m.GetWhole(),
 		Loads: convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
-		Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto),
+		Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto), Returns: convertAll(m.GetReturns(), returnFromProto),
 	}
 }
 
--- a/internal/app/controller/loans.go
+++ b/internal/app/controller/loans.go
@@ -28,9 +28,9 @@
 }
 
 // updateLoans updates the loans of the regions that this controller dispatches
-// by the loads of all regions, and returns these regions' loads and loans. Must
-// hold mu.
-func (c *Controller) updateLoans(now time.Time) (loads []dispatch.Load, loans []dispatch.Loan) {
+// by the loads of all regions, and returns these regions' loads, their loans and
+// the borrowed endpoints that they return. Must hold mu.
+func (c *Controller) updateLoans(now time.Time) (loads []dispatch.Load, loans []dispatch.Loan, returns []dispatch.Return) {
 	for _, name := range sortedKeys(c.regions) {
 		if r := c.regions[name]; r.pool != nil {
 			loads = append(loads, r.pool.Loads(now, c.countGateways(now, name))...)
@@ -51,25 +51,39 @@
 			c.logLoans(name, own)
 			c.recordLoans(now, name, own)
 			loans = append(loans, own...)
+			returns = append(returns, r.pool.Returns(now)...)
+		}
+	}
+	c.recordReturns(now, returns)
+	return loads, loans, returns
+}
+
+// recordReturns ends the loans of the endpoints that were returned to regions
+// that this controller dispatches. Must hold mu.
+func (c *Controller) recordReturns(now time.Time, returns []dispatch.Return) {
+	for _, returned := range returns {
+		if r := c.regions[returned.Lender]; r != nil && r.pool != nil {
+			r.pool.TakeBack(now, returned)
 		}
 	}
-	return loads, loans
 }
 
 // logLoans logs each change in the number of endpoints that a region lends to
-// another one. Must hold mu.
+// another one, or has recalled from it. Must hold mu.
 func (c *Controller) logLoans(lender string, loans []dispatch.Loan) {
-	before, after := make(map[string]int), make(map[string]int)
+	type counts struct{ lent, recalled int }
+	before, after := make(map[string]counts), make(map[string]counts)
 	for _, l := range c.loans[lender].loans {
-		before[l.Borrower] = len(l.Endpoints)
+		before[l.Borrower] = counts{len(l.Endpoints), len(l.Recalled)}
 	}
 	for _, l := range loans {
-		after[l.Borrower] = len(l.Endpoints)
+		after[l.Borrower] = counts{len(l.Endpoints), len(l.Recalled)}
 	}
 	for borrower := range c.regions {
 		if before[borrower] != after[borrower] {
 			event.Log(context.Background(), c.ports.Logger, event.LoansChanged, slog.String("lender", lender),
-				slog.String("borrower", borrower), slog.Int("endpoints", after[borrower]), slog.Int("before", before[borrower]),
+				slog.String("borrower", borrower), slog.Int("endpoints", after[borrower].lent), slog.Int("recalled", after[borrower].recalled),
+				slog.Int("before", before[borrower].lent),
 				slog.String("lender_load", c.describeLoad(lender)), slog.String("borrower_load", c.describeLoad(borrower)))
 		}
 	}
@@ -128,6 +142,7 @@
 // reported of the regions that it dispatches. Must hold mu.
 func (c *Controller) recordLoadsAndLoans(now time.Time, m port.ExchangeRequest) {
 	c.recordLoads(now, m.Loads)
+	c.recordReturns(now, m.Returns)
 	lenders := make(map[string][]dispatch.Loan)
 	for _, l := range m.Loads {
 		lenders[l.Region] = nil
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -105,7 +105,7 @@
 	c.mu.Lock()
 	c.refreshPeers(now)
 	c.updateRegions(now)
-	loads, loans := c.updateLoans(now)
+	loads, loans, returns := c.updateLoans(now)
 	type sending struct {
 		p        *peer
 		exchange port.ExchangeRequest
@@ -118,7 +118,7 @@
 		}
 		p.inFlight = true
 		exchange := c.exchange(now, p)
-		exchange.Loads, exchange.Loans = loads, loans
+		exchange.Loads, exchange.Loans, exchange.Returns = loads, loans, returns
 		sendings = append(sendings, sending{p, exchange, acknowledged{c.announceSeq, c.suspicions.madeSeq}})
 	}
 	c.clearReleased()
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -64,15 +64,37 @@
 // maxCopies endpoints keep the object. The endpoint may have no free slot: then
 // the slot request is to wait for one, because a run elsewhere is expected to
 // end later or would exceed maxCopies.
+//
+// An object that is warm at a recalled endpoint moves to another endpoint, unless
+// that one is in another region and the limit on shifts doesn't allow it yet.
 func (p *Pool) choose(now time.Time, svc *service, req SlotRequest) *server {
 	if s := svc.unusedEndpoint(now, req); s != nil {
 		return s
 	}
+	best := p.chooseLasting(now, svc, req)
+	for _, s := range svc.servedBy[req.object()] {
+		if !s.recalled || !eligible(now, s, req) || !svc.keepsWarm(s, req.object()) {
+			continue
+		}
+		if best == nil {
+			return s
+		}
+		if best.region != s.region && !p.mayMove(now, best) {
+			p.shift.Want(best.region)
+			return s
+		}
+	}
+	return best
+}
+
+// chooseLasting is choose without the endpoints that keep the object warm but are
+// recalled.
+func (p *Pool) chooseLasting(now time.Time, svc *service, req SlotRequest) *server {
 	object, k := req.object(), svc.kind(req)
 	var bestWarm *server
 	least, copies := math.Inf(1), 0
 	for _, s := range svc.servedBy[object] {
-		if !eligible(now, s, req) || !svc.keepsWarm(s, object) {
+		if s.recalled || !eligible(now, s, req) || !svc.keepsWarm(s, object) {
 			continue
 		}
 		copies++
@@ -107,13 +129,30 @@
 
 // choosePlacement returns an endpoint for an object that isn't warm there,
 // and the least cost. It tries the regions that the limit on shifts allows,
-// then the own region.
+// endpoints that aren't recalled first, then the own region.
 func (p *Pool) choosePlacement(now time.Time, svc *service, req SlotRequest) (*server, float64) {
-	s, cost := svc.cheapest(now, req, func(s *server) bool { return p.mayMove(now, s) })
-	if s == nil {
-		return svc.cheapest(now, req, func(s *server) bool { return s.own })
+	s, cost := svc.cheapest(now, req, func(s *server) bool { return !s.recalled && p.mayMove(now, s) })
+	if s != nil {
+		return s, cost
+	}
+	p.shift.Want(p.config.Region)
+	if s := svc.firstRecalled(now, req, p.mayMove); s != nil {
+		return s, s.cost(now, svc, svc.kind(req), false)
+	}
+	return svc.cheapest(now, req, func(s *server) bool { return s.own })
+}
+
+// firstRecalled returns the first recalled endpoint in the order of their IDs
+// that has a free slot, so that the others become idle and can be returned; nil if
+// there is none.
+func (svc *service) firstRecalled(now time.Time, req SlotRequest, allowed func(time.Time, *server) bool) *server {
+	var first *server
+	for _, s := range svc.servers {
+		if s.recalled && s.free(now) && eligible(now, s, req) && allowed(now, s) && (first == nil || s.endpoint.ID < first.endpoint.ID) {
+			first = s
+		}
 	}
-	return s, cost
+	return first
 }
 
 // mayMove reports whether the limit on shifts allows a request to run in the
@@ -122,8 +161,8 @@
 	return now.Before(p.shiftSuspendedUntil) || p.shift.Allows(now, s.region)
 }
 
-// rank orders the endpoints by the cost of a new object and sums up their
-// slots, so that a slot request need not compare all endpoints of a large pool.
+// rank orders the endpoints by the cost of a new object, recalled ones last, and
+// sums up their slots, so that a slot request need not compare all endpoints of a large pool.
 func (svc *service) rank(now time.Time) {
 	k := &kind{cold: svc.slotTime}
 	svc.slots, svc.free = 0, 0
@@ -141,6 +180,12 @@
 	}
 	svc.meanKept = float64(kept) / float64(max(usable, 1))
 	slices.SortFunc(svc.ranked, func(a, b *server) int {
+		switch {
+		case a.recalled && !b.recalled:
+			return 1
+		case b.recalled && !a.recalled:
+			return -1
+		}
 		return cmp.Or(cmp.Compare(a.rankCost, b.rankCost), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
 }
--- a/internal/core/dispatch/lend.go
+++ b/internal/core/dispatch/lend.go
@@ -32,6 +32,12 @@
 	// Neither holds while the lender itself lacks slots.
 	recallInterval = time.Second
 	recallDivisor  = 8
+	// maxReturnTime is how long a lender waits for a recalled endpoint. At the
+	// limit on shifts, a region moves all its requests home in that time.
+	maxReturnTime = 20 * time.Second
+	// returnIdle is how long a recalled endpoint must have had no request before
+	// the borrower returns it. Its share of the requests is small then.
+	returnIdle = time.Second
 	// returnHoldBack is how long a cold endpoint gets no requests after its
 	// recall. The borrower may use the loan until its term ends.
 	returnHoldBack = LoanTerm + coldHoldBack
@@ -45,10 +51,18 @@
 	// if none.
 	lentTo string
 	lentAt time.Time
+	// recalledAt is when the lender recalled an own endpoint that is lent; zero
+	// if it hasn't.
+	recalledAt time.Time
 	// lender is the region that lends an endpoint of another region until
 	// borrowedUntil.
 	lender        string
 	borrowedUntil time.Time
+	// recalled is true for a borrowed endpoint that its lender wants back, and
+	// returned once the pool has stopped using it for that reason.
+	recalled, returned bool
+	// lastGrant is the time of the last grant.
+	lastGrant time.Time
 }
 
 // Load is the capacity that a region's requests for a service need.
@@ -69,6 +83,17 @@
 type Loan struct {
 	Lender, Borrower string
 	Endpoints        []string
+	// Recalled lists those of the endpoints that the lender wants back. The
+	// borrower moves its requests elsewhere, within the limit on shifts, and then
+	// returns them.
+	Recalled []string
+}
+
+// Return lists borrowed endpoints that their borrower no longer uses, because
+// the lender recalled them.
+type Return struct {
+	Lender, Borrower string
+	Endpoints        []string
 }
 
 // loadMeter is a moving average of the number of slots that requests need. It
@@ -129,24 +154,49 @@
 // that have more than they need. If all need more, each gets a proportional
 // share.
 func (p *Pool) Lend(now time.Time, loads []Load) []Loan {
-	lent := make(map[string][]string)
+	lent, recalled := make(map[string][]string), make(map[string][]string)
+	for _, l := range loads {
+		p.heard[l.Region] = now
+	}
 	for name, svc := range p.services {
+		p.endUnheard(now, svc)
 		p.lend(now, svc, planLoans(loads, name, p.config.Region))
 		for _, s := range svc.servers {
 			if s.own && s.lentTo != "" {
 				lent[s.lentTo] = append(lent[s.lentTo], s.endpoint.ID)
+				if !s.recalledAt.IsZero() {
+					recalled[s.lentTo] = append(recalled[s.lentTo], s.endpoint.ID)
+				}
 			}
 		}
 	}
 	var out []Loan
 	for borrower, ids := range lent {
 		slices.Sort(ids)
-		out = append(out, Loan{Lender: p.config.Region, Borrower: borrower, Endpoints: ids})
+		slices.Sort(recalled[borrower])
+		out = append(out, Loan{Lender: p.config.Region, Borrower: borrower, Endpoints: ids, Recalled: recalled[borrower]})
 	}
 	slices.SortFunc(out, func(a, b Loan) int { return cmp.Compare(a.Borrower, b.Borrower) })
 	return out
 }
 
+// endUnheard ends the loans to regions from which no load was received for
+// LoanTerm. Their dispatchers are lost and return nothing.
+func (p *Pool) endUnheard(now time.Time, svc *service) {
+	for _, s := range svc.servers {
+		if s.own && s.lentTo != "" && now.Sub(later(s.lentAt, p.heard[s.lentTo])) > LoanTerm {
+			s.endLoan(now)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // planLoans returns the slots of a service that the region lender lends to
 // each other region. All regions compute the same plan from the same loads.
 func planLoans(loads []Load, service, lender string) map[string]float64 {
@@ -199,8 +249,9 @@
 		case !s.own && s.usable(now), s.own && s.lentTo == "":
 			available += float64(s.endpoint.Slots)
 		case !s.own:
-		case s.endpoint.Leaving || s.cold(now):
-			s.recall(now)
+		case s.endpoint.Leaving, s.cold(now), !s.recalledAt.IsZero() && now.Sub(s.recalledAt) > maxReturnTime:
+			s.endLoan(now)
+		case !s.recalledAt.IsZero():
 		default:
 			lent[s.lentTo] = append(lent[s.lentTo], s)
 		}
@@ -223,7 +274,8 @@
 }
 
 // recallSome recalls endpoints, those lent last first, if a borrower has too
-// many. It reports whether the borrower has too many.
+// many. It reports whether the borrower has too many. The borrower may use a
+// recalled endpoint until it returns it, maxReturnTime at most.
 func (svc *service) recallSome(now time.Time, slots float64, lent []*server, short bool) bool {
 	excess := slotsOf(lent) - slots
 	if len(lent) == 0 || excess <= recallThreshold*float64(lent[0].endpoint.Slots) {
@@ -252,20 +304,27 @@
 func (svc *service) lendMore(now time.Time, borrower string, slots float64, lent []*server) {
 	slots -= slotsOf(lent)
 	for {
-		next := svc.lendable(now)
+		next := svc.lendable(now, borrower)
 		if next == nil || slots <= lendThreshold*float64(next.endpoint.Slots) {
 			return
 		}
-		next.lentTo, next.lentAt = borrower, now
+		if next.lentTo == "" {
+			next.lentTo, next.lentAt = borrower, now
+		}
+		next.recalledAt = time.Time{}
 		slots -= float64(next.endpoint.Slots)
 	}
 }
 
-// lendable returns the own endpoint with the fewest remembered objects, so
-// that a loan abandons few warm objects; nil if none can be lent.
-func (svc *service) lendable(now time.Time) *server {
+// lendable returns an endpoint that is recalled from the borrower, else the own
+// endpoint with the fewest remembered objects, so that a loan abandons few warm
+// objects; nil if none can be lent.
+func (svc *service) lendable(now time.Time, borrower string) *server {
 	var best *server
 	for _, s := range svc.servers {
+		if s.own && s.lentTo == borrower && !s.recalledAt.IsZero() {
+			return s
+		}
 		if !s.own || !s.usable(now) || s.cold(now) {
 			continue
 		}
@@ -277,23 +336,63 @@
 	return best
 }
 
-// recall ends the loan of an own endpoint.
-func (s *server) recall(now time.Time) {
-	s.lentTo = ""
+// recall asks the borrower for an own endpoint.
+func (s *server) recall(now time.Time) { s.recalledAt = now }
+
+// endLoan ends the loan of an own endpoint.
+func (s *server) endLoan(now time.Time) {
+	s.lentTo, s.recalledAt = "", time.Time{}
 	s.nextColdGrant = now.Add(returnHoldBack)
 }
 
+// TakeBack ends the loan of the endpoints that a borrower has returned. An
+// endpoint that isn't recalled any more stays lent.
+func (p *Pool) TakeBack(now time.Time, r Return) {
+	for _, id := range r.Endpoints {
+		if s := p.servers[id]; s != nil && s.own && s.lentTo == r.Borrower && !s.recalledAt.IsZero() {
+			s.endLoan(now)
+		}
+	}
+}
+
+// Returns stops the use of recalled endpoints that have been idle for returnIdle,
+// and lists all endpoints whose return the lender hasn't confirmed yet.
+func (p *Pool) Returns(now time.Time) []Return {
+	byLender := make(map[string][]string)
+	for id, s := range p.servers {
+		if s.own || !s.recalled {
+			continue
+		}
+		if s.inFlight == 0 && now.Sub(s.lastGrant) >= returnIdle {
+			s.returned, s.borrowedUntil = true, time.Time{}
+		}
+		if s.returned {
+			byLender[s.lender] = append(byLender[s.lender], id)
+		}
+	}
+	var out []Return
+	for lender, ids := range byLender {
+		slices.Sort(ids)
+		out = append(out, Return{Lender: lender, Borrower: p.config.Region, Endpoints: ids})
+	}
+	slices.SortFunc(out, func(a, b Return) int { return cmp.Compare(a.Lender, b.Lender) })
+	return out
+}
+
 // Borrow applies a loan received from a lender. It replaces the lender's
 // previous loan.
 func (p *Pool) Borrow(now time.Time, l Loan) {
 	for _, s := range p.servers {
 		if s.lender == l.Lender {
 			s.borrowedUntil = time.Time{}
+			s.recalled = slices.Contains(l.Recalled, s.endpoint.ID)
+			s.returned = s.returned && s.recalled
 		}
 	}
 	for _, id := range l.Endpoints {
-		if s := p.servers[id]; s != nil && !s.own {
+		if s := p.servers[id]; s != nil && !s.own && !s.returned {
 			s.lender, s.borrowedUntil = l.Lender, now.Add(LoanTerm)
+			s.recalled = slices.Contains(l.Recalled, id)
 			s.roundTrip = p.config.RoundTrip(s.region)
 		}
 	}
@@ -304,6 +403,9 @@
 	for _, id := range l.Endpoints {
 		if s := p.servers[id]; s != nil && s.own {
 			s.lentTo, s.lentAt = l.Borrower, now
+			if slices.Contains(l.Recalled, id) {
+				s.recalledAt = now
+			}
 		}
 	}
 }
--- a/internal/core/dispatch/lend_shift_test.go
+++ b/internal/core/dispatch/lend_shift_test.go
@@ -116,10 +116,28 @@
 				}
 			}
 			other.Borrow(s.now, mine)
+			for _, r := range other.Returns(s.now) {
+				if r.Lender == lender {
+					p.TakeBack(s.now, r)
+				}
+			}
 		}
 	}
 }
 
+// lent counts the endpoints that are lent to a region.
+func (s *shiftSystem) lent(borrower string) int {
+	n := 0
+	for _, loans := range s.reportedLoans {
+		for _, l := range loans {
+			if l.Borrower == borrower {
+				n += len(l.Endpoints)
+			}
+		}
+	}
+	return n
+}
+
 func (s *shiftSystem) record(region string, d dispatch.Decision) {
 	if d.Grant == "" {
 		return
@@ -175,8 +193,9 @@
 
 func (s *shiftSystem) request(region string) {
 	s.requests++
+	object := fmt.Sprint(region, s.random.IntN(objectCount))
 	d, decided := s.pools[region].Acquire(s.now, dispatch.SlotRequest{
-		ID: fmt.Sprint(region, s.requests), Service: "s", Kind: "k", Affinity: fmt.Sprint(region, s.random.IntN(objectCount)),
+		ID: fmt.Sprint(region, s.requests), Service: "s", Kind: "k", Affinity: object,
 		Target: 600 * time.Millisecond, Deadline: s.now.Add(2 * time.Second),
 	})
 	if decided {
@@ -216,6 +235,25 @@
 	return worst
 }
 
+// TestRecallWithinShiftLimit guards against loans that end for the borrower from
+// one moment to the next, with the objects that its endpoints keep warm: the load
+// of a region that borrows drops, so both lenders want their endpoints back.
+func TestRecallWithinShiftLimit(t *testing.T) {
+	for _, rate := range []float64{60, 100, 120, 156, 180, 210} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			is := is.New(t)
+			s := newShiftSystem()
+			s.run(4, nil)
+			s.run(12, map[string]float64{"big": 240, "mid": 240, "few": 360})
+			is.True(s.lent("few") >= 3)
+			s.run(30, map[string]float64{"big": 240, "mid": 240, "few": rate})
+			t.Logf("%.2f of the requests changed their region; %d runs", s.worstShift("few"), len(s.starts["few"]))
+			is.True(s.worstShift("few") <= maxShift)
+			is.True(s.lent("few") <= 2)
+		})
+	}
+}
+
 // TestLoansAtTrafficStart guards against loans that are recalled because the load
 // is still being measured: the first requests come after a time without any.
 func TestLoansAtTrafficStart(t *testing.T) {
@@ -230,3 +268,16 @@
 		})
 	}
 }
+
+// TestLoansOfLostRegion guards against endpoints that stay lent to a region whose
+// dispatcher is lost, since nobody returns them.
+func TestLoansOfLostRegion(t *testing.T) {
+	is := is.New(t)
+	s := newShiftSystem()
+	s.run(4, nil)
+	s.run(6, map[string]float64{"big": 240, "mid": 240, "few": 360})
+	is.True(s.lent("few") >= 3)
+	s.pools["few"] = nil
+	s.run(7, map[string]float64{"big": 240, "mid": 240})
+	is.Equal(s.lent("few"), 0)
+}
--- a/internal/core/dispatch/lend_test.go
+++ b/internal/core/dispatch/lend_test.go
@@ -83,6 +83,11 @@
 			}
 			if borrower != lender {
 				other.Borrow(s.now, mine)
+				for _, r := range other.Returns(s.now) {
+					if r.Lender == lender {
+						p.TakeBack(s.now, r)
+					}
+				}
 			}
 		}
 	}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -27,6 +27,8 @@
 	// exclusiveSince is the time since which no other pool can grant the same
 	// endpoints; zero while that is not certain.
 	exclusiveSince time.Time
+	// heard is when a load of each region was last received.
+	heard map[string]time.Time
 }
 
 // service is the state of one service in a pool.
@@ -87,6 +89,7 @@
 	return &Pool{
 		config: config, prefix: prefix, shift: NewShiftMeter(config.MaxShift),
 		services: make(map[string]*service), servers: make(map[string]*server), grants: make(map[string]grant),
+		heard: make(map[string]time.Time),
 	}
 }
 
@@ -240,6 +243,7 @@
 	}
 	s.inFlight++
 	s.granted++
+	s.lastGrant = now
 	svc.touch(object, s)
 	if s.cold(now) {
 		s.nextColdGrant = now.Add(coldGap(p.config.ColdRate(req.Service)))
--- a/internal/core/dispatch/shift.go
+++ b/internal/core/dispatch/shift.go
@@ -37,10 +37,13 @@
 	// learnUntil is the time until which the meter sets no limit and only
 	// follows the recent shares.
 	learnUntil time.Time
+	// wanted is the region in which the next run is wanted although the limit
+	// keeps it elsewhere; empty if the limit doesn't matter for it.
+	wanted string
 }
 
 // shiftLevel is the state of one region. share is the level, and recent the
-// moving average of the region's share of the runs.
+// moving average of the region's share of the wanted runs.
 type shiftLevel struct {
 	share  float64
 	recent float64
@@ -80,13 +83,14 @@
 	unlimited = unlimited || m.learning(now)
 	step := shiftDrift * m.maxShift * now.Sub(m.lastCount).Seconds()
 	m.lastCount = now
+	if m.wanted == "" {
+		m.wanted = region
+	}
 	m.level(region)
+	m.level(m.wanted)
 	for name, l := range m.levels {
-		ran := 0.0
-		if name == region {
-			ran = 1
-		}
-		l.recent += shiftSmoothing * (ran - l.recent)
+		ran, wanted := indicator(name == region), indicator(name == m.wanted)
+		l.recent += shiftSmoothing * (wanted - l.recent)
 		if unlimited {
 			l.share, l.credit = l.recent, 1
 			continue
@@ -94,8 +98,21 @@
 		l.share += math.Max(-step, math.Min(step, l.recent-l.share))
 		l.credit = math.Max(-shiftBurst, math.Min(l.credit+l.share+shiftSlack*m.maxShift-ran, shiftBurst))
 	}
+	m.wanted = ""
+}
+
+func indicator(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
 }
 
+// Want records that the next counted run is wanted in a region, although the
+// limit keeps it in another one. The levels follow what is wanted: those of runs
+// that the limit holds back would hardly move.
+func (m *ShiftMeter) Want(region string) { m.wanted = region }
+
 // Allows reports whether one more request may run in a region.
 func (m *ShiftMeter) Allows(now time.Time, region string) bool {
 	return m.learning(now) || m.level(region).credit >= 1
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -79,7 +79,7 @@
 	DispatchBegun         = Event{1611, "dispatch-begun", slog.LevelInfo, "This controller started to dispatch the requests of a region."}
 	DispatchEnded         = Event{1612, "dispatch-ended", slog.LevelInfo, "This controller stopped dispatching the requests of a region."}
 	OrderNotPassed        = Event{1614, "order-not-passed", slog.LevelWarn, "The distinguished proposer was unreachable or failed to answer; this controller proposes the order itself."}
-	LoansChanged          = Event{1615, "loans-changed", slog.LevelInfo, "The number of endpoints that a region lends to another changed; attributes give the numbers and the load of both regions."}
+	LoansChanged          = Event{1615, "loans-changed", slog.LevelInfo, "The number of endpoints that a region lends to another, or has recalled from it, changed; attributes give the numbers and the load of both regions."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -73,6 +73,8 @@
 	// the endpoints that these regions lend to others.
 	Loads []dispatch.Load
 	Loans []dispatch.Loan
+	// Returns are the recalled endpoints that the sender's regions return.
+	Returns []dispatch.Return
 	// Suspicions are the changes that the receiver hasn't acknowledged.
 	Suspicions []Suspicion
 	// FullSync requests all endpoints that the receiver knows.
