Suspend the limit on shifts only in the region that lost a controller

Cause: each controller lost or found suspended the limit of all regions for 4 s.

A gauge shows the suspension.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -203,6 +203,10 @@
 		if r.pool == nil {
 			continue
 		}
+		out["dispatch.shift_unlimited."+name] = 0
+		if r.pool.ShiftLimitSuspended(now) {
+			out["dispatch.shift_unlimited."+name] = 1
+		}
 		for service, use := range r.pool.Use(now) {
 			key := name + "." + service
 			out["dispatch.slots."+key], out["dispatch.busy."+key] = int64(use.Slots), int64(use.Busy)
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -98,13 +98,13 @@
 	}
 }
 
-// suspendShiftLimits suspends the pools' limits on shifts between regions,
-// because controllers became unreachable or reachable again. Must hold mu.
-func (c *Controller) suspendShiftLimits(now time.Time) {
-	for _, r := range c.regions {
-		if r.pool != nil {
-			r.pool.SuspendShiftLimit(now)
-		}
+// suspendShiftLimit suspends a region's limit on shifts to other regions, because
+// a controller in it became unreachable or reachable again. That of the other
+// regions holds: endpoints that they lose with the controller suspend it
+// themselves. Must hold mu.
+func (c *Controller) suspendShiftLimit(now time.Time, region string) {
+	if r := c.regions[region]; r != nil && r.pool != nil {
+		r.pool.SuspendShiftLimit(now)
 	}
 }
 
--- a/internal/app/controller/loans_test.go
+++ b/internal/app/controller/loans_test.go
@@ -74,3 +74,32 @@
 		})
 	}
 }
+
+// TestFarControllerKeepsShiftLimit guards against a limit on shifts that is
+// suspended because a controller of another region was lost: only that region may
+// move its requests without limit.
+func TestFarControllerKeepsShiftLimit(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2*time.Millisecond)
+	is.NoErr(c.order(0, 2))
+	c.settle()
+	time.Sleep(5 * time.Second) // the suspension after the start has ended
+	victim := "a1:1"
+	if c.holder("a") == victim {
+		victim = "a2:1"
+	}
+	c.kill(victim)
+	time.Sleep(2500 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unlimited := make(map[string]int64)
+	for _, m := range c.members {
+		for region := range map[string]bool{"a": true, "b": true, "c": true} {
+			if m.controller != nil {
+				unlimited[region] += m.controller.Gauges()["dispatch.shift_unlimited."+region]
+			}
+		}
+	}
+	is.Equal(unlimited, map[string]int64{"a": 1, "b": 0, "c": 0})
+}
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -155,7 +155,7 @@
 		}
 		if lost := !live(now, p.LastSeen); lost != p.lost {
 			p.lost = lost
-			c.suspendShiftLimits(now)
+			c.suspendShiftLimit(now, p.Region)
 			e := event.ControllerFound
 			if lost {
 				e = event.ControllerLost
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -148,6 +148,10 @@
 // because endpoints, controllers or connections were lost.
 func (p *Pool) SuspendShiftLimit(now time.Time) { p.shiftSuspendedUntil = now.Add(shiftSuspension) }
 
+// ShiftLimitSuspended reports whether objects may move between regions without
+// limit.
+func (p *Pool) ShiftLimitSuspended(now time.Time) bool { return now.Before(p.shiftSuspendedUntil) }
+
 func (p *Pool) service(name string) *service {
 	svc := p.services[name]
 	if svc == nil {
