Keep the rates that endpoints name as their limit

Cause: the header was passed on to the client and read by nobody.

Fix: the gateway reports what the endpoint said with the release of the slot. The dispatcher keeps a token bucket for each such endpoint, counts only the slots that it can use, and sends changed limits to all controllers.

--- a/internal/adapter/endpointhttp/body.go
+++ b/internal/adapter/endpointhttp/body.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return nil, x.fail(verdict.ReasonBadAnswer, err)
 	}
-	out := &port.Response{Status: in.status, Header: endToEnd(in.header), Body: body}
+	out := &port.Response{Status: in.status, Header: endToEnd(in.header), Body: body, Signals: x.caller.opts.HeaderConvention.signals(in)}
 	if complete {
 		x.finish(in)
 		return out, nil
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -159,7 +159,7 @@
 	} else {
 		x.finish(in)
 	}
-	return verdict.NewError(verdict.NotRun, verdict.ReasonShed, nil)
+	return verdict.NewError(verdict.NotRun, verdict.ReasonShed, &port.RefusedError{Signals: x.caller.opts.HeaderConvention.signals(in)})
 }
 
 // finish ends an exchange after a complete response. The connection is kept for
--- a/internal/adapter/endpointhttp/header_convention.go
+++ b/internal/adapter/endpointhttp/header_convention.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/port"
 )
 
@@ -27,6 +28,16 @@
 	// Check returns an error for a response that an endpoint wouldn't send, such as
 	// one of an intermediary; the response is rejected. A nil func accepts all.
 	Check func(status int, h http.Header) error
+	// Signals decodes what the endpoint says about itself in a response that passed
+	// the check. With a nil func it says nothing.
+	Signals func(status int, h http.Header) registry.Signals
+}
+
+func (c HeaderConvention) signals(in *response) registry.Signals {
+	if c.Signals == nil {
+		return registry.Signals{}
+	}
+	return c.Signals(in.status, in.header)
 }
 
 // defaultHeaderConvention is the convention of endpoints that announce
--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -221,6 +221,7 @@
 		Asks: m.VoteRequests, Drops: m.VoteReleases, Whole: m.FullSync,
 		Loads: convertAll(m.Loads, loadToProto), Loans: convertAll(m.Loans, loanToProto),
 		Suspicions: convertAll(m.Suspicions, suspicionToProto), Returns: convertAll(m.Returns, returnToProto),
+		Limits: convertAll(m.Limits, limitToProto),
 	}
 }
 
@@ -231,6 +232,7 @@
 		VoteRequests: m.GetAsks(), VoteReleases: m.GetDrops(), FullSync: m.GetWhole(),
 		Loads: convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
 		Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto), Returns: convertAll(m.GetReturns(), returnFromProto),
+		Limits: convertAll(m.GetLimits(), limitFromProto),
 	}
 }
 
@@ -301,11 +303,34 @@
 }
 
 func releaseToProto(r port.SlotRelease) *fleetv1.Released {
-	return &fleetv1.Released{Region: r.Region, Grant: r.Grant, Outcome: string(r.Outcome), TookMs: r.Took.Milliseconds()}
+	return &fleetv1.Released{
+		Region: r.Region, Grant: r.Grant, Outcome: string(r.Outcome), TookMs: r.Took.Milliseconds(),
+		Answered: r.Answered, Signals: signalsToProto(r.Signals),
+	}
 }
 
 func releaseFromProto(m *fleetv1.Released) port.SlotRelease {
 	return port.SlotRelease{
 		Region: m.GetRegion(), Grant: m.GetGrant(), Outcome: dispatch.Outcome(m.GetOutcome()), Took: millis(m.GetTookMs()),
+		Answered: m.GetAnswered(), Signals: signalsFromProto(m.GetSignals()),
+	}
+}
+
+func signalsToProto(s registry.Signals) *fleetv1.Signals {
+	if s == (registry.Signals{}) {
+		return nil
 	}
+	return &fleetv1.Signals{Limited: s.Limited, Limit: s.Limit}
+}
+
+func signalsFromProto(m *fleetv1.Signals) registry.Signals {
+	return registry.Signals{Limited: m.GetLimited(), Limit: m.GetLimit()}
+}
+
+func limitToProto(l dispatch.Limit) *fleetv1.Limit {
+	return &fleetv1.Limit{Endpoint: l.Endpoint, BornMs: l.StartedMillis, PerSecond: l.PerSecond}
+}
+
+func limitFromProto(m *fleetv1.Limit) dispatch.Limit {
+	return dispatch.Limit{Endpoint: m.GetEndpoint(), StartedMillis: m.GetBornMs(), PerSecond: m.GetPerSecond()}
 }
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -111,8 +111,12 @@
 	localAnnounceSeq map[string]uint64
 	announceSeq      uint64
 	suspicions       *suspicions
-	grantedVotes     *lease.GrantedVotes
-	regions          map[string]*region
+	// limits are the limits that endpoints named last, by the endpoint's ID;
+	// limitChanges are the changes observed by this controller.
+	limits       map[string]dispatch.Limit
+	limitChanges changeLog[dispatch.Limit]
+	grantedVotes *lease.GrantedVotes
+	regions      map[string]*region
 	// loads holds the last reported load of each region and service; loans,
 	// the last reported loans by lending region.
 	loads map[loadKey]reportedLoad
@@ -136,7 +140,7 @@
 		config: config, ports: ports, incarnation: uint64(now.UnixNano()),
 		peers: make(map[string]*peer), state: &fleet.State{},
 		gateways: make(map[string]port.Gateway), watchers: make(map[string]time.Time), endpoints: registry.New(endpointRetention),
-		localAnnounceSeq: make(map[string]uint64), suspicions: newSuspicions(ports.Logger), grantedVotes: lease.NewGrantedVotes(now),
+		localAnnounceSeq: make(map[string]uint64), suspicions: newSuspicions(ports.Logger), limits: make(map[string]dispatch.Limit), grantedVotes: lease.NewGrantedVotes(now),
 		regions: make(map[string]*region), loads: make(map[loadKey]reportedLoad), loans: make(map[string]reportedLoans),
 		proposing: make(chan struct{}, 1), changed: make(chan struct{}), seeds: config.Seeds,
 		ranSince: now, lastTick: now,
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// fillPool adds the known endpoints to a new pool. It also adds the last reported
+// fillPool adds the known endpoints and their limits to a new pool. It also adds the last reported
 // load of its region, and the last reported loans that haven't expired: those of
 // its region, which the former dispatcher granted, and those that other regions
 // grant to it. Must hold mu.
@@ -119,6 +119,9 @@
 			r.pool.Update(now, e)
 		}
 	}
+	for _, l := range c.limits {
+		r.pool.SetLimit(now, l)
+	}
 	for key, l := range c.loads {
 		if key.region == r.name && now.Sub(l.at) <= dispatch.LoanTerm {
 			r.pool.ResumeLoad(now, l.Load)
@@ -339,6 +342,9 @@
 	defer c.mu.Unlock()
 	for _, s := range released {
 		if r := c.regions[s.Region]; r != nil && r.pool != nil {
+			if s.Answered {
+				c.observeSignals(now, r, s.Grant, s.Signals)
+			}
 			c.deliver(r, r.pool.Release(now, s.Grant, s.Outcome, s.Took))
 		}
 	}
--- a/internal/app/controller/dispatch_test.go
+++ b/internal/app/controller/dispatch_test.go
@@ -29,8 +29,16 @@
 func (c *cluster) holders(region string) map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.holdersLocked(region)
+}
+
+// holdersLocked is holders with mu held.
+func (c *cluster) holdersLocked(region string) map[string]int {
 	out := make(map[string]int)
 	for _, m := range c.members {
+		if m.controller == nil {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 		update, err := m.controller.Watch(ctx, port.Gateway{Address: "g:1", Region: region, LastSeen: time.Now()}, port.WatchCursor{})
 		cancel()
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -91,6 +91,7 @@
 func (c *Controller) forgetEndpoints(now time.Time) {
 	for _, e := range c.endpoints.Sweep(now) {
 		delete(c.localAnnounceSeq, e.ID)
+		delete(c.limits, e.ID)
 		for _, r := range c.regions {
 			if r.pool != nil {
 				r.pool.Remove(now, e.ID)
--- /dev/null
+++ b/internal/app/controller/limits.go
@@ -0,0 +1,46 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/registry"
+	"sassafrasreach/internal/event"
+)
+
+// observeSignals records what an endpoint said about itself in its answer to a request
+// that r dispatched. A changed limit is sent to the other controllers, since one of
+// them may grant the endpoint's slots next. Must hold mu.
+func (c *Controller) observeSignals(now time.Time, r *region, grant string, signals registry.Signals) {
+	limit, changed := r.pool.Observe(now, grant, signals)
+	if !changed {
+		return
+	}
+	event.Log(context.Background(), c.ports.Logger, event.LimitChanged, slog.String("region", r.name),
+		slog.String("endpoint", limit.Endpoint), slog.Float64("per_second", limit.PerSecond))
+	c.recordLimit(now, limit)
+	c.limitChanges.add(limit)
+}
+
+// recordLimit records the limit that an endpoint named to this or another
+// controller. Must hold mu.
+func (c *Controller) recordLimit(now time.Time, l dispatch.Limit) {
+	c.limits[l.Endpoint] = l
+	for _, r := range c.regions {
+		if r.pool != nil {
+			r.pool.SetLimit(now, l)
+		}
+	}
+}
+
+// allLimits returns all known limits, for a controller that has started. Must hold
+// mu.
+func (c *Controller) allLimits() []dispatch.Limit {
+	var out []dispatch.Limit
+	for _, l := range c.limits {
+		out = append(out, l)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/app/controller/limits_test.go
@@ -0,0 +1,67 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/registry"
+	"sassafrasreach/internal/port"
+)
+
+// acquireAt requests a slot at the dispatcher of a region.
+func (c *cluster) acquireAt(region, id string) (dispatch.Decision, error) {
+	c.mu.Lock()
+	at := c.members[c.holderLocked(region)].controller
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return at.Acquire(ctx, port.SlotRequest{Region: region, SlotRequest: dispatch.SlotRequest{
+		ID: id, Service: "s", Target: 200 * time.Millisecond, Deadline: time.Now().Add(time.Second),
+	}})
+}
+
+// TestLimitSurvivesDispatcherChange guards against a limit that is forgotten when
+// the dispatcher changes, and against one that comes back from a controller which
+// learned it before it ended.
+func TestLimitSurvivesDispatcherChange(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2*time.Millisecond)
+	is.NoErr(c.order(0, 2))
+	c.settle()
+	e := registry.Endpoint{ID: "e", Address: "a1:100", Service: "s", Zone: "a1", Slots: 8, StartedMillis: 1, Sequence: 1, LastSeen: time.Now()}
+	is.NoErr(c.anyRunning().Announce(t.Context(), e))
+	time.Sleep(time.Second)
+	requests := 0
+	served := func(d time.Duration, signals registry.Signals) int {
+		n := 0
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			requests++
+			got, err := c.acquireAt("a", fmt.Sprint(requests))
+			if err != nil || got.Grant == "" {
+				continue
+			}
+			n++
+			c.mu.Lock()
+			at := c.members[c.holderLocked("a")].controller
+			c.mu.Unlock()
+			is.NoErr(at.Release(t.Context(), []port.SlotRelease{{
+				Region: "a", Grant: got.Grant, Outcome: dispatch.Served, Took: time.Millisecond, Answered: true, Signals: signals,
+			}}))
+		}
+		return n
+	}
+	limited := registry.Signals{Limited: true, Limit: 2}
+	served(time.Second, limited)
+	is.True(served(4*time.Second, limited) <= 17) // 1.5 times 2 a second, and 5
+	c.kill(c.holder("a"))
+	time.Sleep(3 * time.Second)
+	is.True(served(4*time.Second, limited) <= 17)
+	served(2*time.Second, registry.Signals{}) // the limit ends
+	is.True(served(2*time.Second, registry.Signals{}) >= 40)
+}
--- a/internal/app/controller/loans_test.go
+++ b/internal/app/controller/loans_test.go
@@ -13,7 +13,14 @@
 // holder returns the address of the controller that dispatches a region, as the
 // others report it.
 func (c *cluster) holder(region string) string {
-	for address, n := range c.holders(region) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holderLocked(region)
+}
+
+// holderLocked is holder with mu held.
+func (c *cluster) holderLocked(region string) string {
+	for address, n := range c.holdersLocked(region) {
 		if n > len(c.members)/2 {
 			return address
 		}
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -26,13 +26,11 @@
 	// epoch and accepted are the state of its voter in that answer.
 	epoch    uint64
 	accepted quorum.Ballot
-	// acked is the value of announceSeq up to which the peer has acknowledged
-	// the announcements; it is 0 for a peer of a new incarnation, which is
-	// sent all endpoints.
-	acked uint64
-	// ackedSuspicions is the number of the last change of suspicions that the
-	// peer has acknowledged; it is 0 for a peer of a new incarnation.
-	ackedSuspicions uint64
+	// synced is true once the peer's incarnation has received all endpoints,
+	// suspicions and limits that this controller knew; acked is what it has
+	// received since.
+	synced bool
+	acked  acknowledged
 	// roundTrip is the moving average of the duration of an exchange.
 	roundTrip time.Duration
 	// addedAt is when it was added to the peers.
@@ -54,6 +52,14 @@
 	p.roundTrip += (took - p.roundTrip) / roundTripWeight
 }
 
+// identify records who answered. A peer of a new incarnation isn't synced.
+func (p *peer) identify(from port.Controller) {
+	if p.Incarnation != from.Incarnation {
+		p.synced, p.acked = false, acknowledged{}
+	}
+	p.Controller = from
+}
+
 // linkTo returns a client for a controller, which may be this one.
 func (c *Controller) linkTo(address string) (port.ControllerPeer, error) {
 	if address == c.config.Address {
@@ -119,7 +125,7 @@
 		p.inFlight = true
 		exchange := c.exchange(now, p)
 		exchange.Loads, exchange.Loans, exchange.Returns = loads, loans, returns
-		sendings = append(sendings, sending{p, exchange, acknowledged{c.announceSeq, c.suspicions.madeSeq}})
+		sendings = append(sendings, sending{p, exchange, acknowledged{c.announceSeq, c.suspicions.changes.seq, c.limitChanges.seq}})
 	}
 	c.clearReleased()
 	c.forgetEndpoints(now)
@@ -173,21 +179,23 @@
 	return b
 }
 
-// exchange returns the message for a peer. Its endpoints are those announced
-// here that the peer hasn't acknowledged, or all if it has acknowledged none.
+// exchange returns the message for a peer. It contains the endpoints that
+// were announced here, and the changes made here, that the peer hasn't acknowledged,
+// or all that is known here if the peer isn't synced.
 // Must hold mu.
 func (c *Controller) exchange(now time.Time, p *peer) port.ExchangeRequest {
 	m := port.ExchangeRequest{
 		From: c.self(now), Controllers: c.liveControllers(now), Gateways: c.watchingGateways(now),
-		VoteRequests: c.requestedRegions(now), VoteReleases: c.releasedRegions(), FullSync: p.acked == 0,
-		Suspicions: c.suspicions.since(now, p.ackedSuspicions),
+		VoteRequests: c.requestedRegions(now), VoteReleases: c.releasedRegions(), FullSync: !p.synced,
 	}
-	if p.acked == 0 {
+	if !p.synced {
 		m.Endpoints, _ = c.endpoints.Since(0)
+		m.Suspicions, m.Limits = c.suspicions.all(now), c.allLimits()
 		return m
 	}
+	m.Suspicions, m.Limits = c.suspicions.changes.since(p.acked.suspicions), c.limitChanges.since(p.acked.limits)
 	for id, seq := range c.localAnnounceSeq {
-		if seq <= p.acked {
+		if seq <= p.acked.announcements {
 			continue
 		}
 		if e, ok := c.endpoints.Get(id); ok {
@@ -208,8 +216,9 @@
 	return out
 }
 
-// acknowledged is what a peer has received when it answers an exchange.
-type acknowledged struct{ announcements, suspicions uint64 }
+// acknowledged is what a peer has received when it answers an exchange: the numbers
+// of the last announcement that was made here, and of the last changes.
+type acknowledged struct{ announcements, suspicions, limits uint64 }
 
 // sendExchange sends a message to a peer and records its answer.
 func (c *Controller) sendExchange(ctx context.Context, p *peer, m port.ExchangeRequest, acked acknowledged) (port.ExchangeReply, error) {
@@ -221,11 +230,11 @@
 	if err != nil {
 		return reply, err
 	}
-	if p.Incarnation != 0 && p.Incarnation != reply.From.Incarnation {
-		acked = acknowledged{}
+	p.identify(reply.From)
+	if m.FullSync || p.synced {
+		p.synced, p.acked = true, acked
 	}
-	p.Controller = reply.From
-	p.sentAt, p.acked, p.ackedSuspicions = sentAt, acked.announcements, acked.suspicions
+	p.sentAt = sentAt
 	p.recordRoundTrip(c.ports.Clock.Now().Sub(sentAt))
 	p.epoch, p.accepted = reply.Epoch.Number, reply.Accepted
 	c.enterEpoch(reply.Epoch)
@@ -269,6 +278,9 @@
 	for _, s := range m.Suspicions {
 		c.suspicions.apply(now, s)
 	}
+	for _, l := range m.Limits {
+		c.recordLimit(now, l)
+	}
 	c.recordLoadsAndLoans(now, m)
 	reply := port.ExchangeReply{
 		From: c.self(now), Epoch: savedState.Epoch, Accepted: savedState.Accepted.Ballot,
@@ -338,7 +350,7 @@
 	defer c.mu.Unlock()
 	if sentAt.After(p.sentAt) {
 		p.sentAt, p.epoch, p.accepted = sentAt, reply.Epoch.Number, reply.Accepted
-		p.Controller = reply.From
+		p.identify(reply.From)
 	}
 	return reply, nil
 }
--- a/internal/app/controller/suspicions.go
+++ b/internal/app/controller/suspicions.go
@@ -13,11 +13,6 @@
 	"sassafrasreach/internal/port"
 )
 
-// maxSuspicions bounds the suspicions that are kept for the other controllers.
-// The oldest are dropped first; a controller that misses some learns less about
-// requests that crash endpoints, and counts their crashes from then on.
-const maxSuspicions = 1024
-
 // suspicions finds requests that crash endpoints, from the runs that this
 // controller dispatches, from those that other controllers report, and from the
 // announcements of endpoints that have started again. It implements
@@ -25,10 +20,10 @@
 type suspicions struct {
 	logger *slog.Logger
 	table  *quarantine.Table
-	// made are the last changes made by this controller, which are sent to the
-	// others. The last one has the number madeSeq.
-	made    []port.Suspicion
-	madeSeq uint64
+	// changes are those made by this controller. One that misses some of them
+	// learns less about requests that crash endpoints, and counts their crashes
+	// from then on.
+	changes changeLog[port.Suspicion]
 }
 
 var _ dispatch.RunRecorder = (*suspicions)(nil)
@@ -61,13 +56,13 @@
 	if end == quarantine.Reset {
 		// The death of the endpoint may have been recorded before the reset.
 		s.log(s.table.RecordReset(now, e.ID, uint64(e.StartedMillis), f))
-		s.add(port.Suspicion{
+		s.changes.add(port.Suspicion{
 			Fingerprint: f, Endpoint: e.ID, StartedMillis: e.StartedMillis, Version: s.table.NewChangeVersion(now, f),
 		})
 		return
 	}
 	for _, f := range change.Lifted {
-		s.add(port.Suspicion{Fingerprint: f, Cleared: true, Version: s.table.NewLiftVersion(now, f)})
+		s.changes.add(port.Suspicion{Fingerprint: f, Cleared: true, Version: s.table.NewLiftVersion(now, f)})
 	}
 	s.log(change)
 }
@@ -107,26 +102,14 @@
 // expire removes expired records.
 func (s *suspicions) expire(now time.Time) { s.table.Expire(now) }
 
-// add keeps a change for the other controllers.
-func (s *suspicions) add(x port.Suspicion) {
-	s.made = append(s.made, x)
-	s.madeSeq++
-	if len(s.made) > maxSuspicions {
-		s.made = s.made[len(s.made)-maxSuspicions:]
-	}
-}
-
-// since returns the changes after a number. After 0 it also returns the requests
-// in quarantine, for a controller that has started.
-func (s *suspicions) since(now time.Time, seq uint64) []port.Suspicion {
+// all returns the changes made by this controller and the requests in quarantine,
+// for a controller that has started.
+func (s *suspicions) all(now time.Time) []port.Suspicion {
 	var out []port.Suspicion
-	if seq == 0 {
-		for _, q := range s.table.List(now) {
-			out = append(out, port.Suspicion{Fingerprint: q.Fingerprint, Quarantined: q.Remaining, Version: q.Version})
-		}
+	for _, q := range s.table.List(now) {
+		out = append(out, port.Suspicion{Fingerprint: q.Fingerprint, Quarantined: q.Remaining, Version: q.Version})
 	}
-	first := s.madeSeq - uint64(len(s.made))
-	return append(out, s.made[max(seq, first)-first:]...)
+	return append(out, s.changes.made...)
 }
 
 func (s *suspicions) log(change quarantine.Change) {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -160,9 +160,12 @@
 	began := g.ports.Clock.Now()
 	x.endpoint, x.region = d.Endpoint.ID, d.Region
 	outcome := dispatch.Unsent
+	var signals registry.Signals
+	answered := false
 	defer func() {
 		g.release(address, port.SlotRelease{
 			Region: x.dispatchRegion, Grant: d.Grant, Outcome: outcome, Took: g.ports.Clock.Now().Sub(began),
+			Answered: answered, Signals: signals,
 		})
 	}()
 	if x.request.Deadline.Sub(began) < minTimeLeft {
@@ -170,6 +173,7 @@
 	}
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
 	outcome = outcomeOf(ctx, response, err)
+	signals, answered = signalsOf(response, err)
 	if outcome == dispatch.Unreachable {
 		x.unreachable++
 		x.exclude = append(x.exclude, d.Endpoint.ID)
@@ -194,6 +198,20 @@
 	}
 }
 
+// signalsOf returns what the endpoint said about itself in its answer; false if
+// there is no answer.
+func signalsOf(response *port.Response, err error) (registry.Signals, bool) {
+	var refused *port.RefusedError
+	switch {
+	case err == nil:
+		return response.Signals, true
+	case errors.As(err, &refused):
+		return refused.Signals, true
+	default:
+		return registry.Signals{}, false
+	}
+}
+
 // refusedRetry is the retry delay given to a client whose request was granted a
 // slot but didn't run, for instance because the endpoint refused it. It is short,
 // since the client doesn't have to wait for a slot.
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -173,8 +173,8 @@
 			continue
 		}
 		s.rankCost = s.cost(now, svc, k, false)
-		svc.slots += s.endpoint.Slots
-		svc.free += max(0, s.endpoint.Slots-s.inFlight)
+		svc.slots += s.capacity(svc)
+		svc.free += max(0, s.capacity(svc)-s.inFlight)
 		kept += s.kept(svc)
 		usable++
 	}
--- a/internal/core/dispatch/lend.go
+++ b/internal/core/dispatch/lend.go
@@ -139,7 +139,7 @@
 		}
 		for _, s := range svc.servers {
 			if s.own && !s.endpoint.Leaving && !s.cold(now) && s.connectFailures < maxConnectFailures {
-				l.Slots += s.endpoint.Slots
+				l.Slots += s.capacity(svc)
 			}
 		}
 		out = append(out, l)
@@ -247,7 +247,7 @@
 	for _, s := range svc.servers {
 		switch {
 		case !s.own && s.usable(now), s.own && s.lentTo == "":
-			available += float64(s.endpoint.Slots)
+			available += float64(s.capacity(svc))
 		case !s.own:
 		case s.endpoint.Leaving, s.cold(now), !s.recalledAt.IsZero() && now.Sub(s.recalledAt) > maxReturnTime:
 			s.endLoan(now)
@@ -265,10 +265,10 @@
 	}
 }
 
-func slotsOf(servers []*server) float64 {
+func (svc *service) capacityOf(servers []*server) float64 {
 	n := 0.0
 	for _, s := range servers {
-		n += float64(s.endpoint.Slots)
+		n += float64(s.capacity(svc))
 	}
 	return n
 }
@@ -277,8 +277,8 @@
 // many. It reports whether the borrower has too many. The borrower may use a
 // recalled endpoint until it returns it, maxReturnTime at most.
 func (svc *service) recallSome(now time.Time, slots float64, lent []*server, short bool) bool {
-	excess := slotsOf(lent) - slots
-	if len(lent) == 0 || excess <= recallThreshold*float64(lent[0].endpoint.Slots) {
+	excess := svc.capacityOf(lent) - slots
+	if len(lent) == 0 || excess <= recallThreshold*float64(lent[0].capacity(svc)) {
 		return false
 	}
 	if !short && now.Sub(svc.lastRecall) < recallInterval {
@@ -291,7 +291,7 @@
 	}
 	slices.SortFunc(lent, func(a, b *server) int { return b.lentAt.Compare(a.lentAt) })
 	for _, s := range lent[:limit] {
-		if excess -= float64(s.endpoint.Slots); excess < 0 {
+		if excess -= float64(s.capacity(svc)); excess < 0 {
 			return true
 		}
 		s.recall(now)
@@ -302,17 +302,17 @@
 // lendMore lends a borrower the endpoints that it lacks, while there are any
 // to lend.
 func (svc *service) lendMore(now time.Time, borrower string, slots float64, lent []*server) {
-	slots -= slotsOf(lent)
+	slots -= svc.capacityOf(lent)
 	for {
 		next := svc.lendable(now, borrower)
-		if next == nil || slots <= lendThreshold*float64(next.endpoint.Slots) {
+		if next == nil || slots <= lendThreshold*float64(next.capacity(svc)) {
 			return
 		}
 		if next.lentTo == "" {
 			next.lentTo, next.lentAt = borrower, now
 		}
 		next.recalledAt = time.Time{}
-		slots -= float64(next.endpoint.Slots)
+		slots -= float64(next.capacity(svc))
 	}
 }
 
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -168,12 +168,18 @@
 // coldHoldBack afterwards, because grants of a former pool may still be in
 // transit and the rate of a cold endpoint counts over all pools.
 func (p *Pool) SetExclusive(now time.Time, exclusive bool) {
+	before := p.exclusiveSince
 	switch {
 	case !exclusive:
 		p.exclusiveSince = time.Time{}
 	case p.exclusiveSince.IsZero():
 		p.exclusiveSince = now
 	}
+	if p.exclusiveSince.IsZero() != before.IsZero() {
+		for _, s := range p.servers {
+			p.applyLimit(now, s)
+		}
+	}
 	holdBack := now.Add(coldHoldBack)
 	if exclusive {
 		holdBack = p.exclusiveSince.Add(coldHoldBack)
@@ -248,6 +254,7 @@
 	s.inFlight++
 	s.granted++
 	s.lastGrant = now
+	s.limiter.take(now)
 	svc.touch(object, s)
 	if s.cold(now) {
 		s.nextColdGrant = now.Add(coldGap(p.config.ColdRate(req.Service)))
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -36,17 +36,26 @@
 	// nextColdGrant is the earliest time of the next grant while the endpoint
 	// is cold.
 	nextColdGrant time.Time
+	// namedLimit is the rate that the endpoint named last, noLimit if none.
+	namedLimit float64
+	// limitObserved is the time of the last answer.
+	limitObserved time.Time
+	limiter       limiter
 	loanState
 }
 
 func newServer(e registry.Endpoint) *server {
-	return &server{endpoint: e, slowness: 1, memory: newMemory()}
+	return &server{endpoint: e, slowness: 1, memory: newMemory(), namedLimit: noLimit}
 }
 
 func (s *server) free(now time.Time) bool {
-	return s.usable(now) && s.inFlight < s.endpoint.Slots && (!s.cold(now) || !now.Before(s.nextColdGrant))
+	return s.usable(now) && s.inFlight < s.endpoint.Slots && (!s.cold(now) || !now.Before(s.nextColdGrant)) &&
+		s.limiter.wait(now, 1) == 0
 }
 
+// capacity returns the number of slots that the endpoint can use within its limit.
+func (s *server) capacity(svc *service) int { return s.limiter.slots(s.endpoint.Slots, svc.slotTime) }
+
 func (s *server) usable(now time.Time) bool {
 	return !s.endpoint.Leaving && !s.endpoint.Gone && !now.Before(s.pausedUntil) && s.grantable(now)
 }
@@ -75,7 +84,7 @@
 	if s.cold(now) && now.Before(s.nextColdGrant) {
 		wait += s.nextColdGrant.Sub(now).Seconds()
 	}
-	return wait
+	return math.Max(wait, s.limiter.wait(now, s.queuedFor+1))
 }
 
 // kept estimates the number of objects that the endpoint keeps warm.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -36,6 +36,14 @@
 	ColdUntil time.Time
 }
 
+// Signals is what an endpoint says about itself in an answer to a request.
+type Signals struct {
+	// Limited means that the endpoint named the rate that it takes from all VMs
+	// together, Limit, in requests per second.
+	Limited bool
+	Limit   float64
+}
+
 // Registry holds the newest announcement of each endpoint. It is not safe for
 // concurrent use.
 type Registry struct {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -80,6 +80,7 @@
 	DispatchEnded         = Event{1612, "dispatch-ended", slog.LevelInfo, "This controller stopped dispatching the requests of a region."}
 	OrderNotPassed        = Event{1614, "order-not-passed", slog.LevelWarn, "The distinguished proposer was unreachable or failed to answer; this controller proposes the order itself."}
 	LoansChanged          = Event{1615, "loans-changed", slog.LevelInfo, "The number of endpoints that a region lends to another, or has recalled from it, changed; attributes give the numbers and the load of both regions."}
+	LimitChanged          = Event{1616, "limit-changed", slog.LevelInfo, "An endpoint named another limit of its requests per second than before, or none (-1)."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
@@ -106,6 +107,6 @@
 	ConsoleFailed, ConsolePartial,
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
-	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged,
+	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive,
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -73,6 +73,9 @@
 	// the endpoints that these regions lend to others.
 	Loads []dispatch.Load
 	Loans []dispatch.Loan
+	// Limits are the changes of endpoints' limits that the receiver hasn't
+	// acknowledged.
+	Limits []dispatch.Limit
 	// Returns are the recalled endpoints that the sender's regions return.
 	Returns []dispatch.Return
 	// Suspicions are the changes that the receiver hasn't acknowledged.
@@ -179,6 +182,10 @@
 	Grant   string
 	Outcome dispatch.Outcome
 	Took    time.Duration
+	// Answered means that the endpoint answered; Signals are what it said about
+	// itself.
+	Answered bool
+	Signals  registry.Signals
 }
 
 // ControllerLink is a gateway's client of one controller.
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/core/verdict"
 )
 
@@ -48,11 +49,23 @@
 	Header http.Header
 	// Body is the whole body, or its first part when Rest is set.
 	Body []byte
+	// Signals are what the endpoint said about itself with the answer.
+	Signals registry.Signals
 	// Rest is the unread part of a large body; nil when Body is the whole. A
 	// reader must treat any error but io.EOF as a truncated answer.
 	Rest io.ReadCloser
 }
 
+// RefusedError is wrapped by the error of a request that the endpoint refused to
+// run.
+type RefusedError struct {
+	// Signals are what the endpoint said about itself with the refusal.
+	Signals registry.Signals
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "the endpoint refused to run the request" }
+
 // Endpoint is the address of one endpoint and the incarnation that runs there.
 type Endpoint struct {
 	// ID identifies the endpoint.
