Send nothing to an endpoint that says in its answers that it leaves

An endpoint that says so only in its answers, not by an announcement, went on getting requests until it ended.

Cause: the header was read by nobody, as that of the limit.

Evidence: without the new checks gateway.TestLeavingEndpointGetsNothing ends with a request that ran, and controller.TestLeavingInAnswer with a granted slot; with them both pass.

Fix: the gateway remembers the incarnation and sends it nothing more, whether or not the dispatcher knows. The dispatcher takes the answer for an announcement, which goes to all controllers; that an endpoint leaves is accepted with any sequence, since it doesn't return from it.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -320,11 +320,11 @@
 	if s == (registry.Signals{}) {
 		return nil
 	}
-	return &fleetv1.Signals{Limited: s.Limited, Limit: s.Limit}
+	return &fleetv1.Signals{Limited: s.Limited, Limit: s.Limit, Leaving: s.Leaving}
 }
 
 func signalsFromProto(m *fleetv1.Signals) registry.Signals {
-	return registry.Signals{Limited: m.GetLimited(), Limit: m.GetLimit()}
+	return registry.Signals{Limited: m.GetLimited(), Limit: m.GetLimit(), Leaving: m.GetLeaving()}
 }
 
 func limitToProto(l dispatch.Limit) *fleetv1.Limit {
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -77,15 +77,19 @@
 	c.suspicions.recordAnnouncement(now, e)
 	c.updatePools(e)
 	if !known || before.StartedMillis != e.StartedMillis || before.Leaving != e.Leaving || before.Gone != e.Gone {
-		event.Log(context.Background(), c.ports.Logger, event.EndpointChanged,
-			slog.String("endpoint", e.ID), slog.String("service", e.Service), slog.String("address", e.Address),
-			slog.Int64("born", e.StartedMillis), slog.Int64("sequence", e.Sequence),
-			slog.Bool("leaving", e.Leaving), slog.Bool("gone", e.Gone))
+		c.logEndpoint(e)
 		c.notifyChanged()
 	}
 	return true
 }
 
+func (c *Controller) logEndpoint(e registry.Endpoint) {
+	event.Log(context.Background(), c.ports.Logger, event.EndpointChanged,
+		slog.String("endpoint", e.ID), slog.String("service", e.Service), slog.String("address", e.Address),
+		slog.Int64("born", e.StartedMillis), slog.Int64("sequence", e.Sequence),
+		slog.Bool("leaving", e.Leaving), slog.Bool("gone", e.Gone))
+}
+
 // forgetEndpoints removes the endpoints that haven't been announced for
 // endpointRetention. Must hold mu.
 func (c *Controller) forgetEndpoints(now time.Time) {
--- a/internal/app/controller/limits.go
+++ b/internal/app/controller/limits.go
@@ -15,6 +15,9 @@
 // them may grant the endpoint's slots next. Must hold mu.
 func (c *Controller) observeSignals(now time.Time, r *region, grant string, signals registry.Signals) {
 	limit, changed := r.pool.Observe(now, grant, signals)
+	if signals.Leaving {
+		c.recordLeaving(now, limit.Endpoint, limit.StartedMillis)
+	}
 	if !changed {
 		return
 	}
@@ -24,6 +27,21 @@
 	c.limitChanges.add(limit)
 }
 
+// recordLeaving records that an endpoint said in an answer that it leaves, and sends
+// it to the other controllers as if it were announced. Must hold mu.
+func (c *Controller) recordLeaving(now time.Time, id string, startedMillis int64) {
+	e, changed := c.endpoints.MarkLeaving(id, startedMillis, now)
+	if !changed {
+		return
+	}
+	c.announceSeq++
+	c.localAnnounceSeq[id] = c.announceSeq
+	c.suspicions.recordAnnouncement(now, e)
+	c.updatePools(e)
+	c.logEndpoint(e)
+	c.notifyChanged()
+}
+
 // recordLimit records the limit that an endpoint named to this or another
 // controller. Must hold mu.
 func (c *Controller) recordLimit(now time.Time, l dispatch.Limit) {
--- a/internal/app/controller/limits_test.go
+++ b/internal/app/controller/limits_test.go
@@ -65,3 +65,40 @@
 	served(2*time.Second, registry.Signals{}) // the limit ends
 	is.True(served(2*time.Second, registry.Signals{}) >= 40)
 }
+
+// TestLeavingInAnswer guards against an endpoint that says only in its answers that
+// it leaves and goes on getting requests through the dispatchers of all regions, or
+// is taken back into use by a later announcement.
+func TestLeavingInAnswer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2*time.Millisecond)
+	is.NoErr(c.order(0, 2))
+	c.settle()
+	e := registry.Endpoint{ID: "e", Address: "a1:100", Service: "s", Zone: "a1", Slots: 8, StartedMillis: 1, Sequence: 1, LastSeen: time.Now()}
+	is.NoErr(c.anyRunning().Announce(t.Context(), e))
+	time.Sleep(time.Second)
+	got, err := c.acquireAt("a", "first")
+	is.NoErr(err)
+	is.True(got.Grant != "")
+	c.mu.Lock()
+	at := c.members[c.holderLocked("a")].controller
+	c.mu.Unlock()
+	is.NoErr(at.Release(t.Context(), []port.SlotRelease{{
+		Region: "a", Grant: got.Grant, Outcome: dispatch.Served, Took: time.Millisecond, Answered: true, Signals: registry.Signals{Leaving: true},
+	}}))
+	e.Sequence = 2
+	is.NoErr(c.anyRunning().Announce(t.Context(), e))
+	time.Sleep(time.Second)
+	c.kill(c.holder("a"))
+	time.Sleep(3 * time.Second)
+	got, err = c.acquireAt("a", "second")
+	is.NoErr(err)
+	is.Equal(got.Grant, "")
+	e.StartedMillis, e.Sequence = 2, 1 // it starts again under its ID
+	is.NoErr(c.anyRunning().Announce(t.Context(), e))
+	time.Sleep(time.Second)
+	got, err = c.acquireAt("a", "third")
+	is.NoErr(err)
+	is.True(got.Grant != "")
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/fleet"
+	"sassafrasreach/internal/core/holdoff"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
@@ -64,8 +65,10 @@
 	// lastEndpoint maps an object to the endpoint that last served it.
 	lastEndpoint map[string]string
 	// watched is the address of the controller that each watcher watches.
-	watched       [watcherCount]string
-	dispatchers   map[string]dispatcher
+	watched     [watcherCount]string
+	dispatchers map[string]dispatcher
+	// holdoff holds the endpoints that get nothing from this gateway.
+	holdoff       *holdoff.Table
 	releaseQueues map[string]*releaseQueue
 }
 
@@ -84,7 +87,7 @@
 		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds,
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
 		avoidUntil: make(map[string]time.Time), skipUntil: make(map[string]time.Time), timeouts: make(map[string]int), lastEndpoint: make(map[string]string), dispatchers: make(map[string]dispatcher),
-		releaseQueues: make(map[string]*releaseQueue),
+		holdoff: holdoff.New(), releaseQueues: make(map[string]*releaseQueue),
 	}
 }
 
--- a/internal/app/gateway/locate.go
+++ b/internal/app/gateway/locate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/lease"
+	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
@@ -84,6 +85,20 @@
 	delete(g.timeouts, address)
 }
 
+// recordSignals records what an endpoint said about itself in an answer.
+func (g *Gateway) recordSignals(e registry.Endpoint, s registry.Signals) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holdoff.Record(g.ports.Clock.Now(), e, s)
+}
+
+// holds reports whether an endpoint must get nothing from this gateway.
+func (g *Gateway) holds(now time.Time, e registry.Endpoint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holdoff.Holds(now, e)
+}
+
 // lastServed returns the endpoint that last served an object; empty if none is
 // remembered.
 func (g *Gateway) lastServed(object string) string {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -26,8 +26,8 @@
 	// minTimeLeft is the remaining time below which a request isn't sent to an
 	// endpoint, which couldn't answer in time.
 	minTimeLeft = 30 * time.Millisecond
-	// maxUnreachable is the number of failures to connect to endpoints up to
-	// which a request is retried; one more ends it.
+	// maxUnreachable is the number of failures to connect to endpoints, and of slots
+	// that can't be used, up to which a request is retried; one more ends it.
 	maxUnreachable = 3
 	// minAcquireTimeout is the shortest timeout of a slot request: a few round
 	// trips to another region.
@@ -51,9 +51,11 @@
 	fingerprint fingerprint.Fingerprint
 	began       time.Time
 	// tries counts the attempts at endpoints that could be reached,
-	// unreachable those at endpoints that couldn't.
+	// unreachable those at endpoints that couldn't. heldOff counts the slots that
+	// weren't used because their endpoint takes nothing from this gateway.
 	tries       int
 	unreachable int
+	heldOff     int
 	exclude     []string
 	endpoint    string
 	region      string
@@ -108,7 +110,7 @@
 func (x *inFlightRequest) attempts(ctx context.Context) port.ClientAnswer {
 	for {
 		answer, again := x.attempt(ctx)
-		if !again || x.tries >= x.route.Attempts || x.unreachable > maxUnreachable || ctx.Err() != nil {
+		if !again || x.tries >= x.route.Attempts || x.unreachable > maxUnreachable || x.heldOff > maxUnreachable || ctx.Err() != nil {
 			return answer
 		}
 	}
@@ -168,12 +170,21 @@
 			Answered: answered, Signals: signals,
 		})
 	}()
+	if g.holds(began, d.Endpoint) {
+		// The dispatcher didn't know it when it granted the slot.
+		signals, answered = registry.Signals{Leaving: true}, true
+		x.heldOff++
+		x.exclude = append(x.exclude, d.Endpoint.ID)
+		return x.withoutSlot(ctx, verdict.ReasonNoEndpoint, nil, 0), true
+	}
 	if x.request.Deadline.Sub(began) < minTimeLeft {
 		return x.withoutSlot(ctx, verdict.ReasonDeadline, nil, 0), false
 	}
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
 	outcome = outcomeOf(ctx, response, err)
-	signals, answered = signalsOf(response, err)
+	if signals, answered = signalsOf(response, err); answered {
+		g.recordSignals(d.Endpoint, signals)
+	}
 	if outcome == dispatch.Unreachable {
 		x.unreachable++
 		x.exclude = append(x.exclude, d.Endpoint.ID)
@@ -306,7 +317,7 @@
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Fingerprint: x.fingerprint,
 			Kind:        x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
-			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable > 0, Exclude: x.exclude, Regions: x.route.Regions,
+			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable+x.heldOff > 0, Exclude: x.exclude, Regions: x.route.Regions,
 		},
 	}
 	if x.route.Sticky {
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -85,6 +85,8 @@
 	calls int
 	ends  []error
 	waits bool
+	// signals are what the endpoint says about itself in each answer.
+	signals registry.Signals
 }
 
 func (e *endpoints) Call(ctx context.Context, _ port.Endpoint, _ *port.Request, _ port.Gate) (*port.Response, error) {
@@ -99,7 +101,7 @@
 	if end != nil {
 		return nil, end
 	}
-	return &port.Response{Status: http.StatusOK}, nil
+	return &port.Response{Status: http.StatusOK, Signals: e.signals}, nil
 }
 
 func (e *endpoints) Probe(context.Context, port.Endpoint) error { return nil }
@@ -252,3 +254,34 @@
 	is.Equal(verdict.ReasonOf(a.Err), verdict.ReasonShed)
 	is.True(a.RetryAfter < 100*time.Millisecond)
 }
+
+// TestLeavingEndpointGetsNothing guards against a request to an endpoint that said
+// in an answer to this gateway that it leaves, also if the dispatcher doesn't know
+// it yet. Another incarnation of the endpoint isn't affected.
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	is := is.New(t)
+	var asked []port.SlotRequest
+	granted := registry.Endpoint{ID: "e", Service: "s", StartedMillis: 1}
+	c := &fakeController{}
+	c.answer = func(req port.SlotRequest) (dispatch.Decision, error) {
+		asked = append(asked, req)
+		return dispatch.Decision{Grant: "x", Endpoint: granted}, nil
+	}
+	e := &endpoints{ends: []error{nil}, signals: registry.Signals{Leaving: true}}
+	g := startGateway(t, c, e)
+	is.NoErr(g.Serve(t.Context(), request("/once/")).Err)
+	is.Equal(e.calls, 1)
+	a := g.Serve(t.Context(), request("/once/"))
+	is.Equal(verdict.Of(a.Err), verdict.NotRun)
+	is.Equal(e.calls, 1)
+	is.Equal(asked[1].Exclude, nil)
+	is.Equal(asked[2].Exclude, []string{"e"})
+	time.Sleep(50 * time.Millisecond)
+	c.mu.Lock()
+	is.Equal(c.released[1].Outcome, dispatch.Unsent)
+	is.True(c.released[1].Answered && c.released[1].Signals.Leaving) // the dispatcher learns it
+	granted.StartedMillis = 2
+	c.mu.Unlock()
+	is.NoErr(g.Serve(t.Context(), request("/once/")).Err)
+	is.Equal(e.calls, 2)
+}
--- a/internal/core/dispatch/limit.go
+++ b/internal/core/dispatch/limit.go
@@ -86,8 +86,9 @@
 	return min(slots, int(math.Ceil(l.perSecond*slotTime)))
 }
 
-// Observe records what the endpoint of a grant answered. It is called before
-// Release. The second result is false if the limit is the same as before.
+// Observe records what the endpoint of a grant answered, and returns the limit that
+// it named. It is called before Release. The second result is false if the limit is
+// the same as before.
 func (p *Pool) Observe(now time.Time, id string, signals registry.Signals) (Limit, bool) {
 	g, ok := p.grants[id]
 	if !ok {
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -42,6 +42,8 @@
 	// together, Limit, in requests per second.
 	Limited bool
 	Limit   float64
+	// Leaving means that the endpoint takes no new requests.
+	Leaving bool
 }
 
 // Registry holds the newest announcement of each endpoint. It is not safe for
@@ -70,7 +72,7 @@
 // Record records an announcement that the endpoint sent or another VM
 // forwarded. It returns false, and changes nothing, if the announcement isn't
 // newer than the recorded one or would make a leaving or gone endpoint ready
-// again. A deregistration of the recorded incarnation applies whatever its
+// again. That the recorded incarnation leaves or is gone applies whatever the
 // sequence.
 func (r *Registry) Record(e Endpoint) bool {
 	old := r.endpoints[e.ID]
@@ -78,8 +80,9 @@
 		switch order := cmp.Or(cmp.Compare(e.StartedMillis, old.StartedMillis), cmp.Compare(e.Sequence, old.Sequence)); {
 		case e.StartedMillis == old.StartedMillis && (old.Gone || old.Leaving) && !e.Leaving:
 			return false
-		case e.StartedMillis == old.StartedMillis && e.Gone && !old.Gone:
-			// A deregistration is accepted with any sequence.
+		case e.StartedMillis == old.StartedMillis && (e.Gone && !old.Gone || e.Leaving && !old.Leaving):
+			// An endpoint doesn't return from leaving, so that it leaves or is gone
+			// is accepted with any sequence.
 		case order <= 0:
 			return false
 		}
@@ -135,6 +138,19 @@
 	return next, true
 }
 
+// MarkLeaving marks the endpoint's incarnation as leaving and returns it. It
+// returns false if the incarnation isn't the recorded one or already leaves.
+func (r *Registry) MarkLeaving(id string, startedMillis int64, now time.Time) (Endpoint, bool) {
+	old := r.endpoints[id]
+	if old == nil || old.StartedMillis != startedMillis || old.Leaving {
+		return Endpoint{ID: id}, false
+	}
+	next := *old
+	next.Leaving, next.LastSeen = true, now
+	r.Record(next)
+	return next, true
+}
+
 // Get returns an endpoint by its ID; false if it is unknown.
 func (r *Registry) Get(id string) (Endpoint, bool) {
 	e := r.endpoints[id]
