Keep the pause that an endpoint asks for when it refuses a request

An endpoint that refused a request with 503 and Retry-After got the next ones from the same gateway at once, which it refused too.

Cause: the header was read by nobody.

Evidence: without the check gateway.TestPausedEndpointGetsNothing ends with a request that is sent in the pause; with it none is, and after the pause they are again.

Fix: the gateway names such endpoints in its slot requests and gives back a slot that was granted before. The pause counts also where the answer itself can't be passed on.

--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -126,7 +126,7 @@
 	}
 	if check := x.caller.opts.HeaderConvention.Check; check != nil {
 		if err := check(in.status, in.header); err != nil {
-			return err
+			return &port.AnsweredError{Err: err, Signals: x.caller.opts.HeaderConvention.signals(in)}
 		}
 	}
 	if !in.framed {
@@ -159,7 +159,9 @@
 	} else {
 		x.finish(in)
 	}
-	return verdict.NewError(verdict.NotRun, verdict.ReasonShed, &port.RefusedError{Signals: x.caller.opts.HeaderConvention.signals(in)})
+	return verdict.NewError(verdict.NotRun, verdict.ReasonShed, &port.AnsweredError{
+		Err: port.ErrRefused, Signals: x.caller.opts.HeaderConvention.signals(in),
+	})
 }
 
 // finish ends an exchange after a complete response. The connection is kept for
--- a/internal/app/gateway/locate.go
+++ b/internal/app/gateway/locate.go
@@ -99,6 +99,23 @@
 	return g.holdoff.Holds(now, e)
 }
 
+// leavingSignal returns the signal of an endpoint that said to this gateway that it
+// leaves; false if it didn't.
+func (g *Gateway) leavingSignal(now time.Time, e registry.Endpoint) (registry.Signals, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	leaving := g.holdoff.Leaves(now, e)
+	return registry.Signals{Leaving: leaving}, leaving
+}
+
+// paused returns the endpoints of a service that want nothing from this gateway for
+// a time.
+func (g *Gateway) paused(service string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holdoff.Paused(g.ports.Clock.Now(), service)
+}
+
 // lastServed returns the endpoint that last served an object; empty if none is
 // remembered.
 func (g *Gateway) lastServed(object string) string {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -172,7 +172,7 @@
 	}()
 	if g.holds(began, d.Endpoint) {
 		// The dispatcher didn't know it when it granted the slot.
-		signals, answered = registry.Signals{Leaving: true}, true
+		signals, answered = g.leavingSignal(began, d.Endpoint)
 		x.heldOff++
 		x.exclude = append(x.exclude, d.Endpoint.ID)
 		return x.withoutSlot(ctx, verdict.ReasonNoEndpoint, nil, 0), true
@@ -212,12 +212,12 @@
 // signalsOf returns what the endpoint said about itself in its answer; false if
 // there is no answer.
 func signalsOf(response *port.Response, err error) (registry.Signals, bool) {
-	var refused *port.RefusedError
+	var answer *port.AnsweredError
 	switch {
 	case err == nil:
 		return response.Signals, true
-	case errors.As(err, &refused):
-		return refused.Signals, true
+	case errors.As(err, &answer):
+		return answer.Signals, true
 	default:
 		return registry.Signals{}, false
 	}
@@ -317,7 +317,8 @@
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Fingerprint: x.fingerprint,
 			Kind:        x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
-			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable+x.heldOff > 0, Exclude: x.exclude, Regions: x.route.Regions,
+			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable+x.heldOff > 0,
+			Exclude: append(g.paused(x.service), x.exclude...), Regions: x.route.Regions,
 		},
 	}
 	if x.route.Sticky {
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -285,3 +285,31 @@
 	is.NoErr(g.Serve(t.Context(), request("/once/")).Err)
 	is.Equal(e.calls, 2)
 }
+
+// TestPausedEndpointGetsNothing guards against requests to an endpoint that asked
+// this gateway for a pause when it refused a request, also if a slot was granted
+// before. After the pause it gets requests again.
+func TestPausedEndpointGetsNothing(t *testing.T) {
+	is := is.New(t)
+	const pause = 200 * time.Millisecond
+	var asked []port.SlotRequest
+	c := &fakeController{}
+	c.answer = func(req port.SlotRequest) (dispatch.Decision, error) {
+		asked = append(asked, req)
+		return dispatch.Decision{Grant: "x", Endpoint: registry.Endpoint{ID: "e", Service: "s", StartedMillis: 1}}, nil
+	}
+	refusal := verdict.NewError(verdict.NotRun, verdict.ReasonShed, &port.AnsweredError{
+		Err: port.ErrRefused, Signals: registry.Signals{Pause: pause},
+	})
+	e := &endpoints{ends: []error{refusal, nil}}
+	g := startGateway(t, c, e)
+	for range 3 {
+		a := g.Serve(t.Context(), request("/once/"))
+		is.Equal(verdict.Of(a.Err), verdict.NotRun)
+		is.Equal(e.calls, 1)
+	}
+	is.Equal(asked[len(asked)-1].Exclude[0], "e")
+	time.Sleep(pause)
+	is.NoErr(g.Serve(t.Context(), request("/once/")).Err)
+	is.Equal(e.calls, 2)
+}
--- a/internal/core/holdoff/table_test.go
+++ b/internal/core/holdoff/table_test.go
@@ -31,6 +31,25 @@
 	is.True(!table.Holds(start, e))
 }
 
+// TestPause guards against requests during a pause that an endpoint asked for, and
+// against a pause that a shorter one ends or that never ends.
+func TestPause(t *testing.T) {
+	is := is.New(t)
+	table := holdoff.New()
+	e := endpoint(1)
+	table.Record(start, e, registry.Signals{Pause: 3 * time.Second})
+	table.Record(start.Add(time.Second), e, registry.Signals{Pause: time.Second})
+	table.Record(start.Add(time.Second), endpoint(2), registry.Signals{Leaving: true})
+	at := start.Add(2900 * time.Millisecond)
+	is.True(table.Holds(at, e))
+	is.True(!table.Leaves(at, e))
+	is.Equal(table.Paused(at, "s"), []string{"1"})
+	is.Equal(table.Paused(at, "t"), nil)
+	at = start.Add(3 * time.Second)
+	is.True(!table.Holds(at, e))
+	is.Equal(table.Paused(at, "s"), nil)
+}
+
 // TestBound guards against a table that grows without bound, and against one that
 // drops the newest entries.
 func TestBound(t *testing.T) {
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -44,6 +44,9 @@
 	Limit   float64
 	// Leaving means that the endpoint takes no new requests.
 	Leaving bool
+	// Pause is the time for which the endpoint wants nothing from the VM that it
+	// answered; 0 if it didn't say so.
+	Pause time.Duration
 }
 
 // Registry holds the newest announcement of each endpoint. It is not safe for
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -56,15 +56,23 @@
 	Rest io.ReadCloser
 }
 
-// RefusedError is wrapped by the error of a request that the endpoint refused to
-// run.
-type RefusedError struct {
-	// Signals are what the endpoint said about itself with the refusal.
+// ErrRefused means that the endpoint refused to run the request.
+var ErrRefused = errors.New("the endpoint refused to run the request")
+
+// AnsweredError is wrapped by the error of a request whose endpoint answered, if
+// the answer can't be passed on.
+type AnsweredError struct {
+	// Err is the reason; ErrRefused if the endpoint didn't run the request.
+	Err error
+	// Signals are what the endpoint said about itself with the answer.
 	Signals registry.Signals
 }
 
 // Error implements error.
-func (e *RefusedError) Error() string { return "the endpoint refused to run the request" }
+func (e *AnsweredError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the reason.
+func (e *AnsweredError) Unwrap() error { return e.Err }
 
 // Endpoint is the address of one endpoint and the incarnation that runs there.
 type Endpoint struct {
