Answer a refused request at once when the refusal's body doesn't come

Other operators report bytes without end, in a head or a body, until the caller closes.

Cause: the body was read within the request's deadline, to keep the connection. Now it is read for 50 ms, and else the connection is closed.

--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -151,10 +151,15 @@
 }
 
 // finishShed ends the exchange of a request that the endpoint refused to run, and
-// returns the error for it.
+// returns the error for it. If the refusal's body isn't complete within
+// shedBodyWait, the connection isn't reused.
 func (x *exchange) finishShed(in *response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(in.body, maxShedBytes+1))
-	if err != nil || n > maxShedBytes {
+	err := x.conn.SetReadDeadline(time.Now().Add(shedBodyWait))
+	n := int64(0)
+	if err == nil {
+		n, err = io.Copy(io.Discard, io.LimitReader(in.body, maxShedBytes+1))
+	}
+	if err != nil || n > maxShedBytes || x.conn.SetReadDeadline(time.Time{}) != nil {
 		x.drop()
 	} else {
 		x.finish(in)
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -21,6 +21,7 @@
 	maxShedBytes           = 4 << 10
 	maxInterim             = 5
 	earlyResponseWait      = 50 * time.Millisecond
+	shedBodyWait           = 50 * time.Millisecond
 	writeBufferBytes       = 16 << 10
 	readBufferBytes        = 4 << 10
 )
