Send no request again on a connection where it was refused

Other operators' report: a faulty endpoint wrote an earlier refusal once more on a kept connection, and clients were told that a request didn't run that was running (REFUSED), or it ran at a second endpoint (TWICE).

It could happen here: on the platform a request is sent with the client's ID, and a refused one is sent again to the same endpoint, often on the same connection. Its first refusal, written once more, has the ID of the running attempt.

Evidence: endpointhttp.TestRefusalSentTwice before: the running request is taken for refused. Now it is sent on another connection, and the late refusal isn't read for it. The own interface adds a random part to each ID and wasn't affected.

--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -58,13 +58,14 @@
 		defer cancel()
 		return nil, notRun(ctx, verdict.ReasonOverload, err)
 	}
-	conn, err := c.connect(ctx, p, maxAge)
+	id := httpReq.Header.Get(c.opts.HeaderConvention.IDHeader)
+	conn, err := c.connect(ctx, p, maxAge, id)
 	if err != nil {
 		p.release()
 		defer cancel()
 		return nil, notRun(ctx, verdict.ReasonDial, err)
 	}
-	x := c.newExchange(ctx, cancel, p, conn, req, httpReq.Header.Get(c.opts.HeaderConvention.IDHeader))
+	x := c.newExchange(ctx, cancel, p, conn, req, id)
 	if gate == nil {
 		gate = openGate{}
 	}
@@ -81,10 +82,10 @@
 func (openGate) Open() error { return nil }
 func (openGate) Written()    {}
 
-// connect returns an idle connection that was last alive within maxAge, or a new
-// one.
-func (c *Caller) connect(ctx context.Context, p *pool, maxAge time.Duration) (*conn, error) {
-	if idle := p.reuse(c.opts.Clock.Now(), maxAge); idle != nil {
+// connect returns an idle connection that was last alive within maxAge and may
+// carry a request with the ID, or a new one.
+func (c *Caller) connect(ctx context.Context, p *pool, maxAge time.Duration, id string) (*conn, error) {
+	if idle := p.reuse(c.opts.Clock.Now(), maxAge, id); idle != nil {
 		return idle, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
--- a/internal/adapter/endpointhttp/conn.go
+++ b/internal/adapter/endpointhttp/conn.go
@@ -20,10 +20,14 @@
 	// lastAlive is when the connection last delivered a complete response, or when
 	// it was opened.
 	lastAlive time.Time
+	// refused holds the IDs of the requests that the endpoint refused on the
+	// connection. None of them is sent on it again: its refusal may come once more,
+	// and would be taken for the answer.
+	refused map[string]bool
 }
 
 func newConn(raw net.Conn, now time.Time) *conn {
-	c := &conn{Conn: raw, lastAlive: now}
+	c := &conn{Conn: raw, lastAlive: now, refused: make(map[string]bool)}
 	c.input = &boundedReader{source: raw}
 	c.reader = bufio.NewReaderSize(c.input, readBufferBytes)
 	c.writer = bufio.NewWriterSize(countingWriter{c}, writeBufferBytes)
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -159,7 +159,8 @@
 	if err == nil {
 		n, err = io.Copy(io.Discard, io.LimitReader(in.body, maxShedBytes+1))
 	}
-	if err != nil || n > maxShedBytes || x.conn.SetReadDeadline(time.Time{}) != nil {
+	x.conn.refused[x.id] = true
+	if err != nil || n > maxShedBytes || len(x.conn.refused) > maxRefusedIDs || x.conn.SetReadDeadline(time.Time{}) != nil {
 		x.drop()
 	} else {
 		x.finish(in)
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -19,6 +19,7 @@
 	defaultConnections     = 16
 	maxHeaderBytes         = 256 << 10
 	maxShedBytes           = 4 << 10
+	maxRefusedIDs          = 64
 	maxInterim             = 5
 	earlyResponseWait      = 50 * time.Millisecond
 	shedBodyWait           = 50 * time.Millisecond
--- a/internal/adapter/endpointhttp/pool.go
+++ b/internal/adapter/endpointhttp/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,21 +50,24 @@
 // release undoes acquire.
 func (p *pool) release() { <-p.inUse }
 
-// reuse returns an idle connection that was last alive within maxAge. It checks the
-// most recently returned connections first, closes those that aren't usable, and
-// stops at the first one that is too old. If it finds none, it returns nil and
+// reuse returns an idle connection that was last alive within maxAge and on which
+// the endpoint didn't refuse a request with the ID. It checks the most recently
+// returned connections first, closes those that aren't usable, and stops at the
+// first one that is too old. If it finds none, it returns nil and
 // ensures that a new connection keeps the pool within its limit. The caller must
 // have called acquire.
-func (p *pool) reuse(now time.Time, maxAge time.Duration) *conn {
+func (p *pool) reuse(now time.Time, maxAge time.Duration, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
 		if now.Sub(c.lastAlive) > maxAge {
 			break
 		}
-		p.idle = p.idle[:last]
+		if c.refused[id] {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if c.lastAlive.After(p.unresponsiveAt) && openWithoutInput(c.Conn) {
 			return c
 		}
