Let a dispatcher that starts amid requests place them where slots are

Restarted regions also had no dispatcher for 1.5 s.

Cause: what a new dispatcher learned in its first second, before any loan, was taken for where its requests belong, and the limit on shifts kept them there. The wait after a start was a whole term in any case.

Fix: while a dispatcher that started amid requests refuses some for lack of slots, the limit doesn't hold, for 8 s at most, as after any loss near it. A restarted controller may dispatch once a majority of the voters has answered it.

--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -67,12 +67,12 @@
 // updateDispatch starts, continues or ends the dispatch of a region. A
 // controller without a majority of the votes dispatches too, as long as it
 // ranks first among the controllers that it can reach and knows of no other
-// holder: gateways then agree on one of those that dispatch. It waits for a term
-// after its start, or after it stood still, because it then knows of nobody. Must
-// hold mu.
+// holder: gateways then agree on one of those that dispatch. After its start, or
+// after it stood still, it first hears from a majority of the voters, or waits for a
+// term, because it knows of nobody. Must hold mu.
 func (c *Controller) updateDispatch(now time.Time, r *region, hasMajority bool) {
 	heldByOther := r.holder != c.config.Address && now.Before(r.until)
-	heldByOther = heldByOther || now.Sub(c.ranSince) < lease.Term
+	heldByOther = heldByOther || now.Sub(c.ranSince) < lease.Term && !c.heardMajority()
 	dispatches := hasMajority || !heldByOther && c.shouldDispatch(now, r)
 	if dispatches && r.pool == nil {
 		r.pool = dispatch.NewPool(fmt.Sprintf("%s/%d/", r.name, now.UnixNano()), c.newDispatchConfig(r.name))
@@ -98,6 +98,18 @@
 	}
 }
 
+// heardMajority reports whether a majority of the voters, this one included, has
+// answered since this controller started or stood still. Must hold mu.
+func (c *Controller) heardMajority() bool {
+	heard := 0
+	for _, v := range c.epoch.Voters {
+		if p := c.peers[v.Address]; v.Address == c.config.Address || p != nil && p.sentAt.After(c.ranSince) {
+			heard++
+		}
+	}
+	return len(c.epoch.Voters) > 0 && heard >= c.epoch.Majority()
+}
+
 // suspendShiftLimit suspends a region's limit on shifts to other regions, because
 // a controller in it became unreachable or reachable again. That of the other
 // regions holds: endpoints that they lose with the controller suspend it
--- a/internal/core/dispatch/lend_shift_test.go
+++ b/internal/core/dispatch/lend_shift_test.go
@@ -328,3 +328,38 @@
 		})
 	}
 }
+
+// TestAllDispatchersRestart guards against a region that is held to its own few
+// endpoints by the limit on shifts after all dispatchers have started again under
+// load: what it learned first, while nothing was lent to it yet, isn't where its
+// requests belong.
+func TestAllDispatchersRestart(t *testing.T) {
+	is := is.New(t)
+	s := newShiftSystem()
+	s.endpoints["few"] = 1
+	for region := range s.endpoints {
+		s.startPool(region)
+	}
+	load := map[string]float64{"big": 240, "mid": 240, "few": 360}
+	s.run(4, nil)
+	s.run(8, load)
+	for region := range s.endpoints {
+		s.pools[region] = nil
+	}
+	s.run(2, nil)
+	clear(s.reportedLoads)
+	clear(s.reportedLoans)
+	clear(s.warm)
+	clear(s.lastEndpoint) // gateways have restarted too
+	// The borrower's dispatcher is back first.
+	s.startPool("few")
+	s.run(1.5, load)
+	s.startPool("big")
+	s.startPool("mid")
+	s.run(6, load)
+	before := len(s.starts["few"])
+	s.run(4, load)
+	served := float64(len(s.starts["few"])-before) / (4 * load["few"])
+	t.Logf("%.2f of the requests served", served)
+	is.True(served >= 0.75)
+}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -20,8 +20,13 @@
 	prefix     string
 	shift      *ShiftMeter
 	// shiftSuspendedUntil is the time until which objects may move between
-	// regions without limit.
+	// regions without limit, since the loss at lostAt.
 	shiftSuspendedUntil time.Time
+	lostAt              time.Time
+	// startedAt is the time of the first call of SetExclusive. ran is true once a
+	// slot was granted.
+	startedAt time.Time
+	ran       bool
 	// lastBreak is the time of the last broken or failed connection.
 	lastBreak time.Time
 	// exclusiveSince is the time since which no other pool can grant the same
@@ -146,7 +151,17 @@
 
 // SuspendShiftLimit lets objects move between regions without limit for a while,
 // because endpoints, controllers or connections were lost.
-func (p *Pool) SuspendShiftLimit(now time.Time) { p.shiftSuspendedUntil = now.Add(shiftSuspension) }
+func (p *Pool) SuspendShiftLimit(now time.Time) {
+	p.shiftSuspendedUntil, p.lostAt = now.Add(shiftSuspension), now
+}
+
+// extendSuspension lets objects move without limit for some longer, since a request
+// was refused for lack of slots: what was lost isn't made up for yet.
+func (p *Pool) extendSuspension(now time.Time) {
+	if now.Before(p.shiftSuspendedUntil) && now.Sub(p.lostAt) < maxShiftSuspension {
+		p.shiftSuspendedUntil = later(p.shiftSuspendedUntil, now.Add(suspensionStep))
+	}
+}
 
 // ShiftLimitSuspended reports whether objects may move between regions without
 // limit.
@@ -168,6 +183,9 @@
 // coldHoldBack afterwards, because grants of a former pool may still be in
 // transit and the rate of a cold endpoint counts over all pools.
 func (p *Pool) SetExclusive(now time.Time, exclusive bool) {
+	if p.startedAt.IsZero() {
+		p.startedAt = now
+	}
 	before := p.exclusiveSince
 	switch {
 	case !exclusive:
@@ -259,6 +277,11 @@
 	if s.cold(now) {
 		s.nextColdGrant = now.Add(coldGap(p.config.ColdRate(req.Service)))
 	}
+	if !p.ran && now.Sub(p.startedAt) < shiftSuspension {
+		// The dispatcher started while there were requests, so after a loss.
+		p.shiftSuspendedUntil, p.lostAt = now.Add(shiftLearnTime), now
+	}
+	p.ran = true
 	p.shift.Count(now, s.region, now.Before(p.shiftSuspendedUntil))
 	p.grants[id] = g
 	p.beginRun(now, s, req)
@@ -275,6 +298,9 @@
 }
 
 func (p *Pool) refuse(now time.Time, req SlotRequest, reason Reason) Decision {
+	if reason == ReasonOverload {
+		p.extendSuspension(now)
+	}
 	left := req.Deadline.Sub(now)
 	limit := left / retryAfterDivisor
 	after := time.Duration((0.7 + 0.3*p.config.Random()) * float64(limit))
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -184,6 +184,11 @@
 	// limit after endpoints, controllers or connections were lost: the time
 	// in which the load of what was lost is redistributed.
 	shiftSuspension = 4 * time.Second
+	// maxShiftSuspension is how long after a loss the limit may be suspended while
+	// requests are refused for lack of slots, and suspensionStep the time that each
+	// refusal adds.
+	maxShiftSuspension = 8 * time.Second
+	suspensionStep     = time.Second
 	// maxBreakInterval is the time within which two broken or failed
 	// connections count as a fault. A single one may be due to an endpoint's
 	// idle timeout.
