Hold back requests for resets of different endpoints only

Cause: a safe request was sent twice to the same endpoint within a few ms; both resets counted as endpoints that may have crashed. And an endpoint's other answers counted as life only if their requests had started a second after the reset.

With either half of the change taken out, quarantine.TestMayStartAfterResets (an endpoint can crash once) or TestMayStartBesideAnswers fails. controller.TestCrashingRequestStops still counts 2 crashes.

Fix: count endpoints, not resets, and take any answer 250 ms after a reset for life: a crash resets all connections at once.

--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -64,6 +64,11 @@
 			delete(t.answeredRunStart, on)
 		}
 	}
+	for on, at := range t.lastAnswer {
+		if now.Sub(at) >= t.cfg.Hold {
+			delete(t.lastAnswer, on)
+		}
+	}
 	for on, at := range t.lastReport {
 		if now.Sub(at) >= t.cfg.Hold {
 			delete(t.lastReport, on)
--- a/internal/core/quarantine/reset_test.go
+++ b/internal/core/quarantine/reset_test.go
@@ -26,6 +26,7 @@
 	b := newTestTable()
 	is.True(b.mayStart())
 	b.reset("w1")
+	b.reset("w1") // an endpoint can crash once
 	is.True(b.mayStart())
 	b.reset("w2")
 	is.True(!b.mayStart())
@@ -34,6 +35,22 @@
 	is.True(b.mayStart())
 }
 
+// TestMayStartBesideAnswers guards against a request that is held back for a second
+// and more by resets of endpoints that go on answering other requests.
+func TestMayStartBesideAnswers(t *testing.T) {
+	is := is.New(t)
+	b := newTestTable()
+	b.BeginRun(b.now, "w1", 1, second, "roster-desk")
+	b.reset("w1")
+	b.reset("w2")
+	is.True(!b.mayStart())
+	b.advance(cfg.AnswerMargin)
+	b.end("w1", second, quarantine.Answered)
+	is.True(b.mayStart())
+	b.reset("w3")
+	is.True(!b.mayStart())
+}
+
 // TestMayStartAfterReportedResets guards against runs of other owners that don't
 // count: two of them, then the deaths of their endpoints, put the fingerprint into
 // quarantine, whichever is recorded first.
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -20,6 +20,8 @@
 	// answeredRunStart holds the latest start of an answered run by endpoint
 	// incarnation.
 	answeredRunStart map[incarnation]time.Time
+	// lastAnswer holds when an endpoint incarnation last answered.
+	lastAnswer map[incarnation]time.Time
 	// lastReport holds when an endpoint incarnation last reported itself.
 	lastReport map[incarnation]time.Time
 	deaths     []death
@@ -32,6 +34,7 @@
 		records:          make(map[fingerprint.Fingerprint]*record),
 		proven:           make(map[fingerprint.Fingerprint]time.Time),
 		answeredRunStart: make(map[incarnation]time.Time),
+		lastAnswer:       make(map[incarnation]time.Time),
 		lastReport:       make(map[incarnation]time.Time),
 	}
 }
@@ -76,8 +79,8 @@
 
 // MayStart reports whether a run of f may start, for owners that don't limit the
 // runs of requests without an answer: it is false in quarantine, and while the
-// deaths of f and the runs of f whose connection was reset and whose endpoint has
-// shown no evidence of liveness since amount to maxDeaths. The resets alone don't
+// deaths of f and the endpoints that reset a connection of f and have shown no
+// evidence of liveness since amount to maxDeaths. The resets alone don't
 // hold back a proven fingerprint. Like Check, it extends a quarantine.
 func (t *Table) MayStart(now time.Time, f fingerprint.Fingerprint) bool {
 	if _, quarantined := t.Check(now, f); quarantined {
@@ -89,13 +92,13 @@
 	}
 	t.dropOldRuns(now, r)
 	r.lastRequested = now
-	unresolved := 0
+	unresolved := make(map[incarnation]bool)
 	for _, x := range r.runs {
-		if x.reset && !t.endpointAlive(x) {
-			unresolved++
+		if x.reset && !t.endpointAlive(x) && t.lastAnswer[x.on].Sub(x.lost) < t.cfg.AnswerMargin {
+			unresolved[x.on] = true
 		}
 	}
-	return t.countDeaths(f, r)+unresolved < maxDeaths
+	return t.countDeaths(f, r)+len(unresolved) < maxDeaths
 }
 
 // BeginRun records a run that starts after MayStart allowed it. Its end must be
@@ -191,6 +194,7 @@
 	var c Change
 	if end == Answered {
 		t.answeredRunStart[on] = later(t.answeredRunStart[on], started)
+		t.lastAnswer[on] = now
 		c = t.clearSuspicion(now, f, r)
 	}
 	t.dropIdle(now, f, r)
--- a/internal/core/quarantine/types.go
+++ b/internal/core/quarantine/types.go
@@ -24,6 +24,11 @@
 	// started another request that it answered, or have reported itself, to
 	// show that the run did not crash it.
 	LivenessMargin time.Duration
+	// AnswerMargin is how long after a run's connection was reset its endpoint must
+	// have answered another request to show that the reset was none of a crash,
+	// whenever that request started: a crash resets all connections at once. It
+	// covers the time in which answers and resets are reported.
+	AnswerMargin time.Duration
 	// Proven is how long after an answer a fingerprint counts as proven.
 	Proven time.Duration
 	// CorrelationWindow is the time within which deaths belong to one
@@ -46,6 +51,7 @@
 		DetectionTimeout:   5 * time.Second,
 		AttributionTimeout: time.Minute,
 		LivenessMargin:     time.Second,
+		AnswerMargin:       250 * time.Millisecond,
 		Proven:             time.Minute,
 		CorrelationWindow:  2 * time.Second,
 		CorrelatedDeaths:   3,
