Give the controllers of the tests a retry budget, as the platform's settings have

With none, a request whose first endpoint had just ended wasn't sent to a second one, so that TestCrashingRequestStops served 46 or 47 of 50 other requests, near its bound of 45.

--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -16,6 +16,7 @@
 
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/app/controller"
+	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/port"
@@ -156,6 +157,7 @@
 	}
 	made, err := controller.New(controller.Config{
 		Name: m.name, Address: address, Zone: m.zone, Region: m.region, Zones: regions, Seeds: c.seeds, Bootstrap: bootstrap,
+		Retries: dispatch.RetryBudget{Ratio: 0.2, Extra: 112, Window: 10 * time.Second},
 	}, controller.Ports{
 		Clock:  port.ClockFunc(time.Now),
 		Logger: slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
