--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -120,10 +120,10 @@
 	}
 }
 
-// fillPool adds the known endpoints and their limits to a new pool. It also adds the last reported
-// load of its region, and the last reported loans that haven't expired: those of
-// its region, which the former dispatcher granted, and those that other regions
-// grant to it. Must hold mu.
+// fillPool adds the known endpoints and their limits to a new pool. It also adds
+// the last reported load of its region, and the last reported loans that haven't
+// expired: those of its region, which the former dispatcher granted, and those that
+// other regions grant to it. Must hold mu.
 func (c *Controller) fillPool(now time.Time, r *region) {
 	all, _ := c.endpoints.Since(0)
 	for _, e := range all {
--- a/internal/app/controller/limits_test.go
+++ b/internal/app/controller/limits_test.go
@@ -8,16 +8,22 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/port"
 )
 
+// dispatcherOf returns the controller that dispatches a region.
+func (c *cluster) dispatcherOf(region string) *controller.Controller {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members[c.holderLocked(region)].controller
+}
+
 // acquireAt requests a slot at the dispatcher of a region.
 func (c *cluster) acquireAt(region, id string) (dispatch.Decision, error) {
-	c.mu.Lock()
-	at := c.members[c.holderLocked(region)].controller
-	c.mu.Unlock()
+	at := c.dispatcherOf(region)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	return at.Acquire(ctx, port.SlotRequest{Region: region, SlotRequest: dispatch.SlotRequest{
@@ -47,10 +53,7 @@
 				continue
 			}
 			n++
-			c.mu.Lock()
-			at := c.members[c.holderLocked("a")].controller
-			c.mu.Unlock()
-			is.NoErr(at.Release(t.Context(), []port.SlotRelease{{
+			is.NoErr(c.dispatcherOf("a").Release(t.Context(), []port.SlotRelease{{
 				Region: "a", Grant: got.Grant, Outcome: dispatch.Served, Took: time.Millisecond, Answered: true, Signals: signals,
 			}}))
 		}
@@ -81,10 +84,7 @@
 	got, err := c.acquireAt("a", "first")
 	is.NoErr(err)
 	is.True(got.Grant != "")
-	c.mu.Lock()
-	at := c.members[c.holderLocked("a")].controller
-	c.mu.Unlock()
-	is.NoErr(at.Release(t.Context(), []port.SlotRelease{{
+	is.NoErr(c.dispatcherOf("a").Release(t.Context(), []port.SlotRelease{{
 		Region: "a", Grant: got.Grant, Outcome: dispatch.Served, Took: time.Millisecond, Answered: true, Signals: registry.Signals{Leaving: true},
 	}}))
 	e.Sequence = 2
--- a/internal/app/controller/loans.go
+++ b/internal/app/controller/loans.go
@@ -147,11 +147,12 @@
 		return r != nil && now.Before(r.until) && r.holder != m.From.Address
 	}
 	c.recordReturns(now, m.Returns)
-	loads := slices.DeleteFunc(m.Loads, func(l dispatch.Load) bool { return heldByThird(l.Region) })
-	c.recordLoads(now, loads)
 	lenders := make(map[string][]dispatch.Loan)
-	for _, l := range loads {
-		lenders[l.Region] = nil
+	for _, l := range m.Loads {
+		if !heldByThird(l.Region) {
+			c.recordLoads(now, []dispatch.Load{l})
+			lenders[l.Region] = nil
+		}
 	}
 	for _, l := range m.Loans {
 		if !heldByThird(l.Lender) {
