Release a test endpoint's slot in the incarnation that took it

Each request now keeps the channel that it took its slot from, so an old one can't free a slot of the new incarnation either.

--- a/internal/systemtest/endpoint_test.go
+++ b/internal/systemtest/endpoint_test.go
@@ -219,9 +219,12 @@
 // ServeHTTP runs one request, or sheds it when all slots are in use.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Sassafrasreach-Request-Id", r.Header.Get("Sassafrasreach-Request-Id"))
+	e.mu.Lock()
+	slot := e.slot // that of this incarnation, which may end meanwhile
+	e.mu.Unlock()
 	select {
-	case e.slot <- struct{}{}:
-		defer func() { <-e.slot }()
+	case slot <- struct{}{}:
+		defer func() { <-slot }()
 	default:
 		w.Header().Set("Sassafrasreach-Shed", "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
