Refuse late in a planned stop what can't end, and never cut a read request

Cause: a gateway took requests until none was in flight, so that clients with an old look-up kept it busy until the platform killed it. Besides, an idle connection was closed although its next request had been read: net/http reports a connection as idle until the whole head was read, at a stop and at each idle timeout.

Idle connections are closed by the reaper, which knows whether anything of a next request was read, also at a stop.

Before: TestStopEndsWhatItTakes (taken, then cut) and TestShutdown (unexpected EOF) failed with the checks taken out. After: both pass, with -race.

--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -1,16 +1,19 @@
 // Package idleconns closes idle connections of an HTTP server. Unlike the timeouts
-// of http.Server, its limits may change while the server runs.
+// of http.Server, its limits may change while the server runs, and unlike
+// http.Server.Shutdown it never closes a connection whose next request was read.
 //
 // A connection is idle while no request is being received or handled on it.
 package idleconns
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 // Limits are the maximum times that a connection may be idle; zero means no limit.
@@ -21,6 +24,14 @@
 	Idle time.Duration
 }
 
+const (
+	// shutdownPoll is the time between two checks of a shutdown.
+	shutdownPoll = 20 * time.Millisecond
+	// firstRequestWait is how long a shutdown waits for the first request of a
+	// connection that was just accepted.
+	firstRequestWait = 500 * time.Millisecond
+)
+
 // Reaper tracks the idle connections of a server. It is safe for concurrent use.
 type Reaper struct {
 	clock  port.Clock
@@ -28,7 +39,9 @@
 
 	mu sync.Mutex
 	// idle holds the idle connections. Guarded by mu.
-	idle map[net.Conn]idleState
+	idle map[*conn]idleState
+	// open counts the connections. Guarded by mu.
+	open int
 }
 
 // idleState holds the time since when a connection has been idle, and whether a
@@ -40,25 +53,91 @@
 
 // New returns a Reaper that calls limits at each sweep.
 func New(clock port.Clock, limits func() Limits) *Reaper {
-	return &Reaper{clock: clock, limits: limits, idle: make(map[net.Conn]idleState)}
+	return &Reaper{clock: clock, limits: limits, idle: make(map[*conn]idleState)}
+}
+
+// Listener returns the listener that the server must use.
+func (r *Reaper) Listener(l net.Listener) net.Listener { return listener{l} }
+
+type listener struct{ net.Listener }
+
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
+// conn is a connection that is closed as idle only if nothing of a next request
+// was read from it. http.Server reports that state only after the request's head
+// was read.
+type conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// received is true once a byte was read since the last response; closed once
+	// the connection was closed as idle. Guarded by mu.
+	received, closed bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed // what arrived meanwhile is not handled
+	}
+	c.received = c.received || n > 0
+	return n, err
+}
+
+// awaitRequest marks that the next byte begins a request.
+func (c *conn) awaitRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = false
+}
+
+// closeIdle closes the connection unless something of a next request was read.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.received && !c.closed {
+		c.closed = true
+		_ = c.Conn.Close()
+	}
 }
 
 // ConnState must be set as http.Server.ConnState.
-func (r *Reaper) ConnState(c net.Conn, to http.ConnState) {
+func (r *Reaper) ConnState(nc net.Conn, to http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return // of another listener
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.idle, c)
 	switch to {
-	case http.StateNew, http.StateIdle:
-		r.idle[c] = idleState{r.clock.Now(), to == http.StateIdle}
+	case http.StateNew:
+		r.open++
+		r.idle[c] = idleState{since: r.clock.Now()}
+	case http.StateIdle:
+		c.awaitRequest()
+		r.idle[c] = idleState{r.clock.Now(), true}
+	case http.StateClosed, http.StateHijacked:
+		r.open--
 	default:
-		delete(r.idle, c)
 	}
 }
 
 // Sweep closes the connections that exceed their limit. It should be called about
 // once a second.
-func (r *Reaper) Sweep() {
-	limits := r.limits()
+func (r *Reaper) Sweep() { r.closeOver(r.limits()) }
+
+// closeOver closes the connections that have been idle for longer than a limit.
+func (r *Reaper) closeOver(limits Limits) {
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,8 +147,27 @@
 			limit = limits.Idle
 		}
 		if limit > 0 && now.Sub(s.since) > limit {
-			delete(r.idle, c)
-			_ = c.Close() // no request is being handled on it
+			c.closeIdle()
+		}
+	}
+}
+
+// Shutdown closes the server's listener and each connection once it is idle. It
+// returns when no connection is open; when ctx ends before, it closes the others and
+// returns the error of ctx.
+func (r *Reaper) Shutdown(ctx context.Context, s *http.Server, l net.Listener) error {
+	_ = l.Close()
+	for {
+		r.closeOver(Limits{Header: firstRequestWait, Idle: time.Nanosecond})
+		r.mu.Lock()
+		open := r.open
+		r.mu.Unlock()
+		if open == 0 {
+			return s.Close()
+		}
+		if !wait.For(ctx, shutdownPoll) {
+			_ = s.Close()
+			return ctx.Err()
 		}
 	}
 }
--- a/internal/adapter/idleconns/idleconns_test.go
+++ b/internal/adapter/idleconns/idleconns_test.go
@@ -18,6 +18,15 @@
 	"sassafrasreach/internal/port"
 )
 
+// startServer starts a server whose idle connections r closes.
+func startServer(r *idleconns.Reaper, h http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(h)
+	server.Listener = r.Listener(server.Listener)
+	server.Config.ConnState = r.ConnState
+	server.Start()
+	return server
+}
+
 // TestSweep guards against idle connections that stay open beyond their limit or are
 // closed too early, both before the first request and after a response.
 func TestSweep(t *testing.T) {
@@ -30,9 +39,7 @@
 				port.ClockFunc(func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }),
 				func() idleconns.Limits { return limits },
 			)
-			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-			server.Config.ConnState = r.ConnState
-			server.Start()
+			server := startServer(r, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 			defer server.Close()
 			conn, err := net.Dial("tcp", server.Listener.Addr().String())
 			is.NoErr(err)
@@ -59,3 +66,70 @@
 		})
 	}
 }
+
+// client sends raw bytes on one connection.
+type client struct {
+	*is.I
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, server *httptest.Server) client {
+	is := is.New(t)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+	return client{is, conn, bufio.NewReader(conn)}
+}
+
+func (c client) send(text string) {
+	_, err := fmt.Fprint(c, text)
+	c.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the server reads it
+}
+
+func (c client) answered() {
+	response, err := http.ReadResponse(c.reader, nil)
+	c.NoErr(err)
+	c.Equal(response.StatusCode, http.StatusOK)
+}
+
+func (c client) closed() {
+	_, err := c.reader.ReadByte()
+	c.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+const requestStart, requestEnd = "GET / HTTP/1.1\r\n", "Host: h\r\n\r\n"
+
+// TestShutdown stops a server whose connections are idle, have sent a part of a
+// request, or wait for an answer. It guards against a request that was read, in
+// part or whole, and gets no answer.
+func TestShutdown(t *testing.T) {
+	is := is.New(t)
+	r := idleconns.New(port.ClockFunc(time.Now), func() idleconns.Limits { return idleconns.Limits{Idle: time.Millisecond} })
+	answer := make(chan struct{})
+	server := startServer(r, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Host == "slow" {
+			<-answer
+		}
+	}))
+	idle, begun, waiting := dial(t, server), dial(t, server), dial(t, server)
+	idle.send(requestStart + requestEnd)
+	idle.answered()
+	begun.send(requestStart + requestEnd)
+	begun.answered()
+	begun.send(requestStart)
+	waiting.send(requestStart + "Host: slow\r\n\r\n")
+	r.Sweep()
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.Shutdown(t.Context(), server.Config, server.Listener) }()
+	idle.closed()
+	begun.send(requestEnd)
+	begun.answered()
+	close(answer)
+	waiting.answered()
+	waiting.closed()
+	begun.closed()
+	is.NoErr(<-stopped)
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -39,9 +39,10 @@
 	ports       Ports
 	incarnation uint64
 	serial      atomic.Uint64
-	stopping    atomic.Bool
-	inFlight    atomic.Int64
-	table       atomic.Pointer[fleet.Table]
+	// stop is the planned stop that has begun; nil before.
+	stop     atomic.Pointer[plannedStop]
+	inFlight atomic.Int64
+	table    atomic.Pointer[fleet.Table]
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -100,10 +101,21 @@
 	group.Wait()
 }
 
-// Stop begins a planned stop: the gateway is no longer ready, so that clients
-// use others.
-func (g *Gateway) Stop() {
-	g.stopping.Store(true)
+// plannedStop is a stop of the gateway. Until acceptUntil every request is served;
+// after that only one that is answered before end, whatever its endpoint does.
+type plannedStop struct{ acceptUntil, end time.Time }
+
+// serves reports whether a request is served that is answered by limit at the latest.
+func (s *plannedStop) serves(now, limit time.Time) bool {
+	return s == nil || now.Before(s.acceptUntil) || limit.Before(s.end)
+}
+
+// Stop begins a planned stop that cuts off what is in flight at end. The gateway is
+// no longer ready, so that clients use others. Clients with an old look-up still
+// arrive: until acceptUntil all are served, later only those whose requests can't
+// outlast the stop. The others are refused at once and can be sent elsewhere.
+func (g *Gateway) Stop(acceptUntil, end time.Time) {
+	g.stop.Store(&plannedStop{acceptUntil, end})
 	event.Log(context.Background(), g.ports.Logger, event.StopBegun, slog.Int64("in_flight", g.inFlight.Load()))
 }
 
@@ -135,10 +147,10 @@
 }
 
 // Ready implements port.GatewayService.
-func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
+func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.Stopping() }
 
 // Stopping implements port.GatewayService.
-func (g *Gateway) Stopping() bool { return g.stopping.Load() }
+func (g *Gateway) Stopping() bool { return g.stop.Load() != nil }
 
 // Limits implements port.GatewayService.
 func (g *Gateway) Limits() (fleet.Limits, bool) {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -99,6 +99,9 @@
 	if d := x.request.Deadline; !d.IsZero() && d.Add(-answerMargin).Before(limit) {
 		limit = d.Add(-answerMargin)
 	}
+	if !x.gateway.stop.Load().serves(x.began, limit) {
+		return refusal(verdict.ReasonStopping, nil, refusedRetry)
+	}
 	x.request.Deadline = limit
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -313,3 +313,25 @@
 	is.NoErr(g.Serve(t.Context(), request("/once/")).Err)
 	is.Equal(e.calls, 2)
 }
+
+// TestStopEndsWhatItTakes guards against a planned stop that takes requests for as
+// long as it lasts and cuts them off at its end: clients with an old look-up keep
+// arriving. Late in the stop only a request that can't outlast it is taken; the
+// others are refused, so that they can be sent elsewhere.
+func TestStopEndsWhatItTakes(t *testing.T) {
+	is := is.New(t)
+	e := &endpoints{ends: []error{nil}}
+	g := startGateway(t, &fakeController{}, e)
+	now := time.Now()
+	g.Stop(now.Add(time.Hour), now.Add(time.Millisecond))
+	is.True(!g.Ready())
+	is.NoErr(g.Serve(t.Context(), request("/once/")).Err) // early in the stop
+	g.Stop(now, now.Add(time.Minute))
+	is.NoErr(g.Serve(t.Context(), request("/once/")).Err) // ends in time
+	g.Stop(now, now.Add(200*time.Millisecond))            // the route's timeout is 300 ms
+	answer := g.Serve(t.Context(), request("/once/"))
+	is.Equal(verdict.Of(answer.Err), verdict.NotRun)
+	is.Equal(verdict.ReasonOf(answer.Err), verdict.ReasonStopping)
+	is.True(answer.RetryAfter > 0)
+	is.Equal(e.calls, 2)
+}
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -42,11 +42,11 @@
 	control := platform.NewControl(platform.ControlOptions{
 		OperatorService: c, EndpointService: c, Clock: p.clock, Zones: p.settings.Zones,
 	})
-	if _, err := p.serve(ctx, "operators", p.settings.OperatorListen, control, nil); err != nil {
+	if err := p.serve(ctx, "operators", p.settings.OperatorListen, control); err != nil {
 		return err
 	}
 	lookups := platform.NewDirectory(c, p.settings.MaxDirectoryTTL)
-	if _, err := p.serve(ctx, "look-ups", p.settings.DirectoryListen, lookups, nil); err != nil {
+	if err := p.serve(ctx, "look-ups", p.settings.DirectoryListen, lookups); err != nil {
 		return err
 	}
 	p.serveMetrics(ctx, c.Gauges)
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -141,23 +141,29 @@
 	event.Log(ctx, p.logger, event.SettingsLoaded, slog.Any("seeds", fresh.Seeds))
 }
 
-// serve serves HTTP at an address. The hook is called when the state of a
+// serve serves HTTP at an address.
+func (p *vmProcess) serve(ctx context.Context, clients, address string, h http.Handler) error {
+	listener, err := listenFor(ctx, clients, address)
+	if err != nil {
+		return err
+	}
+	p.serveOn(ctx, clients, listener, h, nil)
+	return nil
+}
+
+// serveOn serves HTTP on a listener. The hook is called when the state of a
 // connection changes; it may be nil.
-func (p *vmProcess) serve(
-	ctx context.Context, clients, address string, h http.Handler, hook func(net.Conn, http.ConnState),
-) (*http.Server, error) {
+func (p *vmProcess) serveOn(
+	ctx context.Context, clients string, listener net.Listener, h http.Handler, hook func(net.Conn, http.ConnState),
+) *http.Server {
 	server := &http.Server{
 		ConnState: hook,
 		Handler:   h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: clientHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
 	}
-	listener, err := listenFor(ctx, clients, address)
-	if err != nil {
-		return nil, err
-	}
-	event.Log(ctx, p.logger, event.Listening, slog.String("for", clients), slog.String("address", address))
+	event.Log(ctx, p.logger, event.Listening, slog.String("for", clients), slog.String("address", listener.Addr().String()))
 	go func() { p.failed <- server.Serve(listener) }()
-	return server, nil
+	return server
 }
 
 // serveMetrics serves the process's metrics, if a port is set. If it can't listen on
@@ -170,7 +176,7 @@
 	routes := chi.NewRouter()
 	routes.Method(http.MethodGet, "/metrics", p.meter.Handler(gauges))
 	address := net.JoinHostPort(p.settings.IP.String(), strconv.Itoa(p.metricsPort))
-	if _, err := p.serve(ctx, "metrics", address, routes, nil); err != nil {
+	if err := p.serve(ctx, "metrics", address, routes); err != nil {
 		event.Log(ctx, p.logger, event.ServeFailed, slog.Any("error", err))
 	}
 }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"net/http"
 	"time"
 
 	"sassafrasreach/internal/adapter/idleconns"
@@ -37,12 +36,13 @@
 		limits, _ := g.Limits()
 		return idleconns.Limits{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
 	})
-	clients, err := p.serve(ctx, "clients", p.settings.ClientListen, platform.NewClients(g, p.clock), idle.ConnState)
+	listener, err := listenFor(ctx, "clients", p.settings.ClientListen)
 	if err != nil {
 		return err
 	}
+	clients := p.serveOn(ctx, "clients", idle.Listener(listener), platform.NewClients(g, p.clock), idle.ConnState)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
-	if _, err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g), nil); err != nil {
+	if err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g)); err != nil {
 		return err
 	}
 	p.serveMetrics(ctx, g.Gauges)
@@ -52,22 +52,23 @@
 	if err := p.awaitStop(); err != nil {
 		return err
 	}
-	stopGateway(ctx, p, g, clients)
+	stopGateway(ctx, p, g, func(ctx context.Context) error { return idle.Shutdown(ctx, clients, listener) })
 	return nil
 }
 
-// stopGateway keeps serving while clients may still arrive, then waits until no
-// request is in flight. It cuts off requests that outlast the settings'
-// KillAfter less stopMargin.
-func stopGateway(ctx context.Context, p *vmProcess, g *gateway.Gateway, clients *http.Server) {
-	ctx, cancel := context.WithTimeout(ctx, p.settings.KillAfter-stopMargin)
-	defer cancel()
+// stopGateway serves all requests while clients may still arrive, then those that
+// end before the settings' KillAfter less stopMargin, until none is in flight. Those
+// that outlast it although they came early are cut off.
+func stopGateway(ctx context.Context, p *vmProcess, g *gateway.Gateway, shutdown func(context.Context) error) {
 	began := p.clock.Now()
-	g.Stop()
-	for ctx.Err() == nil && (p.clock.Now().Sub(began) < staleLookupPeriod || g.InFlight() > 0) {
+	acceptUntil, end := began.Add(staleLookupPeriod), began.Add(p.settings.KillAfter-stopMargin)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	g.Stop(acceptUntil, end)
+	for ctx.Err() == nil && (p.clock.Now().Before(acceptUntil) || g.InFlight() > 0) {
 		wait.For(ctx, drainPollInterval)
 	}
-	if err := clients.Shutdown(ctx); err != nil {
+	if err := shutdown(ctx); err != nil {
 		event.Log(ctx, p.logger, event.StopForced, slog.Int64("in_flight", g.InFlight()))
 	}
 }
