Keep gateways, leaving endpoints and loads over a restart of all controllers

Besides (report of other operators), an endpoint that had said that it leaves was in use again after all controllers had restarted, if a late announcement of it came.

Change: controllers keep hints on their disks: live gateways, which the directory names for 3 s after a start until they report themselves; endpoints that leave or are gone, durable at a majority of the voters before the acknowledgement; the regions' loads. A damaged, foreign, too large or old record is left out with a log line.

Before: TestLeavingSurvivesFullRestart and TestDirectoryAfterFullRestart fail without the store (the former finds slots in use, the latter 2 of 8 gateways named). After: both pass.

--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -46,10 +46,30 @@
 	return nil
 }
 
+// hintDisk is an in-memory HintStore whose content outlives its controller.
+type hintDisk struct {
+	mu    sync.Mutex
+	hints port.Hints
+}
+
+func (d *hintDisk) Load() (port.Hints, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hints, nil
+}
+
+func (d *hintDisk) Save(h port.Hints) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hints = h
+	return nil
+}
+
 // member is one VM with its disk and controller.
 type member struct {
 	name, zone, region string
 	disk               *disk
+	hints              *hintDisk
 	controller         *controller.Controller
 	stop               context.CancelFunc
 }
@@ -74,7 +94,7 @@
 		seeds: []string{"a1:1", "b1:1", "c1:1"},
 	}
 	for zone, region := range regions {
-		c.members[zone+":1"] = &member{name: zone, zone: zone, region: region, disk: &disk{}}
+		c.members[zone+":1"] = &member{name: zone, zone: zone, region: region, disk: &disk{}, hints: &hintDisk{}}
 	}
 	for address := range c.members {
 		c.start(address, true)
@@ -163,6 +183,7 @@
 		Logger: slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
 		Meter:  metrics.New(),
 		Store:  m.disk,
+		Hints:  m.hints,
 		Dial: func(to string) (port.ControllerPeer, error) {
 			return link{cluster: c, from: address, to: to}, nil
 		},
@@ -187,7 +208,19 @@
 }
 
 // wipe replaces a stopped controller's disk by an empty one.
-func (c *cluster) wipe(address string) { c.members[address].disk = &disk{} }
+func (c *cluster) wipe(address string) {
+	c.members[address].disk, c.members[address].hints = &disk{}, &hintDisk{}
+}
+
+// restartAll kills all controllers at once and starts them again.
+func (c *cluster) restartAll() {
+	for address := range c.members {
+		c.kill(address)
+	}
+	for address := range c.members {
+		c.start(address, false)
+	}
+}
 
 // anyRunning returns one of the running controllers; nil if there is none.
 func (c *cluster) anyRunning() *controller.Controller {
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -67,7 +67,9 @@
 	Clock  port.Clock
 	Logger *slog.Logger
 	Store  port.VoterStore
-	Meter  port.FleetMeter
+	// Hints stores what the next start begins with; nil stores nothing.
+	Hints port.HintStore
+	Meter port.FleetMeter
 	// Dial returns a client for another controller.
 	Dial func(address string) (port.ControllerPeer, error)
 }
@@ -110,7 +112,10 @@
 	// controller.
 	localAnnounceSeq map[string]uint64
 	announceSeq      uint64
-	suspicions       *suspicions
+	// endedCount counts the endpoints that have begun to leave or ended.
+	endedCount uint64
+	hints      *hints
+	suspicions *suspicions
 	// limits are the limits that endpoints named last, by the endpoint's ID;
 	// limitChanges are the changes observed by this controller.
 	limits       map[string]dispatch.Limit
@@ -156,6 +161,10 @@
 	}
 	c.voter = v
 	c.loadEpoch()
+	if ports.Hints == nil {
+		c.ports.Hints = noHints{}
+	}
+	c.loadHints(now, c.ports.Hints)
 	return c, nil
 }
 
@@ -179,6 +188,7 @@
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.updateVoters(ctx) }) })
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.catchUp(ctx) }) })
 	group.Go(func() { wait.Every(ctx, tickPeriod, c.tick) })
+	group.Go(func() { wait.Every(ctx, hintPeriod, func() { _ = c.saveHints() }) })
 	group.Wait()
 }
 
--- a/internal/app/controller/crash_test.go
+++ b/internal/app/controller/crash_test.go
@@ -127,24 +127,28 @@
 // startGateways starts a gateway in each region, which use the given
 // endpoints, and waits until they are ready.
 func (c *cluster) startGateways(endpoints port.EndpointCaller) []*gateway.Gateway {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.t.Cleanup(cancel)
 	var out []*gateway.Gateway
 	for _, region := range []string{"a", "b", "c"} {
-		address := "gateway-" + region
-		g := gateway.New(gateway.Config{Name: address, Address: address, Zone: region + "1", Region: region, Seeds: c.seeds}, gateway.Ports{
-			Clock: port.ClockFunc(time.Now), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Endpoints: endpoints, Meter: metrics.New(),
-			Dial: func(to string) (port.ControllerLink, error) { return link{cluster: c, from: address, to: to}, nil },
-		})
-		go g.Run(ctx)
-		for !g.Ready() {
-			time.Sleep(5 * time.Millisecond)
-		}
-		out = append(out, g)
+		out = append(out, c.startGateway("gateway-"+region, region, endpoints))
 	}
 	return out
 }
 
+// startGateway starts a gateway in a region and waits until it is ready.
+func (c *cluster) startGateway(address, region string, endpoints port.EndpointCaller) *gateway.Gateway {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	g := gateway.New(gateway.Config{Name: address, Address: address, Zone: region + "1", Region: region, Seeds: c.seeds}, gateway.Ports{
+		Clock: port.ClockFunc(time.Now), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Endpoints: endpoints, Meter: metrics.New(),
+		Dial: func(to string) (port.ControllerLink, error) { return link{cluster: c, from: address, to: to}, nil },
+	})
+	go g.Run(ctx)
+	for !g.Ready() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return g
+}
+
 // send sends a request for a target to a gateway.
 func send(g *gateway.Gateway, id, target string) port.ClientAnswer {
 	return g.Serve(context.Background(), &port.ClientRequest{
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -20,7 +20,7 @@
 // Announce records an endpoint's announcement. An announcement that the
 // endpoint leaves is sent to all live controllers at once, the dispatchers
 // among them. It is acknowledged once all these calls have ended, if a majority
-// of the voters has received it; otherwise the error wraps port.ErrUnconfirmed.
+// of the voters has it on its disk; otherwise the error wraps port.ErrUnconfirmed.
 func (c *Controller) Announce(ctx context.Context, e registry.Endpoint) error {
 	c.mu.Lock()
 	c.receiveAnnouncement(e)
@@ -74,6 +74,7 @@
 			c.suspicions.recordDeath(now, old)
 		}
 	}
+	c.countEnded(before, e)
 	c.suspicions.recordAnnouncement(now, e)
 	c.updatePools(e)
 	if !known || before.StartedMillis != e.StartedMillis || before.Leaving != e.Leaving || before.Gone != e.Gone {
@@ -104,15 +105,15 @@
 	}
 }
 
-// propagate sends an endpoint's state to all live controllers and waits until
-// each call has ended.
+// propagate sends an endpoint's state to all live controllers, saves it, and waits
+// until each call has ended.
 func (c *Controller) propagate(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, propagateTimeout)
 	defer cancel()
 	now := c.ports.Clock.Now()
 	c.mu.Lock()
 	e, _ := c.endpoints.Get(id)
-	exchange := port.ExchangeRequest{From: c.self(now), Endpoints: []registry.Endpoint{e}}
+	exchange := port.ExchangeRequest{From: c.self(now), Endpoints: []registry.Endpoint{e}, Durable: true}
 	var targets []*peer
 	for _, p := range c.peers {
 		if live(now, p.LastSeen) {
@@ -121,9 +122,16 @@
 	}
 	epoch := c.epoch
 	c.mu.Unlock()
-	acked := map[string]bool{c.config.Address: true}
+	acked := make(map[string]bool)
 	var mu sync.Mutex
 	var group sync.WaitGroup
+	group.Go(func() {
+		if c.saveEnded() == nil {
+			mu.Lock()
+			acked[c.config.Address] = true
+			mu.Unlock()
+		}
+	})
 	for _, p := range targets {
 		group.Go(func() {
 			if _, err := p.link.Exchange(ctx, exchange); err == nil {
--- a/internal/app/controller/limits.go
+++ b/internal/app/controller/limits.go
@@ -35,6 +35,7 @@
 		return
 	}
 	c.announceSeq++
+	c.endedCount++
 	c.localAnnounceSeq[id] = c.announceSeq
 	c.suspicions.recordAnnouncement(now, e)
 	c.updatePools(e)
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -264,6 +264,17 @@
 
 // Exchange implements port.ControllerPeer.
 func (c *Controller) Exchange(_ context.Context, m port.ExchangeRequest) (port.ExchangeReply, error) {
+	reply := c.receiveExchange(m)
+	if m.Durable {
+		if err := c.saveEnded(); err != nil {
+			return port.ExchangeReply{}, err
+		}
+	}
+	return reply, nil
+}
+
+// receiveExchange records what another controller sent and returns the answer.
+func (c *Controller) receiveExchange(m port.ExchangeRequest) port.ExchangeReply {
 	now := c.ports.Clock.Now()
 	savedState := c.voter.savedState()
 	c.mu.Lock()
@@ -298,7 +309,7 @@
 		reply.Endpoints, _ = c.endpoints.Since(0)
 		reply.Loads, reply.Loans = c.reportedState(now)
 	}
-	return reply, nil
+	return reply
 }
 
 // pollVoters requests the voting state of the other voters and waits until as
--- a/internal/app/controller/watch.go
+++ b/internal/app/controller/watch.go
@@ -98,7 +98,7 @@
 func (c *Controller) Nearest(zone, region string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.ports.Clock.Now()
+	named := c.namedGateways(c.ports.Clock.Now())
 	near := []func(g port.Gateway) bool{
 		func(g port.Gateway) bool { return g.Zone == zone },
 		func(g port.Gateway) bool { return g.Region == region },
@@ -106,9 +106,9 @@
 	}
 	for _, fits := range near {
 		var out []string
-		for address, g := range c.gateways {
-			if g.Ready && live(now, g.LastSeen) && fits(g) {
-				out = append(out, address)
+		for _, g := range named {
+			if fits(g) {
+				out = append(out, g.Address)
 			}
 		}
 		if len(out) > 0 {
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := newController(p, store)
+	c, err := newController(p, store, disk.NewHintStore(disk.OS{}, p.settings.DataDir, p.clock))
 	if err != nil {
 		return err
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -216,12 +216,12 @@
 }
 
 // newController returns a controller with the platform's settings.
-func newController(p *vmProcess, store port.VoterStore) (*controller.Controller, error) {
+func newController(p *vmProcess, store port.VoterStore, hints port.HintStore) (*controller.Controller, error) {
 	return controller.New(controller.Config{
 		Name: p.settings.Name, Address: p.settings.FleetAddress, Zone: p.settings.Zone, Region: p.settings.Region,
 		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Bootstrap: p.settings.Bootstrap, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
 	}, controller.Ports{
-		Clock: p.clock, Logger: p.logger, Store: store, Meter: p.meter,
+		Clock: p.clock, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter,
 		Dial: func(address string) (port.ControllerPeer, error) { return p.dial(address) },
 	})
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -81,6 +81,8 @@
 	OrderNotPassed        = Event{1614, "order-not-passed", slog.LevelWarn, "The distinguished proposer was unreachable or failed to answer; this controller proposes the order itself."}
 	LoansChanged          = Event{1615, "loans-changed", slog.LevelInfo, "The number of endpoints that a region lends to another, or has recalled from it, changed; attributes give the numbers and the load of both regions."}
 	LimitChanged          = Event{1616, "limit-changed", slog.LevelInfo, "An endpoint named another limit of its requests per second than before, or none (-1)."}
+	HintsLoaded           = Event{1617, "hints-loaded", slog.LevelInfo, "A controller started with hints of its last run; attributes count the gateways, the endpoints that leave or are gone, and the loads."}
+	HintsRejected         = Event{1618, "hints-rejected", slog.LevelWarn, "The hints on the controller's disk can't be used; it starts without them."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -82,6 +82,9 @@
 	Suspicions []Suspicion
 	// FullSync requests all endpoints that the receiver knows.
 	FullSync bool
+	// Durable requests that the receiver answers only once the Endpoints that leave
+	// or are gone are on its disk.
+	Durable bool
 }
 
 // Suspicion is a change to the suspicion that a request crashes endpoints. Either
