Let gateways bring back what they saw of crashing requests to restarted controllers

Cause: all controllers were killed at once and forgot it; it was found anew in each region, since a reset reached the other regions only with the next exchange.

A reset of a request that was never answered starts an exchange at once. Besides, a call that failed only because its connection was replaced no longer marks the controller as unresponsive, and that mark is logged once, not for each request in flight.

--- a/internal/adapter/fleetgrpc/client.go
+++ b/internal/adapter/fleetgrpc/client.go
@@ -10,8 +10,10 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	fleetv1 "sassafrasreach/api/fleet/v1"
 	"sassafrasreach/internal/core/dispatch"
@@ -140,6 +142,9 @@
 	if !mayWait && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.replace(conn)
 	}
+	if status.Code(err) == codes.Canceled && ctx.Err() == nil {
+		err = fmt.Errorf("%w: %w", port.ErrLinkReplaced, err)
+	}
 	return m, fromStatus(err, c.address)
 }
 
--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -268,13 +268,13 @@
 		Id: req.ID, Gateway: req.Gateway, Region: req.Region, Service: req.Service, Priority: int32(req.Priority),
 		Affinity: req.Affinity, Zone: req.Zone, TargetMs: req.Target.Milliseconds(), DeadlineMs: -c.age(req.Deadline),
 		Homes: req.Regions, Exclude: req.Exclude, Kind: req.Kind, Hint: req.Hint, Again: req.Retry,
-		Fingerprint: fingerprintToProto(req.Fingerprint),
+		Fingerprint: fingerprintToProto(req.Fingerprint), Suspicions: convertAll(req.Suspicions, suspicionToProto),
 	}
 }
 
 func (c codec) slotRequestFromProto(m *fleetv1.AcquireRequest) port.SlotRequest {
 	return port.SlotRequest{
-		Region: m.GetRegion(),
+		Region: m.GetRegion(), Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto),
 		SlotRequest: dispatch.SlotRequest{
 			ID: m.GetId(), Gateway: m.GetGateway(), Service: m.GetService(), Priority: int(m.GetPriority()),
 			Affinity: m.GetAffinity(), Zone: m.GetZone(), Target: millis(m.GetTargetMs()),
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -83,6 +83,10 @@
 	// proposing is a semaphore: it is full while this controller proposes.
 	proposing chan struct{}
 
+	// exchangeNow wakes exchangeRound before its period has passed.
+	exchangeNow chan struct{}
+	startedAt   time.Time
+
 	// mu guards the fields below.
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -148,7 +152,7 @@
 		localAnnounceSeq: make(map[string]uint64), suspicions: newSuspicions(ports.Logger), limits: make(map[string]dispatch.Limit), grantedVotes: lease.NewGrantedVotes(now),
 		regions: make(map[string]*region), loads: make(map[loadKey]reportedLoad), loans: make(map[string]reportedLoans),
 		proposing: make(chan struct{}, 1), changed: make(chan struct{}), seeds: config.Seeds,
-		ranSince: now, lastTick: now,
+		ranSince: now, lastTick: now, startedAt: now, exchangeNow: make(chan struct{}, 1),
 	}
 	for _, name := range config.Zones {
 		if c.regions[name] == nil {
@@ -184,7 +188,7 @@
 // Run runs the periodic tasks until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.exchangeRound(ctx) }) })
+	group.Go(func() { wait.EveryOrOn(ctx, exchangePeriod, c.exchangeNow, func() { c.exchangeRound(ctx) }) })
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.updateVoters(ctx) }) })
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.catchUp(ctx) }) })
 	group.Go(func() { wait.Every(ctx, tickPeriod, c.tick) })
--- a/internal/app/controller/crash_test.go
+++ b/internal/app/controller/crash_test.go
@@ -191,3 +191,33 @@
 	is.True(endpoints.crashCount() <= 6)
 	is.True(served >= rounds*9/10)
 }
+
+// TestCrashingRequestStaysStopped guards against a request that crashes its endpoints
+// again, some in each region, because all controllers restarted and forgot it.
+func TestCrashingRequestStaysStopped(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2*time.Millisecond)
+	is.NoErr(c.order(0, 2))
+	c.settle()
+	endpoints := &fragileEndpoints{cluster: c, live: make(map[string]registry.Endpoint)}
+	for zone := range regions {
+		endpoints.start(zone+":100", zone)
+		endpoints.start(zone+":200", zone)
+	}
+	go endpoints.announceAll(t.Context())
+	gateways := c.startGateways(endpoints)
+	time.Sleep(time.Second) // the announcements reach all controllers
+	rounds := func(n int) {
+		for i := range n {
+			is.True(send(gateways[i%len(gateways)], fmt.Sprint("crash", i), crashTarget).Err != nil)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	rounds(40)
+	before := endpoints.crashCount()
+	c.restartAll()
+	rounds(100)
+	t.Logf("%d crashes before the restart, %d after", before, endpoints.crashCount()-before)
+	is.Equal(endpoints.crashCount(), before)
+}
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -308,6 +308,7 @@
 	if r == nil || r.pool == nil {
 		return dispatch.Decision{}, nil, fmt.Errorf("%w: %q", port.ErrNotDispatcher, req.Region)
 	}
+	c.learnSuspicions(now, req)
 	if d, decided := r.pool.Acquire(now, req.SlotRequest); decided {
 		return d, nil, nil
 	}
@@ -316,6 +317,38 @@
 	return dispatch.Decision{}, wait, nil
 }
 
+// learnsFromGatewaysFor is how long after its start a controller learns of crashing
+// requests from the gateways; later it knows better, also of requests that were
+// answered since.
+const learnsFromGatewaysFor = 10 * time.Second
+
+// learnSuspicions records what the gateway saw of the same content before this
+// controller started. Must hold mu.
+func (c *Controller) learnSuspicions(now time.Time, req port.SlotRequest) {
+	if now.Sub(c.startedAt) > learnsFromGatewaysFor {
+		return
+	}
+	for _, s := range req.Suspicions {
+		if s.Fingerprint == req.Fingerprint {
+			c.suspicions.learn(now, s)
+		}
+	}
+	c.sendUnsent()
+}
+
+// sendUnsent starts an exchange at once if there are suspicions that the other
+// controllers should know of now. Must hold mu.
+func (c *Controller) sendUnsent() {
+	if !c.suspicions.unsent {
+		return
+	}
+	c.suspicions.unsent = false
+	select {
+	case c.exchangeNow <- struct{}{}:
+	default:
+	}
+}
+
 // cancel withdraws a slot request whose gateway no longer waits, and releases
 // a slot that was granted meanwhile.
 func (c *Controller) cancel(req port.SlotRequest, wait chan dispatch.Decision) {
@@ -360,6 +393,7 @@
 			c.deliver(r, r.pool.Release(now, s.Grant, s.Outcome, s.Took))
 		}
 	}
+	c.sendUnsent()
 	return nil
 }
 
--- a/internal/app/controller/suspicions.go
+++ b/internal/app/controller/suspicions.go
@@ -24,6 +24,9 @@
 	// learns less about requests that crash endpoints, and counts their crashes
 	// from then on.
 	changes changeLog[port.Suspicion]
+	// unsent is set when a reset was recorded of a request that was never answered:
+	// the other controllers must know of it before they grant it a slot.
+	unsent bool
 }
 
 var _ dispatch.RunRecorder = (*suspicions)(nil)
@@ -54,6 +57,7 @@
 	}
 	change := s.table.EndRun(now, e.ID, uint64(e.StartedMillis), f, end)
 	if end == quarantine.Reset {
+		s.unsent = s.unsent || len(change.Suspected) > 0
 		// The death of the endpoint may have been recorded before the reset.
 		s.log(s.table.RecordReset(now, e.ID, uint64(e.StartedMillis), f))
 		s.changes.add(port.Suspicion{
@@ -99,6 +103,28 @@
 	}
 }
 
+// learn records what a gateway saw of a request, as a change made here, unless it is
+// known.
+func (s *suspicions) learn(now time.Time, x port.Suspicion) {
+	if _, stopped := s.table.Check(now, x.Fingerprint); stopped || x.Cleared || x.Fingerprint.IsZero() {
+		return
+	}
+	switch {
+	case x.Quarantined > 0:
+		s.table.Add(now, x.Fingerprint, min(x.Quarantined, maxLearnedQuarantine))
+	case s.table.KnowsReset(x.Endpoint, uint64(x.StartedMillis), x.Fingerprint):
+		return
+	default:
+		s.log(s.table.RecordReset(now, x.Endpoint, uint64(x.StartedMillis), x.Fingerprint))
+	}
+	x.Version = s.table.NewChangeVersion(now, x.Fingerprint)
+	s.changes.add(x)
+	s.unsent = true
+}
+
+// maxLearnedQuarantine bounds the quarantine that a gateway's word can cause.
+const maxLearnedQuarantine = time.Minute
+
 // expire removes expired records.
 func (s *suspicions) expire(now time.Time) { s.table.Expire(now) }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -70,6 +70,7 @@
 	dispatchers map[string]dispatcher
 	// holdoff holds the endpoints that get nothing from this gateway.
 	holdoff       *holdoff.Table
+	suspects      *suspects
 	releaseQueues map[string]*releaseQueue
 }
 
@@ -88,7 +89,7 @@
 		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds,
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
 		avoidUntil: make(map[string]time.Time), skipUntil: make(map[string]time.Time), timeouts: make(map[string]int), lastEndpoint: make(map[string]string), dispatchers: make(map[string]dispatcher),
-		holdoff: holdoff.New(), releaseQueues: make(map[string]*releaseQueue),
+		holdoff: holdoff.New(), suspects: newSuspects(), releaseQueues: make(map[string]*releaseQueue),
 	}
 }
 
--- a/internal/app/gateway/locate.go
+++ b/internal/app/gateway/locate.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/lease"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/event"
@@ -61,9 +63,10 @@
 
 // recordFailure marks a controller as unresponsive for a while after a failed
 // call, or after maxTimeouts consecutive timeouts. An answer that the
-// controller isn't the dispatcher is no failure.
+// controller isn't the dispatcher is no failure, nor is a connection that was
+// replaced because of another call.
 func (g *Gateway) recordFailure(address string, err error) {
-	if errors.Is(err, port.ErrNotDispatcher) {
+	if errors.Is(err, port.ErrNotDispatcher) || errors.Is(err, port.ErrLinkReplaced) {
 		return
 	}
 	g.mu.Lock()
@@ -73,7 +76,12 @@
 			return
 		}
 	}
-	g.skipUntil[address] = g.ports.Clock.Now().Add(unresponsiveFor)
+	now := g.ports.Clock.Now()
+	known := now.Before(g.skipUntil[address])
+	g.skipUntil[address] = now.Add(unresponsiveFor)
+	if known {
+		return // the requests in flight all fail at once
+	}
 	event.Log(context.Background(), g.ports.Logger, event.ControllerUnresponsive,
 		slog.String("controller", address), slog.String("why", err.Error()))
 }
@@ -116,6 +124,31 @@
 	return g.holdoff.Paused(g.ports.Clock.Now(), service)
 }
 
+// recordRun records the end of a run that was served or broken off.
+func (g *Gateway) recordRun(f fingerprint.Fingerprint, e registry.Endpoint, outcome dispatch.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if outcome == dispatch.Broken {
+		g.suspects.recordReset(g.ports.Clock.Now(), f, e)
+		return
+	}
+	g.suspects.recordAnswered(f)
+}
+
+// recordQuarantined records that a dispatcher refused a request for its crashes.
+func (g *Gateway) recordQuarantined(f fingerprint.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspects.recordQuarantined(g.ports.Clock.Now(), f)
+}
+
+// suspicionsOf returns what this gateway remembers of a request's crashes.
+func (g *Gateway) suspicionsOf(f fingerprint.Fingerprint) []port.Suspicion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.suspects.known(g.ports.Clock.Now(), f)
+}
+
 // lastServed returns the endpoint that last served an object; empty if none is
 // remembered.
 func (g *Gateway) lastServed(object string) string {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -132,6 +132,7 @@
 		case dispatch.ReasonNoEndpoint:
 			reason = verdict.ReasonNoEndpoint
 		case dispatch.ReasonQuarantined:
+			x.gateway.recordQuarantined(x.fingerprint)
 			reason = verdict.ReasonQuarantined
 		case dispatch.ReasonRetryBudget:
 			// The earlier attempts were granted slots, so this isn't a lack of
@@ -196,6 +197,9 @@
 		// its cache.
 		x.tries++
 	}
+	if outcome == dispatch.Served || outcome == dispatch.Broken {
+		g.recordRun(x.fingerprint, d.Endpoint, outcome)
+	}
 	if outcome == dispatch.Served {
 		g.remember(x.objectKey(), d.Endpoint.ID)
 	}
@@ -315,7 +319,7 @@
 	g := x.gateway
 	incarnation := fmt.Sprintf("%s/%d", g.config.Name, g.incarnation)
 	slotRequest := port.SlotRequest{
-		Region: x.dispatchRegion,
+		Region: x.dispatchRegion, Suspicions: g.suspicionsOf(x.fingerprint),
 		SlotRequest: dispatch.SlotRequest{
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Fingerprint: x.fingerprint,
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -101,6 +101,13 @@
 	return t.countDeaths(f, r)+len(unresolved) < maxDeaths
 }
 
+// KnowsReset reports whether a run of f on an endpoint incarnation is recorded as
+// reset.
+func (t *Table) KnowsReset(endpoint string, number uint64, f fingerprint.Fingerprint) bool {
+	r, on := t.records[f], incarnation{endpoint, number}
+	return r != nil && slices.ContainsFunc(r.runs, func(x run) bool { return x.on == on && x.reset })
+}
+
 // BeginRun records a run that starts after MayStart allowed it. Its end must be
 // recorded by EndRun.
 func (t *Table) BeginRun(now time.Time, endpoint string, number uint64, f fingerprint.Fingerprint, service string) {
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -19,6 +19,9 @@
 	ErrUnconfirmed = errors.New("no quorum confirmed the state or change in time")
 	// ErrNotDispatcher means that a controller doesn't dispatch a region.
 	ErrNotDispatcher = errors.New("controller doesn't dispatch the region")
+	// ErrLinkReplaced means that the connection of a call was replaced because
+	// another call on it was not answered in time.
+	ErrLinkReplaced = errors.New("connection to the controller was replaced")
 )
 
 // Controller describes a controller, as reported by itself or by others.
@@ -176,6 +179,9 @@
 type SlotRequest struct {
 	dispatch.SlotRequest
 	Region string
+	// Suspicions are what the gateway saw of crashes by the same content, for a
+	// dispatcher that has started again and knows of none.
+	Suspicions []Suspicion
 }
 
 // SlotRelease releases a granted slot.
