Send what changed between controllers, and let far watches wait longer

Cause: each controller sent all others its list of controllers, gateways, loads and loans each 0.3 s, and each endpoint's unchanged announcement; each gateway's far watch repeated all controllers each 0.4 s; a started controller got everything from everyone.

Change: gateways and loans form a report with a version, sent when it has changed, else vouched for by its version, which the receiver's reply confirms; a gateway that is no longer vouched for is dropped at once. The list of controllers and the voters of the epoch go out when they differ. Unchanged announcements are passed on each 30 s, or all of them for 10 s after a reset, when they show that an endpoint lives. A started controller asks two others for all that they know; the others send what was announced to them. Exchanges with nothing new go out each 0.6 s instead of 0.3 s. Far watches wait 1 s. Flow-control windows are fixed, which ends the pings that estimate them.

--- a/internal/adapter/fleetgrpc/client.go
+++ b/internal/adapter/fleetgrpc/client.go
@@ -35,6 +35,9 @@
 	// pinged, and closed if the ping isn't acknowledged within keepaliveTimeout.
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 2 * time.Second
+	// windowBytes is the fixed flow-control window of streams and connections. A
+	// window that is estimated would cost a ping with most messages.
+	windowBytes = 1 << 20
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
 	// Most messages are small.
 	bufferBytes = 4 << 10
@@ -80,6 +83,8 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: connectTimeout}),
--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -219,6 +219,7 @@
 		From: c.controllerToProto(m.From), Controllers: convertAll(m.Controllers, c.controllerToProto),
 		Gateways: convertAll(m.Gateways, c.gatewayToProto), Endpoints: convertAll(m.Endpoints, c.endpointToProto),
 		Asks: m.VoteRequests, Drops: m.VoteReleases, Whole: m.FullSync, Durable: m.Durable,
+		EpochNumber: m.EpochNumber, Report: m.Report, ReportUnchanged: m.ReportUnchanged,
 		Loads: convertAll(m.Loads, loadToProto), Loans: convertAll(m.Loans, loanToProto),
 		Suspicions: convertAll(m.Suspicions, suspicionToProto), Returns: convertAll(m.Returns, returnToProto),
 		Limits: convertAll(m.Limits, limitToProto),
@@ -230,6 +231,7 @@
 		From: c.controllerFromProto(m.GetFrom()), Controllers: convertAll(m.GetControllers(), c.controllerFromProto),
 		Gateways: convertAll(m.GetGateways(), c.gatewayFromProto), Endpoints: convertAll(m.GetEndpoints(), c.endpointFromProto),
 		VoteRequests: m.GetAsks(), VoteReleases: m.GetDrops(), FullSync: m.GetWhole(), Durable: m.GetDurable(),
+		EpochNumber: m.GetEpochNumber(), Report: m.GetReport(), ReportUnchanged: m.GetReportUnchanged(),
 		Loads: convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
 		Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto), Returns: convertAll(m.GetReturns(), returnFromProto),
 		Limits: convertAll(m.GetLimits(), limitFromProto),
@@ -241,7 +243,7 @@
 		From: c.controllerToProto(r.From), Epoch: epochToProto(r.Epoch), Accepted: ballotToProto(r.Accepted),
 		Grants: r.Grants, Known: convertAll(r.HeldLeases, leaseToProto),
 		Controllers: convertAll(r.Controllers, c.controllerToProto), Endpoints: convertAll(r.Endpoints, c.endpointToProto),
-		Loads: convertAll(r.Loads, loadToProto), Loans: convertAll(r.Loans, loanToProto),
+		Loads: convertAll(r.Loads, loadToProto), Loans: convertAll(r.Loans, loanToProto), Report: r.Report,
 	}
 }
 
@@ -252,15 +254,20 @@
 		Controllers: convertAll(m.GetControllers(), c.controllerFromProto),
 		Endpoints:   convertAll(m.GetEndpoints(), c.endpointFromProto),
 		Loads:       convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
+		Report: m.GetReport(),
 	}
 }
 
 func cursorToProto(c port.WatchCursor) *fleetv1.Cursor {
-	return &fleetv1.Cursor{Incarnation: c.Incarnation, Sequence: c.Sequence}
+	return &fleetv1.Cursor{
+		Incarnation: c.Incarnation, Sequence: c.Sequence, Controllers: c.Controllers, HoldMs: c.Hold.Milliseconds(),
+	}
 }
 
 func cursorFromProto(m *fleetv1.Cursor) port.WatchCursor {
-	return port.WatchCursor{Incarnation: m.GetIncarnation(), Sequence: m.GetSequence()}
+	return port.WatchCursor{
+		Incarnation: m.GetIncarnation(), Sequence: m.GetSequence(), Controllers: m.GetControllers(), Hold: millis(m.GetHoldMs()),
+	}
 }
 
 func (c codec) slotRequestToProto(req port.SlotRequest) *fleetv1.AcquireRequest {
--- a/internal/adapter/fleetgrpc/server.go
+++ b/internal/adapter/fleetgrpc/server.go
@@ -25,6 +25,7 @@
 // NewServer returns a gRPC server for the service of a controller.
 func NewServer(service port.ControllerService, clock port.Clock) *grpc.Server {
 	s := grpc.NewServer(
+		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime: keepaliveTime / 2, PermitWithoutStream: true,
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -90,6 +90,9 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	peers map[string]*peer
+	// fullReplies counts the controllers that have sent all that they know since the
+	// start.
+	fullReplies int
 	epoch quorum.Epoch
 	// chosen is the latest value known to be chosen, in epoch chosenEpoch. Its
 	// ballot is zero if it is the first value of an epoch that this controller
@@ -116,6 +119,9 @@
 	// controller.
 	localAnnounceSeq map[string]uint64
 	announceSeq      uint64
+	// sharedAt is when an announcement of an endpoint was last passed on by this
+	// controller or another.
+	sharedAt map[string]time.Time
 	// endedCount counts the endpoints that have begun to leave or ended.
 	endedCount uint64
 	hints      *hints
@@ -149,7 +155,7 @@
 		config: config, ports: ports, incarnation: uint64(now.UnixNano()),
 		peers: make(map[string]*peer), state: &fleet.State{},
 		gateways: make(map[string]port.Gateway), watchers: make(map[string]time.Time), endpoints: registry.New(endpointRetention),
-		localAnnounceSeq: make(map[string]uint64), suspicions: newSuspicions(ports.Logger), limits: make(map[string]dispatch.Limit), grantedVotes: lease.NewGrantedVotes(now),
+		localAnnounceSeq: make(map[string]uint64), sharedAt: make(map[string]time.Time), suspicions: newSuspicions(ports.Logger), limits: make(map[string]dispatch.Limit), grantedVotes: lease.NewGrantedVotes(now),
 		regions: make(map[string]*region), loads: make(map[loadKey]reportedLoad), loans: make(map[string]reportedLoans),
 		proposing: make(chan struct{}, 1), changed: make(chan struct{}), seeds: config.Seeds,
 		ranSince: now, lastTick: now, startedAt: now, exchangeNow: make(chan struct{}, 1),
@@ -214,6 +220,11 @@
 		"register.confirmed_ms_ago": -1, "config.version": int64(c.state.Config.Version),
 		"controllers.live": int64(len(c.liveControllers(now))), "gateways.known": int64(len(c.gateways)),
 	}
+	for _, g := range c.gateways {
+		if live(now, g.LastSeen) {
+			out["gateways.live"]++
+		}
+	}
 	if at := c.confirmed(now); !at.IsZero() {
 		out["register.confirmed_ms_ago"] = now.Sub(at).Milliseconds()
 	}
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -48,12 +48,22 @@
 	return c.propagate(ctx, id)
 }
 
-// receiveAnnouncement records an announcement that was made to this
-// controller, so that it is passed on to the others. Must hold mu.
+// receiveAnnouncement records an announcement that was made to this controller. It
+// is passed on to the others if they need it. Must hold mu.
 func (c *Controller) receiveAnnouncement(e registry.Endpoint) {
-	if c.recordEndpoint(e) {
+	now := c.ports.Clock.Now()
+	before, _ := c.endpoints.Get(e.ID)
+	if c.recordEndpoint(e) && c.passesOn(now, before, e) {
 		c.announceSeq++
-		c.localAnnounceSeq[e.ID] = c.announceSeq
+		c.localAnnounceSeq[e.ID], c.sharedAt[e.ID] = c.announceSeq, now
+	}
+}
+
+// recordShared records an announcement that another controller passed on. Must hold
+// mu.
+func (c *Controller) recordShared(e registry.Endpoint) {
+	if c.recordEndpoint(e) {
+		c.sharedAt[e.ID] = c.ports.Clock.Now()
 	}
 }
 
@@ -96,6 +106,7 @@
 func (c *Controller) forgetEndpoints(now time.Time) {
 	for _, e := range c.endpoints.Sweep(now) {
 		delete(c.localAnnounceSeq, e.ID)
+		delete(c.sharedAt, e.ID)
 		delete(c.limits, e.ID)
 		for _, r := range c.regions {
 			if r.pool != nil {
@@ -113,7 +124,7 @@
 	now := c.ports.Clock.Now()
 	c.mu.Lock()
 	e, _ := c.endpoints.Get(id)
-	exchange := port.ExchangeRequest{From: c.self(now), Endpoints: []registry.Endpoint{e}, Durable: true}
+	exchange := port.ExchangeRequest{From: c.self(now), EpochNumber: c.epoch.Number, Endpoints: []registry.Endpoint{e}, Durable: true}
 	var targets []*peer
 	for _, p := range c.peers {
 		if live(now, p.LastSeen) {
--- a/internal/app/controller/loans.go
+++ b/internal/app/controller/loans.go
@@ -142,8 +142,8 @@
 
 // recordLoadsAndLoans records the loads and loans that another controller
 // reported of the regions that it dispatches, unless a third one holds the lease of
-// the region. Must hold mu.
-func (c *Controller) recordLoadsAndLoans(now time.Time, m port.ExchangeRequest) {
+// the region. known is false if its loans are not known. Must hold mu.
+func (c *Controller) recordLoadsAndLoans(now time.Time, m port.ExchangeRequest, loans []dispatch.Loan, known bool) {
 	heldByThird := func(region string) bool {
 		r := c.regions[region]
 		return r != nil && now.Before(r.until) && r.holder != m.From.Address
@@ -156,7 +156,10 @@
 			lenders[l.Region] = nil
 		}
 	}
-	for _, l := range m.Loans {
+	if !known {
+		return // the sender sends its loans with its next exchange
+	}
+	for _, l := range loans {
 		if !heldByThird(l.Lender) {
 			lenders[l.Lender] = append(lenders[l.Lender], l)
 		}
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -26,17 +26,27 @@
 	// epoch and accepted are the state of its voter in that answer.
 	epoch    uint64
 	accepted quorum.Ballot
-	// synced is true once the peer's incarnation has received all endpoints,
-	// suspicions and limits that this controller knew; acked is what it has
-	// received since.
+	// synced is true once the peer's incarnation has received the endpoints that
+	// were announced here or have ended, and the suspicions and limits that this
+	// controller knew; acked is what it has received since.
 	synced bool
 	acked  acknowledged
 	// roundTrip is the moving average of the duration of an exchange.
 	roundTrip time.Duration
 	// addedAt is when it was added to the peers.
 	addedAt time.Time
-	// inFlight is set during a periodic exchange with the peer.
+	// inFlight is set during a periodic exchange with the peer, and lastSent is when
+	// the last one began.
 	inFlight bool
+	lastSent time.Time
+	// reportAcked is the version of this controller's report that the peer has.
+	reportAcked uint64
+	// report is the peer's own, sent by its incarnation reportedBy.
+	report     report
+	reportedBy uint64
+	// requested and replied are the lists of controllers last sent in a request and
+	// in a reply.
+	requested, replied sentList
 	// lost is set while the peer counts as unreachable.
 	lost bool
 }
@@ -55,7 +65,7 @@
 // identify records who answered. A peer of a new incarnation isn't synced.
 func (p *peer) identify(from port.Controller) {
 	if p.Incarnation != from.Incarnation {
-		p.synced, p.acked = false, acknowledged{}
+		p.synced, p.acked, p.reportAcked, p.requested = false, acknowledged{}, 0, sentList{}
 	}
 	p.Controller = from
 }
@@ -118,14 +128,31 @@
 		acked    acknowledged
 	}
 	var sendings []sending
+	controllers := c.liveControllers(now)
+	list := controllersVersion(controllers)
+	mine := newReport(c.watchingGateways(now), loans)
+	requests, releases := c.requestedRegions(now), c.releasedRegions()
+	asksAll := c.peersAskedForAll(now)
 	for _, p := range c.peers {
 		if p.inFlight {
 			continue
 		}
-		p.inFlight = true
 		exchange := c.exchange(now, p)
-		exchange.Loads, exchange.Loans, exchange.Returns = loads, loans, returns
-		sendings = append(sendings, sending{p, exchange, acknowledged{c.announceSeq, c.suspicions.changes.seq, c.limitChanges.seq}})
+		exchange.FullSync = slices.Contains(asksAll, p)
+		exchange.VoteRequests, exchange.VoteReleases = requests, releases
+		exchange.Loads, exchange.Returns = loads, returns
+		exchange.Report, exchange.ReportUnchanged = mine.version, p.reportAcked == mine.version
+		if !exchange.ReportUnchanged {
+			exchange.Gateways, exchange.Loans = mine.gateways, mine.loans
+		}
+		if mayWait(now, p, exchange) {
+			continue
+		}
+		if p.requested.due(now, list) {
+			exchange.Controllers = controllers
+		}
+		p.inFlight, p.lastSent = true, now
+		sendings = append(sendings, sending{p, exchange, acknowledged{c.announceSeq, c.suspicions.changes.seq, c.limitChanges.seq, !p.synced}})
 	}
 	c.clearReleased()
 	c.forgetEndpoints(now)
@@ -179,17 +206,45 @@
 	return b
 }
 
-// exchange returns the message for a peer. It contains the endpoints that
-// were announced here, and the changes made here, that the peer hasn't acknowledged,
-// or all that is known here if the peer isn't synced.
+// peersAskedForAll returns the peers that are asked for all that they know, until
+// fullReplies of them have answered with something: those that answered before come
+// first, then those of the own region. Must hold mu.
+func (c *Controller) peersAskedForAll(now time.Time) []*peer {
+	missing := fullReplies - c.fullReplies
+	if missing <= 0 {
+		return nil
+	}
+	var out []*peer
+	for _, address := range sortedKeys(c.peers) {
+		out = append(out, c.peers[address])
+	}
+	rank := func(p *peer) int {
+		n := 0
+		if !live(now, p.LastSeen) {
+			n += 2
+		}
+		if p.Region != c.config.Region {
+			n++
+		}
+		return n
+	}
+	slices.SortStableFunc(out, func(a, b *peer) int { return rank(a) - rank(b) })
+	return out[:min(missing, len(out))]
+}
+
+// exchange returns the part of the message for a peer that depends on what it has
+// acknowledged. It contains the endpoints that were announced here, and the changes made here, that the peer hasn't acknowledged,
+// or all of these and the endpoints that have ended if the peer isn't synced.
 // Must hold mu.
 func (c *Controller) exchange(now time.Time, p *peer) port.ExchangeRequest {
-	m := port.ExchangeRequest{
-		From: c.self(now), Controllers: c.liveControllers(now), Gateways: c.watchingGateways(now),
-		VoteRequests: c.requestedRegions(now), VoteReleases: c.releasedRegions(), FullSync: !p.synced,
-	}
+	m := port.ExchangeRequest{From: c.self(now), EpochNumber: c.epoch.Number}
 	if !p.synced {
-		m.Endpoints, _ = c.endpoints.Since(0)
+		all, _ := c.endpoints.Since(0)
+		for _, e := range all {
+			if _, local := c.localAnnounceSeq[e.ID]; local || e.Leaving || e.Gone {
+				m.Endpoints = append(m.Endpoints, e)
+			}
+		}
 		m.Suspicions, m.Limits = c.suspicions.all(now), c.allLimits()
 		return m
 	}
@@ -217,8 +272,12 @@
 }
 
 // acknowledged is what a peer has received when it answers an exchange: the numbers
-// of the last announcement that was made here, and of the last changes.
-type acknowledged struct{ announcements, suspicions, limits uint64 }
+// of the last announcement that was made here, and of the last changes. all is set if
+// the message had whatever a peer that isn't synced needs.
+type acknowledged struct {
+	announcements, suspicions, limits uint64
+	all                               bool
+}
 
 // sendExchange sends a message to a peer and records its answer.
 func (c *Controller) sendExchange(ctx context.Context, p *peer, m port.ExchangeRequest, acked acknowledged) (port.ExchangeReply, error) {
@@ -228,19 +287,23 @@
 	defer c.mu.Unlock()
 	p.inFlight = false
 	if err != nil {
+		p.requested = sentList{}
 		return reply, err
 	}
+	if m.FullSync && len(reply.Endpoints) > 0 {
+		c.fullReplies++
+	}
 	p.identify(reply.From)
-	if m.FullSync || p.synced {
+	if acked.all || p.synced {
 		p.synced, p.acked = true, acked
 	}
 	p.sentAt = sentAt
 	p.recordRoundTrip(c.ports.Clock.Now().Sub(sentAt))
-	p.epoch, p.accepted = reply.Epoch.Number, reply.Accepted
+	p.epoch, p.accepted, p.reportAcked = reply.Epoch.Number, reply.Accepted, reply.Report
 	c.enterEpoch(reply.Epoch)
 	c.addPeers(reply.Controllers)
 	for _, e := range reply.Endpoints {
-		c.recordEndpoint(e)
+		c.recordShared(e)
 	}
 	c.learnReportedState(c.ports.Clock.Now(), reply.Loads, reply.Loans)
 	for name, r := range c.regions {
@@ -280,11 +343,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.addPeers(append(m.Controllers, m.From))
-	for _, g := range m.Gateways {
-		c.recordGateway(g)
-	}
+	loans, known := c.receiveReport(now, m)
 	for _, e := range m.Endpoints {
-		c.recordEndpoint(e)
+		c.recordShared(e)
 	}
 	for _, s := range m.Suspicions {
 		c.suspicions.apply(now, s)
@@ -292,10 +353,19 @@
 	for _, l := range m.Limits {
 		c.recordLimit(now, l)
 	}
-	c.recordLoadsAndLoans(now, m)
+	c.recordLoadsAndLoans(now, m, loans, known)
 	reply := port.ExchangeReply{
-		From: c.self(now), Epoch: savedState.Epoch, Accepted: savedState.Accepted.Ballot,
-		Controllers: c.liveControllers(now), HeldLeases: c.heldLeases(now),
+		From: c.self(now), Epoch: savedState.Epoch, Accepted: savedState.Accepted.Ballot, HeldLeases: c.heldLeases(now),
+	}
+	if m.EpochNumber == savedState.Epoch.Number {
+		reply.Epoch.Voters = nil // the sender knows them
+	}
+	controllers := c.liveControllers(now)
+	if p := c.peers[m.From.Address]; p == nil || m.FullSync || p.replied.due(now, controllersVersion(controllers)) {
+		reply.Controllers = controllers
+	}
+	if known {
+		reply.Report = m.Report
 	}
 	for _, name := range m.VoteReleases {
 		c.grantedVotes.ReleaseVote(name, m.From.Address)
@@ -319,7 +389,7 @@
 	now := c.ports.Clock.Now()
 	c.mu.Lock()
 	epoch := c.epoch
-	from := c.self(now)
+	request := port.ExchangeRequest{From: c.self(now), EpochNumber: epoch.Number}
 	var polled []*peer
 	for _, v := range epoch.Voters {
 		if p := c.peers[v.Address]; p != nil {
@@ -331,7 +401,7 @@
 	answered := make(chan struct{}, len(polled))
 	for _, p := range polled {
 		group.Go(func() {
-			_, err := c.poll(ctx, p, from)
+			_, err := c.poll(ctx, p, request)
 			if err == nil {
 				answered <- struct{}{}
 			}
@@ -351,9 +421,9 @@
 }
 
 // poll requests the voting state of one voter.
-func (c *Controller) poll(ctx context.Context, p *peer, from port.Controller) (port.ExchangeReply, error) {
+func (c *Controller) poll(ctx context.Context, p *peer, request port.ExchangeRequest) (port.ExchangeReply, error) {
 	sentAt := c.ports.Clock.Now()
-	reply, err := p.link.Exchange(ctx, port.ExchangeRequest{From: from})
+	reply, err := p.link.Exchange(ctx, request)
 	if err != nil {
 		return reply, err
 	}
--- a/internal/app/controller/suspicions.go
+++ b/internal/app/controller/suspicions.go
@@ -27,6 +27,8 @@
 	// unsent is set when a reset was recorded of a request that was never answered:
 	// the other controllers must know of it before they grant it a slot.
 	unsent bool
+	// changedAt is when a reset was last recorded, here or by another controller.
+	changedAt time.Time
 }
 
 var _ dispatch.RunRecorder = (*suspicions)(nil)
@@ -57,6 +59,7 @@
 	}
 	change := s.table.EndRun(now, e.ID, uint64(e.StartedMillis), f, end)
 	if end == quarantine.Reset {
+		s.changedAt = now
 		s.unsent = s.unsent || len(change.Suspected) > 0
 		// The death of the endpoint may have been recorded before the reset.
 		s.log(s.table.RecordReset(now, e.ID, uint64(e.StartedMillis), f))
@@ -99,6 +102,7 @@
 	case x.Quarantined > 0:
 		s.table.Add(now, x.Fingerprint, x.Quarantined)
 	default:
+		s.changedAt = now
 		s.log(s.table.RecordReset(now, x.Endpoint, uint64(x.StartedMillis), x.Fingerprint))
 	}
 }
@@ -119,7 +123,7 @@
 	}
 	x.Version = s.table.NewChangeVersion(now, x.Fingerprint)
 	s.changes.add(x)
-	s.unsent = true
+	s.unsent, s.changedAt = true, now
 }
 
 // maxLearnedQuarantine bounds the quarantine that a gateway's word can cause.
--- a/internal/app/controller/watch.go
+++ b/internal/app/controller/watch.go
@@ -12,6 +12,8 @@
 	// watchHold is the longest time that a gateway's call waits for a change.
 	// A gateway that misses a few of these calls counts as unreachable.
 	watchHold = 400 * time.Millisecond
+	// maxWatchHold bounds the time for which a gateway may ask.
+	maxWatchHold = 2 * time.Second
 	// gatewayRetention is how long an unreachable gateway is remembered.
 	gatewayRetention = 10 * time.Second
 )
@@ -27,7 +29,11 @@
 	if update.State != nil || since.Incarnation != c.incarnation {
 		return update, nil
 	}
-	timer := time.NewTimer(watchHold)
+	hold := watchHold
+	if since.Hold > 0 {
+		hold = min(since.Hold, maxWatchHold)
+	}
+	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	select {
 	case <-changed:
@@ -36,6 +42,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if ctx.Err() == nil {
+		g.LastSeen = c.ports.Clock.Now() // it has waited for this answer
+		c.recordGateway(g)
+		c.watchers[g.Address] = g.LastSeen
+	}
 	return c.update(since), nil
 }
 
@@ -47,7 +58,12 @@
 	}
 	u := port.Update{
 		Confirmed: c.confirmed(now), Dispatchers: c.knownLeases(now),
-		Controllers: append(c.liveControllers(now), c.self(now)), Cursor: since,
+		Cursor: port.WatchCursor{Incarnation: c.incarnation, Sequence: since.Sequence},
+	}
+	controllers := append(c.liveControllers(now), c.self(now))
+	u.Cursor.Controllers = controllersVersion(controllers)
+	if u.Cursor.Controllers != since.Controllers {
+		u.Controllers = controllers
 	}
 	if c.chosen.Value != nil {
 		u.Sequence = c.chosen.Value.Sequence
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -65,6 +65,8 @@
 	timeouts map[string]int
 	// lastEndpoint maps an object to the endpoint that last served it.
 	lastEndpoint map[string]string
+	// lists holds the controllers that each watcher was last sent.
+	lists [watcherCount][]port.Controller
 	// watched is the address of the controller that each watcher watches.
 	watched     [watcherCount]string
 	dispatchers map[string]dispatcher
--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -18,9 +18,13 @@
 	// watcherCount is the number of controllers that are watched at once: one
 	// nearby, and one of another region in case the first is cut off.
 	watcherCount = 2
-	// watchTimeout bounds a watch call, which the controller holds for less
-	// than half of it.
-	watchTimeout = time.Second
+	// watchTimeout bounds a watch call beyond the time for which the controller
+	// holds it at most.
+	watchTimeout = 600 * time.Millisecond
+	// nearHold and farHold are how long the calls of the two watchers may wait for a
+	// change. The far one carries bytes between regions and is only the reserve.
+	nearHold = 400 * time.Millisecond
+	farHold  = time.Second
 	// watchPause is the pause after a failed call.
 	watchPause = 50 * time.Millisecond
 	// avoidFor is how long a controller that failed or has no quorum is passed
@@ -32,7 +36,7 @@
 	maxLag = 500 * time.Millisecond
 	// staleAfter is the age from which a controller's confirmation by a quorum
 	// counts as stale.
-	staleAfter = 1200 * time.Millisecond
+	staleAfter = 1500 * time.Millisecond
 )
 
 // watch watches one controller at a time. It moves to another one after a
@@ -54,7 +58,7 @@
 		if err == nil {
 			cursor = update.Cursor
 			g.recordNewest(now, update.Sequence)
-			g.apply(now, update)
+			g.apply(now, watcher, update)
 			if now.Sub(update.Confirmed) < staleAfter || !g.hasAlternative(watcher, address) {
 				continue
 			}
@@ -73,6 +77,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lagging := g.newest > g.sequence && g.ports.Clock.Now().Sub(g.newestSince) > maxLag
+	cursor.Hold = nearHold
+	if watcher > 0 {
+		cursor.Hold = farHold
+	}
 	if watcher == 0 || lagging || g.sequence == 0 {
 		cursor.Sequence = g.sequence
 		return cursor
@@ -95,7 +103,7 @@
 	if err != nil {
 		return port.Update{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cursor.Hold+watchTimeout)
 	defer cancel()
 	return link.Watch(ctx, port.Gateway{
 		Address: g.config.Address, Zone: g.config.Zone, Region: g.config.Region,
@@ -125,6 +133,7 @@
 	defer g.mu.Unlock()
 	g.avoidUntil[address] = now.Add(avoidFor)
 	g.watched[watcher] = ""
+	g.lists[watcher] = nil
 	why := "unconfirmed"
 	if err != nil {
 		why = err.Error()
@@ -200,10 +209,10 @@
 	}).address
 }
 
-// apply applies a controller's update: the state if it is newer, the leases
-// and the controllers. These replace the known controllers, or are only added
+// apply applies an update that a watcher received: the state if it is newer, the
+// leases and the controllers. These replace the known controllers, or are only added
 // to them if the update's confirmation is stale.
-func (g *Gateway) apply(now time.Time, u port.Update) {
+func (g *Gateway) apply(now time.Time, watcher int, u port.Update) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if u.State != nil && u.Sequence > g.sequence {
@@ -221,13 +230,16 @@
 			g.dispatchers[l.Region] = dispatcher{address: l.Holder, until: until}
 		}
 	}
-	if len(u.Controllers) == 0 {
+	if len(u.Controllers) > 0 {
+		g.lists[watcher] = u.Controllers
+	}
+	if len(g.lists[watcher]) == 0 {
 		return
 	}
 	if now.Sub(u.Confirmed) < staleAfter {
 		clear(g.known)
 	}
-	for _, c := range u.Controllers {
+	for _, c := range g.lists[watcher] {
 		g.known[c.Address] = c
 	}
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -85,6 +85,13 @@
 	Suspicions []Suspicion
 	// FullSync requests all endpoints that the receiver knows.
 	FullSync bool
+	// EpochNumber is the epoch whose voters the sender knows.
+	EpochNumber uint64
+	// Report is the version of the sender's Gateways and Loans; 0 if the message
+	// says nothing about them. With ReportUnchanged they are left out: they are those
+	// that the receiver's last reply confirmed, and still hold.
+	Report          uint64
+	ReportUnchanged bool
 	// Durable requests that the receiver answers only once the Endpoints that leave
 	// or are gone are on its disk.
 	Durable bool
@@ -110,7 +117,7 @@
 type ExchangeReply struct {
 	From Controller
 	// Epoch and Accepted are the voter's epoch and the last ballot that it
-	// accepted.
+	// accepted. The epoch has no voters if the sender knows them.
 	Epoch    quorum.Epoch
 	Accepted quorum.Ballot
 	// Grants names the requested regions that the receiver has given its vote
@@ -124,6 +131,9 @@
 	// regions.
 	Loads []dispatch.Load
 	Loans []dispatch.Loan
+	// Report is the version of the report that the receiver now has of the sender;
+	// 0 if it has none.
+	Report uint64
 }
 
 // OrderReply is the answer to an order.
@@ -159,6 +169,12 @@
 type WatchCursor struct {
 	Incarnation uint64
 	Sequence    uint64
+	// Controllers is the version of the list of controllers that the gateway has
+	// received.
+	Controllers uint64
+	// Hold is how long the call may wait for a change; 0 stands for the
+	// controller's own choice.
+	Hold time.Duration
 }
 
 // Update is a controller's answer to a watch call.
@@ -171,6 +187,7 @@
 	Sequence    uint64
 	State       *fleet.State
 	Dispatchers []Lease
+	// Controllers is empty if the gateway's list is current.
 	Controllers []Controller
 	Cursor      WatchCursor
 }
