Keep a panic in a handler of another VM's call from ending the process

Report of other operators: one malformed message or unexpected error took a whole process down. Here: grpc-go doesn't recover panics of handlers, so any fault in one would have ended each VM that the message is sent to.

Change: calls whose handlers panic fail with Internal and a log record with the stack, at controllers, control VMs and entries. Before: TestPanicStaysInItsCall ended the test process; after: it passes.

--- a/internal/adapter/fleetgrpc/server.go
+++ b/internal/adapter/fleetgrpc/server.go
@@ -23,14 +23,15 @@
 }
 
 // NewServer returns a gRPC server for the service of a controller.
-func NewServer(service port.ControllerService, clock port.Clock) *grpc.Server {
-	s := grpc.NewServer(
+// More options may be given.
+func NewServer(service port.ControllerService, clock port.Clock, more ...grpc.ServerOption) *grpc.Server {
+	s := grpc.NewServer(append(more,
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime: keepaliveTime / 2, PermitWithoutStream: true,
 		}),
-	)
+	)...)
 	fleetv1.RegisterFleetServiceServer(s, &Server{service: service, clock: clock})
 	return s
 }
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -7,11 +7,13 @@
 	"log/slog"
 	"net/http"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
 	"google.golang.org/grpc"
 
+	"sassafrasreach/internal/adapter/grpcpanic"
 	"sassafrasreach/internal/adapter/operatorhttp"
 	"sassafrasreach/internal/adapter/peergrpc"
 	"sassafrasreach/internal/adapter/registergrpc"
@@ -44,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	peers := grpc.NewServer(append(peergrpc.ServerOptions(), registergrpc.ServerOptions()...)...)
+	peers := grpc.NewServer(slices.Concat(peergrpc.ServerOptions(), registergrpc.ServerOptions(), grpcpanic.Options(logger))...)
 	node.Register(peers)
 	operators := &http.Server{
 		Handler: operatorhttp.New(operatorhttp.Options{
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -9,6 +9,7 @@
 
 	"sassafrasreach/internal/adapter/disk"
 	"sassafrasreach/internal/adapter/fleetgrpc"
+	"sassafrasreach/internal/adapter/grpcpanic"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/platform"
 )
@@ -37,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	fleet := fleetgrpc.NewServer(c, p.clock)
+	fleet := fleetgrpc.NewServer(c, p.clock, grpcpanic.Options(p.logger)...)
 	go func() { p.failed <- fleet.Serve(listener) }()
 	control := platform.NewControl(platform.ControlOptions{
 		OperatorService: c, EndpointService: c, Clock: p.clock, Zones: p.settings.Zones,
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"sassafrasreach/internal/adapter/callerhttp"
 	"sassafrasreach/internal/adapter/endpointhttp"
+	"sassafrasreach/internal/adapter/grpcpanic"
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/adapter/peergrpc"
 	"sassafrasreach/internal/adapter/settings"
@@ -125,7 +127,7 @@
 		logger:    logger,
 		failed:    make(chan error, 3),
 		metrics:   &http.Server{Handler: callerhttp.NewHealth(e, meter.Handler(nil)), ReadHeaderTimeout: callerHeaderTimeout},
-		peers:     grpc.NewServer(peergrpc.ServerOptions()...),
+		peers:     grpc.NewServer(slices.Concat(peergrpc.ServerOptions(), grpcpanic.Options(logger))...),
 		callers: &http.Server{
 			Handler:           handler,
 			IdleTimeout:       callerIdleTimeout,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -4,13 +4,14 @@
 
 // Events of every daemon: 1000 to 1099.
 var (
-	Started     = Event{1000, "started", slog.LevelInfo, "The process started; attributes give its role and name, and others that depend on the role, such as an entry's incarnation."}
-	Listening   = Event{1001, "listening", slog.LevelInfo, "A listener is open."}
-	StopBegun   = Event{1002, "stop-begun", slog.LevelInfo, "A planned stop began: look-ups no longer return this entry, or this gateway reports that it isn't ready."}
-	Stopped     = Event{1003, "stopped", slog.LevelInfo, "The process ends; attributes of an entry give the drain time and the number of requests cut off."}
-	StopForced  = Event{1004, "stop-forced", slog.LevelWarn, "The drain ended before all requests did, by a second signal or the time limit; the attribute gives the number still in flight."}
-	ServeFailed = Event{1005, "serve-failed", slog.LevelError, "A listener failed."}
-	StopWaits   = Event{1006, "stop-waits", slog.LevelInfo, "A planned stop waits for at most 5 s, while this entry still serves, until another entry of the place may own groups."}
+	Started      = Event{1000, "started", slog.LevelInfo, "The process started; attributes give its role and name, and others that depend on the role, such as an entry's incarnation."}
+	Listening    = Event{1001, "listening", slog.LevelInfo, "A listener is open."}
+	StopBegun    = Event{1002, "stop-begun", slog.LevelInfo, "A planned stop began: look-ups no longer return this entry, or this gateway reports that it isn't ready."}
+	Stopped      = Event{1003, "stopped", slog.LevelInfo, "The process ends; attributes of an entry give the drain time and the number of requests cut off."}
+	StopForced   = Event{1004, "stop-forced", slog.LevelWarn, "The drain ended before all requests did, by a second signal or the time limit; the attribute gives the number still in flight."}
+	ServeFailed  = Event{1005, "serve-failed", slog.LevelError, "A listener failed."}
+	CallPanicked = Event{1007, "call-panicked", slog.LevelError, "The handler of a call of another VM failed unexpectedly; the call failed, the process goes on. Report it with the stack in the record."}
+	StopWaits    = Event{1006, "stop-waits", slog.LevelInfo, "A planned stop waits for at most 5 s, while this entry still serves, until another entry of the place may own groups."}
 )
 
 // Events of the document: 1100 to 1199.
@@ -100,7 +101,7 @@
 
 // Catalogue lists every event in ascending order of its number.
 var Catalogue = []Event{
-	Started, Listening, StopBegun, Stopped, StopForced, ServeFailed, StopWaits,
+	Started, Listening, StopBegun, Stopped, StopForced, ServeFailed, StopWaits, CallPanicked,
 	DocumentApplied, DocumentRefused, ControlLost, ControlFound, ServingWithoutQuorum, NotListed,
 	MemberLost, MemberFound, OwnerGained, OwnerLost,
 	EndpointFound, EndpointLeaving, EndpointDied, Quarantined, QuarantineLift, HandOverFailed, HandOverDone,
@@ -109,6 +110,6 @@
 	ConsoleFailed, ConsolePartial,
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
-	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged,
+	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive,
 }
