Refuse late in an entry's stop what could outlast it

Now, once look-ups have expired, it takes only those whose deadline is before the end of the stop; the others get not-run, a key finally. TestStopEndsWhatItTakes failed before (the request was tried) and passes now.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -80,7 +80,9 @@
 	heartbeatNow   chan struct{}
 	placeNotListed chan struct{} // closed when the first document doesn't list this entry's place
 	stopping       atomic.Bool
-	inFlight       atomic.Int64
+	// plannedStop is the stop that has begun, if its time is limited; nil before.
+	plannedStop atomic.Pointer[plannedStop]
+	inFlight    atomic.Int64
 }
 
 var (
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -51,7 +51,11 @@
 // runOnce runs the only attempt of a key. The attempt continues when its caller
 // disconnects, so that a resend finds the outcome.
 func (e *Entry) runOnce(ctx context.Context, req *port.Request, key claims.Key) (*port.Response, error) {
-	if err := e.checkDeadline(req); err != nil {
+	err := e.checkDeadline(req)
+	if err == nil {
+		err = e.checkStop(req)
+	}
+	if err != nil {
 		e.claims.finish(e.clock.Now(), key, outcomeOf(nil, err))
 		return nil, err
 	}
--- a/internal/app/entry/serve.go
+++ b/internal/app/entry/serve.go
@@ -26,6 +26,9 @@
 	if req.OnceOnly {
 		return e.serveOnce(ctx, req, true)
 	}
+	if err := e.checkStop(req); err != nil {
+		return nil, err
+	}
 	if err := e.checkQuarantine(req); err != nil {
 		return nil, err
 	}
@@ -63,6 +66,9 @@
 
 // handleOwner admits a forwarded attempt once, however often it is delivered.
 func (e *Entry) handleOwner(ctx context.Context, f port.Forward) (*port.Response, error) {
+	if err := e.checkStop(f.Request); err != nil {
+		return nil, err
+	}
 	if !e.attempts.recordFirst(e.clock.Now(), f.Request.ID) {
 		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonPeer, errAttemptRepeated)
 	}
--- a/internal/app/entry/stop.go
+++ b/internal/app/entry/stop.go
@@ -7,7 +7,9 @@
 
 	"sassafrasreach/internal/core/claims"
 	"sassafrasreach/internal/core/membership"
+	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
 )
 
@@ -24,6 +26,20 @@
 // comes before it.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
 
+// plannedStop is a stop of the entry. Until acceptUntil every request is served;
+// after that only one whose deadline is before end, when the rest is cut off.
+type plannedStop struct{ acceptUntil, end time.Time }
+
+// checkStop refuses a request that came late in a planned stop and could outlast it.
+// Callers with an old look-up keep arriving.
+func (e *Entry) checkStop(req *port.Request) error {
+	s := e.plannedStop.Load()
+	if s == nil || e.clock.Now().Before(s.acceptUntil) || req.Deadline.Before(s.end) {
+		return nil
+	}
+	return verdict.NewError(verdict.NotRun, verdict.ReasonStopping, nil)
+}
+
 // Drain takes the entry out of service without interrupting a request. It waits
 // for a successor, removes the entry from look-ups, and keeps serving until
 // cached look-ups that name it have expired and its requests have ended. Then it
@@ -33,6 +49,9 @@
 func (e *Entry) Drain(ctx context.Context) int64 {
 	start := e.clock.Now()
 	e.awaitSuccessor(ctx)
+	if end, limited := ctx.Deadline(); limited {
+		e.plannedStop.Store(&plannedStop{e.clock.Now().Add(lookupTTL), end})
+	}
 	e.stopping.Store(true)
 	event.Log(ctx, e.logger, event.StopBegun)
 	e.members.with(func(t *membership.Table) { t.Leave(e.clock.Now()) })
--- a/internal/app/entry/stop_test.go
+++ b/internal/app/entry/stop_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/verdict"
 )
 
 // TestRollingRestart restarts the two entries of a place in turn, each right
@@ -52,3 +54,25 @@
 		is.Equal(successorWait(ctx), lookupTTL/2) // leaves time to drain
 	})
 }
+
+// TestStopEndsWhatItTakes guards against a planned stop that takes requests for as
+// long as it lasts and cuts them off at its end. Late in the stop only a request that
+// can't outlast it is taken; a key that is refused has not run and never will.
+func TestStopEndsWhatItTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tc := startTestCluster(t)
+		time.Sleep(settleTime)
+		e := tc.entry("a1")
+		ctx, cancel := context.WithTimeout(tc.ctx, 10*time.Second)
+		defer cancel()
+		is.Equal(e.Drain(ctx), int64(0))
+		long := tc.request()
+		long.Deadline = time.Now().Add(time.Minute)
+		is.Equal(verdict.ReasonOf(serve(e, long).Err), verdict.ReasonStopping)
+		is.Equal(verdict.Of(serve(e, long).Err), verdict.NotRun)
+		short := tc.request()
+		short.Deadline = time.Now().Add(time.Second)
+		is.NoErr(serve(e, short).Err)
+	})
+}
