Let a late copy of an evacuation order undo nothing

Report of other operators: around a hand-over between two processes both acted for a moment, and orders went out twice. Here: a controller that forwards an order to the distinguished proposer and gets no answer proposes it itself; the forwarded copy may run later, after the operator has withdrawn the evacuation, and put it in force again. Configurations are guarded by the version that they are based on.

Former releases send none and are served as before.

--- a/internal/adapter/fleetgrpc/message.go
+++ b/internal/adapter/fleetgrpc/message.go
@@ -43,10 +43,13 @@
 const (
 	refusedConflict = "conflict"
 	refusedInForce  = "in-force"
+	// refusedSuperseded answers only orders with a since, which former releases
+	// don't send.
+	refusedSuperseded = "superseded"
 )
 
 func orderToProto(o fleet.Order) (*fleetv1.OrderRequest, error) {
-	m := &fleetv1.OrderRequest{Zone: o.Zone, Evacuated: o.Evacuated}
+	m := &fleetv1.OrderRequest{Zone: o.Zone, Evacuated: o.Evacuated, Since: o.Since}
 	if o.Change == nil {
 		return m, nil
 	}
@@ -58,7 +61,7 @@
 }
 
 func orderFromProto(m *fleetv1.OrderRequest) (fleet.Order, error) {
-	o := fleet.Order{Zone: m.GetZone(), Evacuated: m.GetEvacuated()}
+	o := fleet.Order{Zone: m.GetZone(), Evacuated: m.GetEvacuated(), Since: m.GetSince()}
 	if len(m.GetChange()) == 0 {
 		return o, nil
 	}
@@ -74,6 +77,8 @@
 	switch {
 	case errors.Is(r.Refused, fleet.ErrNoChange):
 		out.Refusal = refusedInForce
+	case errors.Is(r.Refused, fleet.ErrSuperseded):
+		out.Refusal = refusedSuperseded
 	case r.Refused != nil:
 		out.Refusal = refusedConflict
 	}
@@ -85,6 +90,8 @@
 	switch m.GetRefusal() {
 	case refusedInForce:
 		r.Refused = fleet.ErrNoChange
+	case refusedSuperseded:
+		r.Refused = fleet.ErrSuperseded
 	case refusedConflict:
 		r.Refused = fleet.ErrConflict
 	}
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -93,7 +93,7 @@
 	// fullReplies counts the controllers that have sent all that they know since the
 	// start.
 	fullReplies int
-	epoch quorum.Epoch
+	epoch       quorum.Epoch
 	// chosen is the latest value known to be chosen, in epoch chosenEpoch. Its
 	// ballot is zero if it is the first value of an epoch that this controller
 	// has opened.
--- a/internal/app/controller/orders.go
+++ b/internal/app/controller/orders.go
@@ -36,12 +36,23 @@
 
 // Evacuate implements port.OperatorService.
 func (c *Controller) Evacuate(ctx context.Context, zone string, evacuated bool) error {
-	err := c.order(ctx, fleet.Order{Zone: zone, Evacuated: evacuated})
+	err := c.order(ctx, fleet.Order{Zone: zone, Evacuated: evacuated, Since: c.knownSequence()})
 	event.Log(ctx, c.ports.Logger, event.EvacuationOrdered, slog.String("zone", zone),
 		slog.Bool("evacuated", evacuated), outcomeAttr(err))
 	return err
 }
 
+// knownSequence returns the sequence of the newest value known to be chosen; 0 if
+// none is.
+func (c *Controller) knownSequence() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.chosen.Value == nil {
+		return 0
+	}
+	return c.chosen.Value.Sequence
+}
+
 // outcomeAttr returns the log attribute of an operation's outcome.
 func outcomeAttr(err error) slog.Attr {
 	if err == nil {
@@ -98,7 +109,7 @@
 		return applyOrder(current, o)
 	})
 	reply := port.OrderReply{Epoch: epoch, Chosen: value}
-	if errors.Is(err, fleet.ErrNoChange) || errors.Is(err, fleet.ErrConflict) {
+	if errors.Is(err, fleet.ErrNoChange) || errors.Is(err, fleet.ErrConflict) || errors.Is(err, fleet.ErrSuperseded) {
 		reply.Refused, err = err, nil
 	}
 	return reply, err
@@ -115,7 +126,7 @@
 		}
 		next.Sequence = current.Sequence + 1
 	}
-	state, err := state.Apply(o)
+	state, err := state.Apply(o, next.Sequence)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/core/fleet/state.go
+++ b/internal/core/fleet/state.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 )
 
@@ -19,6 +20,9 @@
 	// ErrNoChange means that the order changes nothing: it is already in force, its
 	// configuration was accepted before, or it is the zero Order.
 	ErrNoChange = errors.New("order is in force already")
+	// ErrSuperseded means that a later order about the same failure domain was made
+	// durable after this one came. Nothing was changed.
+	ErrSuperseded = errors.New("a later order about the failure domain is in force")
 	// ErrUnreadable means that a stored state can't be decoded.
 	ErrUnreadable = errors.New("stored state can't be read")
 )
@@ -36,6 +40,9 @@
 	Accepted []string `json:"Accepted"`
 	// Evacuated holds the failure domains that get no requests, sorted.
 	Evacuated []string `json:"Evacuated"`
+	// EvacuationChanged holds the sequence of the register's value with which each
+	// failure domain was last evacuated or put back into use.
+	EvacuationChanged map[string]uint64 `json:"EvacuationChanged,omitempty"`
 }
 
 // Change is a replacement of the configuration.
@@ -54,16 +61,20 @@
 	// into use; empty in an order to change the configuration.
 	Zone      string
 	Evacuated bool
+	// Since is the sequence of the register's newest value that was known when an
+	// order to evacuate came; 0 if it isn't known. A copy of the order that arrives
+	// late doesn't undo a later one.
+	Since uint64
 }
 
-// Apply returns the state after an order. The error is ErrNoChange, or wraps
-// ErrConflict.
-func (s *State) Apply(o Order) (*State, error) {
+// Apply returns the state after an order, which is stored with the given sequence.
+// The error is ErrNoChange or ErrSuperseded, or wraps ErrConflict.
+func (s *State) Apply(o Order, sequence uint64) (*State, error) {
 	switch {
 	case o.Change != nil:
 		return s.change(*o.Change)
 	case o.Zone != "":
-		return s.evacuate(o.Zone, o.Evacuated)
+		return s.evacuate(o, sequence)
 	default:
 		return nil, ErrNoChange
 	}
@@ -95,11 +106,20 @@
 }
 
 // evacuate marks a failure domain as evacuated or puts it back into use.
-func (s *State) evacuate(zone string, evacuated bool) (*State, error) {
-	if slices.Contains(s.Evacuated, zone) == evacuated {
+func (s *State) evacuate(o Order, sequence uint64) (*State, error) {
+	zone, evacuated := o.Zone, o.Evacuated
+	switch {
+	case slices.Contains(s.Evacuated, zone) == evacuated:
 		return nil, ErrNoChange
+	case o.Since > 0 && s.EvacuationChanged[zone] > o.Since:
+		return nil, ErrSuperseded
 	}
 	next := *s
+	next.EvacuationChanged = maps.Clone(s.EvacuationChanged)
+	if next.EvacuationChanged == nil {
+		next.EvacuationChanged = make(map[string]uint64)
+	}
+	next.EvacuationChanged[zone] = sequence
 	next.Evacuated = slices.DeleteFunc(slices.Clone(s.Evacuated), func(z string) bool { return z == zone })
 	if evacuated {
 		next.Evacuated = append(next.Evacuated, zone)
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -138,8 +138,8 @@
 
 // OrderReply is the answer to an order.
 type OrderReply struct {
-	// Refused is fleet.ErrConflict or fleet.ErrNoChange, wrapped; nil if the
-	// order was accepted.
+	// Refused is fleet.ErrConflict, fleet.ErrNoChange or fleet.ErrSuperseded,
+	// wrapped; nil if the order was accepted.
 	Refused error
 	// Chosen is the register's value after the order, in epoch Epoch.
 	Epoch  quorum.Epoch
