Let gateways serve by themselves while no dispatcher answers

Weighed: shares of warm slots sent with each watch (bytes for every gateway and endpoint, and a share of 4 slots over 35 gateways is nothing), grants in advance (a cold or leaving endpoint keeps them), nothing. Taken: core/reserve, a gateway goes on with what dispatchers granted it: for 2.5 s after the last grant, each request once, its object at the endpoint that served it last, no more at once than the slots it had in use in the last two seconds. Cold, limited, leaving, paused and evacuated endpoints and suspected requests are left out. A slow dispatcher doesn't count as lost: after a timeout, only if no controller answered for a second.

A new dispatcher doesn't learn of these requests; they overlap its grants for one run at most.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/holdoff"
+	"sassafrasreach/internal/core/reserve"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 )
@@ -71,8 +72,14 @@
 	watched     [watcherCount]string
 	dispatchers map[string]dispatcher
 	// holdoff holds the endpoints that get nothing from this gateway.
-	holdoff       *holdoff.Table
-	suspects      *suspects
+	holdoff  *holdoff.Table
+	suspects *suspects
+	// reserve holds the endpoints that are used while no dispatcher answers;
+	// evacuated are the failure domains that get nothing.
+	reserve   *reserve.Table
+	evacuated []string
+	// heardAt is when a controller last answered a watch call.
+	heardAt       time.Time
 	releaseQueues map[string]*releaseQueue
 }
 
@@ -91,7 +98,7 @@
 		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds,
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
 		avoidUntil: make(map[string]time.Time), skipUntil: make(map[string]time.Time), timeouts: make(map[string]int), lastEndpoint: make(map[string]string), dispatchers: make(map[string]dispatcher),
-		holdoff: holdoff.New(), suspects: newSuspects(), releaseQueues: make(map[string]*releaseQueue),
+		holdoff: holdoff.New(), suspects: newSuspects(), reserve: reserve.New(), releaseQueues: make(map[string]*releaseQueue),
 	}
 }
 
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -61,6 +61,8 @@
 	region      string
 	waited      time.Duration
 	version     uint64
+	// alone is set if the request was sent to an endpoint without a dispatcher.
+	alone bool
 	// uncertainErr is the failure of an earlier attempt that may have run; nil
 	// if there is none.
 	uncertainErr error
@@ -123,6 +125,10 @@
 // may follow.
 func (x *inFlightRequest) attempt(ctx context.Context) (answer port.ClientAnswer, again bool) {
 	slot, address, err := x.acquire(ctx)
+	if err != nil && x.acquireAlone(&slot, err) {
+		answer, _ = x.send(ctx, slot, "")
+		return answer, false
+	}
 	if err != nil {
 		return x.withoutSlot(ctx, verdict.ReasonNoDispatcher, err, noDispatcherRetry), false
 	}
@@ -160,7 +166,7 @@
 }
 
 // send sends the request to the endpoint of a granted slot and releases the
-// slot.
+// slot at the controller with the address.
 func (x *inFlightRequest) send(ctx context.Context, d dispatch.Decision, address string) (port.ClientAnswer, bool) {
 	g := x.gateway
 	began := g.ports.Clock.Now()
@@ -169,11 +175,19 @@
 	var signals registry.Signals
 	answered := false
 	defer func() {
+		if x.alone {
+			g.returnAlone(d.Endpoint, outcome)
+			return
+		}
+		g.recordEnded(d.Endpoint, answered, signals)
 		g.release(address, port.SlotRelease{
 			Region: x.dispatchRegion, Grant: d.Grant, Outcome: outcome, Took: g.ports.Clock.Now().Sub(began),
 			Answered: answered, Signals: signals,
 		})
 	}()
+	if !x.alone {
+		g.recordGranted(began, d)
+	}
 	if g.holds(began, d.Endpoint) {
 		// The dispatcher didn't know it when it granted the slot.
 		signals, answered = g.leavingSignal(began, d.Endpoint)
@@ -371,6 +385,9 @@
 		attrs = append(attrs, slog.String("route", x.route.Name),
 			slog.String("fingerprint", x.fingerprint.String()[:loggedFingerprint]))
 	}
+	if x.alone {
+		attrs = append(attrs, slog.Bool("alone", true))
+	}
 	if a.Err != nil {
 		attrs = append(attrs, slog.String("verdict", verdict.Of(a.Err).String()),
 			slog.String("why", a.Err.Error()), slog.Int64("retry_after_ms", a.RetryAfter.Milliseconds()))
--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -215,8 +215,9 @@
 func (g *Gateway) apply(now time.Time, watcher int, u port.Update) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.heardAt = now
 	if u.State != nil && u.Sequence > g.sequence {
-		g.sequence = u.Sequence
+		g.sequence, g.evacuated = u.Sequence, u.State.Evacuated
 		if u.State.Config.Version > 0 {
 			g.table.Store(fleet.NewTable(&u.State.Config))
 		}
