--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -106,7 +106,7 @@
 	defer c.mu.Unlock()
 	if !c.received && !c.closed {
 		c.closed = true
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
