Use endpoints without a dispatcher for 2 s after their own grant, and don't wait for silence

Cause: an endpoint was used for up to 10 s after its last grant if the service had others since; one that left meanwhile got requests longer than its leaving takes to bind.

Change: each endpoint counts for 2 s after its own last grant. A gateway that no controller has answered for 0.7 s doesn't ask one first. docs/CAPACITY.md has the slopes of control traffic between controllers.

--- a/internal/app/gateway/alone.go
+++ b/internal/app/gateway/alone.go
@@ -10,10 +10,21 @@
 	"sassafrasreach/internal/core/registry"
 )
 
-// silentFor is how long no controller must have answered before requests whose slot
-// requests timed out are sent without a dispatcher: one that is only slow may have
-// granted their slots.
-const silentFor = time.Second
+// silentFor is how long no controller must have answered before requests are sent
+// without asking one: longer than a watch call of the nearby one may wait. After a slot
+// request that timed out, a controller that is only slow may have granted the slot.
+const silentFor = 700 * time.Millisecond
+
+// errSilent means that no controller has answered for silentFor.
+var errSilent = errors.New("no controller answers")
+
+// silent reports whether no controller has answered for silentFor, although one did
+// before.
+func (g *Gateway) silent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.heardAt.IsZero() && g.ports.Clock.Now().Sub(g.heardAt) > silentFor
+}
 
 // acquireAlone looks for an endpoint that the request may use because no dispatcher
 // answered, with the error err. A request is sent so only once, and not if it is
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -78,7 +78,7 @@
 	// evacuated are the failure domains that get nothing.
 	reserve   *reserve.Table
 	evacuated []string
-	// heardAt is when a controller last answered a watch call.
+	// heardAt is when a controller last answered.
 	heardAt       time.Time
 	releaseQueues map[string]*releaseQueue
 }
--- a/internal/app/gateway/locate.go
+++ b/internal/app/gateway/locate.go
@@ -86,11 +86,12 @@
 		slog.String("controller", address), slog.String("why", err.Error()))
 }
 
-// recordAnswer resets the consecutive timeouts of a controller.
+// recordAnswer records that a controller answered a slot request.
 func (g *Gateway) recordAnswer(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.timeouts, address)
+	g.heardAt = g.ports.Clock.Now()
 }
 
 // recordSignals records what an endpoint said about itself in an answer.
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -124,8 +124,12 @@
 // attempt sends the request to one endpoint; again says that another attempt
 // may follow.
 func (x *inFlightRequest) attempt(ctx context.Context) (answer port.ClientAnswer, again bool) {
-	slot, address, err := x.acquire(ctx)
-	if err != nil && x.acquireAlone(&slot, err) {
+	var slot dispatch.Decision
+	address, err := "", errSilent
+	if !x.gateway.silent() || !x.acquireAlone(&slot, err) {
+		slot, address, err = x.acquire(ctx)
+	}
+	if err != nil && (x.alone || x.acquireAlone(&slot, err)) {
 		answer, _ = x.send(ctx, slot, "")
 		return answer, false
 	}
@@ -315,6 +319,9 @@
 			break
 		}
 		g.recordFailure(address, err)
+		if g.silent() {
+			break
+		}
 	}
 	return dispatch.Decision{}, "", err
 }
--- a/internal/core/reserve/table.go
+++ b/internal/core/reserve/table.go
@@ -8,12 +8,10 @@
 )
 
 const (
-	// aloneFor is how long after the last grant of a service its endpoints are used:
-	// about as long as all controllers take to restart and choose a dispatcher, and no
-	// longer than an endpoint that leaves may still get requests.
-	aloneFor = 2500 * time.Millisecond
-	// grantMemory is how long after its last grant an endpoint is remembered.
-	grantMemory = 10 * time.Second
+	// aloneFor is how long after its last grant an endpoint is used: most of the time
+	// that all controllers take to restart and choose a dispatcher. An endpoint that
+	// left since the grant must get no requests after about as long.
+	aloneFor = 2 * time.Second
 	// peakBucket is the time over which the slots in use at once are taken; the last
 	// two count.
 	peakBucket = time.Second
@@ -28,7 +26,6 @@
 // service is the state of one service.
 type service struct {
 	endpoints map[string]*endpoint
-	lastGrant time.Time
 	// inUse counts the slots in use, those that were granted and those taken alone.
 	inUse int
 	// peak and peakBefore are the largest inUse of granted slots in the bucket that
@@ -64,20 +61,19 @@
 		s.endpoints[e.ID] = x
 	}
 	x.Endpoint, x.region, x.lastGrant = e, region, now
-	s.lastGrant = now
 	s.inUse++
 	s.advance(now)
 	s.peak = max(s.peak, s.inUse)
 }
 
-// makeRoom forgets the endpoints that weren't granted for grantMemory, and if the
-// table is full an arbitrary one.
+// makeRoom forgets the endpoints that weren't granted for aloneFor, and if the table
+// is full an arbitrary one.
 func (s *service) makeRoom(now time.Time) {
 	if len(s.endpoints) < maxEndpoints {
 		return
 	}
 	for id, e := range s.endpoints {
-		if now.Sub(e.lastGrant) > grantMemory {
+		if now.Sub(e.lastGrant) > aloneFor {
 			delete(s.endpoints, id)
 		}
 	}
@@ -119,12 +115,12 @@
 // region. Returned must follow.
 func (t *Table) Take(now time.Time, serviceName, preferred string, usable func(e registry.Endpoint, region string) bool) (registry.Endpoint, string, bool) {
 	s := t.services[serviceName]
-	if s == nil || now.Sub(s.lastGrant) > aloneFor || s.inUse >= max(s.peak, s.peakBefore) {
+	if s == nil || s.inUse >= max(s.peak, s.peakBefore) {
 		return registry.Endpoint{}, "", false
 	}
 	var best *endpoint
 	for _, x := range s.endpoints {
-		if x.limited || now.Before(x.ColdUntil) || now.Sub(x.lastGrant) > grantMemory || x.alone >= x.Slots || !usable(x.Endpoint, x.region) {
+		if x.limited || now.Before(x.ColdUntil) || now.Sub(x.lastGrant) > aloneFor || x.alone >= x.Slots || !usable(x.Endpoint, x.region) {
 			continue
 		}
 		if x.ID == preferred {
--- a/internal/core/reserve/table_test.go
+++ b/internal/core/reserve/table_test.go
@@ -62,7 +62,7 @@
 	for _, n := range inUse {
 		is.Equal(n, 2) // as many as it has slots
 	}
-	_, _, ok = tables[0].Take(now.Add(3*time.Second), "s", "", any)
+	_, _, ok = tables[0].Take(now.Add(2*time.Second), "s", "", any)
 	is.True(!ok) // too long without word of the dispatchers
 }
 
