Exchange each 0.3 s again for 10 s after trouble; don't change a received message

Change: the longer period holds only where no exchange has failed for 10 s since the start.

One was a received message that append changed in place (TestDiskLossDuringFullRestart, in memory only: real messages aren't shared). Another, old one: propagate read a peer's address without the lock. Both mended; the package's tests pass with -race.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -138,6 +138,8 @@
 	loans map[string]reportedLoans
 	// changed is closed and replaced at each change that watch calls wait for.
 	changed chan struct{}
+	// failedAt is when an exchange last failed.
+	failedAt time.Time
 	// ranSince is when this controller started or last went on after it stood
 	// still, and lastTick the time of the last tick.
 	ranSince, lastTick time.Time
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -125,10 +125,10 @@
 	c.mu.Lock()
 	e, _ := c.endpoints.Get(id)
 	exchange := port.ExchangeRequest{From: c.self(now), EpochNumber: c.epoch.Number, Endpoints: []registry.Endpoint{e}, Durable: true}
-	var targets []*peer
-	for _, p := range c.peers {
+	targets := make(map[string]port.ControllerPeer)
+	for address, p := range c.peers {
 		if live(now, p.LastSeen) {
-			targets = append(targets, p)
+			targets[address] = p.link
 		}
 	}
 	epoch := c.epoch
@@ -143,11 +143,11 @@
 			mu.Unlock()
 		}
 	})
-	for _, p := range targets {
+	for address, link := range targets {
 		group.Go(func() {
-			if _, err := p.link.Exchange(ctx, exchange); err == nil {
+			if _, err := link.Exchange(ctx, exchange); err == nil {
 				mu.Lock()
-				acked[p.Address] = true
+				acked[address] = true
 				mu.Unlock()
 			}
 		})
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -145,7 +145,7 @@
 		if !exchange.ReportUnchanged {
 			exchange.Gateways, exchange.Loans = mine.gateways, mine.loans
 		}
-		if mayWait(now, p, exchange) {
+		if c.mayWait(now, p, exchange) {
 			continue
 		}
 		if p.requested.due(now, list) {
@@ -288,6 +288,7 @@
 	p.inFlight = false
 	if err != nil {
 		p.requested = sentList{}
+		c.failedAt = c.ports.Clock.Now()
 		return reply, err
 	}
 	if m.FullSync && len(reply.Endpoints) > 0 {
@@ -342,7 +343,8 @@
 	savedState := c.voter.savedState()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.addPeers(append(m.Controllers, m.From))
+	c.addPeers(m.Controllers)
+	c.addPeers([]port.Controller{m.From})
 	loans, known := c.receiveReport(now, m)
 	for _, e := range m.Endpoints {
 		c.recordShared(e)
--- a/internal/app/controller/report.go
+++ b/internal/app/controller/report.go
@@ -14,8 +14,12 @@
 
 const (
 	// calmExchangePeriod is the time between two exchanges with a peer for which
-	// there is nothing new.
+	// there is nothing new, in calm. It is too long where calls fail or are slow: with
+	// callTimeout, a single lost call would make a peer count as unreachable.
 	calmExchangePeriod = 2 * exchangePeriod
+	// calmAfter is the time without a failed exchange, since this controller started
+	// or last went on after it stood still, from which on it is calm.
+	calmAfter = 10 * time.Second
 	// listPeriod is how often the known controllers are sent although they are the
 	// same as before: the reply that had them may have been lost.
 	listPeriod = 15 * time.Second
@@ -110,10 +114,10 @@
 	return true
 }
 
-// mayWait reports whether nothing of the message is new to the peer, so that the
-// exchange can wait.
-func mayWait(now time.Time, p *peer, m port.ExchangeRequest) bool {
-	return now.Sub(p.lastSent) < calmExchangePeriod-exchangePeriod/2 && m.ReportUnchanged && !m.FullSync && live(now, p.LastSeen) &&
+// mayWait reports whether it is calm and nothing of the message is new to the peer, so
+// that the exchange can wait. Must hold mu.
+func (c *Controller) mayWait(now time.Time, p *peer, m port.ExchangeRequest) bool {
+	return now.Sub(latest(c.failedAt, c.ranSince)) >= calmAfter && now.Sub(p.lastSent) < calmExchangePeriod-exchangePeriod/2 && m.ReportUnchanged && !m.FullSync && live(now, p.LastSeen) &&
 		len(m.Endpoints)+len(m.Suspicions)+len(m.Limits)+len(m.Loads)+len(m.Returns)+len(m.VoteRequests)+len(m.VoteReleases) == 0
 }
 
