--- a/internal/app/controller/alone_test.go
+++ b/internal/app/controller/alone_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/matryer/is"
 
-	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/core/verdict"
 )
 
@@ -17,17 +16,7 @@
 func TestServesWithoutControllers(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	c := newCluster(t, 2*time.Millisecond)
-	is.NoErr(c.order(0, 2))
-	c.settle()
-	endpoints := &fragileEndpoints{cluster: c, live: make(map[string]registry.Endpoint)}
-	for zone := range regions {
-		endpoints.start(zone+":100", zone)
-		endpoints.start(zone+":200", zone)
-	}
-	go endpoints.announceAll(t.Context())
-	gateways := c.startGateways(endpoints)
-	time.Sleep(2 * time.Second) // the announcements reach all controllers
+	c, _, gateways := newServedCluster(t)
 	load := func(d time.Duration) (served, all int) {
 		for deadline := time.Now().Add(d); time.Now().Before(deadline); all++ {
 			answer := send(gateways[all%len(gateways)], fmt.Sprint("r", all), fmt.Sprint("/", all%7))
--- a/internal/app/controller/crash_test.go
+++ b/internal/app/controller/crash_test.go
@@ -124,6 +124,23 @@
 	return f.crashes
 }
 
+// newServedCluster starts a cluster with two endpoints in each zone and a gateway in
+// each region, and waits until requests are served.
+func newServedCluster(t *testing.T) (*cluster, *fragileEndpoints, []*gateway.Gateway) {
+	c := newCluster(t, 2*time.Millisecond)
+	is.New(t).NoErr(c.order(0, 2))
+	c.settle()
+	endpoints := &fragileEndpoints{cluster: c, live: make(map[string]registry.Endpoint)}
+	for zone := range regions {
+		endpoints.start(zone+":100", zone)
+		endpoints.start(zone+":200", zone)
+	}
+	go endpoints.announceAll(t.Context())
+	gateways := c.startGateways(endpoints)
+	time.Sleep(time.Second) // the announcements reach all controllers
+	return c, endpoints, gateways
+}
+
 // startGateways starts a gateway in each region, which use the given
 // endpoints, and waits until they are ready.
 func (c *cluster) startGateways(endpoints port.EndpointCaller) []*gateway.Gateway {
@@ -163,19 +180,7 @@
 func TestCrashingRequestStops(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	c := newCluster(t, 2*time.Millisecond)
-	is.NoErr(c.order(0, 2))
-	c.settle()
-	endpoints := &fragileEndpoints{cluster: c, live: make(map[string]registry.Endpoint)}
-	for zone := range regions {
-		endpoints.start(zone+":100", zone)
-		endpoints.start(zone+":200", zone)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go endpoints.announceAll(ctx)
-	gateways := c.startGateways(endpoints)
-	time.Sleep(time.Second) // the announcements reach all controllers
+	_, endpoints, gateways := newServedCluster(t)
 	const rounds = 50
 	served := 0
 	for i := range rounds {
@@ -197,17 +202,7 @@
 func TestCrashingRequestStaysStopped(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	c := newCluster(t, 2*time.Millisecond)
-	is.NoErr(c.order(0, 2))
-	c.settle()
-	endpoints := &fragileEndpoints{cluster: c, live: make(map[string]registry.Endpoint)}
-	for zone := range regions {
-		endpoints.start(zone+":100", zone)
-		endpoints.start(zone+":200", zone)
-	}
-	go endpoints.announceAll(t.Context())
-	gateways := c.startGateways(endpoints)
-	time.Sleep(time.Second) // the announcements reach all controllers
+	c, endpoints, gateways := newServedCluster(t)
 	rounds := func(n int) {
 		for i := range n {
 			is.True(send(gateways[i%len(gateways)], fmt.Sprint("crash", i), crashTarget).Err != nil)
