Replace voters in one change and keep their number odd

Cause: a successor voted beside its predecessor, and a voter that ended was removed after 12 s out of reach. Of eight voters two had ended; with two disks lost, four were left of the five that make a majority. Change: core/quorum.NextVoters decides. The number of voters is odd, the others are spares; one replaces a voter in a single change when its disk is lost, after 2 s out of reach, or at once when its process says in exchanges that it stops. Voters are spread over regions and failure domains. A stopping process stays until its vote is taken over, 3 s at most. The settings' number of tolerated losses bounds what may be removed without a replacement.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -96,14 +96,14 @@
 func (c codec) controllerToProto(p port.Controller) *fleetv1.Controller {
 	return &fleetv1.Controller{
 		Address: p.Address, Disk: p.Disk, Zone: p.Zone, Region: p.Region,
-		Incarnation: p.Incarnation, AgeMs: c.age(p.LastSeen),
+		Incarnation: p.Incarnation, AgeMs: c.age(p.LastSeen), Stopping: p.Stopping,
 	}
 }
 
 func (c codec) controllerFromProto(m *fleetv1.Controller) port.Controller {
 	return port.Controller{
 		Address: m.GetAddress(), Disk: m.GetDisk(), Zone: m.GetZone(), Region: m.GetRegion(),
-		Incarnation: m.GetIncarnation(), LastSeen: c.timeAt(m.GetAgeMs()),
+		Incarnation: m.GetIncarnation(), LastSeen: c.timeAt(m.GetAgeMs()), Stopping: m.GetStopping(),
 	}
 }
 
--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -177,7 +177,7 @@
 	}
 	made, err := controller.New(controller.Config{
 		Name: m.name, Address: address, Zone: m.zone, Region: m.region, Zones: regions, Seeds: c.seeds, Bootstrap: bootstrap,
-		Retries: dispatch.RetryBudget{Ratio: 0.2, Extra: 112, Window: 10 * time.Second},
+		Retries: dispatch.RetryBudget{Ratio: 0.2, Extra: 112, Window: 10 * time.Second}, ToleratedLosses: 2,
 	}, controller.Ports{
 		Clock:  port.ClockFunc(time.Now),
 		Logger: slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -58,6 +58,9 @@
 	// region in which they run from one window of two seconds to the next; 0
 	// sets no bound.
 	MaxShift float64
+	// ToleratedLosses is the number of controllers' disks that may be lost at the same
+	// time without losing the register; 0 if it isn't known.
+	ToleratedLosses int
 	// Bootstrap is set when the system starts for the first time.
 	Bootstrap bool
 }
@@ -204,12 +207,25 @@
 	group.Wait()
 }
 
-// Stop makes the controller give up its leases and no longer change the voters,
-// so that others take over.
+// Stop makes the controller give up its leases and its vote and no longer change the
+// voters, so that others take over.
 func (c *Controller) Stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopping = true
+	select {
+	case c.exchangeNow <- struct{}{}:
+	default:
+	}
+}
+
+// HandedOver reports whether a stopping controller may end: its disk doesn't vote any
+// more, or the voters can't do without it.
+func (c *Controller) HandedOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.epoch.Has(c.voter.id) ||
+		len(c.spares(c.ports.Clock.Now())) == 0 && len(c.epoch.Voters) <= quorum.LeastVoters(c.config.ToleratedLosses)
 }
 
 // Gauges returns the current gauge values by name.
@@ -259,7 +275,7 @@
 func (c *Controller) self(now time.Time) port.Controller {
 	return port.Controller{
 		Address: c.config.Address, Disk: c.voter.id, Zone: c.config.Zone, Region: c.config.Region,
-		Incarnation: c.incarnation, LastSeen: now,
+		Incarnation: c.incarnation, LastSeen: now, Stopping: c.stopping,
 	}
 }
 
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -345,6 +345,9 @@
 	defer c.mu.Unlock()
 	c.addPeers(m.Controllers)
 	c.addPeers([]port.Controller{m.From})
+	if p := c.peers[m.From.Address]; p != nil && p.Incarnation == m.From.Incarnation {
+		p.Stopping = m.From.Stopping
+	}
 	loans, known := c.receiveReport(now, m)
 	for _, e := range m.Endpoints {
 		c.recordShared(e)
--- a/internal/app/controller/voters.go
+++ b/internal/app/controller/voters.go
@@ -3,30 +3,14 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/event"
 )
 
-const (
-	// replaceAfter is how long a voter has to be unreachable before a
-	// controller that doesn't vote replaces it: longer than a restart, shorter
-	// than the time until another voter may be lost.
-	replaceAfter = 2 * time.Second
-	// retireAfter is how long a voter has to be unreachable before it is
-	// removed without a replacement.
-	retireAfter = 12 * time.Second
-	// minVoters is the smallest number of voters that remain after one is
-	// removed without a replacement.
-	minVoters = 3
-	// maxVoters bounds the voters of an epoch: each further one adds little
-	// safety and slows every order.
-	maxVoters = 9
-	// reconfigureTimeout bounds a change of the voters.
-	reconfigureTimeout = 3 * time.Second
-)
+// reconfigureTimeout bounds a change of the voters.
+const reconfigureTimeout = 3 * time.Second
 
 // updateVoters changes the voters when they differ from the live controllers.
 // Only the distinguished proposer does so. Two controllers may each consider
@@ -63,43 +47,25 @@
 	if c.stopping || c.distinguishedProposer(now) != c.config.Address {
 		return nil
 	}
-	voters := slices.Clone(c.epoch.Voters)
-	changed := false
-	for _, p := range c.candidates(now) {
-		index := c.replaceable(now, voters, p)
-		switch {
-		case index >= 0:
-			voters[index] = p
-			changed = true
-		case len(voters) < maxVoters:
-			voters = append(voters, p)
-			changed = true
-		}
-	}
-	if !changed && len(voters) > minVoters {
-		for i, v := range voters {
-			if c.unreachableFor(now, v) > retireAfter {
-				return slices.Delete(voters, i, i+1)
-			}
-		}
+	current := make([]quorum.Candidate, len(c.epoch.Voters))
+	for i, v := range c.epoch.Voters {
+		current[i] = c.candidate(now, v)
 	}
-	if !changed {
-		return nil
-	}
-	return voters
+	return quorum.NextVoters(current, c.spares(now), c.config.ToleratedLosses)
 }
 
 // distinguishedProposer returns the address of the live voter with the lowest
 // address, which is preferred to propose changes of the register; empty without
-// a live majority. Must hold mu.
+// a live majority. One that is stopping isn't preferred. Must hold mu.
 func (c *Controller) distinguishedProposer(now time.Time) string {
 	first, alive := "", 0
 	for _, v := range c.epoch.Voters {
-		if c.unreachableFor(now, v) >= livenessTimeout {
+		voter := c.candidate(now, v)
+		if voter.Lost || voter.Unreachable >= livenessTimeout {
 			continue
 		}
 		alive++
-		if first == "" || v.Address < first {
+		if !voter.Stopping && (first == "" || v.Address < first) {
 			first = v.Address
 		}
 	}
@@ -109,49 +75,35 @@
 	return first
 }
 
-// candidates returns the disks of live controllers that don't vote. Must hold
-// mu.
-func (c *Controller) candidates(now time.Time) []quorum.Voter {
-	var out []quorum.Voter
+// spares returns the disks of live controllers that don't vote. Must hold mu.
+func (c *Controller) spares(now time.Time) []quorum.Candidate {
+	var out []quorum.Candidate
 	for _, address := range sortedKeys(c.peers) {
 		p := c.peers[address]
 		if live(now, p.LastSeen) && p.Disk != "" && !c.epoch.Has(p.Disk) {
-			out = append(out, quorum.Voter{ID: p.Disk, Address: address})
+			out = append(out, c.candidate(now, quorum.Voter{ID: p.Disk, Address: address}))
 		}
 	}
 	return out
 }
 
-// replaceable returns the index of the voter that a candidate replaces: the
-// one at its address, whose disk was lost, or one that has been unreachable
-// for replaceAfter; -1 if there is none. Must hold mu.
-func (c *Controller) replaceable(now time.Time, voters []quorum.Voter, candidate quorum.Voter) int {
-	for i, v := range voters {
-		if v.Address == candidate.Address {
-			return i
-		}
-	}
-	for i, v := range voters {
-		if c.epoch.Has(v.ID) && c.unreachableFor(now, v) > replaceAfter {
-			return i
-		}
-	}
-	return -1
-}
-
-// unreachableFor returns how long a voter's disk has been unreachable. A voter
-// that is no peer, or whose address has another disk now, counts as lost. Must
-// hold mu.
-func (c *Controller) unreachableFor(now time.Time, v quorum.Voter) time.Duration {
+// candidate returns what is known of a disk. Must hold mu.
+func (c *Controller) candidate(now time.Time, v quorum.Voter) quorum.Candidate {
+	out := quorum.Candidate{Voter: v}
 	if v.ID == c.voter.id {
-		return 0
+		out.Region, out.Zone, out.Stopping = c.config.Region, c.config.Zone, c.stopping
+		return out
 	}
 	p := c.peers[v.Address]
-	if p == nil || p.Disk != "" && p.Disk != v.ID {
-		return retireAfter + 1
-	}
-	if p.Disk == "" {
-		return now.Sub(p.addedAt)
+	switch {
+	case v.Address == c.config.Address:
+		out.Lost = true // this controller has another disk
+	case p == nil: // it is added with the next exchanges
+	case p.Disk == "":
+		out.Unreachable = now.Sub(p.addedAt)
+	default:
+		out.Region, out.Zone, out.Stopping = p.Region, p.Zone, p.Stopping
+		out.Lost, out.Unreachable = p.Disk != v.ID, now.Sub(p.LastSeen)
 	}
-	return now.Sub(p.LastSeen)
+	return out
 }
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -14,9 +14,16 @@
 	"sassafrasreach/platform"
 )
 
-// handOverPeriod is how long a stopping controller keeps serving, so that other
-// controllers take over what it dispatches: a few rounds of gossip.
-const handOverPeriod = time.Second
+const (
+	// handOverPeriod is how long a stopping controller keeps serving, so that other
+	// controllers take over what it dispatches: a few rounds of gossip.
+	handOverPeriod = time.Second
+	// maxHandOverPeriod is how long it keeps serving at most, until another disk votes
+	// in place of its own.
+	maxHandOverPeriod = 3 * time.Second
+	// handOverCheckPeriod is the time between two checks of that.
+	handOverCheckPeriod = 50 * time.Millisecond
+)
 
 // runController runs a controller until SIGTERM or SIGINT.
 func runController(_ context.Context, args []string, stdout, stderr io.Writer) int {
@@ -58,5 +65,8 @@
 	}
 	c.Stop()
 	time.Sleep(handOverPeriod)
+	for left := maxHandOverPeriod - handOverPeriod; left > 0 && !c.HandedOver(); left -= handOverCheckPeriod {
+		time.Sleep(handOverCheckPeriod)
+	}
 	return nil
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -36,6 +36,8 @@
 	Incarnation uint64
 	// LastSeen is when it was last known to be live, on this VM's clock.
 	LastSeen time.Time
+	// Stopping means that its process ends soon.
+	Stopping bool
 }
 
 // Gateway describes a gateway, as reported by itself or by controllers.
