Let a deregistration bind where the endpoint isn't known

Cause: a controller that didn't know the endpoint answered with success and recorded nothing; a late heartbeat made the endpoint usable. One that knew an earlier incarnation marked that one only. Change: the deregistration is a record that ends all incarnations that started until it arrived, known or not. It goes to the disks of a majority, as before for known ones; right after a start, voters that aren't in touch yet are called again until 0.8 s have passed. Test: registry.Deregister is replaced by Deregistered and Record. Its test held that an unknown ID is not accepted, which was the fault; the rest of it is kept, and TestDeregisterUnknown asks for the opposite.

--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -4,12 +4,13 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"sync"
 	"time"
 
+	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 // propagateTimeout bounds the time in which an announcement that takes an
@@ -17,6 +18,20 @@
 // for the acknowledgement.
 const propagateTimeout = 800 * time.Millisecond
 
+// propagateRetryPeriod is the time between two calls to a voter in which an announcement
+// that takes an endpoint out of use doesn't reach it.
+const propagateRetryPeriod = 50 * time.Millisecond
+
+const (
+	// clockTolerance is how far an endpoint's clock may be ahead of this VM's without
+	// its deregistration missing an incarnation that has just started. A later one
+	// starts only after the endpoint has served on for longer than that.
+	clockTolerance = time.Second
+	// maxUnknownDeregistered bounds the deregistered IDs of which no announcement is
+	// known, so that made-up ones can't exhaust memory.
+	maxUnknownDeregistered = 1024
+)
+
 // Announce records an endpoint's announcement. An announcement that the
 // endpoint leaves is sent to all live controllers at once, the dispatchers
 // among them. It is acknowledged once all these calls have ended, if a majority
@@ -32,19 +47,19 @@
 	return c.propagate(ctx, e.ID)
 }
 
-// Deregister marks an endpoint as gone; it is acknowledged as in Announce. An
-// unknown endpoint is no error.
+// Deregister marks an endpoint as gone; it is acknowledged as in Announce. It also binds
+// where the endpoint isn't known, or only by an announcement of an earlier incarnation.
+// The error wraps port.ErrUnconfirmed if maxUnknownDeregistered such IDs are kept.
 func (c *Controller) Deregister(ctx context.Context, id string) error {
+	now := c.ports.Clock.Now()
 	c.mu.Lock()
-	e, known := c.endpoints.Get(id)
-	if known {
-		e.Leaving, e.Gone, e.LastSeen = true, true, c.ports.Clock.Now()
-		c.receiveAnnouncement(e)
+	_, known := c.endpoints.Get(id)
+	if n := c.endpoints.UnknownCount(); !known && n >= maxUnknownDeregistered {
+		c.mu.Unlock()
+		return fmt.Errorf("%w: %d unknown endpoints were deregistered within %s", port.ErrUnconfirmed, n, endpointRetention)
 	}
+	c.receiveAnnouncement(c.endpoints.Deregistered(id, now.Add(clockTolerance).UnixMilli(), now))
 	c.mu.Unlock()
-	if !known {
-		return nil
-	}
 	return c.propagate(ctx, id)
 }
 
@@ -85,6 +100,10 @@
 		}
 	}
 	c.countEnded(before, e)
+	if ended := before; known && e.Gone {
+		ended.Gone = true // the incarnation that runs may have started before e's
+		c.suspicions.recordAnnouncement(now, ended)
+	}
 	c.suspicions.recordAnnouncement(now, e)
 	c.updatePools(e)
 	if !known || before.StartedMillis != e.StartedMillis || before.Leaving != e.Leaving || before.Gone != e.Gone {
@@ -116,54 +135,100 @@
 	}
 }
 
-// propagate sends an endpoint's state to all live controllers, saves it, and waits
-// until each call has ended.
+// propagate sends an endpoint's state to all live controllers and all voters, and saves
+// it here. It waits until each call to a live one has ended and a majority of the voters
+// has the state on its disk. A voter that can't be reached yet, such as one that has just
+// started, is called again until propagateTimeout.
 func (c *Controller) propagate(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, propagateTimeout)
 	defer cancel()
-	now := c.ports.Clock.Now()
-	c.mu.Lock()
-	e, _ := c.endpoints.Get(id)
-	exchange := port.ExchangeRequest{From: c.self(now), EpochNumber: c.epoch.Number, Endpoints: []registry.Endpoint{e}, Durable: true}
-	targets := make(map[string]port.ControllerPeer)
-	for address, p := range c.peers {
-		if live(now, p.LastSeen) {
-			targets[address] = p.link
-		}
+	exchange, targets, epoch := c.propagation(id)
+	results := make(chan propagated, 2*(len(targets)+1))
+	for _, t := range targets {
+		go t.send(ctx, exchange, results)
 	}
-	epoch := c.epoch
-	c.mu.Unlock()
 	acked := make(map[string]bool)
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	group.Go(func() {
-		if c.saveEnded() == nil {
-			mu.Lock()
-			acked[c.config.Address] = true
-			mu.Unlock()
-		}
-	})
-	for address, link := range targets {
-		group.Go(func() {
-			if _, err := link.Exchange(ctx, exchange); err == nil {
-				mu.Lock()
-				acked[address] = true
-				mu.Unlock()
+	count := func() (n int) {
+		for _, v := range epoch.Voters {
+			if acked[v.Address] {
+				n++
 			}
-		})
+		}
+		return n
+	}
+	acked[c.config.Address] = c.saveEnded() == nil
+	waiting, running := 0, len(targets)
+	for _, t := range targets {
+		if t.live {
+			waiting++
+		}
 	}
-	group.Wait()
-	count := 0
-	for _, v := range epoch.Voters {
-		if acked[v.Address] {
-			count++
+	for running > 0 && (waiting > 0 || count() < epoch.Majority()) {
+		r := <-results
+		acked[r.from] = acked[r.from] || r.acked
+		if r.first {
+			waiting--
+		}
+		if r.last {
+			running--
 		}
 	}
-	c.ports.Meter.RecordAnnouncement(true, count >= epoch.Majority())
-	if count < epoch.Majority() {
+	confirmed := count() >= epoch.Majority() && epoch.Number > 0
+	c.ports.Meter.RecordAnnouncement(true, confirmed)
+	if !confirmed {
 		event.Log(ctx, c.ports.Logger, event.LeavingUnacknowledged, slog.String("endpoint", id),
-			slog.Int("told", count), slog.Int("needed", epoch.Majority()))
-		return fmt.Errorf("%w: %d of %d required voters acknowledged the endpoint's state", port.ErrUnconfirmed, count, epoch.Majority())
+			slog.Int("told", count()), slog.Int("needed", epoch.Majority()))
+		return fmt.Errorf("%w: %d of %d required voters acknowledged the endpoint's state", port.ErrUnconfirmed, count(), epoch.Majority())
 	}
 	return nil
 }
+
+// propagation returns the message that propagate sends for an endpoint, its targets and
+// the epoch whose voters have to acknowledge it.
+func (c *Controller) propagation(id string) (port.ExchangeRequest, []target, quorum.Epoch) {
+	now := c.ports.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshPeers(now)
+	e, _ := c.endpoints.Get(id)
+	var targets []target
+	for address, p := range c.peers {
+		t := target{address: address, link: p.link, live: live(now, p.LastSeen), votes: c.epoch.HasAddress(address)}
+		if t.live || t.votes {
+			targets = append(targets, t)
+		}
+	}
+	exchange := port.ExchangeRequest{From: c.self(now), EpochNumber: c.epoch.Number, Endpoints: []registry.Endpoint{e}, Durable: true}
+	return exchange, targets, c.epoch
+}
+
+// target is a controller that propagate sends an endpoint's state to.
+type target struct {
+	address     string
+	link        port.ControllerPeer
+	live, votes bool
+}
+
+// propagated is the outcome of a call to a target. first is set for the first call to a
+// live one, last if no other call follows.
+type propagated struct {
+	from               string
+	acked, first, last bool
+}
+
+// send calls the target, and again until ctx ends if it votes and the call failed.
+func (t target) send(ctx context.Context, m port.ExchangeRequest, results chan<- propagated) {
+	_, err := t.link.Exchange(ctx, m)
+	last := err == nil || !t.votes
+	results <- propagated{from: t.address, acked: err == nil, first: t.live, last: last}
+	for !last {
+		last = !wait.For(ctx, propagateRetryPeriod)
+		if !last {
+			_, err = t.link.Exchange(ctx, m)
+			last = err == nil
+		}
+		if last {
+			results <- propagated{from: t.address, acked: err == nil, last: true}
+		}
+	}
+}
--- a/internal/app/controller/hints.go
+++ b/internal/app/controller/hints.go
@@ -75,9 +75,14 @@
 
 // saveHints saves the hints. An error is logged; the next save tries again.
 func (c *Controller) saveHints() error {
-	now := c.ports.Clock.Now()
 	c.hints.mu.Lock()
 	defer c.hints.mu.Unlock()
+	return c.saveHintsLocked()
+}
+
+// saveHintsLocked is saveHints. Must hold hints.mu.
+func (c *Controller) saveHintsLocked() error {
+	now := c.ports.Clock.Now()
 	c.mu.Lock()
 	var h port.Hints
 	for _, address := range sortedKeys(c.gateways) {
@@ -111,12 +116,11 @@
 	count := c.endedCount
 	c.mu.Unlock()
 	c.hints.mu.Lock()
-	done := c.hints.saved >= count
-	c.hints.mu.Unlock()
-	if done {
-		return nil
+	defer c.hints.mu.Unlock()
+	if c.hints.saved >= count {
+		return nil // by a save that others waited for, too
 	}
-	return c.saveHints()
+	return c.saveHintsLocked()
 }
 
 // countEnded counts an endpoint that has begun to leave or is gone. Must hold mu.
--- a/internal/core/quorum/types.go
+++ b/internal/core/quorum/types.go
@@ -27,6 +27,11 @@
 	return slices.ContainsFunc(e.Voters, func(v Voter) bool { return v.ID == id })
 }
 
+// HasAddress says whether the process at an address serves a voter of the epoch.
+func (e Epoch) HasAddress(address string) bool {
+	return slices.ContainsFunc(e.Voters, func(v Voter) bool { return v.Address == address })
+}
+
 // Ballot orders the attempts of an epoch. No two proposers use the same ballot. The
 // zero ballot precedes all others.
 type Ballot struct {
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -21,7 +21,8 @@
 	Zone  string
 	Slots int
 	// StartedMillis is the start time of the incarnation, in Unix milliseconds on
-	// the endpoint's clock.
+	// the endpoint's clock. Of a deregistered endpoint it is the latest start that the
+	// deregistration ends.
 	StartedMillis int64
 	// Sequence increases with each announcement of the incarnation.
 	Sequence int64
@@ -126,19 +127,25 @@
 	}
 }
 
-// Deregister marks an endpoint as gone and returns it. It returns false if the
-// endpoint is unknown or already gone.
-func (r *Registry) Deregister(id string, now time.Time) (Endpoint, bool) {
-	old := r.endpoints[id]
-	if old == nil || old.Gone {
-		return Endpoint{ID: id}, false
+// Deregistered returns the record by which all incarnations of an ID that started until
+// startedUntil, in Unix milliseconds, are gone, whether the ID is known or not. A later
+// incarnation may use the ID again. Record stores it.
+func (r *Registry) Deregistered(id string, startedUntil int64, now time.Time) Endpoint {
+	e, _ := r.Get(id)
+	e.ID, e.Leaving, e.Gone, e.LastSeen = id, true, true, now
+	e.StartedMillis = max(e.StartedMillis, startedUntil)
+	return e
+}
+
+// UnknownCount returns the number of deregistered IDs of which no announcement is known.
+func (r *Registry) UnknownCount() int {
+	n := 0
+	for _, e := range r.endpoints {
+		if e.Gone && e.Service == "" {
+			n++
+		}
 	}
-	next := *old
-	next.Gone, next.Leaving, next.LastSeen = true, true, now
-	r.revision++
-	r.endpoints[id] = &next
-	r.changedAt[id] = r.revision
-	return next, true
+	return n
 }
 
 // MarkLeaving marks the endpoint's incarnation as leaving and returns it. It
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -82,13 +82,31 @@
 func TestDeregisterAndSweep(t *testing.T) {
 	is := is.New(t)
 	r := registry.New(time.Minute)
-	_, accepted := r.Deregister("a", now)
-	is.True(!accepted) // unknown
-	r.Record(announced("a", "1:1", 10, 5))
-	e, accepted := r.Deregister("a", now)
-	is.True(accepted && e.Gone && e.Leaving)
-	_, accepted = r.Deregister("a", now)
-	is.True(!accepted)
+	is.True(r.Record(announced("a", "1:1", 10, 5)))
+	is.True(r.Record(r.Deregistered("a", 20, now)))
+	e, _ := r.Get("a")
+	is.True(e.Gone && e.Leaving && e.Service != "")
+	is.True(!r.Record(r.Deregistered("a", 20, now))) // the same once more
 	is.Equal(len(r.Sweep(now.Add(time.Minute))), 0)
 	is.Equal(len(r.Sweep(now.Add(time.Minute+1))), 1)
 }
+
+// TestDeregisterUnknown guards against a deregistration that binds nobody since no
+// announcement of the endpoint is known, or only one of an earlier incarnation.
+func TestDeregisterUnknown(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(time.Minute)
+	is.True(r.Record(announced("b", "1:2", 5, 1)))
+	for _, id := range []string{"a", "b"} {
+		is.True(r.Record(r.Deregistered(id, 20, now)))
+		is.True(!r.Record(announced(id, "1:1", 10, 5))) // a delayed announcement
+		is.True(!r.Record(announced(id, "1:1", 20, 6)))
+		e, _ := r.Get(id)
+		is.True(e.Gone)
+	}
+	is.Equal(r.UnknownCount(), 1)
+	is.True(r.Record(announced("a", "1:1", 21, 1))) // a later incarnation
+	e, _ := r.Get("a")
+	is.True(!e.Gone && !e.Leaving)
+	is.Equal(r.UnknownCount(), 0)
+}
