Pass on the end of an endpoint from each controller that knows it

Cause: an announcement is repeated only by the controller that received it. Change: one that takes an endpoint out of use is passed on by each controller, until each peer has acknowledged it. Conclusion: the first of two causes; a dispatcher that stood still may still act on its old list until it is told.

--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -70,6 +70,7 @@
 	name, zone, region string
 	disk               *disk
 	hints              *hintDisk
+	clock              *suspendedClock
 	controller         *controller.Controller
 	stop               context.CancelFunc
 }
@@ -94,7 +95,7 @@
 		seeds: []string{"a1:1", "b1:1", "c1:1"},
 	}
 	for zone, region := range regions {
-		c.members[zone+":1"] = &member{name: zone, zone: zone, region: region, disk: &disk{}, hints: &hintDisk{}}
+		c.members[zone+":1"] = &member{name: zone, zone: zone, region: region, disk: &disk{}, hints: &hintDisk{}, clock: &suspendedClock{}}
 	}
 	for address := range c.members {
 		c.start(address, true)
@@ -179,7 +180,7 @@
 		Name: m.name, Address: address, Zone: m.zone, Region: m.region, Zones: regions, Seeds: c.seeds, Bootstrap: bootstrap,
 		Retries: dispatch.RetryBudget{Ratio: 0.2, Extra: 112, Window: 10 * time.Second}, ToleratedLosses: 2,
 	}, controller.Ports{
-		Clock:  port.ClockFunc(time.Now),
+		Clock:  m.clock,
 		Logger: slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
 		Meter:  metrics.New(),
 		Store:  m.disk,
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -74,11 +74,17 @@
 	}
 }
 
-// recordShared records an announcement that another controller passed on. Must hold
-// mu.
+// recordShared records an announcement that another controller passed on. One that takes
+// the endpoint out of use is passed on again: the controller that acknowledged it may be
+// gone or cut off from some of the others. Must hold mu.
 func (c *Controller) recordShared(e registry.Endpoint) {
-	if c.recordEndpoint(e) {
-		c.sharedAt[e.ID] = c.ports.Clock.Now()
+	if !c.recordEndpoint(e) {
+		return
+	}
+	c.sharedAt[e.ID] = c.ports.Clock.Now()
+	if e.Leaving || e.Gone {
+		c.announceSeq++
+		c.localAnnounceSeq[e.ID] = c.announceSeq
 	}
 }
 
