Let a dispatcher that stood still ask what ended before it goes on

Cause: a controller that stood still waits for answers of a majority of the voters before it dispatches again, but the answers say nothing of endpoints. Where the others can't call it, it never learns what ended. Change: exchanges after a start or a standstill ask for the endpoints that leave or are gone, at once, and the majority counts disks that have answered this. An acknowledged end is on a majority's disks, so one of them knows it.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -218,7 +218,7 @@
 	return &fleetv1.ExchangeRequest{
 		From: c.controllerToProto(m.From), Controllers: convertAll(m.Controllers, c.controllerToProto),
 		Gateways: convertAll(m.Gateways, c.gatewayToProto), Endpoints: convertAll(m.Endpoints, c.endpointToProto),
-		Asks: m.VoteRequests, Drops: m.VoteReleases, Whole: m.FullSync, Durable: m.Durable,
+		Asks: m.VoteRequests, Drops: m.VoteReleases, Whole: m.FullSync, Ended: m.EndedSync, Durable: m.Durable,
 		EpochNumber: m.EpochNumber, Report: m.Report, ReportUnchanged: m.ReportUnchanged,
 		Loads: convertAll(m.Loads, loadToProto), Loans: convertAll(m.Loans, loanToProto),
 		Suspicions: convertAll(m.Suspicions, suspicionToProto), Returns: convertAll(m.Returns, returnToProto),
@@ -230,7 +230,7 @@
 	return port.ExchangeRequest{
 		From: c.controllerFromProto(m.GetFrom()), Controllers: convertAll(m.GetControllers(), c.controllerFromProto),
 		Gateways: convertAll(m.GetGateways(), c.gatewayFromProto), Endpoints: convertAll(m.GetEndpoints(), c.endpointFromProto),
-		VoteRequests: m.GetAsks(), VoteReleases: m.GetDrops(), FullSync: m.GetWhole(), Durable: m.GetDurable(),
+		VoteRequests: m.GetAsks(), VoteReleases: m.GetDrops(), FullSync: m.GetWhole(), EndedSync: m.GetEnded(), Durable: m.GetDurable(),
 		EpochNumber: m.GetEpochNumber(), Report: m.GetReport(), ReportUnchanged: m.GetReportUnchanged(),
 		Loads: convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
 		Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto), Returns: convertAll(m.GetReturns(), returnFromProto),
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -119,7 +119,7 @@
 	endpoints *registry.Registry
 	// localAnnounceSeq maps an endpoint to the value of announceSeq at its
 	// last announcement; announceSeq counts the announcements made to this
-	// controller.
+	// controller and those of endpoints that leave or are gone.
 	localAnnounceSeq map[string]uint64
 	announceSeq      uint64
 	// sharedAt is when an announcement of an endpoint was last passed on by this
@@ -213,10 +213,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopping = true
-	select {
-	case c.exchangeNow <- struct{}{}:
-	default:
-	}
+	c.exchangeAtOnce()
 }
 
 // HandedOver reports whether a stopping controller may end: its disk doesn't vote any
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -98,12 +98,14 @@
 	}
 }
 
-// heardMajority reports whether a majority of the voters, this one included, has
-// answered since this controller started or stood still. Must hold mu.
+// heardMajority reports whether a majority of the voters' disks, this one included, has
+// reported the endpoints that leave or are gone since this controller started or stood
+// still. One of these disks has each of them whose end was acknowledged. Must hold mu.
 func (c *Controller) heardMajority() bool {
 	heard := 0
 	for _, v := range c.epoch.Voters {
-		if p := c.peers[v.Address]; v.Address == c.config.Address || p != nil && p.sentAt.After(c.ranSince) {
+		p := c.peers[v.Address]
+		if v.ID == c.voter.id || p != nil && p.Disk == v.ID && p.endedAt.After(c.ranSince) {
 			heard++
 		}
 	}
@@ -343,6 +345,11 @@
 		return
 	}
 	c.suspicions.unsent = false
+	c.exchangeAtOnce()
+}
+
+// exchangeAtOnce starts a round of exchanges before its period has passed.
+func (c *Controller) exchangeAtOnce() {
 	select {
 	case c.exchangeNow <- struct{}{}:
 	default:
@@ -406,6 +413,7 @@
 	defer c.mu.Unlock()
 	if now.Sub(c.lastTick) > stallTime {
 		c.ranSince = now
+		c.exchangeAtOnce()
 	}
 	c.lastTick = now
 	for _, r := range c.regions {
--- a/internal/app/controller/hints.go
+++ b/internal/app/controller/hints.go
@@ -90,12 +90,7 @@
 			h.Gateways = append(h.Gateways, g)
 		}
 	}
-	all, _ := c.endpoints.Since(0)
-	for _, e := range all {
-		if e.Leaving || e.Gone {
-			h.Ended = append(h.Ended, e)
-		}
-	}
+	h.Ended = c.endpoints.Ended()
 	for _, l := range c.loads {
 		h.Loads = append(h.Loads, l.Load)
 	}
--- a/internal/app/controller/passed_on_test.go
+++ b/internal/app/controller/passed_on_test.go
@@ -81,3 +81,46 @@
 		})
 	}
 }
+
+// TestResumedDispatcherAsksFirst guards against a dispatcher that stood still and goes on
+// with the endpoints that it knew before, though one of them has deregistered meanwhile:
+// nobody can call it, and the controller that acknowledged the deregistration is gone.
+func TestResumedDispatcherAsksFirst(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 20*time.Millisecond)
+	is.NoErr(c.order(0, 2))
+	c.settle()
+	c.settle()
+	is.NoErr(c.at("b1:1").controller.Announce(t.Context(), announcement("e1")))
+	c.settle()
+	suspended := c.dispatcher(is, "")
+	clock := c.at(suspended).clock
+	clock.mu.Lock()
+	time.Sleep(3 * time.Second)
+	receiver := c.dispatcherBeside(is, suspended)
+	is.NoErr(c.at(receiver).controller.Deregister(t.Context(), "e1"))
+	c.kill(receiver)
+	c.mu.Lock()
+	for other := range c.members {
+		c.blocked[[2]string{other, suspended}] = true
+	}
+	c.mu.Unlock()
+	clock.mu.Unlock()
+	time.Sleep(100 * time.Millisecond) // it notices within a few checks
+	is.Equal(c.maxSlots(3*time.Second), int64(0))
+}
+
+// dispatcherBeside is dispatcher while one controller stands still, which can't be asked.
+func (c *cluster) dispatcherBeside(is *is.I, suspended string) string {
+	c.mu.Lock()
+	m := c.members[suspended]
+	delete(c.members, suspended)
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.members[suspended] = m
+		c.mu.Unlock()
+	}()
+	return c.dispatcher(is, suspended)
+}
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -23,6 +23,9 @@
 	port.Controller
 	// sentAt is when the last exchange that the peer answered was sent.
 	sentAt time.Time
+	// endedAt is when the last exchange was sent whose answer had all endpoints that
+	// leave or are gone, as far as the peer knew.
+	endedAt time.Time
 	// epoch and accepted are the state of its voter in that answer.
 	epoch    uint64
 	accepted quorum.Ballot
@@ -138,7 +141,7 @@
 			continue
 		}
 		exchange := c.exchange(now, p)
-		exchange.FullSync = slices.Contains(asksAll, p)
+		exchange.FullSync, exchange.EndedSync = slices.Contains(asksAll, p), !p.endedAt.After(c.ranSince)
 		exchange.VoteRequests, exchange.VoteReleases = requests, releases
 		exchange.Loads, exchange.Returns = loads, returns
 		exchange.Report, exchange.ReportUnchanged = mine.version, p.reportAcked == mine.version
@@ -294,6 +297,9 @@
 	if m.FullSync && len(reply.Endpoints) > 0 {
 		c.fullReplies++
 	}
+	if m.EndedSync {
+		p.endedAt = sentAt
+	}
 	p.identify(reply.From)
 	if acked.all || p.synced {
 		p.synced, p.acked = true, acked
@@ -380,9 +386,12 @@
 			reply.Grants = append(reply.Grants, name)
 		}
 	}
-	if m.FullSync {
+	switch {
+	case m.FullSync:
 		reply.Endpoints, _ = c.endpoints.Since(0)
 		reply.Loads, reply.Loans = c.reportedState(now)
+	case m.EndedSync:
+		reply.Endpoints = c.endpoints.Ended()
 	}
 	return reply
 }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -137,6 +137,17 @@
 	return e
 }
 
+// Ended returns the endpoints that leave or are gone.
+func (r *Registry) Ended() []Endpoint {
+	var out []Endpoint
+	for _, e := range r.endpoints {
+		if e.Leaving || e.Gone {
+			out = append(out, *e)
+		}
+	}
+	return out
+}
+
 // UnknownCount returns the number of deregistered IDs of which no announcement is known.
 func (r *Registry) UnknownCount() int {
 	n := 0
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -85,8 +85,9 @@
 	Returns []dispatch.Return
 	// Suspicions are the changes that the receiver hasn't acknowledged.
 	Suspicions []Suspicion
-	// FullSync requests all endpoints that the receiver knows.
-	FullSync bool
+	// FullSync requests all endpoints that the receiver knows; EndedSync, those that
+	// leave or are gone.
+	FullSync, EndedSync bool
 	// EpochNumber is the epoch whose voters the sender knows.
 	EpochNumber uint64
 	// Report is the version of the sender's Gateways and Loans; 0 if the message
