Bound the memory of all responses of a process together

Callers saw (another operator's report): a faulty endpoint sent bytes without end, the VM that had called it ran out of memory, and the requests of its other clients ended with it. Cause: each response had limits of its own, their sum had none; a buffer that grows by doubling kept three times a body's size, and a parsed head takes far more than its bytes. Change: responses take memory from a shared budget before they use it (core/memory), a quarter of what the settings allow, and give it back when they have been written to the client. A small part of each doesn't count. One for which nothing is left is given up with the verdict that the request may have run. The Go runtime is told the limit, too.

--- a/internal/adapter/callerhttp/serve.go
+++ b/internal/adapter/callerhttp/serve.go
@@ -163,6 +163,7 @@
 // writeResponse sends the endpoint's response. If a streamed body fails, the
 // connection is aborted, so that a truncated response can't look complete.
 func writeResponse(w http.ResponseWriter, method string, response *port.Response) {
+	defer response.Done()
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
--- a/internal/adapter/endpointhttp/body.go
+++ b/internal/adapter/endpointhttp/body.go
@@ -1,11 +1,12 @@
 package endpointhttp
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
 
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -13,7 +14,7 @@
 // readBody buffers the body up to MaxBufferedBytes and streams the remainder.
 func (x *exchange) readBody(in *response) (*port.Response, error) {
 	limit := min(x.caller.opts.MaxBufferedBytes, x.maxBytes())
-	body, complete, err := readUpTo(in, limit)
+	body, complete, err := x.readUpTo(in, limit)
 	if err == nil && complete {
 		err = x.checkTrailingBytes()
 	}
@@ -23,7 +24,12 @@
 	if err != nil {
 		return nil, x.fail(verdict.ReasonBadAnswer, err)
 	}
-	out := &port.Response{Status: in.status, Header: endToEnd(in.header), Body: body, Signals: x.caller.opts.HeaderConvention.signals(in)}
+	out := &port.Response{
+		Status: in.status, Header: endToEnd(in.header), Body: body, Signals: x.caller.opts.HeaderConvention.signals(in),
+		Release: x.account.Close,
+	}
+	// A response that is dropped without Release gives its memory back, too.
+	runtime.AddCleanup(out, (*memory.Account).Close, x.account)
 	if complete {
 		x.finish(in)
 		return out, nil
@@ -33,26 +39,49 @@
 }
 
 // readUpTo reads the body up to limit bytes, and one more to detect its end. It
-// reports whether the body is complete; otherwise body has limit+1 bytes.
-func readUpTo(in *response, limit int64) (body []byte, complete bool, err error) {
-	var b bytes.Buffer
-	if in.length > 0 {
-		b.Grow(int(min(in.length, limit)) + bytes.MinRead)
+// reports whether the body is complete; otherwise body has limit+1 bytes. Memory beyond
+// freeBodyBytes is charged to the exchange's account before it is used.
+func (x *exchange) readUpTo(in *response, limit int64) (body []byte, complete bool, err error) {
+	body = make([]byte, 0, firstCapacity(in.length, limit))
+	for {
+		if len(body) == cap(body) {
+			if body, err = x.grow(body, limit+1); err != nil {
+				return nil, false, err
+			}
+		}
+		n, err := in.body.Read(body[len(body):min(int64(cap(body)), limit+1)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return body, false, nil
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		}
 	}
-	n, err := io.Copy(&b, io.LimitReader(in.body, limit))
-	if err != nil {
-		return nil, false, err
+}
+
+// firstCapacity returns the capacity with which the buffer of a body begins: one more
+// than a declared length, so that the end is seen without growing, if that is small.
+func firstCapacity(length, limit int64) int64 {
+	if length < 0 {
+		length = readBufferBytes
 	}
-	if n < limit {
-		return b.Bytes(), true, nil
+	return min(length, limit, freeBodyBytes-1) + 1
+}
+
+// grow doubles the capacity of a buffer, up to a limit.
+func (x *exchange) grow(buffer []byte, limit int64) ([]byte, error) {
+	before, after := int64(cap(buffer)), min(2*int64(cap(buffer)), limit)
+	if after > freeBodyBytes && !x.account.Take(after) {
+		return nil, ErrMemory
 	}
-	var next [1]byte
-	m, err := io.ReadFull(in.body, next[:])
-	if errors.Is(err, io.EOF) {
-		return b.Bytes(), true, nil
+	grown := append(make([]byte, 0, after), buffer...)
+	if before > freeBodyBytes {
+		x.account.Return(before)
 	}
-	b.Write(next[:m])
-	return b.Bytes(), false, err
+	return grown, nil
 }
 
 // bodyStream is the part of a body that isn't buffered. It isn't safe for
--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -16,6 +17,8 @@
 // Caller implements port.EndpointCaller. It is safe for concurrent use.
 type Caller struct {
 	opts Options
+	// memory is shared by all responses.
+	memory *memory.Budget
 
 	mu sync.Mutex
 	// pools holds the connections of each endpoint incarnation. Guarded by mu.
@@ -32,7 +35,8 @@
 
 // New returns a Caller.
 func New(opts Options) *Caller {
-	return &Caller{opts: opts.withDefaults(), pools: make(map[poolKey]*pool)}
+	opts = opts.withDefaults()
+	return &Caller{opts: opts, memory: memory.NewBudget(opts.MaxHeldBytes), pools: make(map[poolKey]*pool)}
 }
 
 // Call sends req to the endpoint at most once. A once-only request uses a new
--- a/internal/adapter/endpointhttp/conn.go
+++ b/internal/adapter/endpointhttp/conn.go
@@ -6,6 +6,8 @@
 	"math"
 	"net"
 	"time"
+
+	"sassafrasreach/internal/core/memory"
 )
 
 // conn is a connection to an endpoint. It is used by one call at a time.
@@ -48,6 +50,10 @@
 type boundedReader struct {
 	source io.Reader
 	left   int64
+	// free is what may be read before account is charged for the parsed form; account
+	// is nil outside of a head.
+	free    int64
+	account *memory.Account
 	// err is the last error of source; parsers may return their own instead.
 	err error
 }
@@ -62,12 +68,24 @@
 	n, err := r.source.Read(p)
 	r.left -= int64(n)
 	r.err = err
+	if r.account == nil {
+		return n, err
+	}
+	charged := max(0, int64(n)-r.free)
+	r.free -= int64(n) - charged
+	if !r.account.Take(charged * parsedHeadCost) {
+		r.err = ErrMemory
+		return 0, ErrMemory
+	}
 	return n, err
 }
 
-// limitHead limits the response head that is read next to maxHeaderBytes.
-func (c *conn) limitHead() { c.input.left = maxHeaderBytes }
+// limitHead limits the response head that is read next to maxHeaderBytes, and charges
+// its memory to an account.
+func (c *conn) limitHead(a *memory.Account) {
+	c.input.left, c.input.free, c.input.account = maxHeaderBytes, freeHeadBytes, a
+}
 
 // removeLimit removes the limit before the response body is read; the exchange
 // limits the size of the body.
-func (c *conn) removeLimit() { c.input.left = math.MaxInt64 }
+func (c *conn) removeLimit() { c.input.left, c.input.account = math.MaxInt64, nil }
--- a/internal/adapter/endpointhttp/errors.go
+++ b/internal/adapter/endpointhttp/errors.go
@@ -24,6 +24,10 @@
 	// many interim responses.
 	ErrUnexpectedStatus = errors.New("unexpected status")
 
+	// ErrMemory means that the responses of the process hold as much memory as they may
+	// together.
+	ErrMemory = errors.New("no memory is left for the response")
+
 	errHeaderTooLarge = errors.New("response header exceeds the limit")
 	errBadTarget      = errors.New("invalid request target")
 )
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -22,13 +23,15 @@
 	req    *port.Request
 	// id is the request ID that the response must echo.
 	id string
+	// account holds the memory of the response.
+	account *memory.Account
 	// stopWatch stops watching ctx; it returns false if ctx ended first, and the
 	// connection's deadline may then have been set to the past.
 	stopWatch func() bool
 }
 
 func (c *Caller) newExchange(ctx context.Context, cancel context.CancelFunc, p *pool, cn *conn, req *port.Request, id string) *exchange {
-	x := &exchange{caller: c, ctx: ctx, cancel: cancel, pool: p, conn: cn, req: req, id: id}
+	x := &exchange{caller: c, ctx: ctx, cancel: cancel, pool: p, conn: cn, req: req, id: id, account: c.memory.Open()}
 	x.stopWatch = context.AfterFunc(ctx, func() {
 		_ = cn.SetDeadline(time.Unix(1, 0))
 	})
@@ -87,7 +90,7 @@
 // readHead reads the head of the final response and skips interim responses
 // (RFC 9110, section 15.2).
 func (x *exchange) readHead(out *http.Request) (*response, error) {
-	x.conn.limitHead()
+	x.conn.limitHead(x.account)
 	for range maxInterim {
 		in, err := http.ReadResponse(x.conn.reader, out)
 		if err != nil {
@@ -159,6 +162,7 @@
 	if err == nil {
 		n, err = io.Copy(io.Discard, io.LimitReader(in.body, maxShedBytes+1))
 	}
+	x.account.Close()
 	x.conn.refused[x.id] = true
 	if err != nil || n > maxShedBytes || len(x.conn.refused) > maxRefusedIDs || x.conn.SetReadDeadline(time.Time{}) != nil {
 		x.drop()
@@ -216,6 +220,7 @@
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		x.pool.markUnresponsive(x.caller.opts.Clock.Now())
 	}
+	x.account.Close()
 	x.drop()
 	return failure
 }
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -12,6 +12,17 @@
 	// DefaultMaxBufferedBytes is the default of Options.MaxBufferedBytes.
 	DefaultMaxBufferedBytes = 1 << 20
 
+	// DefaultMaxHeldBytes is the default of Options.MaxHeldBytes.
+	DefaultMaxHeldBytes = 64 << 20
+
+	// freeHeadBytes and freeBodyBytes are the parts of a response head and body that
+	// don't count for MaxHeldBytes.
+	freeHeadBytes = 8 << 10
+	freeBodyBytes = 16 << 10
+	// parsedHeadCost is how many bytes a byte of a head may take once it is parsed: a
+	// head of short lines takes far more memory than it has bytes.
+	parsedHeadCost = 16
+
 	defaultDialTimeout     = time.Second
 	defaultOnceOnlyMaxIdle = time.Second
 	defaultIdleTimeout     = 10 * time.Second
@@ -46,6 +57,9 @@
 	// MaxBufferedBytes is the size up to which a response body is buffered; the
 	// remainder of a larger body is streamed.
 	MaxBufferedBytes int64
+	// MaxHeldBytes bounds the memory of all responses together, from the first byte
+	// until their Release. Small ones don't count.
+	MaxHeldBytes int64
 	// Clock measures how long connections are idle.
 	Clock port.Clock
 	// HeaderConvention is the header convention of the endpoints. An empty
@@ -61,6 +75,7 @@
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
 	setDefault(&o.UserTimeout, defaultUserTimeout)
 	setDefault(&o.MaxBufferedBytes, DefaultMaxBufferedBytes)
+	setDefault(&o.MaxHeldBytes, DefaultMaxHeldBytes)
 	if o.HeaderConvention.IDHeader == "" {
 		o.HeaderConvention = defaultHeaderConvention()
 	}
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -100,6 +100,7 @@
 
 // sendBody sends the buffered body and then the rest, in chunks.
 func sendBody(stream grpc.ServerStreamingServer[peerv1.ForwardResponse], response *port.Response) error {
+	defer response.Done()
 	for buffered := response.Body; len(buffered) > 0; {
 		n := min(len(buffered), chunkBytes)
 		if err := sendChunk(stream, buffered[:n]); err != nil {
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"syscall"
@@ -41,6 +42,12 @@
 	// endpoint may be used for an idempotent request. Endpoints close idle
 	// connections some seconds later.
 	endpointIdleTimeout = 4 * time.Second
+	// responseMemoryDivisor is the divisor that gives the part of the process's memory
+	// that responses may hold. The collector may let as much garbage stand beside it.
+	responseMemoryDivisor = 4
+	// heapMemoryPercent is the part of the process's memory near which the collector
+	// works harder; the rest is for what isn't on the heap.
+	heapMemoryPercent = 75
 	// settingsPeriod is the time between two reloads of the settings file.
 	settingsPeriod = 2 * time.Second
 	// droppedPeriod is the time between two reports of dropped log records.
@@ -81,6 +88,9 @@
 	if *check {
 		return exitOK
 	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(settings.MemoryBytes / 100 * heapMemoryPercent)
+	}
 	sink := logsink.New(stdout)
 	defer sink.Flush()
 	p := &vmProcess{
@@ -204,6 +214,7 @@
 func newGateway(p *vmProcess) (*gateway.Gateway, *endpointhttp.Caller) {
 	endpoints := endpointhttp.New(endpointhttp.Options{
 		Clock: p.clock, HeaderConvention: platform.HeaderConvention(), IdleTimeout: endpointIdleTimeout,
+		MaxHeldBytes: p.settings.MemoryBytes / responseMemoryDivisor,
 	})
 	g := gateway.New(gateway.Config{
 		Name: p.settings.Name, Address: p.settings.ClientListen,
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -54,6 +54,16 @@
 	// Rest is the unread part of a large body; nil when Body is the whole. A
 	// reader must treat any error but io.EOF as a truncated answer.
 	Rest io.ReadCloser
+	// Release is called once Header and Body have been written or dropped, so that
+	// others may use their memory. It may be nil, and be called again.
+	Release func()
+}
+
+// Done calls Release, if there is one.
+func (r *Response) Done() {
+	if r != nil && r.Release != nil {
+		r.Release()
+	}
 }
 
 // ErrRefused means that the endpoint refused to run the request.
