Limit the heads of requests to controllers to 16 KiB

Endpoints that send request heads without end take a controller over its memory. Cause: the limit was that of clients' heads, 256 KiB on each connection; short lines take some twenty times that once parsed. Change: heads have 16 KiB at most at every listener but that of clients. Conclusion: mended.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -38,6 +38,9 @@
 	// clientHeaderBytes is the maximum size of a request's header; the
 	// configuration's own limit is checked after it.
 	clientHeaderBytes = 256 << 10
+	// headerBytes is the maximum size of the header of any other request. Endpoints and
+	// operators send a few hundred bytes.
+	headerBytes = 16 << 10
 	// endpointIdleTimeout is how long after its last response a connection to an
 	// endpoint may be used for an idempotent request. Endpoints close idle
 	// connections some seconds later.
@@ -157,18 +160,18 @@
 	if err != nil {
 		return err
 	}
-	p.serveOn(ctx, clients, listener, h, nil)
+	p.serveOn(ctx, clients, listener, h, nil, headerBytes)
 	return nil
 }
 
 // serveOn serves HTTP on a listener. The hook is called when the state of a
-// connection changes; it may be nil.
+// connection changes; it may be nil. A request's header has maxHeaderBytes at most.
 func (p *vmProcess) serveOn(
-	ctx context.Context, clients string, listener net.Listener, h http.Handler, hook func(net.Conn, http.ConnState),
+	ctx context.Context, clients string, listener net.Listener, h http.Handler, hook func(net.Conn, http.ConnState), maxHeaderBytes int,
 ) *http.Server {
 	server := &http.Server{
 		ConnState: hook,
-		Handler:   h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: clientHeaderBytes,
+		Handler:   h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
 	}
 	event.Log(ctx, p.logger, event.Listening, slog.String("for", clients), slog.String("address", listener.Addr().String()))
