--- a/internal/cli/call_test.go
+++ b/internal/cli/call_test.go
@@ -44,3 +44,19 @@
 		is.Equal(link.Accepted() == 2, method == "GET")
 	}
 }
+
+// TestEndlessReply guards against a client at the shell that keeps a response without end
+// in memory.
+func TestEndlessReply(t *testing.T) {
+	is := is.New(t)
+	piece := make([]byte, 1<<20)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for err := error(nil); err == nil; {
+			_, err = w.Write(piece)
+		}
+	}))
+	defer server.Close()
+	entry := port.LookupEntry{Name: "e", Address: server.Listener.Addr().String()}
+	o := callOptions{service: "s", method: "GET", target: "/", timeout: time.Minute}
+	is.True(sendOnce(t.Context(), server.Client(), o, entry, "").err != nil)
+}
--- a/internal/cli/send.go
+++ b/internal/cli/send.go
@@ -17,6 +17,9 @@
 // new connection: after its timeout divided by resendDivisor.
 const resendDivisor = 2
 
+// maxReplyBytes is the maximum size of a response.
+const maxReplyBytes = 64 << 20
+
 // reply is the response to one attempt, or its error.
 type reply struct {
 	status int
@@ -76,9 +79,12 @@
 		return reply{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	switch {
+	case err != nil:
 		return reply{err: fmt.Errorf("the response was truncated: %w", err)}
+	case len(body) > maxReplyBytes:
+		return reply{err: fmt.Errorf("the response has more than %d bytes", maxReplyBytes)}
 	}
 	return reply{status: response.StatusCode, header: response.Header, body: body}
 }
