--- a/internal/core/quorum/voters_test.go
+++ b/internal/core/quorum/voters_test.go
@@ -20,9 +20,9 @@
 	changeTime    = 600 * time.Millisecond
 	// stopTime is how long a process stays after it was told to stop, so that another
 	// disk can vote in its place.
-	stopTime      = 2 * time.Second
-	seatStep      = 100 * time.Millisecond
-	seatSchedules = 400
+	stopTime       = 2 * time.Second
+	stepTime       = 100 * time.Millisecond
+	voterSchedules = 400
 )
 
 // machine is a controller with its disk in a schedule.
@@ -34,9 +34,9 @@
 	lostUntil time.Duration
 }
 
-// seats simulates the voters of a system whose machines stop, are replaced, lose their
+// voterSim simulates the voters of a system whose machines stop, are replaced, lose their
 // disks, stand still and come back, no more at a time than it tolerates.
-type seats struct {
+type voterSim struct {
 	rng       *rand.Rand
 	next      func(current, spares []quorum.Candidate, tolerated int) []quorum.Voter
 	tolerated int
@@ -44,18 +44,18 @@
 	machines  []*machine
 	voters    []quorum.Voter
 	disks     int
-	due       []seatEvent
+	due       []scheduledEvent
 	change    []quorum.Voter
 	changeAt  time.Duration
 }
 
-type seatEvent struct {
+type scheduledEvent struct {
 	at time.Duration
 	do func()
 }
 
-func newSeats(seed uint64, n int, next func(current, spares []quorum.Candidate, tolerated int) []quorum.Voter) *seats {
-	s := &seats{rng: rand.New(rand.NewPCG(seed, uint64(n))), next: next, tolerated: (min(n, 9) - 1) / 2}
+func newVoterSim(seed uint64, n int, next func(current, spares []quorum.Candidate, tolerated int) []quorum.Voter) *voterSim {
+	s := &voterSim{rng: rand.New(rand.NewPCG(seed, uint64(n))), next: next, tolerated: (min(n, 9) - 1) / 2}
 	for i := range n {
 		s.join(fmt.Sprint("r", i%3), fmt.Sprint("z", i%6))
 	}
@@ -65,27 +65,27 @@
 	return s
 }
 
-func (s *seats) join(region, zone string) *machine {
+func (s *voterSim) join(region, zone string) *machine {
 	m := &machine{address: fmt.Sprintf("%02d", len(s.machines)), region: region, zone: zone, up: true, lastUp: s.now}
 	s.newDisk(m)
 	s.machines = append(s.machines, m)
 	return m
 }
 
-func (s *seats) newDisk(m *machine) {
+func (s *voterSim) newDisk(m *machine) {
 	s.disks++
 	m.disk = fmt.Sprint("disk-", s.disks)
 }
 
-func (s *seats) after(d time.Duration, do func()) {
-	s.due = append(s.due, seatEvent{s.now + d, do})
+func (s *voterSim) after(d time.Duration, do func()) {
+	s.due = append(s.due, scheduledEvent{s.now + d, do})
 }
 
-func (s *seats) between(least, most time.Duration) time.Duration {
+func (s *voterSim) between(least, most time.Duration) time.Duration {
 	return least + time.Duration(s.rng.Int64N(int64(most-least)))
 }
 
-func (s *seats) lost() int {
+func (s *voterSim) lost() int {
 	n := 0
 	for _, m := range s.machines {
 		if s.now < m.lostUntil {
@@ -96,7 +96,7 @@
 }
 
 // disturb starts a random disturbance of a machine that doesn't count as lost.
-func (s *seats) disturb() {
+func (s *voterSim) disturb() {
 	m := s.machines[s.rng.IntN(len(s.machines))]
 	if m.removed || m.stopping || s.now < m.lostUntil || s.lost() >= s.tolerated {
 		return
@@ -127,7 +127,7 @@
 	}
 }
 
-func (s *seats) candidate(v quorum.Voter) quorum.Candidate {
+func (s *voterSim) candidate(v quorum.Voter) quorum.Candidate {
 	out := quorum.Candidate{Voter: v}
 	for _, m := range s.machines {
 		if m.address == v.Address {
@@ -138,7 +138,7 @@
 	return out
 }
 
-func (s *seats) spares() []quorum.Candidate {
+func (s *voterSim) spares() []quorum.Candidate {
 	var out []quorum.Candidate
 	for _, m := range s.machines {
 		votes := func(v quorum.Voter) bool { return v.ID == m.disk }
@@ -150,26 +150,26 @@
 }
 
 // count returns the voters whose disk is there, and how many of these are up.
-func (s *seats) count() (whole, up int) {
+func (s *voterSim) count() (intact, up int) {
 	for _, v := range s.voters {
 		for _, m := range s.machines {
 			if m.disk == v.ID && !m.removed {
-				whole++
+				intact++
 				if m.up {
 					up++
 				}
 			}
 		}
 	}
-	return whole, up
+	return intact, up
 }
 
-func (s *seats) majority() int { return len(s.voters)/2 + 1 }
+func (s *voterSim) majority() int { return len(s.voters)/2 + 1 }
 
-// step goes on by seatStep. It returns an error if a loss that is tolerated now would
+// step goes on by stepTime. It returns an error if a loss that is tolerated now would
 // leave no majority of the voters with their disks.
-func (s *seats) step() error {
-	s.now += seatStep
+func (s *voterSim) step() error {
+	s.now += stepTime
 	for _, m := range s.machines {
 		if m.up {
 			m.lastUp = s.now
@@ -198,14 +198,14 @@
 		}
 		s.change, s.changeAt = s.next(current, s.spares(), s.tolerated), s.now+changeTime
 	}
-	whole, _ := s.count()
-	if more := s.tolerated - s.lost(); whole-more < s.majority() {
-		return fmt.Errorf("%s: %d of %d voters have their disks, and %d more may be lost", s.now, whole, len(s.voters), more)
+	intact, _ := s.count()
+	if more := s.tolerated - s.lost(); intact-more < s.majority() {
+		return fmt.Errorf("%s: %d of %d voters have their disks, and %d more may be lost", s.now, intact, len(s.voters), more)
 	}
 	return nil
 }
 
-func (s *seats) run() error {
+func (s *voterSim) run() error {
 	for s.now < 10*time.Second { // all become voters
 		if err := s.step(); err != nil && s.now > catchUp {
 			return err
@@ -261,8 +261,8 @@
 func TestVotersBearLosses(t *testing.T) {
 	for _, n := range []int{3, 5, 6, 9, 18} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			for seed := range uint64(seatSchedules) {
-				if err := newSeats(seed, n, quorum.NextVoters).run(); err != nil {
+			for seed := range uint64(voterSchedules) {
+				if err := newVoterSim(seed, n, quorum.NextVoters).run(); err != nil {
 					t.Fatalf("seed %d: %v", seed, err)
 				}
 			}
@@ -275,8 +275,8 @@
 func TestVotersBearLossesFindsFormerChoice(t *testing.T) {
 	for _, n := range []int{3, 5, 6} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			for seed := range uint64(seatSchedules) {
-				if err := newSeats(seed, n, appendThenRetire).run(); err != nil {
+			for seed := range uint64(voterSchedules) {
+				if err := newVoterSim(seed, n, appendThenRetire).run(); err != nil {
 					t.Logf("seed %d: %v", seed, err)
 					return
 				}
