Refuse the IDs of endpoints that can't be passed on

Callers saw 404 on routes of acknowledged configurations, and requests run by the former service, for as long as another writer sent heartbeats under a name that isn't UTF-8. The heartbeats got 200.

Cause, first of three: the ID came unchecked from the path and entered the registry, from which it can't be sent on.

Ruled out by the logs: the network and the register (connections, promises and orders went on).

--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -116,6 +116,9 @@
 	m.count("order." + outcome(accepted))
 }
 
+// RecordItemDropped implements port.FleetMeter.
+func (m *Meter) RecordItemDropped(kind string) { m.count("message.dropped." + kind) }
+
 // RecordAnnouncement implements port.FleetMeter.
 func (m *Meter) RecordAnnouncement(leaving, accepted bool) {
 	if leaving {
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -92,6 +92,9 @@
 // and reports whether it changed the registry. Must hold mu.
 func (c *Controller) recordEndpoint(e registry.Endpoint) bool {
 	now := c.ports.Clock.Now()
+	if !c.checkEndpoint(e) {
+		return false
+	}
 	before, known := c.endpoints.Get(e.ID)
 	var replaced []registry.Endpoint
 	if !known || before.StartedMillis != e.StartedMillis {
@@ -119,6 +122,18 @@
 	return true
 }
 
+// checkEndpoint reports whether an announcement can be passed on; one that can't be is
+// logged and counted.
+func (c *Controller) checkEndpoint(e registry.Endpoint) bool {
+	err := e.Check()
+	if err == nil {
+		return true
+	}
+	event.Log(context.Background(), c.ports.Logger, event.AnnouncementRejected, slog.Any("error", err))
+	c.ports.Meter.RecordItemDropped("Endpoint")
+	return false
+}
+
 func (c *Controller) logEndpoint(e registry.Endpoint) {
 	event.Log(context.Background(), c.ports.Logger, event.EndpointChanged,
 		slog.String("endpoint", e.ID), slog.String("service", e.Service), slog.String("address", e.Address),
--- a/internal/app/controller/hints.go
+++ b/internal/app/controller/hints.go
@@ -51,7 +51,7 @@
 		}
 	}
 	for _, e := range h.Ended {
-		if e.ID != "" && (e.Leaving || e.Gone) {
+		if (e.Leaving || e.Gone) && c.checkEndpoint(e) {
 			e.Leaving, e.LastSeen = true, now
 			c.endpoints.Record(e)
 		}
--- a/internal/port/meter.go
+++ b/internal/port/meter.go
@@ -34,6 +34,9 @@
 	RecordDecision(service, reason string)
 	// RecordOrder records the outcome and the latency of an operator's order.
 	RecordOrder(accepted bool, took time.Duration)
+	// RecordItemDropped records an item of a message between VMs that was left out
+	// because it can't be passed on.
+	RecordItemDropped(kind string)
 	// RecordAnnouncement records the outcome of an endpoint's announcement.
 	RecordAnnouncement(leaving, accepted bool)
 }
