Leave the items that can't be encoded out of a message

A codec for the messages between gateways and controllers drops, when a message can't be encoded, those elements of its lists that can't be encoded alone, in calls and in answers. Only elements that hold without the others are dropped: an epoch without one of its voters would be another epoch. Where nothing fails, the codec costs nothing.

--- a/internal/adapter/fleetgrpc/client.go
+++ b/internal/adapter/fleetgrpc/client.go
@@ -61,9 +61,9 @@
 
 // NewClient returns a client of the controller at an address (IP:port). It
 // connects at its first call, from the IP address local; if that is nil, the
-// operating system chooses the address.
-func NewClient(address string, local net.IP, clock port.Clock) (*Client, error) {
-	c := &Client{address: address, clock: clock, options: dialOptions(local)}
+// operating system chooses the address. More options may be given.
+func NewClient(address string, local net.IP, clock port.Clock, more ...grpc.DialOption) (*Client, error) {
+	c := &Client{address: address, clock: clock, options: append(dialOptions(local), more...)}
 	conn, err := c.dial()
 	if err != nil {
 		return nil, err
--- a/internal/adapter/fleetgrpc/server.go
+++ b/internal/adapter/fleetgrpc/server.go
@@ -114,6 +114,9 @@
 		err = fmt.Errorf("%w: %w", port.ErrNotDispatcher, err)
 	case codes.DeadlineExceeded:
 		err = fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
+	case codes.Internal, codes.ResourceExhausted:
+		// The message can't be encoded or decoded, is too large, or its handler failed.
+		err = fmt.Errorf("%w: %w", port.ErrRejected, err)
 	default:
 	}
 	return fmt.Errorf("controller %s: %w", address, err)
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	fleet := fleetgrpc.NewServer(c, p.clock, grpcpanic.Options(p.logger)...)
+	fleet := fleetgrpc.NewServer(c, p.clock, append(grpcpanic.Options(p.logger), p.items.ServerOption())...)
 	go func() { p.failed <- fleet.Serve(listener) }()
 	control := platform.NewControl(platform.ControlOptions{
 		OperatorService: c, EndpointService: c, Clock: p.clock, Zones: p.settings.Zones,
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -70,7 +70,9 @@
 	fleetListen string
 	// metricsPort is the port at which metrics are served; 0 disables them.
 	metricsPort int
-	failed      chan error
+	// items is the codec of the messages between gateways and controllers.
+	items  *fleetgrpc.ItemFilter
+	failed chan error
 }
 
 // withVM parses the arguments, loads the settings of a controller or gateway and
@@ -100,6 +102,7 @@
 		path: *path, settings: settings, sink: sink, logger: newLogger(sink, "info", name, settings.Name),
 		clock: port.ClockFunc(time.Now), meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4),
 	}
+	p.items = fleetgrpc.NewItemFilter(p.logger, p.meter)
 	event.Log(context.Background(), p.logger, event.Started, slog.String("zone", settings.Zone),
 		slog.String("region", settings.Region), slog.Any("seeds", settings.Seeds), slog.Bool("founding", settings.Bootstrap))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -209,7 +212,7 @@
 
 // dial returns a client of the controller at an address.
 func (p *vmProcess) dial(address string) (*fleetgrpc.Client, error) {
-	return fleetgrpc.NewClient(address, p.settings.IP, p.clock)
+	return fleetgrpc.NewClient(address, p.settings.IP, p.clock, p.items.ClientOption())
 }
 
 // newGateway returns a gateway and the HTTP client with which it sends requests to
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -19,6 +19,9 @@
 	ErrUnconfirmed = errors.New("no quorum confirmed the state or change in time")
 	// ErrNotDispatcher means that a controller doesn't dispatch a region.
 	ErrNotDispatcher = errors.New("controller doesn't dispatch the region")
+	// ErrRejected means that a message couldn't be encoded or that its receiver, which
+	// is reachable, failed to handle it. Sending it again unchanged fails, too.
+	ErrRejected = errors.New("message was rejected")
 	// ErrLinkReplaced means that the connection of a call was replaced because
 	// another call on it was not answered in time.
 	ErrLinkReplaced = errors.New("connection to the controller was replaced")
