Send the changes apart that another controller rejects

The message was repeated whole without end.

A rejected exchange (gRPC Internal or ResourceExhausted: encoder, decoder, a failing handler, a message over the limit) is sent again without its changes; these follow in halves. A change that is rejected alone, twice, is dropped, counted and logged. A peer that answers stays live. Each call has its own time limit.

controller.TestRejectedChangeCostsItself: with one change that all reject, and more than six at once rejected as too large, all 20 others arrive, each region has one dispatcher, and nothing is repeated. It fails with the former sending (none of the others arrives).

--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -83,6 +83,8 @@
 	blocked map[[2]string]bool
 	delay   time.Duration
 	seeds   []string
+	// rejection rejects exchanges; nil rejects none.
+	rejection *rejection
 }
 
 var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
@@ -163,7 +165,12 @@
 }
 
 func (l link) Exchange(ctx context.Context, m port.ExchangeRequest) (port.ExchangeReply, error) {
-	return call(ctx, l, func(c *controller.Controller) (port.ExchangeReply, error) { return c.Exchange(ctx, m) })
+	return call(ctx, l, func(c *controller.Controller) (port.ExchangeReply, error) {
+		if err := l.cluster.rejection.check(m); err != nil {
+			return port.ExchangeReply{}, err
+		}
+		return c.Exchange(ctx, m)
+	})
 }
 
 func (l link) Order(ctx context.Context, o fleet.Order) (port.OrderReply, error) {
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"sync"
@@ -127,6 +128,7 @@
 	loads, loans, returns := c.updateLoans(now)
 	type sending struct {
 		p        *peer
+		address  string
 		exchange port.ExchangeRequest
 		acked    acknowledged
 	}
@@ -136,7 +138,7 @@
 	mine := newReport(c.watchingGateways(now), loans)
 	requests, releases := c.requestedRegions(now), c.releasedRegions()
 	asksAll := c.peersAskedForAll(now)
-	for _, p := range c.peers {
+	for address, p := range c.peers {
 		if p.inFlight {
 			continue
 		}
@@ -155,18 +157,14 @@
 			exchange.Controllers = controllers
 		}
 		p.inFlight, p.lastSent = true, now
-		sendings = append(sendings, sending{p, exchange, acknowledged{c.announceSeq, c.suspicions.changes.seq, c.limitChanges.seq, !p.synced}})
+		sendings = append(sendings, sending{p, address, exchange, acknowledged{c.announceSeq, c.suspicions.changes.seq, c.limitChanges.seq, !p.synced}})
 	}
 	c.clearReleased()
 	c.forgetEndpoints(now)
 	c.suspicions.expire(now)
 	c.mu.Unlock()
 	for _, s := range sendings {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			_, _ = c.sendExchange(ctx, s.p, s.exchange, s.acked)
-		}()
+		go c.sendExchange(ctx, s.p, s.address, s.exchange, s.acked)
 	}
 }
 
@@ -282,18 +280,71 @@
 	all                               bool
 }
 
-// sendExchange sends a message to a peer and records its answer.
-func (c *Controller) sendExchange(ctx context.Context, p *peer, m port.ExchangeRequest, acked acknowledged) (port.ExchangeReply, error) {
-	sentAt := c.ports.Clock.Now()
-	reply, err := p.link.Exchange(ctx, m)
+// sendExchange sends a message to a peer and records its answers. If the peer rejects the
+// message, it gets the changes in it apart, so that one of them costs neither the others
+// nor what else the message carries.
+func (c *Controller) sendExchange(ctx context.Context, p *peer, address string, m port.ExchangeRequest, acked acknowledged) {
+	err := c.sendOnce(ctx, p, m)
+	if errors.Is(err, port.ErrRejected) && m.ChangeCount() > 0 {
+		event.Log(ctx, c.ports.Logger, event.ExchangeRejected, slog.String("address", address),
+			slog.Int("changes", m.ChangeCount()), slog.Any("error", err))
+		if err = c.sendOnce(ctx, p, m.WithoutChanges()); err == nil {
+			err = c.sendApart(ctx, p, m.OnlyChanges())
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.inFlight = false
-	if err != nil {
+	switch {
+	case err != nil:
 		p.requested = sentList{}
 		c.failedAt = c.ports.Clock.Now()
-		return reply, err
+	case acked.all || p.synced:
+		p.synced, p.acked = true, acked
+	}
+}
+
+// sendApart sends the changes of a message in halves, and those of a half that the peer
+// rejects again in halves. A change that is rejected alone is dropped.
+func (c *Controller) sendApart(ctx context.Context, p *peer, m port.ExchangeRequest) error {
+	if m.ChangeCount() == 1 {
+		err := c.sendOnce(ctx, p, m)
+		if errors.Is(err, port.ErrRejected) {
+			c.logDropped(ctx, m)
+			return nil
+		}
+		return err
+	}
+	for _, half := range m.Halves() {
+		err := c.sendOnce(ctx, p, half)
+		if errors.Is(err, port.ErrRejected) {
+			err = c.sendApart(ctx, p, half)
+		}
+		if err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// logDropped logs and counts the only change of a message.
+func (c *Controller) logDropped(ctx context.Context, m port.ExchangeRequest) {
+	kind, item := m.FirstChange()
+	c.ports.Meter.RecordItemDropped(kind)
+	event.Log(ctx, c.ports.Logger, event.ItemDropped, slog.String("kind", kind), slog.String("item", item))
+}
+
+// sendOnce sends a message to a peer and records the answer.
+func (c *Controller) sendOnce(ctx context.Context, p *peer, m port.ExchangeRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sentAt := c.ports.Clock.Now()
+	reply, err := p.link.Exchange(ctx, m)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if m.FullSync && len(reply.Endpoints) > 0 {
 		c.fullReplies++
 	}
@@ -301,9 +352,6 @@
 		p.endedAt = sentAt
 	}
 	p.identify(reply.From)
-	if acked.all || p.synced {
-		p.synced, p.acked = true, acked
-	}
 	p.sentAt = sentAt
 	p.recordRoundTrip(c.ports.Clock.Now().Sub(sentAt))
 	p.epoch, p.accepted, p.reportAcked = reply.Epoch.Number, reply.Accepted, reply.Report
@@ -319,7 +367,7 @@
 	for _, l := range reply.HeldLeases {
 		c.recordLease(l)
 	}
-	return reply, nil
+	return nil
 }
 
 // addPeers adds the controllers that another controller reported. Must hold
