Forward header values and targets between entries as bytes

Own interface: a request with a header value, or a query, that holds a byte above 0x7F and is served by another entry failed as may-have-run, though it never left, and the connection between the two entries was closed under the other requests on it. The same for an endpoint's header. HTTP allows such bytes.

A request ID that isn't printable ASCII is replaced, and the text of a failure made valid.

peergrpc.TestBytesForwarded ("string field contains invalid UTF-8" before) and callerhttp.TestRequestIDReplaced failed before, pass now.

--- a/internal/adapter/callerhttp/handler_test.go
+++ b/internal/adapter/callerhttp/handler_test.go
@@ -264,3 +264,18 @@
 	is.Equal(live.StatusCode, 204)
 	is.Equal(ready.StatusCode, 503)
 }
+
+// TestRequestIDReplaced guards against a request ID that can't be sent to another entry.
+func TestRequestIDReplaced(t *testing.T) {
+	for name, id := range map[string]string{"printable": "a~1", "Latin-1": "b\xfcro", "UTF-8": "büro", "inner space": "a b", "long": strings.Repeat("a", 65)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			entry := &fakeEntry{response: &port.Response{Status: http.StatusOK}}
+			r := httptest.NewRequest(http.MethodGet, "/s/desk/x", nil)
+			r.Header.Set(callerhttp.HeaderRequestID, id)
+			callerhttp.New(callerhttp.Options{Entry: entry, Clock: port.ClockFunc(time.Now)}).ServeHTTP(httptest.NewRecorder(), r)
+			is.Equal(entry.served.ID == id, name == "printable")
+			is.True(entry.served.ID != "")
+		})
+	}
+}
--- a/internal/adapter/callerhttp/serve.go
+++ b/internal/adapter/callerhttp/serve.go
@@ -122,11 +122,15 @@
 	return body, nil
 }
 
+// requestID returns the caller's request ID, or another one if it is missing, too long or
+// not printable ASCII.
 func requestID(r *http.Request) string {
-	if id := r.Header.Get(HeaderRequestID); id != "" && len(id) <= maxRequestIDBytes {
-		return id
+	id := r.Header.Get(HeaderRequestID)
+	unprintable := func(c rune) bool { return c <= ' ' || c > '~' }
+	if id == "" || len(id) > maxRequestIDBytes || strings.ContainsFunc(id, unprintable) {
+		return rand.Text()
 	}
-	return rand.Text()
+	return id
 }
 
 // maxRequestIDBytes limits a request ID that the caller chose; a longer one is
--- a/internal/adapter/peergrpc/body.go
+++ b/internal/adapter/peergrpc/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	peerv1 "sassafrasreach/api/peer/v1"
 	"sassafrasreach/internal/core/verdict"
@@ -112,6 +113,7 @@
 	return &peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Failure{Failure: &peerv1.Failure{
 		Verdict: verdict.Of(err).String(),
 		Reason:  string(verdict.ReasonOf(err)),
-		Message: err.Error(),
+		// Errors of parsers quote what they could not read.
+		Message: strings.ToValidUTF8(err.Error(), "\uFFFD"),
 	}}}
 }
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -114,7 +114,11 @@
 func headerToProto(header http.Header) []*peerv1.Header {
 	out := make([]*peerv1.Header, 0, len(header))
 	for name, values := range header {
-		out = append(out, &peerv1.Header{Name: name, Values: values})
+		field := &peerv1.Header{Name: name, Values: make([][]byte, len(values))}
+		for i, v := range values {
+			field.Values[i] = []byte(v)
+		}
+		out = append(out, field)
 	}
 	return out
 }
@@ -122,7 +126,11 @@
 func headerFromProto(fields []*peerv1.Header) http.Header {
 	out := make(http.Header, len(fields))
 	for _, field := range fields {
-		out[http.CanonicalHeaderKey(field.GetName())] = field.GetValues()
+		values := make([]string, len(field.GetValues()))
+		for i, v := range field.GetValues() {
+			values[i] = string(v)
+		}
+		out[http.CanonicalHeaderKey(field.GetName())] = values
 	}
 	return out
 }
@@ -136,7 +144,7 @@
 		Origin:          req.Origin,
 		Place:           f.Place,
 		Method:          req.Method,
-		Target:          req.Target,
+		Target:          []byte(req.Target),
 		Header:          headerToProto(req.Header),
 		Body:            req.Body,
 		OnceOnly:        req.OnceOnly,
@@ -156,7 +164,7 @@
 			Service:        r.GetService(),
 			Origin:         r.GetOrigin(),
 			Method:         r.GetMethod(),
-			Target:         r.GetTarget(),
+			Target:         string(r.GetTarget()),
 			Header:         headerFromProto(r.GetHeader()),
 			Body:           r.GetBody(),
 			OnceOnly:       r.GetOnceOnly(),
--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -267,3 +267,31 @@
 	is.NoErr(send(false)) // no success for a second: replaced before use
 	is.Equal(ran.Load(), int64(4))
 }
+
+// TestBytesForwarded guards against a request or a response that can't be sent to another
+// entry because a header value, the target or the text of a failure isn't UTF-8. The
+// connection between the entries, which other requests use, was closed with it.
+func TestBytesForwarded(t *testing.T) {
+	is := is.New(t)
+	odd := "caf\xe9 \xff\xc0\xaf"
+	var got *port.Request
+	p := &fakePeer{forward: func(_ context.Context, f port.Forward) (*port.Response, error) {
+		got = f.Request
+		return &port.Response{Status: http.StatusOK, Header: http.Header{"X-B": {odd, ""}}}, nil
+	}}
+	link, client := start(t, p)
+	req := request(false)
+	req.Header, req.Target = http.Header{"X-A": {odd, "plain"}}, "/x?y="+odd
+	response, err := client.Forward(t.Context(), link.Addr(), port.Forward{Hop: port.HopOwner, Place: "p", Request: req})
+	is.NoErr(err)
+	is.Equal(got.Header, req.Header)
+	is.Equal(got.Target, req.Target)
+	is.Equal(response.Header, http.Header{"X-B": {odd, ""}})
+
+	p.forward = func(context.Context, port.Forward) (*port.Response, error) {
+		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonBadRequest, errors.New("malformed line: "+odd))
+	}
+	_, err = client.Forward(t.Context(), link.Addr(), port.Forward{Hop: port.HopOwner, Place: "p", Request: req})
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(verdict.ReasonOf(err), verdict.ReasonBadRequest)
+}
