Attribute a crash to a run however the run's answer ended

Cause: what a run means for the search for crashing requests was derived from its slot's outcome, which says how good the endpoint is. A cut answer (failed) and a client that left (unsent) counted as not started, so that the run was forgotten and the death found nobody.

quarantine.Observation classifies the end for both interfaces by what the connection showed. Runs that were given up are remembered, and count once their endpoint dies or refuses connections; only then are they sent to the other controllers. Slots that expire or lose their dispatcher are given up, too. Former gateways don't say how a run ended; their outcomes are read as far as they tell.

--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		p.release()
 		defer cancel()
-		return nil, notRun(ctx, verdict.ReasonDial, err)
+		return nil, notRun(ctx, verdict.ReasonDial, wrapRefused(err))
 	}
 	x := c.newExchange(ctx, cancel, p, conn, req, id)
 	if gate == nil {
--- a/internal/adapter/endpointhttp/probe.go
+++ b/internal/adapter/endpointhttp/probe.go
@@ -21,11 +21,8 @@
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
 	raw, err := c.opts.Dial(ctx, "tcp", to.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return fmt.Errorf("%w: %w", port.ErrConnectionRefused, err)
-	}
 	if err != nil {
-		return fmt.Errorf("probe %s: %w", to.Address, err)
+		return fmt.Errorf("probe %s: %w", to.Address, wrapRefused(err))
 	}
 	defer func() { _ = raw.Close() }()
 	if err := raw.SetReadDeadline(time.Now().Add(probeWait)); err != nil {
@@ -38,6 +35,15 @@
 	return nil
 }
 
+// wrapRefused wraps port.ErrConnectionRefused if nothing listens at the address; it
+// returns other errors unchanged.
+func wrapRefused(err error) error {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", port.ErrConnectionRefused, err)
+}
+
 // wrapConnectionLost wraps port.ErrConnectionLost if the endpoint's side closed or
 // reset the connection; it returns other errors unchanged.
 func wrapConnectionLost(err error) error {
--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -6,6 +6,7 @@
 	fleetv1 "sassafrasreach/api/fleet/v1"
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fingerprint"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/port"
@@ -310,17 +311,25 @@
 }
 
 func releaseToProto(r port.SlotRelease) *fleetv1.Released {
-	return &fleetv1.Released{
+	m := &fleetv1.Released{
 		Region: r.Region, Grant: r.Grant, Outcome: string(r.Outcome), TookMs: r.Took.Milliseconds(),
 		Answered: r.Answered, Signals: signalsToProto(r.Signals),
 	}
+	if r.RunEnd != nil {
+		m.Run = r.RunEnd.String()
+	}
+	return m
 }
 
 func releaseFromProto(m *fleetv1.Released) port.SlotRelease {
-	return port.SlotRelease{
+	r := port.SlotRelease{
 		Region: m.GetRegion(), Grant: m.GetGrant(), Outcome: dispatch.Outcome(m.GetOutcome()), Took: millis(m.GetTookMs()),
 		Answered: m.GetAnswered(), Signals: signalsFromProto(m.GetSignals()),
 	}
+	if end, known := quarantine.ParseEnd(m.GetRun()); known {
+		r.RunEnd = &end
+	}
+	return r
 }
 
 func signalsToProto(s registry.Signals) *fleetv1.Signals {
--- a/internal/app/controller/crash_test.go
+++ b/internal/app/controller/crash_test.go
@@ -55,7 +55,12 @@
 	cluster *cluster
 	live    map[string]registry.Endpoint
 	starts  int
-	crashes int
+	crashes []time.Time
+	// crash ends a run for crashTarget, whose client may have left, by calling end when
+	// the endpoint's process has ended; nil stands for a reset before the answer.
+	crash func(ctx context.Context, end func()) error
+	// back is how long after a crash the endpoint starts again; 0 is restartAfter.
+	back time.Duration
 }
 
 const restartAfter = 700 * time.Millisecond
@@ -97,19 +102,30 @@
 	}
 }
 
-func (f *fragileEndpoints) Call(_ context.Context, to port.Endpoint, req *port.Request, _ port.Gate) (*port.Response, error) {
+// end ends the process of an endpoint.
+func (f *fragileEndpoints) end(id string) {
 	f.mu.Lock()
-	e, live := f.live[to.ID]
-	if live && req.Target == crashTarget {
-		delete(f.live, to.ID)
-		f.crashes++
-		time.AfterFunc(restartAfter, func() { f.start(e.Address, e.Zone) })
+	defer f.mu.Unlock()
+	e, live := f.live[id]
+	if !live {
+		return
 	}
+	delete(f.live, id)
+	f.crashes = append(f.crashes, time.Now())
+	time.AfterFunc(max(f.back, restartAfter), func() { f.start(e.Address, e.Zone) })
+}
+
+func (f *fragileEndpoints) Call(ctx context.Context, to port.Endpoint, req *port.Request, _ port.Gate) (*port.Response, error) {
+	f.mu.Lock()
+	_, live := f.live[to.ID]
 	f.mu.Unlock()
 	switch {
 	case !live:
-		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonDial, nil)
+		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonDial, port.ErrConnectionRefused)
+	case req.Target == crashTarget && f.crash != nil:
+		return nil, f.crash(ctx, func() { f.end(to.ID) })
 	case req.Target == crashTarget:
+		f.end(to.ID)
 		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonConnection, port.ErrConnectionLost)
 	}
 	time.Sleep(5 * time.Millisecond)
@@ -121,7 +137,20 @@
 func (f *fragileEndpoints) crashCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.crashes
+	return len(f.crashes)
+}
+
+// crashesAfterThird returns the number of crashes later than a window after the third.
+func (f *fragileEndpoints) crashesAfterThird(window time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, at := range f.crashes {
+		if len(f.crashes) > 3 && at.Sub(f.crashes[2]) > window {
+			n++
+		}
+	}
+	return n
 }
 
 // newServedCluster starts a cluster with two endpoints in each zone and a gateway in
@@ -168,7 +197,12 @@
 
 // send sends a request for a target to a gateway.
 func send(g *gateway.Gateway, id, target string) port.ClientAnswer {
-	return g.Serve(context.Background(), &port.ClientRequest{
+	return sendFor(context.Background(), g, id, target)
+}
+
+// sendFor is send for a client that leaves when ctx ends.
+func sendFor(ctx context.Context, g *gateway.Gateway, id, target string) port.ClientAnswer {
+	return g.Serve(ctx, &port.ClientRequest{
 		Request:   port.Request{ID: id, Method: http.MethodPost, Target: target, Deadline: time.Now().Add(2 * time.Second)},
 		RouteHost: "h", Path: target,
 	})
@@ -216,3 +250,67 @@
 	t.Logf("%d crashes before the restart, %d after", before, endpoints.crashCount()-before)
 	is.Equal(endpoints.crashCount(), before)
 }
+
+// TestCrashMoments guards against a request that crashes its endpoints and is sent on
+// because of how its run ended for the one that sent it: its answer was cut, its client
+// left, or its deadline passed, each before or after the endpoint ended (review/8). Of the
+// repeats later than 3 s after the third crash at most three may reach an endpoint, although
+// endpoints are back only after 4 s.
+func TestCrashMoments(t *testing.T) {
+	const early, clientLeaves = 20 * time.Millisecond, "client leaves, then the end"
+	failed := func(reason verdict.Reason, cause error) error {
+		return verdict.NewError(verdict.MayHaveRun, reason, cause)
+	}
+	moments := map[string]func(ctx context.Context, end func()) error{
+		"answer cut": func(_ context.Context, end func()) error {
+			end()
+			return failed(verdict.ReasonBadAnswer, port.ErrConnectionLost)
+		},
+		"answer unusable, then the end": func(_ context.Context, end func()) error {
+			time.AfterFunc(early, end)
+			return failed(verdict.ReasonBadAnswer, nil)
+		},
+		clientLeaves: func(ctx context.Context, end func()) error {
+			<-ctx.Done()
+			time.AfterFunc(early, end)
+			return failed(verdict.ReasonCanceled, ctx.Err())
+		},
+		"deadline, then the end": func(_ context.Context, end func()) error {
+			time.AfterFunc(early, end)
+			return failed(verdict.ReasonDeadline, context.DeadlineExceeded)
+		},
+		"silent end": func(_ context.Context, end func()) error {
+			end()
+			return failed(verdict.ReasonDeadline, context.DeadlineExceeded)
+		},
+	}
+	for name, crash := range moments {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			_, endpoints, gateways := newServedCluster(t)
+			endpoints.crash, endpoints.back = crash, 4*time.Second
+			served := 0
+			const rounds = 80
+			for i := range rounds {
+				g := gateways[i%len(gateways)]
+				ctx, leave := context.WithCancel(t.Context())
+				if name == clientLeaves {
+					time.AfterFunc(early, leave)
+				}
+				_ = sendFor(ctx, g, fmt.Sprint("crash", i), crashTarget)
+				leave()
+				for n := range 3 {
+					if send(gateways[n], fmt.Sprint("other", i, n), fmt.Sprintf("/other/%d", i%5)).Err == nil {
+						served++
+					}
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			late := endpoints.crashesAfterThird(3 * time.Second)
+			t.Logf("%d crashes, %d of them late, %d of %d other requests served", endpoints.crashCount(), late, served, 3*rounds)
+			is.True(late <= 3)
+			is.True(served >= 3*rounds*9/10)
+		})
+	}
+}
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -9,6 +9,7 @@
 
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/lease"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -371,6 +372,7 @@
 	select {
 	case d, ok := <-wait:
 		if ok && d.Grant != "" {
+			r.pool.RecordRunEnd(d.Grant, quarantine.NotStarted) // the gateway doesn't know of it
 			c.deliver(r, r.pool.Release(now, d.Grant, dispatch.Unsent, 0))
 		}
 	default:
@@ -397,6 +399,9 @@
 			if s.Answered {
 				c.observeSignals(now, r, s.Grant, s.Signals)
 			}
+			if s.RunEnd != nil {
+				r.pool.RecordRunEnd(s.Grant, *s.RunEnd)
+			}
 			c.deliver(r, r.pool.Release(now, s.Grant, s.Outcome, s.Took))
 		}
 	}
--- a/internal/app/controller/suspicions.go
+++ b/internal/app/controller/suspicions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"sassafrasreach/internal/core/dispatch"
@@ -47,26 +48,24 @@
 	s.table.BeginRun(now, e.ID, uint64(e.StartedMillis), f, e.Service)
 }
 
-// End implements dispatch.RunRecorder. Only a reset connection makes a request
-// suspected: under overload too many runs are given up.
-func (s *suspicions) End(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint, outcome dispatch.Outcome) {
-	end := quarantine.NotStarted
-	switch outcome {
-	case dispatch.Served:
-		end = quarantine.Answered
-	case dispatch.Broken:
-		end = quarantine.Reset
-	}
+// End implements dispatch.RunRecorder. The other controllers get the resets, and the runs
+// that were given up on an endpoint that turns out to be down; not all that were given up,
+// of which there are too many under overload.
+func (s *suspicions) End(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint, end quarantine.End) {
 	change := s.table.EndRun(now, e.ID, uint64(e.StartedMillis), f, end)
-	if end == quarantine.Reset {
-		s.changedAt = now
+	if end == quarantine.Reset || end == quarantine.Down {
 		s.unsent = s.unsent || len(change.Suspected) > 0
+	}
+	switch end {
+	case quarantine.Reset:
 		// The death of the endpoint may have been recorded before the reset.
 		s.log(s.table.RecordReset(now, e.ID, uint64(e.StartedMillis), f))
-		s.changes.add(port.Suspicion{
-			Fingerprint: f, Endpoint: e.ID, StartedMillis: e.StartedMillis, Version: s.table.NewChangeVersion(now, f),
-		})
+		s.shareReset(now, e, f)
 		return
+	case quarantine.Down:
+		for _, g := range change.Suspected {
+			s.shareReset(now, e, g)
+		}
 	}
 	for _, f := range change.Lifted {
 		s.changes.add(port.Suspicion{Fingerprint: f, Cleared: true, Version: s.table.NewLiftVersion(now, f)})
@@ -74,11 +73,20 @@
 	s.log(change)
 }
 
+// shareReset lets the other controllers know that a run on an endpoint ended with a reset
+// connection, or may have crashed it.
+func (s *suspicions) shareReset(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint) {
+	s.changedAt = now
+	s.changes.add(port.Suspicion{
+		Fingerprint: f, Endpoint: e.ID, StartedMillis: e.StartedMillis, Version: s.table.NewChangeVersion(now, f),
+	})
+}
+
 // recordAnnouncement records that an endpoint is alive. An endpoint that leaves
 // isn't presumed dead when it starts again or its announcements end.
 func (s *suspicions) recordAnnouncement(now time.Time, e registry.Endpoint) {
 	if e.Leaving || e.Gone {
-		s.table.RecordLeaving(e.ID, uint64(e.StartedMillis))
+		s.table.RecordLeaving(now, e.ID, uint64(e.StartedMillis))
 		return
 	}
 	s.table.RecordReport(now, e.ID, uint64(e.StartedMillis))
@@ -89,7 +97,15 @@
 func (s *suspicions) recordDeath(now time.Time, e registry.Endpoint) {
 	event.Log(context.Background(), s.logger, event.EndpointDied,
 		slog.String("endpoint", e.ID), slog.Int64("incarnation", e.StartedMillis))
-	s.log(s.table.RecordDeath(now, e.ID, uint64(e.StartedMillis)))
+	givenUp := s.table.GivenUp(e.ID, uint64(e.StartedMillis))
+	change := s.table.RecordDeath(now, e.ID, uint64(e.StartedMillis))
+	for _, f := range givenUp {
+		if slices.Contains(change.Suspected, f) || slices.Contains(change.Quarantined, f) {
+			s.shareReset(now, e, f) // the others don't know of this run
+			s.unsent = true
+		}
+	}
+	s.log(change)
 }
 
 // apply applies a change that another controller made.
--- a/internal/app/entry/endpoint_death.go
+++ b/internal/app/entry/endpoint_death.go
@@ -31,18 +31,12 @@
 // broadcastTimeout. The caller receives the failure after that, so that a
 // resend through another entry finds the request held back there.
 func (e *Entry) recordRunEnd(to port.Endpoint, o ownedRequest, err error) {
-	end := quarantine.Abandoned
-	switch verdict.Of(err) {
-	case verdict.Ran:
-		end = quarantine.Answered
-	case verdict.NotRun:
-		end = quarantine.NotStarted
-	}
-	if errors.Is(err, port.ErrConnectionLost) {
-		end = quarantine.Reset
-	}
+	end := quarantine.Observation{
+		Verdict: verdict.Of(err), ConnectionLost: errors.Is(err, port.ErrConnectionLost),
+		ConnectionRefused: errors.Is(err, port.ErrConnectionRefused),
+	}.End()
 	rows := e.recordChange(e.suspects.endRun(e.clock.Now(), to, o, end))
-	if errors.Is(err, port.ErrConnectionLost) {
+	if end == quarantine.Reset {
 		rows = append(rows, e.probeAfterReset(to, o.req.Service)...)
 	}
 	if end == quarantine.Answered {
--- a/internal/app/entry/suspects.go
+++ b/internal/app/entry/suspects.go
@@ -161,7 +161,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a.State == port.EndpointLeaving {
-		s.table.RecordLeaving(a.ID, a.Incarnation)
+		s.table.RecordLeaving(now, a.ID, a.Incarnation)
 		return
 	}
 	s.table.RecordReport(now, a.ID, a.Incarnation)
--- a/internal/app/gateway/locate.go
+++ b/internal/app/gateway/locate.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/lease"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -126,14 +126,15 @@
 }
 
 // recordRun records the end of a run that was served or broken off.
-func (g *Gateway) recordRun(f fingerprint.Fingerprint, e registry.Endpoint, outcome dispatch.Outcome) {
+func (g *Gateway) recordRun(f fingerprint.Fingerprint, e registry.Endpoint, end quarantine.End) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if outcome == dispatch.Broken {
+	switch end {
+	case quarantine.Reset:
 		g.suspects.recordReset(g.ports.Clock.Now(), f, e)
-		return
+	case quarantine.Answered:
+		g.suspects.recordAnswered(f)
 	}
-	g.suspects.recordAnswered(f)
 }
 
 // recordQuarantined records that a dispatcher refused a request for its crashes.
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -13,6 +13,7 @@
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/fleet"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/event"
@@ -175,7 +176,7 @@
 	g := x.gateway
 	began := g.ports.Clock.Now()
 	x.endpoint, x.region = d.Endpoint.ID, d.Region
-	outcome := dispatch.Unsent
+	outcome, end := dispatch.Unsent, quarantine.NotStarted
 	var signals registry.Signals
 	answered := false
 	defer func() {
@@ -185,7 +186,7 @@
 		}
 		g.recordEnded(d.Endpoint, answered, signals)
 		g.release(address, port.SlotRelease{
-			Region: x.dispatchRegion, Grant: d.Grant, Outcome: outcome, Took: g.ports.Clock.Now().Sub(began),
+			Region: x.dispatchRegion, Grant: d.Grant, Outcome: outcome, RunEnd: &end, Took: g.ports.Clock.Now().Sub(began),
 			Answered: answered, Signals: signals,
 		})
 	}()
@@ -203,7 +204,7 @@
 		return x.withoutSlot(ctx, verdict.ReasonDeadline, nil, 0), false
 	}
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
-	outcome = outcomeOf(ctx, response, err)
+	outcome, end = outcomeOf(ctx, response, err), runEndOf(response, err)
 	if signals, answered = signalsOf(response, err); answered {
 		g.recordSignals(d.Endpoint, signals)
 	}
@@ -215,9 +216,7 @@
 		// its cache.
 		x.tries++
 	}
-	if outcome == dispatch.Served || outcome == dispatch.Broken {
-		g.recordRun(x.fingerprint, d.Endpoint, outcome)
-	}
+	g.recordRun(x.fingerprint, d.Endpoint, end)
 	if outcome == dispatch.Served {
 		g.remember(x.objectKey(), d.Endpoint.ID)
 	}
@@ -285,6 +284,14 @@
 	}
 }
 
+// runEndOf classifies the end of a run, whatever became of the client meanwhile.
+func runEndOf(response *port.Response, err error) quarantine.End {
+	return quarantine.Observation{
+		Verdict: verdict.Of(err), Failure: err == nil && response.Status >= http.StatusInternalServerError,
+		ConnectionLost: errors.Is(err, port.ErrConnectionLost), ConnectionRefused: errors.Is(err, port.ErrConnectionRefused),
+	}.End()
+}
+
 // acquire requests a slot in the dispatch region and adds the time to waited.
 func (x *inFlightRequest) acquire(ctx context.Context) (d dispatch.Decision, address string, err error) {
 	began := x.gateway.ports.Clock.Now()
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/fingerprint"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/registry"
 )
 
@@ -86,6 +87,9 @@
 	// that was granted.
 	fingerprint fingerprint.Fingerprint
 	started     registry.Endpoint
+	// runEnd is how the run ended, if runEnded is set.
+	runEnd   quarantine.End
+	runEnded bool
 }
 
 // NewPool returns an empty pool. The IDs of its grants begin with prefix.
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/fingerprint"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/registry"
 )
 
@@ -14,16 +15,16 @@
 	MayStart(now time.Time, f fingerprint.Fingerprint) bool
 	// Begin records that a slot was granted.
 	Begin(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint)
-	// End records how the slot was used. It is called once for each Begin.
-	End(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint, outcome Outcome)
+	// End records how the run ended. It is called once for each Begin.
+	End(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint, end quarantine.End)
 }
 
 // noRuns is the RunRecorder of a pool without one.
 type noRuns struct{}
 
-func (noRuns) MayStart(time.Time, fingerprint.Fingerprint) bool                   { return true }
-func (noRuns) Begin(time.Time, registry.Endpoint, fingerprint.Fingerprint)        {}
-func (noRuns) End(time.Time, registry.Endpoint, fingerprint.Fingerprint, Outcome) {}
+func (noRuns) MayStart(time.Time, fingerprint.Fingerprint) bool                          { return true }
+func (noRuns) Begin(time.Time, registry.Endpoint, fingerprint.Fingerprint)               {}
+func (noRuns) End(time.Time, registry.Endpoint, fingerprint.Fingerprint, quarantine.End) {}
 
 // mayStart reports whether the request's content may be sent to an endpoint.
 func (p *Pool) mayStart(now time.Time, req SlotRequest) bool {
@@ -37,12 +38,42 @@
 	}
 }
 
-// endRun removes a grant and records how its slot was used.
+// RecordRunEnd records how the run of a grant ended, before the grant is released. An
+// unknown ID changes nothing.
+func (p *Pool) RecordRunEnd(id string, end quarantine.End) {
+	if g, ok := p.grants[id]; ok {
+		g.runEnd, g.runEnded = end, true
+		p.grants[id] = g
+	}
+}
+
+// endRun removes a grant and records how its run ended, by RecordRunEnd or else by the
+// outcome.
 func (p *Pool) endRun(now time.Time, id string, g grant, outcome Outcome) {
 	delete(p.grants, id)
 	g.server.inFlight--
-	if !g.fingerprint.IsZero() {
-		p.config.Runs.End(now, g.started, g.fingerprint, outcome)
+	if g.fingerprint.IsZero() {
+		return
+	}
+	end := g.runEnd
+	if !g.runEnded {
+		end = runEndOf(outcome)
+	}
+	p.config.Runs.End(now, g.started, g.fingerprint, end)
+}
+
+// runEndOf returns how a run ended as far as the outcome of its slot tells, as gateways of
+// a former release report it.
+func runEndOf(outcome Outcome) quarantine.End {
+	switch outcome {
+	case Served:
+		return quarantine.Answered
+	case Broken:
+		return quarantine.Reset
+	case Refused, Unreachable:
+		return quarantine.NotStarted
+	default:
+		return quarantine.Abandoned
 	}
 }
 
--- a/internal/core/dispatch/runs_test.go
+++ b/internal/core/dispatch/runs_test.go
@@ -9,6 +9,7 @@
 
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fingerprint"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/registry"
 )
 
@@ -17,16 +18,16 @@
 type runLog struct {
 	refused  fingerprint.Fingerprint
 	inFlight int
-	ends     []dispatch.Outcome
+	ends     []quarantine.End
 }
 
 func (r *runLog) MayStart(_ time.Time, f fingerprint.Fingerprint) bool { return f != r.refused }
 
 func (r *runLog) Begin(time.Time, registry.Endpoint, fingerprint.Fingerprint) { r.inFlight++ }
 
-func (r *runLog) End(_ time.Time, _ registry.Endpoint, _ fingerprint.Fingerprint, o dispatch.Outcome) {
+func (r *runLog) End(_ time.Time, _ registry.Endpoint, _ fingerprint.Fingerprint, end quarantine.End) {
 	r.inFlight--
-	r.ends = append(r.ends, o)
+	r.ends = append(r.ends, end)
 }
 
 // TestRunsRecorded guards against runs that are recorded without an end when
@@ -55,11 +56,13 @@
 	acquire(fingerprint.Fingerprint{})
 	is.Equal(runs.inFlight, 2)
 	pool.Release(now, released.Grant, dispatch.Broken, time.Millisecond)
-	is.Equal(runs.ends, []dispatch.Outcome{dispatch.Broken})
+	is.Equal(runs.ends, []quarantine.End{quarantine.Reset})
 	now = now.Add(3 * time.Second)
 	pool.Tick(now)
 	is.Equal(runs.inFlight, 0)
+	is.Equal(runs.ends[1:], []quarantine.End{quarantine.Abandoned}) // it may have been sent
 	acquire(good)
 	pool.Close(now)
 	is.Equal(runs.inFlight, 0)
+	is.Equal(runs.ends[2:], []quarantine.End{quarantine.Abandoned})
 }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -24,7 +24,9 @@
 	lastAnswer map[incarnation]time.Time
 	// lastReport holds when an endpoint incarnation last reported itself.
 	lastReport map[incarnation]time.Time
-	deaths     []death
+	// left holds when an endpoint incarnation announced that it leaves.
+	left   map[incarnation]time.Time
+	deaths []death
 }
 
 // NewTable returns an empty table.
@@ -36,6 +38,7 @@
 		answeredRunStart: make(map[incarnation]time.Time),
 		lastAnswer:       make(map[incarnation]time.Time),
 		lastReport:       make(map[incarnation]time.Time),
+		left:             make(map[incarnation]time.Time),
 	}
 }
 
@@ -147,8 +150,7 @@
 func (t *Table) unresolvedRuns(now time.Time, r *record) int {
 	n := 0
 	for _, x := range r.runs {
-		givenUp := !x.lost.IsZero() && !x.reset
-		if givenUp && (t.answeredLaterRun(x) || now.Sub(x.lost) >= t.cfg.DetectionTimeout) {
+		if x.givenUp() && (t.answeredLaterRun(x) || now.Sub(x.lost) >= t.cfg.DetectionTimeout) {
 			continue
 		}
 		n++
@@ -181,9 +183,20 @@
 // EndRun records the end of an admitted run. Unless f is in quarantine, an
 // answer marks f as proven and removes its deaths and lost runs. While more
 // than MaxEntries fingerprints have a record, a lost run isn't remembered.
+//
+// An endpoint that is Down has lost its process: the runs that were given up on it count
+// as reset.
 func (t *Table) EndRun(now time.Time, endpoint string, number uint64, f fingerprint.Fingerprint, end End) Change {
-	r := t.records[f]
 	on := incarnation{endpoint, number}
+	c := t.endRun(now, on, f, end)
+	if end == Down {
+		c.Suspected = append(c.Suspected, t.resetGivenUp(on)...)
+	}
+	return c
+}
+
+func (t *Table) endRun(now time.Time, on incarnation, f fingerprint.Fingerprint, end End) Change {
+	r := t.records[f]
 	if r == nil {
 		return Change{}
 	}
@@ -208,6 +221,37 @@
 	return c
 }
 
+// resetGivenUp lets the runs that were given up on an endpoint count as reset, unless it
+// has shown evidence of liveness since or leaves, and returns their fingerprints.
+func (t *Table) resetGivenUp(on incarnation) []fingerprint.Fingerprint {
+	if _, leaves := t.left[on]; leaves {
+		return nil
+	}
+	var out []fingerprint.Fingerprint
+	for f, r := range t.records {
+		for i := range r.runs {
+			if x := &r.runs[i]; x.on == on && x.givenUp() && !t.endpointAlive(*x) {
+				x.reset = true
+				out = append(out, f)
+			}
+		}
+	}
+	return out
+}
+
+// GivenUp returns the fingerprints of the remembered runs that were given up on an endpoint
+// incarnation, or are in flight on it.
+func (t *Table) GivenUp(endpoint string, number uint64) []fingerprint.Fingerprint {
+	on := incarnation{endpoint, number}
+	var out []fingerprint.Fingerprint
+	for f, r := range t.records {
+		if slices.ContainsFunc(r.runs, func(x run) bool { return x.on == on && !x.reset }) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // RecordReport records that an endpoint incarnation reported itself just now.
 func (t *Table) RecordReport(now time.Time, endpoint string, number uint64) {
 	t.lastReport[incarnation{endpoint, number}] = now
@@ -215,8 +259,10 @@
 
 // RecordLeaving records that an endpoint incarnation leaves; missing reports
 // don't mean that it died.
-func (t *Table) RecordLeaving(endpoint string, number uint64) {
-	delete(t.lastReport, incarnation{endpoint, number})
+func (t *Table) RecordLeaving(now time.Time, endpoint string, number uint64) {
+	on := incarnation{endpoint, number}
+	delete(t.lastReport, on)
+	t.left[on] = now
 }
 
 // suspectChange returns the change for the other entries after a run was lost.
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -173,7 +173,7 @@
 		}, ok},
 		{"given up, the endpoint left", func(b B) {
 			b.RecordReport(b.now, "w1", 1)
-			b.RecordLeaving("w1", 1)
+			b.RecordLeaving(b.now, "w1", 1)
 			dieLater(b, cfg.DetectionTimeout, expire)
 		}, ok},
 		{"quarantine, requested before its end", func(b B) {
--- a/internal/core/quarantine/types.go
+++ b/internal/core/quarantine/types.go
@@ -59,21 +59,6 @@
 	}
 }
 
-// End is how a run ended.
-type End uint8
-
-const (
-	// Abandoned means that the run was given up, so its outcome is unknown. It is
-	// the zero value.
-	Abandoned End = iota
-	// Reset means that the connection broke on the endpoint's side.
-	Reset
-	// Answered means that the endpoint answered.
-	Answered
-	// NotStarted means that the endpoint certainly did not start the request.
-	NotStarted
-)
-
 // Admission is the decision on whether a run may start.
 type Admission uint8
 
@@ -92,8 +77,9 @@
 // Change lists the fingerprints whose state changed, to be sent to the other
 // entries.
 type Change struct {
-	// Suspected are the fingerprints whose connection was reset or that have
-	// their first death. Other entries are to hold them back by Suspect. They
+	// Suspected are the fingerprints whose connection was reset, whose endpoint
+	// turned out to be down after a run on it was given up, or that have their first
+	// death. Other entries are to hold them back by Suspect. They
 	// must receive the change before the caller receives its answer, or a
 	// resend may reach an entry that doesn't know.
 	Suspected []fingerprint.Fingerprint
@@ -135,6 +121,9 @@
 	reset bool
 }
 
+// givenUp reports whether the run has ended without an outcome or a reset.
+func (x run) givenUp() bool { return !x.lost.IsZero() && !x.reset }
+
 // attributedDeath is a death that is attributed to the fingerprint.
 type attributedDeath struct {
 	on incarnation
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -8,6 +8,7 @@
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fingerprint"
 	"sassafrasreach/internal/core/fleet"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/core/registry"
 )
@@ -213,7 +214,10 @@
 	Region  string
 	Grant   string
 	Outcome dispatch.Outcome
-	Took    time.Duration
+	// RunEnd is how the run ended, for the search for requests that crash endpoints;
+	// nil if a former release doesn't say.
+	RunEnd *quarantine.End
+	Took   time.Duration
 	// Answered means that the endpoint answered; Signals are what it said about
 	// itself.
 	Answered bool
