End the run of a streamed answer with its body

Own interface: a request that crashes endpoints while its answer is streamed (above 1 MiB) counted as answered once the first part had arrived, which also cleared it of earlier crashes.

The run ends when the body is closed: answered at its end, reset if the endpoint broke it, given up if the caller closed it early.

--- a/internal/app/entry/body.go
+++ b/internal/app/entry/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"sync"
 )
@@ -20,6 +21,36 @@
 	return err
 }
 
+// errClosedEarly means that a body was closed before its end.
+var errClosedEarly = errors.New("body closed before its end")
+
+// watchedBody remembers how reading a body ended.
+type watchedBody struct {
+	io.ReadCloser
+	err error
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.err = err
+	}
+	return n, err
+}
+
+// result returns nil if the body was read to its end, or the reason why it wasn't.
+func (b *watchedBody) result() error {
+	switch {
+	case b.err == nil:
+		return errClosedEarly
+	case errors.Is(b.err, io.EOF):
+		return nil
+	default:
+		return b.err
+	}
+}
+
 // appendAll returns head followed by all of rest.
 func appendAll(head []byte, rest io.Reader) ([]byte, error) {
 	var buffer bytes.Buffer
--- a/internal/app/entry/cluster_test.go
+++ b/internal/app/entry/cluster_test.go
@@ -368,8 +368,8 @@
 	n, call := f.count, f.call
 	f.mu.Unlock()
 	if call != nil {
-		if answer := call(n, to); answer.Err != nil {
-			return nil, answer.Err
+		if answer := call(n, to); answer.Err != nil || answer.Response != nil {
+			return answer.Response, answer.Err
 		}
 	}
 	return &port.Response{Status: 200, Body: fmt.Append(nil, "run ", n)}, nil
--- a/internal/app/entry/crash_test.go
+++ b/internal/app/entry/crash_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"sassafrasreach/internal/core/quarantine"
+	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
 
@@ -96,3 +98,42 @@
 		is.True(tc.calls.ran() <= 3)
 	})
 }
+
+// cutBody is the rest of a streamed answer whose endpoint ends within it.
+type cutBody struct{ end func() }
+
+func (b cutBody) Read([]byte) (int, error) {
+	b.end()
+	return 0, verdict.NewError(verdict.MayHaveRun, verdict.ReasonBadAnswer, port.ErrConnectionLost)
+}
+
+func (b cutBody) Close() error { return nil }
+
+// TestCrashWithinStreamedAnswer guards against a request that crashes each endpoint while
+// its answer is streamed, and that counts as answered because the answer had begun.
+func TestCrashWithinStreamedAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tc := startTestCluster(t)
+		time.Sleep(settleTime)
+		tc.calls.crash(port.ErrConnectionRefused)
+		crash := tc.calls.call
+		tc.calls.call = func(n int, to port.Endpoint) port.Answer {
+			return port.Answer{Response: &port.Response{Status: 200, Rest: cutBody{func() { crash(n, to) }}}}
+		}
+		req := tc.request()
+		req.OnceOnly, req.Key = false, ""
+		for range 3 {
+			for _, name := range []string{"a1", "a2", "a3", "b1"} {
+				req.Origin = placeOf[name]
+				if answer := tc.resend(tc.entry(name), req); answer.Response != nil && answer.Response.Rest != nil {
+					_, err := io.ReadAll(answer.Response.Rest)
+					is.True(err != nil)
+					is.NoErr(answer.Response.Rest.Close())
+				}
+			}
+			time.Sleep(quarantine.DefaultConfig().DetectionTimeout + 2*time.Second)
+		}
+		is.True(tc.calls.ran() <= 2)
+	})
+}
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -57,8 +57,8 @@
 	r.group.done(r.entry.clock.Now(), r.grant.Ticket, result)
 }
 
-// call sends the request and records how the run ended. The slot of a streamed
-// answer is released when its body is closed.
+// call sends the request and records how the run ended. The run of a streamed answer ends,
+// and its slot is released, when its body is closed.
 func (r *endpointRun) call(ctx context.Context, cancel context.CancelFunc) port.Answer {
 	e := r.entry
 	if err := e.checkActive(ctx, r.req); err != nil {
@@ -68,15 +68,17 @@
 	}
 	response, err := r.send(ctx)
 	took := e.clock.Now().Sub(r.granted)
-	e.recordRunEnd(r.grant.Endpoint, r.ownedRequest, err)
 	result := admission.Result{Kind: resultKind(ctx, err), Latency: took}
 	if err == nil && response.Rest != nil {
-		response.Rest = &closer{ReadCloser: response.Rest, after: func() {
+		rest := &watchedBody{ReadCloser: response.Rest}
+		response.Rest = &closer{ReadCloser: rest, after: func() {
+			e.recordRunEnd(r.grant.Endpoint, r.ownedRequest, rest.result())
 			cancel()
 			r.end(result)
 		}}
 		return port.Answer{Response: response}
 	}
+	e.recordRunEnd(r.grant.Endpoint, r.ownedRequest, err)
 	cancel()
 	r.end(result)
 	if err == nil {
