--- a/internal/adapter/fleetgrpc/items_test.go
+++ b/internal/adapter/fleetgrpc/items_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	fleetv1 "sassafrasreach/api/fleet/v1"
+	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/port"
@@ -138,3 +140,46 @@
 		}
 	})
 }
+
+// TestNamesSurvive guards against a configuration that is another one after it has been
+// sent to another controller, stored and read back, because of a name at the edges of what
+// is allowed.
+func TestNamesSurvive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{"\ufffd", "\u2028<&>", "\x00\x1f\x7f", "😀\U0010ffff", "\u200d\ufeff"}))
+		change := fleet.Change{
+			Base: rapid.Uint64().Draw(t, "base"), Source: rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "source"),
+			Config: fleet.Config{
+				Version: rapid.Uint64().Draw(t, "version"), Services: []fleet.Service{{Name: name.Draw(t, "service")}},
+				Routes: []fleet.Route{{
+					Name: name.Draw(t, "route"), Host: "h", Prefix: "/", Timeout: time.Second, Attempts: 1,
+					Parts: []fleet.Part{{Service: name.Draw(t, "part"), Weight: rapid.Float64Range(0, 1e9).Draw(t, "weight")}},
+				}},
+			},
+		}
+		m, err := orderToProto(fleet.Order{Change: &change})
+		if err != nil {
+			t.Fatal(err)
+		}
+		encoded, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var received fleetv1.OrderRequest
+		if err := proto.Unmarshal(encoded, &received); err != nil {
+			t.Fatal(err)
+		}
+		got, err := orderFromProto(&received)
+		if err != nil || !reflect.DeepEqual(*got.Change, change) {
+			t.Fatalf("sent %+v, received %+v, %v", change, got.Change, err)
+		}
+		stored, err := (&fleet.State{Config: change.Config, Source: change.Source}).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		state, err := fleet.Decode(stored)
+		if err != nil || !reflect.DeepEqual(state.Config, change.Config) || !bytes.Equal(state.Source, change.Source) {
+			t.Fatalf("stored %+v, read %+v, %v", change, state, err)
+		}
+	})
+}
--- a/internal/core/strictyaml/decode_test.go
+++ b/internal/core/strictyaml/decode_test.go
@@ -41,6 +41,9 @@
 		{"open list", "on: true\nitems: [\non: false\n", "line 2: did not find expected ',' or ']'"},
 		{"open list on the first line", "items: [", "line 1: did not find expected node content"},
 		{"bad character", "on: true\nitems: @\n", "line 2: found character that cannot start any token"},
+		{"byte that isn't UTF-8", "items:\n- name: b\xfcro\n", "invalid leading UTF-8 octet"},
+		{"half of a surrogate pair", "items:\n- name: \"\\ud800\"\n", "line 2: found invalid Unicode character escape code"},
+		{"key in another case", "Items: []\n", "line 1: Items: unknown field"},
 		{"two problems", "on: 3\nx: 1\n", `line 1: on: true or false is wanted, got the number "3"; line 2: x: unknown field`},
 	}
 	for _, c := range cases {
