Refuse configurations that can't have the effect that they name

A host with a port, a space or characters beyond ASCII, and a path prefix that isn't written as in a request, were acknowledged although no request could ever match them; U+212A in a host even became another name in lower case.

Cause: nothing compared the names of a configuration with what a request can hold. NormalHost and the check of the prefix do, and the reason names the place.

TestUnusualConfigs: what is unusual and has one meaning is accepted.

--- a/internal/core/fleet/validate.go
+++ b/internal/core/fleet/validate.go
@@ -3,8 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
+	"net/url"
 	"strings"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxTimeout is the longest timeout that a route may have.
@@ -38,12 +42,39 @@
 	return nil
 }
 
+// NormalHost returns a host in the form in which Route.Host holds it. The error names a
+// host that no request can have, such as one with a port, which doesn't count for routes.
+func NormalHost(host string) (string, error) {
+	address, errAddress := netip.ParseAddr(strings.Trim(host, "[]"))
+	switch {
+	case host == "":
+		return "", errors.New("no host")
+	case !httpguts.ValidHostHeader(host):
+		return "", fmt.Errorf("host %q holds a character that no host of a request has", host)
+	case strings.ContainsAny(host, ":[]") && (errAddress != nil || !address.Is6()):
+		return "", fmt.Errorf("host %q isn't a name or an address without a port", host)
+	default:
+		return strings.ToLower(host), nil
+	}
+}
+
+// isEscapedPath reports whether a path is written as in a request.
+func isEscapedPath(path string) bool {
+	u, err := url.ParseRequestURI(path)
+	return err == nil && u.EscapedPath() == path && u.RawQuery == "" && !u.ForceQuery
+}
+
 func (r *Route) validate(services map[string]bool) error {
+	if host, err := NormalHost(r.Host); err != nil {
+		return err
+	} else if host != r.Host {
+		return fmt.Errorf("host %q isn't in lower case", r.Host)
+	}
 	switch {
-	case r.Host == "":
-		return errors.New("no host")
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return fmt.Errorf("prefix %q doesn't begin and end with a slash", r.Prefix)
+	case !isEscapedPath(r.Prefix):
+		return fmt.Errorf("prefix %q begins no path of a request: characters beyond those of a path have to be escaped", r.Prefix)
 	case r.Timeout <= 0 || r.Timeout > maxTimeout:
 		return fmt.Errorf("timeout %v is out of range", r.Timeout)
 	case r.Attempts < 1:
