--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 
 	"github.com/go-chi/chi/v5"
 
+	"sassafrasreach/internal/core/strictjson"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -110,10 +112,11 @@
 
 func (h *handler) announce(w http.ResponseWriter, r *http.Request) {
 	var a port.Announcement
-	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
-	decoder := json.NewDecoder(body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&a); err != nil {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	if err == nil {
+		err = strictjson.DecodeKnown(body, &a)
+	}
+	if err != nil {
 		writeProblem(w, badRequest(err))
 		return
 	}
--- a/internal/adapter/callerhttp/handler_test.go
+++ b/internal/adapter/callerhttp/handler_test.go
@@ -136,6 +136,9 @@
 		{"body too large, with key", testRequest{"POST", "/s/desk/x", "123456789", keyed}, 413, verdict.ReasonTooLarge, "may-have-run"},
 		{"announcement not JSON", testRequest{"PUT", "/v1/endpoints/e1", "{", nil}, 400, verdict.ReasonBadRequest, "not-run"},
 		{"announcement with an unknown field", testRequest{"PUT", "/v1/endpoints/e1", `{"id":"e1","x":1}`, nil}, 400, verdict.ReasonBadRequest, "not-run"},
+		{"announcement with a byte that isn't UTF-8", testRequest{"PUT", "/v1/endpoints/%EF%BF%BD", "{\"id\":\"\xff\"}", nil}, 400, verdict.ReasonBadRequest, "not-run"},
+		{"announcement with a key twice", testRequest{"PUT", "/v1/endpoints/e1", `{"id":"e2","id":"e1"}`, nil}, 400, verdict.ReasonBadRequest, "not-run"},
+		{"announcement with data after it", testRequest{"PUT", "/v1/endpoints/e1", `{"id":"e1"}{"id":"e2"}`, nil}, 400, verdict.ReasonBadRequest, "not-run"},
 		{"announcement with another ID", testRequest{"PUT", "/v1/endpoints/e1", `{"id":"e2"}`, nil}, 400, verdict.ReasonBadRequest, "not-run"},
 	}
 	for _, c := range cases {
--- a/internal/adapter/operatorhttp/drain.go
+++ b/internal/adapter/operatorhttp/drain.go
@@ -1,13 +1,12 @@
 package operatorhttp
 
 import (
-	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
 
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/core/strictjson"
 	"sassafrasreach/internal/port"
 )
 
@@ -15,15 +14,13 @@
 const maxDrainBytes = 4 << 10
 
 func (h *handler) addDrain(w http.ResponseWriter, r *http.Request, s session) {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDrainBytes))
-	decoder.DisallowUnknownFields()
 	var request DrainRequest
-	if err := decoder.Decode(&request); err != nil {
-		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the body is not a valid drain: "+err.Error()))
-		return
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDrainBytes))
+	if err == nil {
+		err = strictjson.DecodeKnown(body, &request)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the body has data after the drain; send one JSON object"))
+	if err != nil {
+		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the body is not a valid drain: "+err.Error()))
 		return
 	}
 	h.editDrains(w, r, s, func(drains []document.Drain) ([]document.Drain, *Problem) {
