Hold back a proven request that three endpoints have reset

Cause: a proven request wasn't held back by any number of resets, so that popular requests pass when links are harmed. Three endpoints that reset it without a sign of life since hold it back now, unless three others or more were lost within 2 s of them, as with a zone. An answer anywhere clears them, as before.

--- a/internal/app/controller/crash_test.go
+++ b/internal/app/controller/crash_test.go
@@ -58,7 +58,7 @@
 	crashes []time.Time
 	// crash ends a run for crashTarget, whose client may have left, by calling end when
 	// the endpoint's process has ended; nil stands for a reset before the answer.
-	crash func(ctx context.Context, end func()) error
+	crash crashMoment
 	// back is how long after a crash the endpoint starts again; 0 is restartAfter.
 	back time.Duration
 }
@@ -123,7 +123,10 @@
 	case !live:
 		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonDial, port.ErrConnectionRefused)
 	case req.Target == crashTarget && f.crash != nil:
-		return nil, f.crash(ctx, func() { f.end(to.ID) })
+		if err := f.crash(ctx, func() { f.end(to.ID) }); err != nil {
+			return nil, err
+		}
+		return &port.Response{Status: http.StatusOK}, nil
 	case req.Target == crashTarget:
 		f.end(to.ID)
 		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonConnection, port.ErrConnectionLost)
@@ -251,66 +254,107 @@
 	is.Equal(endpoints.crashCount(), before)
 }
 
+// crashMoment ends a run for crashTarget, whose client may have left; end ends the process of
+// the endpoint.
+type crashMoment func(ctx context.Context, end func()) error
+
+// early is the time between what the gateway sees of a run and what happens next.
+const early = 20 * time.Millisecond
+
+// playCrashes sends a request that crashes its endpoints, and others. Of the repeats later
+// than 3 s after the third crash at most three may reach an endpoint, although endpoints are
+// back only after 4 s, and the others are to be served. A client that leaves does so after
+// early. The request is harmless first if turns is set.
+func playCrashes(t *testing.T, crash crashMoment, leaves, turns bool) {
+	is := is.New(t)
+	_, endpoints, gateways := newServedCluster(t)
+	if turns {
+		endpoints.crash = func(context.Context, func()) error { return nil }
+		for i := range 12 {
+			is.NoErr(send(gateways[i%len(gateways)], fmt.Sprint("before", i), crashTarget).Err)
+		}
+	}
+	endpoints.crash, endpoints.back = crash, 4*time.Second
+	served := 0
+	const rounds = 80
+	for i := range rounds {
+		g := gateways[i%len(gateways)]
+		ctx, leave := context.WithCancel(t.Context())
+		if leaves {
+			time.AfterFunc(early, leave)
+		}
+		_ = sendFor(ctx, g, fmt.Sprint("crash", i), crashTarget)
+		leave()
+		for n := range 3 {
+			if send(gateways[n], fmt.Sprint("other", i, n), fmt.Sprintf("/other/%d", i%5)).Err == nil {
+				served++
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	late := endpoints.crashesAfterThird(3 * time.Second)
+	t.Logf("%d crashes, %d of them late, %d of %d other requests served", endpoints.crashCount(), late, served, 3*rounds)
+	is.True(late <= 3)
+	is.True(served >= 3*rounds*9/10)
+}
+
 // TestCrashMoments guards against a request that crashes its endpoints and is sent on
 // because of how its run ended for the one that sent it: its answer was cut, its client
-// left, or its deadline passed, each before or after the endpoint ended (review/8). Of the
-// repeats later than 3 s after the third crash at most three may reach an endpoint, although
-// endpoints are back only after 4 s.
+// left, or its deadline passed, each before or after the endpoint ended (review/8).
 func TestCrashMoments(t *testing.T) {
-	const early, clientLeaves = 20 * time.Millisecond, "client leaves, then the end"
 	failed := func(reason verdict.Reason, cause error) error {
 		return verdict.NewError(verdict.MayHaveRun, reason, cause)
 	}
-	moments := map[string]func(ctx context.Context, end func()) error{
-		"answer cut": func(_ context.Context, end func()) error {
+	moments := map[string]struct {
+		crash  crashMoment
+		leaves bool
+	}{
+		"answer cut": {crash: func(_ context.Context, end func()) error {
 			end()
 			return failed(verdict.ReasonBadAnswer, port.ErrConnectionLost)
-		},
-		"answer unusable, then the end": func(_ context.Context, end func()) error {
+		}},
+		"answer unusable, then the end": {crash: func(_ context.Context, end func()) error {
 			time.AfterFunc(early, end)
 			return failed(verdict.ReasonBadAnswer, nil)
-		},
-		clientLeaves: func(ctx context.Context, end func()) error {
+		}},
+		"client leaves, then the end": {leaves: true, crash: func(ctx context.Context, end func()) error {
 			<-ctx.Done()
 			time.AfterFunc(early, end)
 			return failed(verdict.ReasonCanceled, ctx.Err())
-		},
-		"deadline, then the end": func(_ context.Context, end func()) error {
+		}},
+		"deadline, then the end": {crash: func(_ context.Context, end func()) error {
 			time.AfterFunc(early, end)
 			return failed(verdict.ReasonDeadline, context.DeadlineExceeded)
-		},
-		"silent end": func(_ context.Context, end func()) error {
+		}},
+		"silent end": {crash: func(_ context.Context, end func()) error {
 			end()
 			return failed(verdict.ReasonDeadline, context.DeadlineExceeded)
-		},
+		}},
 	}
-	for name, crash := range moments {
+	for name, m := range moments {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
-			_, endpoints, gateways := newServedCluster(t)
-			endpoints.crash, endpoints.back = crash, 4*time.Second
-			served := 0
-			const rounds = 80
-			for i := range rounds {
-				g := gateways[i%len(gateways)]
-				ctx, leave := context.WithCancel(t.Context())
-				if name == clientLeaves {
-					time.AfterFunc(early, leave)
-				}
-				_ = sendFor(ctx, g, fmt.Sprint("crash", i), crashTarget)
-				leave()
-				for n := range 3 {
-					if send(gateways[n], fmt.Sprint("other", i, n), fmt.Sprintf("/other/%d", i%5)).Err == nil {
-						served++
-					}
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
-			late := endpoints.crashesAfterThird(3 * time.Second)
-			t.Logf("%d crashes, %d of them late, %d of %d other requests served", endpoints.crashCount(), late, served, 3*rounds)
-			is.True(late <= 3)
-			is.True(served >= 3*rounds*9/10)
+			playCrashes(t, m.crash, m.leaves, false)
 		})
 	}
 }
+
+// TestCrashAfterHarmlessRuns guards against a request that was answered a moment ago and is
+// sent on without end from then on, although it crashes its endpoints.
+func TestCrashAfterHarmlessRuns(t *testing.T) {
+	t.Parallel()
+	playCrashes(t, func(_ context.Context, end func()) error {
+		end()
+		return verdict.NewError(verdict.MayHaveRun, verdict.ReasonConnection, port.ErrConnectionLost)
+	}, false, true)
+}
+
+// TestCrashAfterAnswer plays a request whose endpoints answer it completely and end then:
+// each answer counts as proof that it is harmless.
+func TestCrashAfterAnswer(t *testing.T) {
+	t.Parallel()
+	playCrashes(t, func(_ context.Context, end func()) error {
+		time.AfterFunc(early, end)
+		return nil
+	}, false, false)
+}
--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -69,6 +69,11 @@
 			delete(t.lastAnswer, on)
 		}
 	}
+	for on, at := range t.lastReset {
+		if now.Sub(at) >= t.cfg.Hold {
+			delete(t.lastReset, on)
+		}
+	}
 	for on, at := range t.left {
 		if now.Sub(at) >= t.cfg.Hold {
 			delete(t.left, on)
--- a/internal/core/quarantine/reset_test.go
+++ b/internal/core/quarantine/reset_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,28 @@
 	b.end("w0", poison, quarantine.Answered)
 	is.True(b.mayStart())
 }
+
+// TestMayStartOfTurnedRequest guards against a request that was answered a moment ago and is
+// sent on without end although it crashes its endpoints now, and against one that is held
+// back because its endpoints were lost with others.
+func TestMayStartOfTurnedRequest(t *testing.T) {
+	for others, want := range map[int]bool{0: false, 2: false, 3: true} {
+		is := is.New(t)
+		b := newTestTable()
+		b.prove(poison)
+		for n := range others {
+			endpoint := fmt.Sprint("o", n)
+			b.BeginRun(b.now, endpoint, 1, second, "roster-desk")
+			b.end(endpoint, second, quarantine.Reset)
+		}
+		for _, endpoint := range []string{"w1", "w2", "w3"} {
+			is.True(b.mayStart())
+			b.reset(endpoint)
+			b.advance(300 * time.Millisecond)
+		}
+		is.Equal(b.mayStart(), want)
+		b.prove(second)
+		b.RecordReport(b.now.Add(time.Second), "w1", 1)
+		is.True(b.mayStart())
+	}
+}
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -24,6 +24,8 @@
 	lastAnswer map[incarnation]time.Time
 	// lastReport holds when an endpoint incarnation last reported itself.
 	lastReport map[incarnation]time.Time
+	// lastReset holds when a run on an endpoint incarnation was last recorded as reset.
+	lastReset map[incarnation]time.Time
 	// left holds when an endpoint incarnation announced that it leaves.
 	left   map[incarnation]time.Time
 	deaths []death
@@ -38,6 +40,7 @@
 		answeredRunStart: make(map[incarnation]time.Time),
 		lastAnswer:       make(map[incarnation]time.Time),
 		lastReport:       make(map[incarnation]time.Time),
+		lastReset:        make(map[incarnation]time.Time),
 		left:             make(map[incarnation]time.Time),
 	}
 }
@@ -83,27 +86,46 @@
 // MayStart reports whether a run of f may start, for owners that don't limit the
 // runs of requests without an answer: it is false in quarantine, and while the
 // deaths of f and the endpoints that reset a connection of f and have shown no
-// evidence of liveness since amount to maxDeaths. The resets alone don't
-// hold back a proven fingerprint. Like Check, it extends a quarantine.
+// evidence of liveness since amount to maxDeaths. A proven fingerprint without deaths is
+// allowed one such endpoint more, and those don't count that were lost with others.
+// Like Check, it extends a quarantine.
 func (t *Table) MayStart(now time.Time, f fingerprint.Fingerprint) bool {
 	if _, quarantined := t.Check(now, f); quarantined {
 		return false
 	}
 	r := t.records[f]
-	if r == nil || t.isProven(now, f) && len(r.deaths) == 0 {
+	if r == nil {
 		return true
 	}
 	t.dropOldRuns(now, r)
 	r.lastRequested = now
+	proven := t.isProven(now, f) && len(r.deaths) == 0
 	unresolved := make(map[incarnation]bool)
 	for _, x := range r.runs {
-		if x.reset && !t.endpointAlive(x) && t.lastAnswer[x.on].Sub(x.lost) < t.cfg.AnswerMargin {
+		resolved := !x.reset || t.endpointAlive(x) || t.lastAnswer[x.on].Sub(x.lost) >= t.cfg.AnswerMargin
+		if !resolved && !(proven && t.resetWithOthers(r, x)) {
 			unresolved[x.on] = true
 		}
 	}
+	if proven {
+		return len(unresolved) <= maxDeaths
+	}
 	return t.countDeaths(f, r)+len(unresolved) < maxDeaths
 }
 
+// resetWithOthers reports whether CorrelatedDeaths endpoints or more, on which no run of the
+// record was reset, reset connections within CorrelationWindow of the run's reset.
+func (t *Table) resetWithOthers(r *record, x run) bool {
+	n := 0
+	for on, at := range t.lastReset {
+		isOwn := slices.ContainsFunc(r.runs, func(y run) bool { return y.on == on && y.reset })
+		if !isOwn && at.Sub(x.lost).Abs() <= t.cfg.CorrelationWindow {
+			n++
+		}
+	}
+	return n >= t.cfg.CorrelatedDeaths
+}
+
 // KnowsReset reports whether a run of f on an endpoint incarnation is recorded as
 // reset.
 func (t *Table) KnowsReset(endpoint string, number uint64, f fingerprint.Fingerprint) bool {
@@ -126,6 +148,7 @@
 	if slices.ContainsFunc(t.deaths, func(d death) bool { return d.on == on }) {
 		return t.RecordDeath(now, endpoint, number, f)
 	}
+	t.lastReset[on] = now
 	r := t.record(f)
 	r.lastRequested = later(r.lastRequested, now)
 	known := slices.ContainsFunc(r.runs, func(x run) bool { return x.on == on && x.reset })
@@ -207,6 +230,9 @@
 	if (end == Abandoned || end == Reset) && len(t.records) <= t.cfg.MaxEntries {
 		r.runs[i].lost = now
 		r.runs[i].reset = end == Reset
+		if end == Reset {
+			t.lastReset[on] = now
+		}
 		return t.suspectChange(now, f, end)
 	}
 	started := r.runs[i].started
