Take a rejected slot request or release for what it is

A rejected slot request counts for itself. The releases of a rejected batch are sent one by one.

gateway.TestRejectedMessages failed before (the next request was refused).

--- a/internal/app/gateway/locate.go
+++ b/internal/app/gateway/locate.go
@@ -66,7 +66,7 @@
 // controller isn't the dispatcher is no failure, nor is a connection that was
 // replaced because of another call.
 func (g *Gateway) recordFailure(address string, err error) {
-	if errors.Is(err, port.ErrNotDispatcher) || errors.Is(err, port.ErrLinkReplaced) {
+	if errors.Is(err, port.ErrNotDispatcher) || errors.Is(err, port.ErrLinkReplaced) || errors.Is(err, port.ErrRejected) {
 		return
 	}
 	g.mu.Lock()
--- a/internal/app/gateway/release.go
+++ b/internal/app/gateway/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 	}
 }
 
+// sendReleases sends a batch, or its elements one by one if the dispatcher rejects it.
 func (g *Gateway) sendReleases(address string, batch []port.SlotRelease) {
 	link, err := g.link(address)
 	if err != nil {
@@ -67,7 +69,13 @@
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		err := link.Release(ctx, batch)
 		cancel()
-		if err == nil {
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, port.ErrRejected) && len(batch) > 1:
+			for _, r := range batch {
+				g.sendReleases(address, []port.SlotRelease{r})
+			}
 			return
 		}
 	}
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -28,6 +28,8 @@
 	grants   int
 	released []port.SlotRelease
 	answer   func(req port.SlotRequest) (dispatch.Decision, error)
+	// rejects names the grants whose releases make their message fail.
+	rejects map[string]bool
 }
 
 func (c *fakeController) Watch(ctx context.Context, _ port.Gateway, since port.WatchCursor) (port.Update, error) {
@@ -74,6 +76,11 @@
 func (c *fakeController) Release(_ context.Context, r []port.SlotRelease) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, x := range r {
+		if c.rejects[x.Grant] {
+			return port.ErrRejected
+		}
+	}
 	c.released = append(c.released, r...)
 	return nil
 }
@@ -159,6 +166,38 @@
 	is.True(g.Serve(t.Context(), request("/once/")).Err != nil) // the dispatcher is passed over
 }
 
+// TestRejectedMessages guards against a dispatcher that is passed over, and against slots
+// that stay taken, because of one request whose message the dispatcher rejects.
+func TestRejectedMessages(t *testing.T) {
+	is := is.New(t)
+	c := &fakeController{rejects: map[string]bool{"bad": true}}
+	c.answer = func(req port.SlotRequest) (dispatch.Decision, error) {
+		switch req.Kind {
+		case "safe":
+			return dispatch.Decision{}, port.ErrRejected
+		case "single":
+			return dispatch.Decision{Grant: "bad", Endpoint: registry.Endpoint{ID: "e"}}, nil
+		}
+		return dispatch.Decision{Grant: "good", Endpoint: registry.Endpoint{ID: "e"}}, nil
+	}
+	g := startGateway(t, c, &endpoints{ends: []error{nil}})
+	for range 20 {
+		for _, path := range []string{"/safe/", "/single/", "/once/", "/once/"} {
+			err := g.Serve(t.Context(), request(path)).Err
+			is.Equal(err == nil, path != "/safe/")
+		}
+	}
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		n := len(c.released)
+		c.mu.Unlock()
+		if n == 40 {
+			return
+		}
+	}
+	is.Fail() // releases beside a rejected one are lost
+}
+
 // TestAttempts checks how often a request is sent and which verdict its client
 // receives, for each kind of route and each sequence of call results.
 func TestAttempts(t *testing.T) {
