Match hosts that are IPv6 addresses, with or without a port

A configuration for [2001:db8::1] was accepted and matched only requests without a port in their Host; one for 2001:db8::1 only those with one. Found while checking that what is accepted can have its effect.

Cause: the port was taken off with the brackets, and brackets stayed otherwise. Both forms are the address without brackets now.

platform.TestHostsMatch failed before for both.

--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -289,7 +289,7 @@
 		event.Log(ctx, c.ports.Logger, event.ExchangeRejected, slog.String("address", address),
 			slog.Int("changes", m.ChangeCount()), slog.Any("error", err))
 		if err = c.sendOnce(ctx, p, m.WithoutChanges()); err == nil {
-			err = c.sendApart(ctx, p, m.OnlyChanges())
+			err = c.sendApart(ctx, p, address, m.OnlyChanges())
 		}
 	}
 	c.mu.Lock()
@@ -306,11 +306,11 @@
 
 // sendApart sends the changes of a message in halves, and those of a half that the peer
 // rejects again in halves. A change that is rejected alone is dropped.
-func (c *Controller) sendApart(ctx context.Context, p *peer, m port.ExchangeRequest) error {
+func (c *Controller) sendApart(ctx context.Context, p *peer, address string, m port.ExchangeRequest) error {
 	if m.ChangeCount() == 1 {
 		err := c.sendOnce(ctx, p, m)
 		if errors.Is(err, port.ErrRejected) {
-			c.logDropped(ctx, m)
+			c.logDropped(ctx, address, m)
 			return nil
 		}
 		return err
@@ -318,7 +318,7 @@
 	for _, half := range m.Halves() {
 		err := c.sendOnce(ctx, p, half)
 		if errors.Is(err, port.ErrRejected) {
-			err = c.sendApart(ctx, p, half)
+			err = c.sendApart(ctx, p, address, half)
 		}
 		if err != nil {
 			return err
@@ -327,11 +327,12 @@
 	return nil
 }
 
-// logDropped logs and counts the only change of a message.
-func (c *Controller) logDropped(ctx context.Context, m port.ExchangeRequest) {
+// logDropped logs and counts the only change of a message, which the controller at the
+// address rejects.
+func (c *Controller) logDropped(ctx context.Context, address string, m port.ExchangeRequest) {
 	kind, item := m.FirstChange()
 	c.ports.Meter.RecordItemDropped(kind)
-	event.Log(ctx, c.ports.Logger, event.ItemDropped, slog.String("kind", kind), slog.String("item", item))
+	event.Log(ctx, c.ports.Logger, event.ItemDropped, slog.String("kind", kind), slog.String("item", item), slog.String("address", address))
 }
 
 // sendOnce sends a message to a peer and records the answer.
--- a/internal/core/fleet/validate.go
+++ b/internal/core/fleet/validate.go
@@ -42,10 +42,12 @@
 	return nil
 }
 
-// NormalHost returns a host in the form in which Route.Host holds it. The error names a
-// host that no request can have, such as one with a port, which doesn't count for routes.
+// NormalHost returns a host in the form in which Route.Host holds it: in lower case, an IPv6
+// address without brackets. The error names a host that no request can have, such as one with
+// a port, which doesn't count for routes.
 func NormalHost(host string) (string, error) {
-	address, errAddress := netip.ParseAddr(strings.Trim(host, "[]"))
+	plain := WithoutBrackets(host)
+	address, errAddress := netip.ParseAddr(plain)
 	switch {
 	case host == "":
 		return "", errors.New("no host")
@@ -54,10 +56,18 @@
 	case strings.ContainsAny(host, ":[]") && (errAddress != nil || !address.Is6()):
 		return "", fmt.Errorf("host %q isn't a name or an address without a port", host)
 	default:
-		return strings.ToLower(host), nil
+		return strings.ToLower(plain), nil
 	}
 }
 
+// WithoutBrackets returns a host without the brackets around an IPv6 address.
+func WithoutBrackets(host string) string {
+	if inner, ok := strings.CutPrefix(host, "["); ok && strings.HasSuffix(inner, "]") {
+		return strings.TrimSuffix(inner, "]")
+	}
+	return host
+}
+
 // isEscapedPath reports whether a path is written as in a request.
 func isEscapedPath(path string) bool {
 	u, err := url.ParseRequestURI(path)
@@ -68,7 +78,7 @@
 	if host, err := NormalHost(r.Host); err != nil {
 		return err
 	} else if host != r.Host {
-		return fmt.Errorf("host %q isn't in lower case", r.Host)
+		return fmt.Errorf("host %q isn't in its normal form, %q", r.Host, host)
 	}
 	switch {
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
--- a/internal/core/quarantine/doc.go
+++ b/internal/core/quarantine/doc.go
@@ -6,8 +6,9 @@
 //
 // The death of an endpoint is attributed to the requests whose runs were in
 // flight on it or were lost on it recently. A run that was given up counts as
-// recent for AttributionTimeout at most. An endpoint that lost a run and shows no evidence of liveness for
-// DetectionTimeout is presumed dead; after a run that was given up, only if the
+// recent for AttributionTimeout at most, and as reset once nothing listens at its
+// endpoint's address any more. An endpoint that lost a run and shows no evidence of
+// liveness for DetectionTimeout is presumed dead; after a run that was given up, only if the
 // endpoint had reported itself before. Two deaths of distinct incarnations put
 // a fingerprint into quarantine.
 //
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -85,8 +85,8 @@
 	HintsLoaded           = Event{1617, "hints-loaded", slog.LevelInfo, "A controller started with hints of its last run; attributes count the gateways, the endpoints that leave or are gone, and the loads."}
 	HintsRejected         = Event{1618, "hints-rejected", slog.LevelWarn, "The hints on the controller's disk can't be used; it starts without them."}
 	AnnouncementRejected  = Event{1619, "announcement-rejected", slog.LevelWarn, "An endpoint's announcement, sent by another controller or read from the disk, can't be passed on; it is ignored."}
-	ExchangeRejected      = Event{1620, "exchange-rejected", slog.LevelWarn, "Another controller answered an exchange with an error; its changes are sent apart, and those that are rejected alone are dropped, with a record for each."}
-	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once."}
+	ExchangeRejected      = Event{1620, "exchange-rejected", slog.LevelWarn, "An exchange with another controller can't be encoded, or the other one fails to handle it; its changes are sent apart, and those that are rejected alone are dropped, with a record for each."}
+	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once, or once for each receiver that rejects it."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
--- a/internal/port/changes.go
+++ b/internal/port/changes.go
@@ -35,9 +35,9 @@
 	return [2]ExchangeRequest{first, second}
 }
 
-// halves divides a list in the middle. Of an odd number of elements the first half gets
-// more if an even number of changes precedes the list, so that of two or more changes
-// neither half gets all.
+// halves divides a list in the middle. before is the number of changes in the lists before
+// it: the odd elements of all lists go to the two halves in turn, so that neither half gets
+// all of two or more changes.
 func halves[T any](all []T, before int) (first, second []T) {
 	n := (len(all) + 1 - before%2) / 2
 	return all[:n], all[n:]
