--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -102,10 +102,10 @@
 	proven := t.isProven(now, f) && len(r.deaths) == 0
 	unresolved := make(map[incarnation]bool)
 	for _, x := range r.runs {
-		resolved := !x.reset || t.endpointAlive(x) || t.lastAnswer[x.on].Sub(x.lost) >= t.cfg.AnswerMargin
-		if !resolved && !(proven && t.resetWithOthers(r, x)) {
-			unresolved[x.on] = true
+		if !x.reset || t.endpointAlive(x) || t.lastAnswer[x.on].Sub(x.lost) >= t.cfg.AnswerMargin || proven && t.resetWithOthers(r, x) {
+			continue
 		}
+		unresolved[x.on] = true
 	}
 	if proven {
 		return len(unresolved) <= maxDeaths
