--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -272,6 +272,15 @@
 // read returns the configuration version that a quorum confirms to a
 // controller, retrying for a time.
 func (c *cluster) read(address string, within time.Duration) (uint64, error) {
+	state, err := c.readState(address, within)
+	if err != nil {
+		return 0, err
+	}
+	return state.Config.Version, nil
+}
+
+// readState is read for the whole state.
+func (c *cluster) readState(address string, within time.Duration) (*fleet.State, error) {
 	err := errUnreachable
 	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		c.mu.Lock()
@@ -279,10 +288,10 @@
 		c.mu.Unlock()
 		var state *fleet.State
 		if state, err = at.Current(context.Background()); err == nil {
-			return state.Config.Version, nil
+			return state, nil
 		}
 	}
-	return 0, err
+	return nil, err
 }
 
 const (
