Check the IDs of endpoints on the own interface, too

An endpoint there could have any ID, of up to 16 KiB, with control characters, or, from another entry, with bytes that aren't UTF-8, which can't be passed on. The same check as for the platform's endpoints now, in the one place that announcements of endpoints and of entries go through. The others of a batch hold.

entry.TestUnreadableEndpointID failed before. The own interface alone is touched.

--- a/internal/app/entry/announce.go
+++ b/internal/app/entry/announce.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/admission"
+	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -47,7 +48,10 @@
 	}
 	known := a.State == port.EndpointStarting || a.State == port.EndpointReady || a.State == port.EndpointLeaving
 	inRange := a.Slots >= 1 && a.Slots <= maxAnnounceSlots && a.Connections >= 1 && a.Incarnation > 0
-	if a.ID == "" || !known || !inRange {
+	if err := registry.CheckID(a.ID); err != nil {
+		return verdict.NewError(verdict.NotRun, verdict.ReasonBadRequest, err)
+	}
+	if !known || !inRange {
 		return verdict.NewError(verdict.NotRun, verdict.ReasonBadRequest,
 			fmt.Errorf("announcement of endpoint %q is incomplete or out of range", a.ID))
 	}
--- a/internal/app/entry/group_test.go
+++ b/internal/app/entry/group_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"sassafrasreach/internal/core/admission"
+	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -130,3 +133,32 @@
 	is.Equal(verdict.Of(err), verdict.NotRun)
 	is.Equal(g.stats(now).Busy, 0)
 }
+
+// TestUnreadableEndpointID guards against an endpoint whose ID can't be passed on, in an
+// announcement and in one that another entry sent; the others of its batch hold.
+func TestUnreadableEndpointID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tc := startTestCluster(t)
+		time.Sleep(settleTime)
+		e := tc.entry("a1")
+		good := port.Announcement{
+			ID: "büro-1", Incarnation: 1, Sequence: 1, Service: tc.request().Service, Place: placeOf["a1"], Address: "127.0.0.9:1",
+			Slots: 1, Connections: 1, State: port.EndpointReady,
+		}
+		endpoints := func() int {
+			return e.groups.get(groupKey{good.Service, good.Place}, e.admissionConfig).stats(e.clock.Now()).Endpoints
+		}
+		bad := good
+		for _, bad.ID = range []string{"", "b\xfcro-1", "a\nb", " a", strings.Repeat("a", registry.MaxIDBytes+1)} {
+			_, err := e.Announce(t.Context(), bad)
+			is.Equal(verdict.ReasonOf(err), verdict.ReasonBadRequest)
+			before := endpoints()
+			e.HandleAnnounce([]port.Announcement{bad})
+			is.Equal(endpoints(), before)
+		}
+		before := endpoints()
+		e.HandleAnnounce([]port.Announcement{bad, good})
+		is.Equal(endpoints(), before+1)
+	})
+}
