Add client accounts, reported load and body sizes to the messages

Types and fields only; the parts that use them follow. The released slot carries the time of the endpoint's answer, so that a load that it reported can be weighed by its age.

--- a/internal/adapter/fleetgrpc/client.go
+++ b/internal/adapter/fleetgrpc/client.go
@@ -221,7 +221,7 @@
 // Release implements port.ControllerLink.
 func (c *Client) Release(ctx context.Context, r []port.SlotRelease) error {
 	_, err := call(ctx, c, false, func(ctx context.Context, s fleetv1.FleetServiceClient) (*fleetv1.ReleaseResponse, error) {
-		return s.Release(ctx, &fleetv1.ReleaseRequest{Released: convertAll(r, releaseToProto)})
+		return s.Release(ctx, &fleetv1.ReleaseRequest{Released: convertAll(r, codec{c.clock.Now()}.releaseToProto)})
 	})
 	return err
 }
--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -1,8 +1,11 @@
 package fleetgrpc
 
 import (
+	"math"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	fleetv1 "sassafrasreach/api/fleet/v1"
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fingerprint"
@@ -277,6 +280,7 @@
 		Affinity: req.Affinity, Zone: req.Zone, TargetMs: req.Target.Milliseconds(), DeadlineMs: -c.age(req.Deadline),
 		Homes: req.Regions, Exclude: req.Exclude, Kind: req.Kind, Hint: req.Hint, Again: req.Retry,
 		Fingerprint: fingerprintToProto(req.Fingerprint), Suspicions: convertAll(req.Suspicions, suspicionToProto),
+		Account: req.Account, Weight: req.Weight, BodyBytes: req.BodyBytes,
 	}
 }
 
@@ -289,6 +293,7 @@
 			Deadline: c.timeAt(-m.GetDeadlineMs()), Exclude: m.GetExclude(), Regions: m.GetHomes(),
 			Kind: m.GetKind(), Hint: m.GetHint(), Retry: m.GetAgain(),
 			Fingerprint: fingerprintFromProto(m.GetFingerprint()),
+			Account:     m.GetAccount(), Weight: m.GetWeight(), BodyBytes: m.GetBodyBytes(),
 		},
 	}
 }
@@ -310,7 +315,7 @@
 	}
 }
 
-func releaseToProto(r port.SlotRelease) *fleetv1.Released {
+func (c codec) releaseToProto(r port.SlotRelease) *fleetv1.Released {
 	m := &fleetv1.Released{
 		Region: r.Region, Grant: r.Grant, Outcome: string(r.Outcome), TookMs: r.Took.Milliseconds(),
 		Answered: r.Answered, Signals: signalsToProto(r.Signals),
@@ -318,10 +323,13 @@
 	if r.RunEnd != nil {
 		m.Run = r.RunEnd.String()
 	}
+	if !r.AnsweredAt.IsZero() {
+		m.AnswerAgeMs = proto.Int64(c.age(r.AnsweredAt))
+	}
 	return m
 }
 
-func releaseFromProto(m *fleetv1.Released) port.SlotRelease {
+func (c codec) releaseFromProto(m *fleetv1.Released) port.SlotRelease {
 	r := port.SlotRelease{
 		Region: m.GetRegion(), Grant: m.GetGrant(), Outcome: dispatch.Outcome(m.GetOutcome()), Took: millis(m.GetTookMs()),
 		Answered: m.GetAnswered(), Signals: signalsFromProto(m.GetSignals()),
@@ -329,6 +337,9 @@
 	if end, known := quarantine.ParseEnd(m.GetRun()); known {
 		r.RunEnd = &end
 	}
+	if m.AnswerAgeMs != nil {
+		r.AnsweredAt = c.timeAt(m.GetAnswerAgeMs())
+	}
 	return r
 }
 
@@ -336,11 +347,25 @@
 	if s == (registry.Signals{}) {
 		return nil
 	}
-	return &fleetv1.Signals{Limited: s.Limited, Limit: s.Limit, Leaving: s.Leaving}
+	return &fleetv1.Signals{
+		Limited: s.Limited, Limit: s.Limit, Leaving: s.Leaving,
+		LoadKnown: s.Load.Known, Running: int32(s.Load.Running), Waiting: int32(s.Load.Waiting), Slots: int32(s.Load.Slots),
+		PacePercent: int32(math.Round(s.Load.Pace * percent)),
+	}
 }
 
+// percent converts a ratio to the unit in which it is sent.
+const percent = 100
+
 func signalsFromProto(m *fleetv1.Signals) registry.Signals {
-	return registry.Signals{Limited: m.GetLimited(), Limit: m.GetLimit(), Leaving: m.GetLeaving()}
+	s := registry.Signals{Limited: m.GetLimited(), Limit: m.GetLimit(), Leaving: m.GetLeaving()}
+	if m.GetLoadKnown() {
+		s.Load = registry.Load{
+			Known: true, Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
+			Pace: float64(m.GetPacePercent()) / percent,
+		}
+	}
+	return s
 }
 
 func limitToProto(l dispatch.Limit) *fleetv1.Limit {
--- a/internal/adapter/fleetgrpc/server.go
+++ b/internal/adapter/fleetgrpc/server.go
@@ -90,7 +90,7 @@
 
 // Release implements fleetv1.FleetServiceServer.
 func (s *Server) Release(ctx context.Context, m *fleetv1.ReleaseRequest) (*fleetv1.ReleaseResponse, error) {
-	return &fleetv1.ReleaseResponse{}, toStatus(s.service.Release(ctx, convertAll(m.GetReleased(), releaseFromProto)))
+	return &fleetv1.ReleaseResponse{}, toStatus(s.service.Release(ctx, convertAll(m.GetReleased(), s.codec().releaseFromProto)))
 }
 
 // toStatus converts an error to a gRPC status. The code lets fromStatus restore
--- a/internal/adapter/fleetgrpc/survive_test.go
+++ b/internal/adapter/fleetgrpc/survive_test.go
@@ -51,14 +51,20 @@
 		end := rapid.SampledFrom([]quarantine.End{
 			quarantine.Abandoned, quarantine.Reset, quarantine.Answered, quarantine.Failed, quarantine.NotStarted, quarantine.Down,
 		}).Draw(t, "end")
-		released := port.SlotRelease{Region: text("region"), Grant: text("grant"), Outcome: dispatch.Broken, RunEnd: &end}
-		if got := releaseFromProto(releaseToProto(released)); !reflect.DeepEqual(got, released) {
+		released := port.SlotRelease{
+			Region: text("region"), Grant: text("grant"), Outcome: dispatch.Broken, RunEnd: &end, AnsweredAt: c.now,
+			Signals: registry.Signals{Load: registry.Load{
+				Known: true, Running: rapid.IntRange(0, 1<<30).Draw(t, "running"), Waiting: rapid.IntRange(0, 1<<30).Draw(t, "waiting"),
+				Slots: rapid.IntRange(0, 1<<30).Draw(t, "load slots"), Pace: float64(rapid.IntRange(0, 1<<20).Draw(t, "pace")) / percent,
+			}},
+		}
+		if got := c.releaseFromProto(c.releaseToProto(released)); !reflect.DeepEqual(got, released) {
 			t.Fatalf("sent %+v, received %+v", released, got)
 		}
-		former := releaseToProto(released)
-		former.Run = ""
-		if got := releaseFromProto(former); got.RunEnd != nil {
-			t.Fatalf("a former gateway's release has the end %v", *got.RunEnd)
+		former := c.releaseToProto(released)
+		former.Run, former.AnswerAgeMs = "", nil
+		if got := c.releaseFromProto(former); got.RunEnd != nil || !got.AnsweredAt.IsZero() {
+			t.Fatalf("a former gateway's release %+v has an end or a time of the answer", got)
 		}
 	})
 }
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -39,6 +39,12 @@
 	Exclude []string
 	// Regions are the regions in which the request may run; empty means all.
 	Regions []string
+	// Account names the client account; empty if there is none. Weight is its share of
+	// slots that are short, relative to other accounts.
+	Account string
+	Weight  float64
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 }
 
 // Reason is the cause of a refusal.
--- a/internal/core/fleet/config.go
+++ b/internal/core/fleet/config.go
@@ -15,6 +15,25 @@
 	// Services are the services that endpoints may belong to.
 	Services []Service `json:"Services"`
 	Limits   Limits    `json:"Limits"`
+	// Authenticate says that each request needs the key of one of Accounts, unless its
+	// route is public.
+	Authenticate bool      `json:"Authenticate,omitempty"`
+	Accounts     []Account `json:"Accounts,omitempty"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name string `json:"Name"`
+	// KeyDigests are the SHA-256 digests of its keys.
+	KeyDigests [][]byte `json:"KeyDigests,omitempty"`
+	// Priority replaces that of the routes; nil leaves it to them.
+	Priority *int `json:"Priority,omitempty"`
+	// RatePerSecond and Burst are its quota in requests per second and requests, over
+	// all gateways together; a rate of 0 sets no quota.
+	RatePerSecond float64 `json:"RatePerSecond,omitempty"`
+	Burst         float64 `json:"Burst,omitempty"`
+	// Regions holds the regions in which its requests may run; empty means all.
+	Regions []string `json:"Regions,omitempty"`
 }
 
 // Service is a group of endpoints that do the same work.
@@ -62,6 +81,10 @@
 	Parts []Part `json:"Parts"`
 	// Regions holds the regions in which a request may run; empty means all.
 	Regions []string `json:"Homes"`
+	// Public says that requests need no key.
+	Public bool `json:"Public,omitempty"`
+	// Download says that responses are large.
+	Download bool `json:"Download,omitempty"`
 }
 
 // Part is the share of a route's requests that one service gets.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -48,6 +48,19 @@
 	// Pause is the time for which the endpoint wants nothing from the VM that it
 	// answered; 0 if it didn't say so.
 	Pause time.Duration
+	// Load is the load that the endpoint reported.
+	Load Load
+}
+
+// Load is what an endpoint reports of its load.
+type Load struct {
+	// Known is false if it reported none.
+	Known bool
+	// Running and Waiting count its requests, and Slots those that it runs at a time.
+	Running, Waiting, Slots int
+	// Pace is how long work takes on the endpoint's machine at the moment, as a multiple
+	// of the usual time.
+	Pace float64
 }
 
 // Registry holds the newest announcement of each endpoint. It is not safe for
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -222,6 +222,9 @@
 	// itself.
 	Answered bool
 	Signals  registry.Signals
+	// AnsweredAt is when the endpoint answered, on this VM's clock; zero if it didn't or
+	// a former release doesn't say.
+	AnsweredAt time.Time
 }
 
 // ControllerLink is a gateway's client of one controller.
