Authenticate requests with the keys of client accounts

A configuration with "tenants" names client accounts, whose requests need "Authorization: Token KEY" unless their rule is public. No key was read before.

The platform decodes and checks accounts; a fault names its place and never a key, also where the JSON doesn't fit. A request without a valid key gets 401 without waiting for its body. Endpoints get the account's name in place of the key, set after the headers that Connection names were removed, on every attempt. The account's priority and regions take effect, its name is part of the fingerprint, and the slot request carries the account and its weight.

net/http can't leave a body unread in full duplex: the next Peek may meet a background read ("invalid concurrent Body.Read call", seen in the test with a chunked body). So a short body of known length is read by the handler after the response, and the connection is closed otherwise.

Tested: go test -race ./platform (without the soak), ./internal/core/fleet, ./internal/core/strictjson, ./internal/adapter/endpointhttp; ./internal/app/gateway passes without -race. With -race, TestRunEndAtEachByte failed at some bytes in 2 of 2 runs of the whole package at a load average of 40 to 70 on 7 processors, and passed in 3 of 3 runs alone.

--- a/internal/adapter/endpointhttp/header_convention.go
+++ b/internal/adapter/endpointhttp/header_convention.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"sassafrasreach/internal/core/registry"
@@ -23,6 +24,9 @@
 	// (port.Endpoint.ID), which endpoints compare with their own; empty if they
 	// don't.
 	EndpointIDHeader string
+	// KeyHeader names the header with a client's key, and AccountHeader the one with the
+	// name of its account; empty if endpoints know no accounts. See port.Request.Identify.
+	KeyHeader, AccountHeader string
 	// NotRun reports whether a response states that the request was not run.
 	NotRun func(status int, h http.Header) bool
 	// Check returns an error for a response that an endpoint wouldn't send, such as
@@ -46,7 +50,9 @@
 	return HeaderConvention{IDHeader: HeaderRequestID, TimeoutHeader: HeaderTimeout, NotRun: isShed}
 }
 
-// setHeaders adds the convention's headers to the headers of a request.
+// setHeaders adds the convention's headers to the headers of a request. It has to come after
+// the removal of the headers that the client's Connection header names, which could
+// otherwise remove those that are set here.
 func (c HeaderConvention) setHeaders(h http.Header, to port.Endpoint, req *port.Request) {
 	id := req.ID
 	if !c.ExactID {
@@ -60,4 +66,20 @@
 		left := max(time.Until(req.Deadline).Milliseconds(), 0)
 		h.Set(c.TimeoutHeader, strconv.FormatInt(left, 10))
 	}
+	if req.Identify {
+		c.identify(h, req.Account)
+	}
+}
+
+// identify replaces the client's key by the name of its account; an empty name means that
+// there is none.
+func (c HeaderConvention) identify(h http.Header, account string) {
+	for name := range h {
+		if strings.EqualFold(name, c.KeyHeader) || strings.EqualFold(name, c.AccountHeader) {
+			delete(h, name)
+		}
+	}
+	if account != "" && c.AccountHeader != "" {
+		h.Set(c.AccountHeader, account)
+	}
 }
--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// RecordKeyRefused implements port.FleetMeter.
+func (m *Meter) RecordKeyRefused(fault port.KeyFault) { m.count("key.refused." + string(fault)) }
+
 // RecordDecision implements port.FleetMeter.
 func (m *Meter) RecordDecision(service, reason string) {
 	if reason == "" {
--- a/internal/app/gateway/alone.go
+++ b/internal/app/gateway/alone.go
@@ -46,7 +46,7 @@
 	}
 	e, region, ok := g.reserve.Take(now, x.service, preferred, func(e registry.Endpoint, region string) bool {
 		return !g.holdoff.Holds(now, e) && !slices.Contains(g.evacuated, e.Zone) &&
-			(len(x.route.Regions) == 0 || slices.Contains(x.route.Regions, region))
+			(len(x.regions) == 0 || slices.Contains(x.regions, region))
 	})
 	if ok {
 		x.alone = true
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -44,6 +44,8 @@
 	stop     atomic.Pointer[plannedStop]
 	inFlight atomic.Int64
 	table    atomic.Pointer[fleet.Table]
+	// keySecret protects the look-up of keys.
+	keySecret []byte
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -95,7 +97,7 @@
 // New returns a gateway.
 func New(config Config, ports Ports) *Gateway {
 	return &Gateway{
-		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds,
+		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds, keySecret: newKeySecret(),
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
 		avoidUntil: make(map[string]time.Time), skipUntil: make(map[string]time.Time), timeouts: make(map[string]int), lastEndpoint: make(map[string]string), dispatchers: make(map[string]dispatcher),
 		holdoff: holdoff.New(), suspects: newSuspects(), reserve: reserve.New(), releaseQueues: make(map[string]*releaseQueue),
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -45,7 +45,13 @@
 	request *port.ClientRequest
 	table   *fleet.Table
 	route   *fleet.Route
-	service string
+	// account is the client's; nil if there is none. priority, regions and weight are
+	// those of its request: what the route and the account say together.
+	account  *fleet.Account
+	priority int
+	regions  []string
+	weight   float64
+	service  string
 	// dispatchRegion is the region whose dispatcher grants the slots.
 	dispatchRegion string
 	// fingerprint identifies the content of the request, whoever sends it.
@@ -85,19 +91,13 @@
 }
 
 func (x *inFlightRequest) serve(ctx context.Context) port.ClientAnswer {
-	x.table = x.gateway.table.Load()
-	if x.table == nil {
-		return refusal(verdict.ReasonNoDocument, nil, noDispatcherRetry)
-	}
-	x.version = x.table.Config().Version
-	x.route = x.table.Route(x.request.RouteHost, x.request.Path)
-	if x.route == nil {
-		return refusal(verdict.ReasonNoRoute, nil, 0)
+	if answer, refused := x.admit(); refused {
+		return answer
 	}
 	x.service, x.dispatchRegion = x.route.Pick(rand.Float64()), x.chooseDispatchRegion()
 	x.request.Service = x.service
 	x.request.OnceOnly = !x.route.Idempotent
-	x.fingerprint = fingerprint.Of(x.request.RouteHost, x.request.Method, x.request.Target, x.request.Body)
+	x.fingerprint = fingerprint.OfAccount(x.request.Account, x.request.RouteHost, x.request.Method, x.request.Target, x.request.Body)
 	limit := x.began.Add(x.route.Timeout)
 	if d := x.request.Deadline; !d.IsZero() && d.Add(-answerMargin).Before(limit) {
 		limit = d.Add(-answerMargin)
@@ -300,10 +300,10 @@
 }
 
 // chooseDispatchRegion returns the region whose dispatcher is used: the
-// gateway's own, or a random one of the route's regions if the request may not
+// gateway's own, or a random one of the request's regions if the request may not
 // run in its own.
 func (x *inFlightRequest) chooseDispatchRegion() string {
-	regions := x.route.Regions
+	regions := x.regions
 	if len(regions) == 0 || slices.Contains(regions, x.gateway.config.Region) {
 		return x.gateway.config.Region
 	}
@@ -351,9 +351,10 @@
 		SlotRequest: dispatch.SlotRequest{
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Fingerprint: x.fingerprint,
-			Kind:        x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
+			Kind:        x.route.Name, Priority: x.priority, Zone: g.config.Zone, Target: x.route.Target,
 			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable+x.heldOff > 0,
-			Exclude: append(g.paused(x.service), x.exclude...), Regions: x.route.Regions,
+			Exclude: append(g.paused(x.service), x.exclude...), Regions: x.regions,
+			Account: x.request.Account, Weight: x.weight,
 		},
 	}
 	if x.route.Sticky {
@@ -399,6 +400,9 @@
 		attrs = append(attrs, slog.String("route", x.route.Name),
 			slog.String("fingerprint", x.fingerprint.String()[:loggedFingerprint]))
 	}
+	if x.account != nil {
+		attrs = append(attrs, slog.String("account", x.account.Name))
+	}
 	if x.alone {
 		attrs = append(attrs, slog.Bool("alone", true))
 	}
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -28,6 +28,8 @@
 	grants   int
 	released []port.SlotRelease
 	answer   func(req port.SlotRequest) (dispatch.Decision, error)
+	// config replaces the usual configuration if it has a version.
+	config fleet.Config
 	// rejects names the grants whose releases make their message fail.
 	rejects map[string]bool
 }
@@ -44,6 +46,9 @@
 				route("safe", "/safe/", true, 2), route("once", "/once/", false, 2), route("single", "/single/", true, 1),
 			},
 		}}
+		if c.config.Version > 0 {
+			u.State.Config = c.config
+		}
 		return u, nil
 	}
 	select {
@@ -90,14 +95,17 @@
 type endpoints struct {
 	mu    sync.Mutex
 	calls int
+	// last is the request of the last call.
+	last  port.Request
 	ends  []error
 	waits bool
 	// signals are what the endpoint says about itself in each answer.
 	signals registry.Signals
 }
 
-func (e *endpoints) Call(ctx context.Context, _ port.Endpoint, _ *port.Request, _ port.Gate) (*port.Response, error) {
+func (e *endpoints) Call(ctx context.Context, _ port.Endpoint, r *port.Request, _ port.Gate) (*port.Response, error) {
 	e.mu.Lock()
+	e.last = *r
 	end := e.ends[min(e.calls, len(e.ends)-1)]
 	e.calls++
 	e.mu.Unlock()
--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -219,7 +219,7 @@
 	if u.State != nil && u.Sequence > g.sequence {
 		g.sequence, g.evacuated = u.Sequence, u.State.Evacuated
 		if u.State.Config.Version > 0 {
-			g.table.Store(fleet.NewTable(&u.State.Config))
+			g.table.Store(fleet.NewKeyedTable(&u.State.Config, g.keySecret))
 		}
 		event.Log(context.Background(), g.ports.Logger, event.ConfigApplied,
 			slog.Uint64("sequence", u.Sequence), slog.Uint64("version", u.State.Config.Version),
--- a/internal/core/fingerprint/fingerprint.go
+++ b/internal/core/fingerprint/fingerprint.go
@@ -12,18 +12,29 @@
 // ErrBad is returned by Parse for text that isn't a fingerprint.
 var ErrBad = errors.New("bad fingerprint")
 
-// Fingerprint is the SHA-256 of a request's scope, method, target and body.
+// Fingerprint is the SHA-256 of a request's scope, method, target and body, and of the name
+// of its client account if there is one.
 type Fingerprint [sha256.Size]byte
 
 // Of returns the fingerprint of a request. The scope is what gives the target its
 // meaning: a service, or a host whose routes lead to several services. Each part is
 // preceded by its length, so that different requests have different encodings.
 func Of(scope, method, target string, body []byte) Fingerprint {
+	return OfAccount("", scope, method, target, body)
+}
+
+// OfAccount is Of for a request of a client account: the same content has another
+// fingerprint for each account, so that one account's requests don't stop another's. An
+// empty account means none.
+func OfAccount(account, scope, method, target string, body []byte) Fingerprint {
 	h := sha256.New()
 	addPart(h, []byte(scope))
 	addPart(h, []byte(method))
 	addPart(h, []byte(target))
 	addPart(h, body)
+	if account != "" {
+		addPart(h, []byte(account))
+	}
 	var f Fingerprint
 	h.Sum(f[:0])
 	return f
--- a/internal/core/fleet/config.go
+++ b/internal/core/fleet/config.go
@@ -93,17 +93,36 @@
 	Weight  float64 `json:"Weight"`
 }
 
-// Table looks up the route of a request. It is built once for each version of the
-// configuration and is safe for concurrent use.
+// Table looks up the route of a request, and the account of its client. It is built once
+// for each version of the configuration and is safe for concurrent use.
 type Table struct {
 	config   *Config
 	byHost   map[string][]*Route
 	services map[string]*Service
+	accounts map[string]*Account
+	keys     keyring
+	// usualWeight is the weight of an account without a rate.
+	usualWeight float64
 }
 
-// NewTable returns the table of a configuration, which must not be modified later.
-func NewTable(c *Config) *Table {
-	t := &Table{config: c, byHost: make(map[string][]*Route), services: make(map[string]*Service)}
+// NewTable returns the table of a configuration, which must not be modified later. It
+// finds no account by a key.
+func NewTable(c *Config) *Table { return NewKeyedTable(c, nil) }
+
+// NewKeyedTable returns the table of a configuration, which must not be modified later.
+// The secret, random bytes of the process, protects the look-up of keys; without one, no
+// account is found by a key.
+func NewKeyedTable(c *Config, secret []byte) *Table {
+	t := &Table{
+		config: c, byHost: make(map[string][]*Route), services: make(map[string]*Service),
+		accounts: make(map[string]*Account, len(c.Accounts)), usualWeight: usualWeight(c.Accounts),
+	}
+	for i := range c.Accounts {
+		t.accounts[c.Accounts[i].Name] = &c.Accounts[i]
+	}
+	if len(secret) > 0 {
+		t.keys = newKeyring(c.Accounts, secret)
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
@@ -131,6 +150,41 @@
 	return nil
 }
 
+// Account returns the account with a name, or nil.
+func (t *Table) Account(name string) *Account { return t.accounts[name] }
+
+// AccountOfKey returns the account that a key belongs to, or nil.
+func (t *Table) AccountOfKey(key string) *Account {
+	if key == "" || len(t.keys.secret) == 0 {
+		return nil
+	}
+	return t.keys.accounts[t.keys.index(KeyDigest(key))]
+}
+
+// Weight returns the share of short slots that is due to an account, relative to others:
+// its rate, or the mean rate of the accounts that have one, or 1 if none has. No account,
+// nil, weighs as much as one without a rate.
+func (t *Table) Weight(a *Account) float64 {
+	if a == nil || a.RatePerSecond <= 0 {
+		return t.usualWeight
+	}
+	return a.RatePerSecond
+}
+
+func usualWeight(accounts []Account) float64 {
+	mean, n := 0.0, 0
+	for i := range accounts {
+		if rate := accounts[i].RatePerSecond; rate > 0 {
+			n++
+			mean += (rate - mean) / float64(n) // a sum may overflow
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return mean
+}
+
 // Service returns the service with a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/internal/core/fleet/validate.go
+++ b/internal/core/fleet/validate.go
@@ -39,6 +39,9 @@
 		}
 		seen[key] = true
 	}
+	if fault := c.ValidateAccounts(); fault != nil {
+		return fmt.Errorf("%w: %w", ErrInvalid, fault)
+	}
 	return nil
 }
 
--- a/internal/core/strictjson/decode.go
+++ b/internal/core/strictjson/decode.go
@@ -37,7 +37,8 @@
 
 // Decode decodes a text of exactly one JSON value into out, a pointer to a struct without
 // embedded ones. Keys without a field are ignored. Null is accepted for lists, maps and
-// pointers. The error is an *Error or one of encoding/json.
+// pointers. The error is an *Error or one of encoding/json; its text holds no value of the
+// text, which may be secret.
 func Decode(source []byte, out any) error { return decode(source, out, false) }
 
 // DecodeKnown is Decode that refuses keys without a field.
@@ -49,7 +50,7 @@
 	}
 	d := json.NewDecoder(bytes.NewReader(source))
 	if err := d.Decode(out); err != nil {
-		return err
+		return withoutValue(source, err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return &Error{Message: "unexpected data after the JSON value"}
@@ -60,6 +61,20 @@
 	return c.value(reflect.TypeOf(out).Elem(), "")
 }
 
+// withoutValue returns the error of a value that doesn't fit its field with the path of the
+// value and its kind, but without the value. Other errors are returned unchanged.
+func withoutValue(source []byte, err error) error {
+	var mismatch *json.UnmarshalTypeError
+	if !errors.As(err, &mismatch) {
+		return err
+	}
+	kind, _, _ := strings.Cut(mismatch.Value, " ")
+	return &Error{
+		Path:    locate(source, max(0, mismatch.Offset-1)),
+		Message: fmt.Sprintf("this %s isn't a value of type %v", kind, mismatch.Type),
+	}
+}
+
 // checkText returns an error for bytes that aren't UTF-8 and for escapes of half a surrogate
 // pair. The text needn't be JSON.
 func checkText(source []byte) error {
@@ -67,7 +82,7 @@
 		r, size := utf8.DecodeRune(source[i:])
 		switch {
 		case r == utf8.RuneError && size == 1:
-			return &Error{Message: fmt.Sprintf("byte %d, 0x%02x, isn't UTF-8", i, source[i])}
+			return &Error{Path: locate(source, int64(i)), Message: fmt.Sprintf("byte %d of the text isn't UTF-8", i)}
 		case r != '\\':
 			i += size
 			continue
@@ -83,7 +98,7 @@
 		case isHigh(unit) && nextIsUnit && isLow(next):
 			i += 2 * escapeBytes
 		case isHigh(unit) || isLow(unit):
-			return &Error{Message: fmt.Sprintf("byte %d: %s is half of a surrogate pair", i, source[i:i+escapeBytes])}
+			return &Error{Path: locate(source, int64(i)), Message: fmt.Sprintf("byte %d of the text begins half of a surrogate pair", i)}
 		default:
 			i += escapeBytes
 		}
--- a/internal/core/strictjson/decode_test.go
+++ b/internal/core/strictjson/decode_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"reflect"
+	"strings"
 	"testing"
 	"unicode/utf8"
 
@@ -38,12 +39,12 @@
 		{"the character U+FFFD", "{\"name\":\"\ufffd\\ufffd\"}", "", true, true},
 		{"null for a list and a pointer", `{"list":[{"host":"h","rate":null,"parts":null}]}`, "", true, true},
 		{"unknown keys", `{"name":"a","more":{"name":null,"x":[1,{"Host":"h"}]}}`, "more", true, false},
-		{"byte of Latin-1", "{\"name\":\"b\xfcro\"}", "", false, false},
+		{"byte of Latin-1", "{\"name\":\"b\xfcro\"}", "name", false, false},
 		{"byte beside the values", "{\"name\":\"a\"}\xff", "", false, false},
 		{"overlong sequence", "{\"name\":\"\xc0\xaf\"}", "", false, false},
-		{"encoded surrogate", "{\"name\":\"\xed\xa0\x80\"}", "", false, false},
+		{"encoded surrogate", "{\"name\":\"\xed\xa0\x80\"}", "name", false, false},
 		{"byte in an unknown key", "{\"b\xfc\":1}", "", false, false},
-		{"high half alone", `{"name":"\ud83d"}`, "", false, false},
+		{"high half alone", `{"name":"\ud83d"}`, "name", false, false},
 		{"low half alone", `{"name":"\ude00"}`, "", false, false},
 		{"halves in the wrong order", `{"name":"\ude00\ud83d"}`, "", false, false},
 		{"high half before another escape", `{"name":"\ud83d\u0041"}`, "", false, false},
@@ -60,9 +61,13 @@
 		{"null for a number", `{"count":null}`, "count", false, false},
 		{"null for an object", `{"list":[null]}`, "list[0]", false, false},
 		{"null alone", `null`, "", false, false},
-		{"number too large", `{"count":9223372036854775808}`, "", false, false},
+		{"number too large", `{"count":9223372036854775808}`, "count", false, false},
 		{"number not whole", `{"count":1.5}`, "", false, false},
-		{"text for a number", `{"count":"1"}`, "", false, false},
+		{"text for a number", `{"count":"1"}`, "count", false, false},
+		{"text for a list", `{"list":[{},{"parts":"secret"}]}`, "list[1].parts", false, false},
+		{"object for a list", `{"list":[{},{"parts":{"secret":1}}]}`, "list[1].parts", false, false},
+		{"object for a text", `{"list":[{"parts":["a",{"secret":1}]}]}`, "list[0].parts[1]", false, false},
+		{"byte within a list", "{\"list\":[{\"parts\":[\"a\",\"secret\xfc\"]}]}", "list[0].parts[1]", false, false},
 		{"two values", `{"name":"a"}{"name":"b"}`, "", false, false},
 		{"data after the value", `{"name":"a"}]`, "", false, false},
 		{"byte order mark", "\ufeff{}", "", false, false},
@@ -82,6 +87,9 @@
 				err = errKnown
 			}
 			var e *strictjson.Error
+			if err != nil && strings.Contains(err.Error(), "secret") {
+				t.Fatalf("the error shows a value: %v", err)
+			}
 			if errors.As(err, &e) && c.path != "" {
 				is.Equal(e.Path, c.path)
 			}
--- a/internal/core/verdict/reason.go
+++ b/internal/core/verdict/reason.go
@@ -62,6 +62,17 @@
 	ReasonNoRoute Reason = "no-route"
 	// ReasonNoDispatcher means that no reachable controller dispatches the region.
 	ReasonNoDispatcher Reason = "no-dispatcher"
+	// ReasonUnauthenticated means that the request has no valid key of a client account.
+	ReasonUnauthenticated Reason = "unauthenticated"
+	// ReasonNoRegion means that no region is allowed both for the request's route and
+	// for its client account.
+	ReasonNoRegion Reason = "no-region"
+	// ReasonLease means that the gateway has no valid confirmation lease, without which
+	// it can't know whether the request's key still holds.
+	ReasonLease Reason = "lease-ended"
+	// ReasonFormerState means that the gateway knows the configuration only as a former
+	// release decoded it, which drops the client accounts.
+	ReasonFormerState Reason = "former-state"
 	// ReasonPeer means that another entry VM was unreachable or failed to handle
 	// the request.
 	ReasonPeer Reason = "peer-failed"
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"time"
 
 	"sassafrasreach/internal/core/fleet"
@@ -18,8 +20,34 @@
 	Path      string
 	// Affinity names the object that the request concerns; empty if none.
 	Affinity string
+	// Key is the key of the client's account; empty if KeyFault says why there is none.
+	Key      Key
+	KeyFault KeyFault
 }
 
+// Key is the key of a client account. It hides itself from logs and error texts.
+type Key string
+
+// hiddenKey stands for a key in texts.
+const hiddenKey = "(key)"
+
+// Format implements fmt.Formatter.
+func (Key) Format(s fmt.State, _ rune) { _, _ = io.WriteString(s, hiddenKey) }
+
+// MarshalText implements encoding.TextMarshaler, which log handlers use.
+func (Key) MarshalText() ([]byte, error) { return []byte(hiddenKey), nil }
+
+// KeyFault says why a request has no valid key. Its text is part of the names of metrics.
+type KeyFault string
+
+// The faults of keys.
+const (
+	KeyMissing   KeyFault = "missing"
+	KeyRepeated  KeyFault = "repeated"
+	KeyMalformed KeyFault = "malformed"
+	KeyUnknown   KeyFault = "unknown"
+)
+
 // ClientAnswer is the result of a client's request.
 type ClientAnswer struct {
 	// Response is the endpoint's answer; nil when Err is set.
@@ -36,6 +64,9 @@
 	// Serve carries one request to an endpoint. It returns early when the
 	// client disconnects, which ends ctx.
 	Serve(ctx context.Context, r *ClientRequest) ClientAnswer
+	// Refuse returns the answer of a request that is refused whatever its body is, and
+	// true; false if Serve decides. It needs only what the head of the request says.
+	Refuse(ctx context.Context, r *ClientRequest) (ClientAnswer, bool)
 	// Limits returns the bounds of clients' requests; false before a
 	// configuration is known.
 	Limits() (fleet.Limits, bool)
--- a/internal/port/meter.go
+++ b/internal/port/meter.go
@@ -30,6 +30,8 @@
 	// RecordSlot records how long a request waited for its slots, and the number of
 	// its attempts at endpoints that could be reached.
 	RecordSlot(service string, waited time.Duration, tries int)
+	// RecordKeyRefused records a request that was refused for its key.
+	RecordKeyRefused(fault KeyFault)
 	// RecordDecision records a dispatcher's decision; reason is empty for a grant.
 	RecordDecision(service, reason string)
 	// RecordOrder records the outcome and the latency of an operator's order.
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -39,6 +39,11 @@
 	Deadline time.Time
 	// MaxAnswerBytes bounds the answer's body.
 	MaxAnswerBytes int64
+	// Identify means that the configuration has client accounts. The endpoint is then
+	// told the name of Account, or nothing if that is empty, and gets neither the key
+	// nor the name that the client sent.
+	Identify bool
+	Account  string
 }
 
 // Response is an endpoint's answer. It exists only when the request ran.
