Give a lender that lacks slots its endpoints back, to the nearest endpoint

Causes: a recall rounded down, so that a borrower could keep almost one endpoint more than its share; a recalled endpoint came back only once the borrower's requests had moved within its limit on shifts, which a large service used up; the last endpoint of a region with few requests could be lent.

A lender that lacks slots now recalls to the nearest endpoint and takes back, after a second, what moves 1 in 100 of the borrower's requests a second, for the scarcest service first. The last endpoint stays.

--- a/internal/core/dispatch/lend.go
+++ b/internal/core/dispatch/lend.go
@@ -161,7 +161,9 @@
 	for _, l := range loads {
 		p.heard[l.Region] = now
 	}
-	for name, svc := range p.services {
+	p.reclaims.refill(now, loads)
+	for _, name := range p.scarcestFirst(now) {
+		svc := p.services[name]
 		p.endUnheard(now, svc)
 		p.lend(now, svc, planLoans(loads, name, p.config.Region))
 		for _, s := range svc.servers {
@@ -246,15 +248,17 @@
 // lend changes the loans of a service towards a plan.
 func (p *Pool) lend(now time.Time, svc *service, plan map[string]float64) {
 	lent := make(map[string][]*server)
-	available := 0.0
+	// A region that lacks slots itself recalls all excess at once.
+	short := svc.supply(now) < 1
 	for _, s := range svc.servers {
 		switch {
-		case !s.own && s.usable(now), s.own && s.lentTo == "":
-			available += float64(s.capacity(svc))
-		case !s.own:
+		case !s.own || s.lentTo == "":
 		case s.endpoint.Leaving, s.cold(now), !s.recalledAt.IsZero() && now.Sub(s.recalledAt) > maxReturnTime:
 			s.endLoan(now)
 		case !s.recalledAt.IsZero():
+			if short && now.Sub(s.recalledAt) > reclaimAfter && p.reclaims.take(s.lentTo, s.capacity(svc)) {
+				s.endLoan(now)
+			}
 		default:
 			lent[s.lentTo] = append(lent[s.lentTo], s)
 		}
@@ -262,8 +266,6 @@
 	if now.Sub(p.resumedAt) < resumeHold {
 		return
 	}
-	// A region that lacks slots itself recalls all excess at once.
-	short := available < svc.load.slots(now)/targetUtilization
 	for _, borrower := range sortedNames(plan, lent) {
 		if !svc.recallSome(now, plan[borrower], lent[borrower], short) {
 			svc.lendMore(now, borrower, plan[borrower], lent[borrower])
@@ -281,10 +283,16 @@
 
 // recallSome recalls endpoints, those lent last first, if a borrower has too
 // many. It reports whether the borrower has too many. The borrower may use a
-// recalled endpoint until it returns it, maxReturnTime at most.
+// recalled endpoint until it returns it, maxReturnTime at most. A lender that is
+// short recalls until the borrower has its share to the nearest endpoint: one
+// endpoint is a large part of a small service.
 func (svc *service) recallSome(now time.Time, slots float64, lent []*server, short bool) bool {
 	excess := svc.capacityOf(lent) - slots
-	if len(lent) == 0 || excess <= recallThreshold*float64(lent[0].capacity(svc)) {
+	threshold := recallThreshold
+	if short {
+		threshold = lendThreshold
+	}
+	if len(lent) == 0 || excess <= threshold*float64(lent[0].capacity(svc)) {
 		return false
 	}
 	if !short && now.Sub(svc.lastRecall) < recallInterval {
@@ -296,10 +304,16 @@
 		limit = len(lent)
 	}
 	slices.SortFunc(lent, func(a, b *server) int { return b.lentAt.Compare(a.lentAt) })
+	least := 1.0
+	if short {
+		least = lendThreshold
+	}
 	for _, s := range lent[:limit] {
-		if excess -= float64(s.capacity(svc)); excess < 0 {
+		capacity := float64(s.capacity(svc))
+		if excess < least*capacity {
 			return true
 		}
+		excess -= capacity
 		s.recall(now)
 	}
 	return true
@@ -324,13 +338,18 @@
 
 // lendable returns an endpoint that is recalled from the borrower, else the own
 // endpoint with the fewest remembered objects, so that a loan abandons few warm
-// objects; nil if none can be lent.
+// objects; nil if none can be lent. The last endpoint stays: without it a region
+// that has few requests for the service would refuse them all.
 func (svc *service) lendable(now time.Time, borrower string) *server {
 	var best *server
+	usable := 0
 	for _, s := range svc.servers {
 		if s.own && s.lentTo == borrower && !s.recalledAt.IsZero() {
 			return s
 		}
+		if s.usable(now) {
+			usable++
+		}
 		if !s.own || !s.usable(now) || s.cold(now) {
 			continue
 		}
@@ -339,6 +358,9 @@
 			best = s
 		}
 	}
+	if usable <= 1 {
+		return nil
+	}
 	return best
 }
 
--- a/internal/core/dispatch/lend_test.go
+++ b/internal/core/dispatch/lend_test.go
@@ -44,6 +44,7 @@
 	// grantCounts counts grants by the region of the request, by window of
 	// 2 s and by the region of the endpoint.
 	grantCounts map[string]map[int64]map[string]float64
+	objects     int
 }
 
 // regionRun is a run of a request from a region.
@@ -104,13 +105,31 @@
 	return n
 }
 
+// object returns the object that the next request concerns. Those of the small service
+// concern few objects, which stay warm where they run.
+func (s *lendingSystem) object(service string) string {
+	if service == "s" {
+		return ""
+	}
+	s.objects++
+	return fmt.Sprint(s.objects % 24)
+}
+
+// sourceKey is the key of a region's requests for a service in the maps of run.
+func sourceKey(region, service string) string {
+	if service == "s" {
+		return region
+	}
+	return region + "/" + service
+}
+
 // run sends each region's given number of requests per second, which take
-// 200 ms each, and returns the refused share by region.
+// 200 ms each, and returns the refused share, both by sourceKey.
 func (s *lendingSystem) run(seconds float64, perSecond map[string]float64) map[string]float64 {
 	requested, refused := make(map[string]float64), make(map[string]float64)
 	record := func(region string, d dispatch.Decision) {
 		if d.Grant == "" {
-			refused[region]++
+			refused[sourceKey(region, d.Request.Service)]++
 			return
 		}
 		s.count(region, d.Region)
@@ -132,14 +151,18 @@
 			for _, d := range p.Tick(s.now) {
 				record(region, d)
 			}
-			for s.arrivals[region] += perSecond[region] / 100; s.arrivals[region] >= 1; s.arrivals[region]-- {
-				requested[region]++
-				id := fmt.Sprint(region, requested[region])
-				d, decided := p.Acquire(s.now, dispatch.SlotRequest{
-					ID: id, Service: "s", Target: 300 * time.Millisecond, Deadline: s.now.Add(2 * time.Second),
-				})
-				if decided {
-					record(region, d)
+			for _, service := range []string{"s", "small"} {
+				key := sourceKey(region, service)
+				for s.arrivals[key] += perSecond[key] / 100; s.arrivals[key] >= 1; s.arrivals[key]-- {
+					requested[key]++
+					id := fmt.Sprint(key, requested[key])
+					d, decided := p.Acquire(s.now, dispatch.SlotRequest{
+						ID: id, Service: service, Target: 300 * time.Millisecond, Deadline: s.now.Add(2 * time.Second),
+						Affinity: s.object(service),
+					})
+					if decided {
+						record(region, d)
+					}
 				}
 			}
 		}
@@ -227,6 +250,30 @@
 	}
 }
 
+// TestSmallServiceReclaimed guards against a region that refuses its own requests for a
+// small service for long, because another region goes on using the few endpoints that it
+// was lent: the demand for the small service moves from one region to the other, while a
+// large service uses up the limit on shifts.
+func TestSmallServiceReclaimed(t *testing.T) {
+	is := is.New(t)
+	s := newLendingSystem(map[string]int{"big": 30, "mid": 30, "few": 6})
+	for _, p := range s.pools {
+		for i, zone := range []string{"big", "big", "big", "big", "mid", "few"} {
+			p.Update(s.now, registry.Endpoint{
+				ID: fmt.Sprint("small", zone, i), Zone: zone, Service: "small", Slots: 4, StartedMillis: 1, LastSeen: s.now,
+			})
+		}
+	}
+	before := s.run(6, map[string]float64{"big": 100, "mid": 260, "few": 500, "few/small": 66, "mid/small": 12, "big/small": 2})
+	is.True(before["big/small"] < 0.1) // one endpoint isn't lent
+	moved := map[string]float64{"big": 330, "mid": 320, "few": 330, "few/small": 62, "mid/small": 8, "big/small": 34}
+	s.run(5, moved)
+	refused := s.run(4, moved)
+	t.Logf("refused: %v, worst shifts: few %.3f, mid %.3f", refused, s.worstShift("few"), s.worstShift("mid"))
+	is.True(refused["big/small"] < 0.25)
+	is.True(s.worstShift("few") <= maxShift)
+}
+
 // TestUnneededLoansRecalled guards against loans that stay after the
 // borrower's load has dropped. Endpoints are recalled gradually.
 func TestUnneededLoansRecalled(t *testing.T) {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -37,6 +37,7 @@
 	heard map[string]time.Time
 	// resumedAt is when the pool took over loans; zero if it didn't.
 	resumedAt time.Time
+	reclaims  reclaims
 }
 
 // service is the state of one service in a pool.
