Reserve endpoints for requests that may run only in some regions

The dispatcher keeps own endpoints for the share of the restricted requests: what they need or, if the service is short, the same part of their need that all requests get. Restricted requests count towards loans only up to the own slots. Requests from gateways of other regions don't count for the region's limit on shifts.

--- a/internal/core/dispatch/lend.go
+++ b/internal/core/dispatch/lend.go
@@ -137,20 +137,26 @@
 func (p *Pool) Loads(now time.Time, gateways int) []Load {
 	var out []Load
 	for name, svc := range p.services {
-		l := Load{
-			Region: p.config.Region, Service: name, Need: svc.load.slots(now) / targetUtilization, Gateways: gateways,
-		}
+		l := Load{Region: p.config.Region, Service: name, Gateways: gateways}
 		for _, s := range svc.servers {
 			if s.own && !s.endpoint.Leaving && !s.cold(now) && s.connectFailures < maxConnectFailures {
 				l.Slots += s.capacity(svc)
 			}
 		}
+		l.Need = svc.need(now, float64(l.Slots))
 		out = append(out, l)
 	}
 	slices.SortFunc(out, func(a, b Load) int { return cmp.Compare(a.Service, b.Service) })
 	return out
 }
 
+// need returns the number of slots that serve the requests within their targets. Restricted
+// requests need no more than the own ones, as those of other regions don't help them.
+func (svc *service) need(now time.Time, ownSlots float64) float64 {
+	all, restricted := svc.load.slots(now)/targetUtilization, svc.reservation.load.slots(now)/targetUtilization
+	return all - math.Max(0, restricted-ownSlots)
+}
+
 // Lend decides which endpoints other regions may use, from the loads received
 // from all regions. Clients may be in other regions than the endpoints: a
 // region that needs more slots than it has gets whole endpoints of regions
@@ -165,6 +171,7 @@
 	for _, name := range p.scarcestFirst(now) {
 		svc := p.services[name]
 		p.endUnheard(now, svc)
+		p.reserve(now, svc)
 		p.lend(now, svc, planLoans(loads, name, p.config.Region))
 		for _, s := range svc.servers {
 			if s.own && s.lentTo != "" {
@@ -350,7 +357,7 @@
 		if s.usable(now) {
 			usable++
 		}
-		if !s.own || !s.usable(now) || s.cold(now) {
+		if !s.own || s.reserved || !s.usable(now) || s.cold(now) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(len(s.memory.lastUse), len(best.memory.lastUse)),
--- a/internal/core/dispatch/lend_test.go
+++ b/internal/core/dispatch/lend_test.go
@@ -115,21 +115,27 @@
 	return fmt.Sprint(s.objects % 24)
 }
 
-// sourceKey is the key of a region's requests for a service in the maps of run.
-func sourceKey(region, service string) string {
-	if service == "s" {
+// sourceOf is the key of a region's requests in the maps of run: the region alone for the
+// large service, with "/small" for the small one and with "/own" for those that may run only
+// in the region.
+func sourceOf(region string, req dispatch.SlotRequest) string {
+	switch {
+	case len(req.Regions) > 0:
+		return region + "/own"
+	case req.Service == "small":
+		return region + "/small"
+	default:
 		return region
 	}
-	return region + "/" + service
 }
 
 // run sends each region's given number of requests per second, which take
-// 200 ms each, and returns the refused share, both by sourceKey.
+// 200 ms each, and returns the refused share, both by sourceOf.
 func (s *lendingSystem) run(seconds float64, perSecond map[string]float64) map[string]float64 {
 	requested, refused := make(map[string]float64), make(map[string]float64)
 	record := func(region string, d dispatch.Decision) {
 		if d.Grant == "" {
-			refused[sourceKey(region, d.Request.Service)]++
+			refused[sourceOf(region, d.Request)]++
 			return
 		}
 		s.count(region, d.Region)
@@ -151,15 +157,13 @@
 			for _, d := range p.Tick(s.now) {
 				record(region, d)
 			}
-			for _, service := range []string{"s", "small"} {
-				key := sourceKey(region, service)
+			for _, request := range []dispatch.SlotRequest{{Service: "s"}, {Service: "small"}, {Service: "s", Regions: []string{region}}} {
+				key := sourceOf(region, request)
 				for s.arrivals[key] += perSecond[key] / 100; s.arrivals[key] >= 1; s.arrivals[key]-- {
 					requested[key]++
-					id := fmt.Sprint(key, requested[key])
-					d, decided := p.Acquire(s.now, dispatch.SlotRequest{
-						ID: id, Service: service, Target: 300 * time.Millisecond, Deadline: s.now.Add(2 * time.Second),
-						Affinity: s.object(service),
-					})
+					request.ID, request.Affinity = fmt.Sprint(key, requested[key]), s.object(request.Service)
+					request.Target, request.Deadline = 300*time.Millisecond, s.now.Add(2*time.Second)
+					d, decided := p.Acquire(s.now, request)
 					if decided {
 						record(region, d)
 					}
@@ -274,6 +278,27 @@
 	is.True(s.worstShift("few") <= maxShift)
 }
 
+// TestReserved guards against requests that may run only in a region with few endpoints and
+// are refused there, while requests that could use lent endpoints fill the region's own.
+func TestReserved(t *testing.T) {
+	is := is.New(t)
+	s := newLendingSystem(map[string]int{"big": 20, "mid": 20, "few": 4})
+	load := map[string]float64{"big": 150, "mid": 150, "few": 250, "few/own": 50} // 10 of few's 16 slots
+	s.run(4, load)
+	refused := s.run(8, load)
+	t.Logf("refused: %v, worst shift of few: %.3f", refused, s.worstShift("few"))
+	is.True(refused["few/own"] < 0.05)
+	is.True(refused["few"] < 0.05)
+	is.True(s.worstShift("few") <= maxShift)
+	// Above capacity the restricted requests get their part, but no more.
+	overload := map[string]float64{"big": 500, "mid": 500, "few": 500, "few/own": 60}
+	s.run(6, overload)
+	refused = s.run(8, overload)
+	t.Logf("refused above capacity: %v", refused)
+	is.True(refused["few/own"] < refused["big"]+0.15)
+	is.True(refused["few"] < refused["big"]+0.15)
+}
+
 // TestUnneededLoansRecalled guards against loans that stay after the
 // borrower's load has dropped. Endpoints are recalled gradually.
 func TestUnneededLoansRecalled(t *testing.T) {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -63,6 +63,7 @@
 	retries      retries
 	kept         *keptMeter
 	load         loadMeter
+	reservation  reservation
 	// slotTime is the moving average, in seconds, of the time for which a
 	// served request uses its slot.
 	slotTime float64
@@ -222,6 +223,9 @@
 	svc := p.service(req.Service)
 	if !req.Retry {
 		svc.load.add(now, svc.kind(req).expected(req.object() != ""))
+		if req.isRestricted() {
+			svc.reservation.load.add(now, svc.kind(req).expected(req.object() != ""))
+		}
 		svc.retries.countRequest(now, p.config.Retries)
 		svc.leastUrgent = max(svc.leastUrgent, req.Priority)
 	}
@@ -289,12 +293,20 @@
 		p.shiftSuspendedUntil, p.lostAt = now.Add(shiftLearnTime), now
 	}
 	p.ran = true
-	p.shift.Count(now, s.region, now.Before(p.shiftSuspendedUntil))
+	if p.isFromOwnRegion(req) {
+		p.shift.Count(now, s.region, now.Before(p.shiftSuspendedUntil))
+	}
 	p.grants[id] = g
 	p.beginRun(now, s, req)
 	return Decision{Request: req, Grant: id, Endpoint: s.endpoint, Region: s.region}
 }
 
+// isFromOwnRegion reports whether a slot request comes from a gateway of the pool's region.
+// The others are of requests that may run only in some regions.
+func (p *Pool) isFromOwnRegion(req SlotRequest) bool {
+	return req.Zone == "" || p.config.RegionOf(req.Zone) == p.config.Region
+}
+
 // coldGap returns the time between two requests at a cold endpoint; one
 // second if no rate is set.
 func coldGap(perSecond float64) time.Duration {
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -41,6 +41,8 @@
 	// limitObserved is the time of the last answer.
 	limitObserved time.Time
 	limiter       limiter
+	// reserved is set while the endpoint is kept for restricted requests.
+	reserved bool
 	loanState
 }
 
