Share short slots between client accounts

Within a priority the queue of a service was first come, first served, so one account could fill it. It is now ordered by start-time fair queueing, weighted by account; the estimate of the queue ahead counts what would be served before a request, and requests that can no longer be served in time because others were placed before them are refused at the next tick. A request without an object takes any slot that frees up: a later one that waited for that endpoint took it before.

--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -56,12 +56,14 @@
 	// servedBy lists, by object, the endpoints whose memory holds it.
 	servedBy map[string][]*server
 	queue    []queuedRequest
-	// queuedForAny counts the queued slot requests without a preferred endpoint.
-	queuedForAny int
-	kinds        map[string]*kind
-	retries      retries
-	kept         *keptMeter
-	load         loadMeter
+	fair     fairness
+	// queuedForAny counts the queued slot requests without a preferred endpoint, and
+	// queuedUnbound those without an object.
+	queuedForAny, queuedUnbound int
+	kinds                       map[string]*kind
+	retries                     retries
+	kept                        *keptMeter
+	load                        loadMeter
 	// slotTime is the moving average, in seconds, of the time for which a
 	// served request uses its slot.
 	slotTime float64
@@ -178,6 +180,7 @@
 	if svc == nil {
 		svc = &service{
 			kinds: make(map[string]*kind), servedBy: make(map[string][]*server), kept: newKeptMeter(),
+			fair: newFairness(),
 		}
 		p.services[name] = svc
 	}
@@ -220,9 +223,10 @@
 func (p *Pool) Acquire(now time.Time, req SlotRequest) (Decision, bool) {
 	svc := p.service(req.Service)
 	if !req.Retry {
-		svc.load.add(now, svc.kind(req).expected(req.object() != ""))
+		svc.load.add(now, svc.expectedRun(req))
 		svc.retries.countRequest(now, p.config.Retries)
 		svc.leastUrgent = max(svc.leastUrgent, req.Priority)
+		svc.fair.arrive(req)
 	}
 	if !p.mayStart(now, req) {
 		return p.refuse(now, req, ReasonQuarantined), true
@@ -236,6 +240,9 @@
 	svc.applyHint(req)
 	best := p.choose(now, svc, req)
 	if best != nil && best.free(now) {
+		if len(svc.queue) > 0 {
+			svc.fair.charge(req, svc.expectedRun(req))
+		}
 		return p.grant(now, svc, best, req), true
 	}
 	until := now.Add(svc.maxWait(req))
@@ -364,6 +371,7 @@
 	var out []Decision
 	for _, svc := range p.services {
 		svc.rank(now)
+		svc.fair.tick(len(svc.queue) == 0)
 		out = append(out, p.processQueue(now, svc)...)
 	}
 	return out
