Add the messages of quotas to the exchange between controllers

A request names an account by its index in the sorted list and has its figures in packed lists: some 5 bytes for each account with a demand. TestOddMessages, which fills all fields with odd values, now knows 32-bit ones.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -226,7 +226,7 @@
 		EpochNumber: m.EpochNumber, Report: m.Report, ReportUnchanged: m.ReportUnchanged,
 		Loads: convertAll(m.Loads, loadToProto), Loans: convertAll(m.Loans, loanToProto),
 		Suspicions: convertAll(m.Suspicions, suspicionToProto), Returns: convertAll(m.Returns, returnToProto),
-		Limits: convertAll(m.Limits, limitToProto),
+		Limits: convertAll(m.Limits, limitToProto), QuotaRequests: quotaToProto(m.Quota), QuotaReturns: quotaReturnsToProto(m.QuotaReturns),
 	}
 }
 
@@ -238,7 +238,7 @@
 		EpochNumber: m.GetEpochNumber(), Report: m.GetReport(), ReportUnchanged: m.GetReportUnchanged(),
 		Loads: convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
 		Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto), Returns: convertAll(m.GetReturns(), returnFromProto),
-		Limits: convertAll(m.GetLimits(), limitFromProto),
+		Limits: convertAll(m.GetLimits(), limitFromProto), Quota: quotaFromProto(m.GetQuotaRequests()), QuotaReturns: quotaReturnsFromProto(m.GetQuotaReturns()),
 	}
 }
 
@@ -248,6 +248,7 @@
 		Grants: r.Grants, Known: convertAll(r.HeldLeases, leaseToProto),
 		Controllers: convertAll(r.Controllers, c.controllerToProto), Endpoints: convertAll(r.Endpoints, c.endpointToProto),
 		Loads: convertAll(r.Loads, loadToProto), Loans: convertAll(r.Loans, loanToProto), Report: r.Report,
+		QuotaGrants: quotaGrantsToProto(r.QuotaGrants),
 	}
 }
 
@@ -258,7 +259,7 @@
 		Controllers: convertAll(m.GetControllers(), c.controllerFromProto),
 		Endpoints:   convertAll(m.GetEndpoints(), c.endpointFromProto),
 		Loads:       convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
-		Report: m.GetReport(),
+		Report: m.GetReport(), QuotaGrants: quotaGrantsFromProto(m.GetQuotaGrants()),
 	}
 }
 
--- a/internal/adapter/fleetgrpc/convert_test.go
+++ b/internal/adapter/fleetgrpc/convert_test.go
@@ -8,6 +8,7 @@
 
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fingerprint"
+	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/port"
 )
 
@@ -30,3 +31,28 @@
 	}
 	is.True(fingerprintFromProto(f[:8]).IsZero())
 }
+
+// TestQuotaKept guards against quota messages that lose or exchange figures between two VMs,
+// and against lists of different lengths in them.
+func TestQuotaKept(t *testing.T) {
+	is := is.New(t)
+	c := codec{now: time.Unix(1_800_000_000, 0)}
+	sent := port.ExchangeRequest{
+		Quota: &quota.Request{
+			Sequence: 7, Digest: 8, Regions: 2, Owners: 5,
+			Items: []quota.Item{{Account: 1, Held: 2, Wanted: 3}, {Account: 70, Wanted: 800}},
+		},
+		QuotaReturns: []quota.Return{{Account: 3, Tokens: 9}},
+	}
+	m := c.exchangeToProto(sent)
+	got := c.exchangeFromProto(m)
+	is.Equal(got.Quota, sent.Quota)
+	is.Equal(got.QuotaReturns, sent.QuotaReturns)
+	m.QuotaRequests.Held, m.QuotaReturns.Tokens = nil, nil
+	got = c.exchangeFromProto(m)
+	is.Equal(got.Quota.Items[0], quota.Item{Account: 1, Wanted: 3})
+	is.Equal(got.QuotaReturns[0], quota.Return{Account: 3})
+	reply := port.ExchangeReply{QuotaGrants: quota.Grants{Sequence: 7, Tokens: []int{0, 800}}}
+	is.Equal(c.exchangeReplyFromProto(c.exchangeReplyToProto(reply)).QuotaGrants, reply.QuotaGrants)
+	is.Equal(c.exchangeReplyFromProto(c.exchangeReplyToProto(port.ExchangeReply{})).QuotaGrants, quota.Grants{})
+}
--- a/internal/adapter/fleetgrpc/odd_test.go
+++ b/internal/adapter/fleetgrpc/odd_test.go
@@ -58,6 +58,8 @@
 		return protoreflect.ValueOfInt32(int32(n))
 	case protoreflect.Int64Kind:
 		return protoreflect.ValueOfInt64(n)
+	case protoreflect.Uint32Kind, protoreflect.Fixed32Kind:
+		return protoreflect.ValueOfUint32(uint32(n))
 	case protoreflect.Uint64Kind, protoreflect.Fixed64Kind:
 		return protoreflect.ValueOfUint64(uint64(n))
 	case protoreflect.DoubleKind:
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -10,6 +10,7 @@
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/quorum"
+	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/core/registry"
 )
 
@@ -99,6 +100,10 @@
 	// that the receiver's last reply confirmed, and still hold.
 	Report          uint64
 	ReportUnchanged bool
+	// Quota is the request for tokens of the accounts that the receiver owns, nil if there is
+	// none, and QuotaReturns the tokens that are returned with it.
+	Quota        *quota.Request
+	QuotaReturns []quota.Return
 	// Durable requests that the receiver answers only once the Endpoints that leave
 	// or are gone are on its disk.
 	Durable bool
@@ -141,6 +146,8 @@
 	// Report is the version of the report that the receiver now has of the sender;
 	// 0 if it has none.
 	Report uint64
+	// QuotaGrants answers ExchangeRequest.Quota.
+	QuotaGrants quota.Grants
 }
 
 // OrderReply is the answer to an order.
