Serve keys only by a configuration that a quorum confirmed lately

A gateway acted on a configuration however old its confirmation was, so a revoked key worked for as long as the gateway was cut off or stood still.

With bounds.revokeStrict a gateway holds a confirmation lease: a time T0 at which a majority of the voters had accepted nothing later than the state that it applies. T0 counts from when the watch call was sent, plus the time for which the controller held it (WatchResponse.held_ms), less the age of the confirmation. All of it is measured with CLOCK_BOOTTIME, which counts suspended time. Both watchers renew the lease, and only by answers whose state isn't later than the applied one. Their calls are held for a tenth of the bound at most. A request with a key that is read without a valid lease gets 503 and Retry-After, also without a dispatcher. An unknown key gets that, too, since it may be a new one.

A value that seals its epoch no longer counts as confirmed: the next epoch's voters may have accepted a later one already.

Tested: core/confirmation over random delays and clock rates, app/gateway.TestLease* with a clock that the test sets, app/controller.TestConfirmationsHold with controllers that stand still, are cut off in one direction, get responses late and restart, each with -race.

--- a/internal/adapter/fleetgrpc/message.go
+++ b/internal/adapter/fleetgrpc/message.go
@@ -108,7 +108,10 @@
 		Controllers: convertAll(u.Controllers, c.controllerToProto), Cursor: cursorToProto(u.Cursor),
 	}
 	if !u.Confirmed.IsZero() {
-		out.ConfirmedAgeMs = max(0, c.age(u.Confirmed))
+		// The state may be confirmed longer ago than is sent by nothing, and the call
+		// held for no less: ages are rounded up, and times of waiting down.
+		out.ConfirmedAgeMs = max(0, c.age(u.Confirmed), (u.Age + time.Millisecond - 1).Milliseconds())
+		out.HeldMs = u.Held.Milliseconds()
 	}
 	if u.State == nil {
 		return out, nil
@@ -124,7 +127,8 @@
 		Controllers: convertAll(m.GetControllers(), c.controllerFromProto), Cursor: cursorFromProto(m.GetCursor()),
 	}
 	if m.GetConfirmedAgeMs() != neverConfirmed {
-		u.Confirmed = c.now.Add(-time.Duration(m.GetConfirmedAgeMs()) * time.Millisecond)
+		u.Age, u.Held = millis(m.GetConfirmedAgeMs()), millis(m.GetHeldMs())
+		u.Confirmed = c.now.Add(-u.Age)
 	}
 	if len(m.GetState()) == 0 {
 		return u, nil
--- a/internal/adapter/fleetgrpc/survive_test.go
+++ b/internal/adapter/fleetgrpc/survive_test.go
@@ -68,3 +68,34 @@
 		}
 	})
 }
+
+// TestConfirmationNeverYounger guards against a confirmation that looks more recent at the
+// gateway than it was at the controller, because of units or of a former release.
+func TestConfirmationNeverYounger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := codec{time.Unix(1_800_000_000, 0)}
+		draw := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, name))
+		}
+		u := port.Update{Age: draw("age"), Held: draw("held")}
+		u.Confirmed = c.now.Add(-u.Age)
+		sent, err := c.updateToProto(u)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := c.updateFromProto(sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Age < u.Age || got.Age > u.Age+time.Millisecond || got.Held > u.Held || got.Held < u.Held-time.Millisecond {
+			t.Fatalf("age %v and held %v arrive as %v and %v", u.Age, u.Held, got.Age, got.Held)
+		}
+		sent.HeldMs = 0 // a former release
+		if got, err = c.updateFromProto(sent); err != nil || got.Held != 0 || got.Age < u.Age {
+			t.Fatalf("a former release's age %v and held %v, %v", got.Age, got.Held, err)
+		}
+		if got, err = c.updateFromProto(&fleetv1.WatchResponse{ConfirmedAgeMs: neverConfirmed}); err != nil || !got.Confirmed.IsZero() {
+			t.Fatalf("no confirmation arrives as one of %v, %v", got.Confirmed, err)
+		}
+	})
+}
--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -82,7 +82,9 @@
 	members map[string]*member
 	blocked map[[2]string]bool
 	delay   time.Duration
-	seeds   []string
+	// lag is how much later the responses to a controller arrive.
+	lag   map[string]time.Duration
+	seeds []string
 	// rejection rejects exchanges; nil rejects none.
 	rejection *rejection
 }
@@ -94,6 +96,7 @@
 func newCluster(t *testing.T, delay time.Duration) *cluster {
 	c := &cluster{
 		t: t, members: make(map[string]*member), blocked: make(map[[2]string]bool), delay: delay,
+		lag:   make(map[string]time.Duration),
 		seeds: []string{"a1:1", "b1:1", "c1:1"},
 	}
 	for zone, region := range regions {
@@ -145,6 +148,10 @@
 	if err != nil {
 		return none, err
 	}
+	l.cluster.mu.Lock()
+	lag := l.cluster.lag[l.from]
+	l.cluster.mu.Unlock()
+	time.Sleep(lag)
 	if _, err := l.reach(ctx); err != nil {
 		return none, err // the response is lost
 	}
--- a/internal/app/controller/confirm.go
+++ b/internal/app/controller/confirm.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -17,14 +18,17 @@
 	catchUpDelayOthers = 1500 * time.Millisecond
 )
 
-// confirmed returns the latest time at which a majority of the voters had
-// accepted nothing later than the value that this controller knows to be
-// chosen; zero if there is none. Must hold mu.
-func (c *Controller) confirmed(now time.Time) time.Time {
+// confirmed returns the latest time since boot, of now or before, at which a majority of
+// the voters had accepted nothing later than the value that this controller knows to be
+// chosen; false if there is none. Must hold mu.
+func (c *Controller) confirmed(now time.Duration) (time.Duration, bool) {
 	if c.chosen.Value == nil || c.chosenEpoch != c.epoch.Number || c.chosen.Ballot == (quorum.Ballot{}) {
-		return time.Time{}
+		return 0, false
 	}
-	var moments []time.Time
+	if _, _, sealed := quorum.NextEpoch(c.epoch, c.chosen.Value); sealed {
+		return 0, false // the voters of the next epoch decide
+	}
+	var moments []time.Duration
 	for _, v := range c.epoch.Voters {
 		if at, ok := c.voterConfirmed(now, v); ok {
 			moments = append(moments, at)
@@ -32,22 +36,22 @@
 	}
 	majority := c.epoch.Majority()
 	if len(moments) < majority {
-		return time.Time{}
+		return 0, false
 	}
-	slices.SortFunc(moments, func(a, b time.Time) int { return b.Compare(a) })
-	return moments[majority-1]
+	slices.SortFunc(moments, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	return moments[majority-1], true
 }
 
 // voterConfirmed returns when a voter was last known to have accepted nothing
 // later than the chosen value. Must hold mu.
-func (c *Controller) voterConfirmed(now time.Time, v quorum.Voter) (time.Time, bool) {
+func (c *Controller) voterConfirmed(now time.Duration, v quorum.Voter) (time.Duration, bool) {
 	if v.Address == c.config.Address {
 		s := c.voter.savedState()
 		return now, v.ID == s.ID && c.notLater(s.Epoch.Number, s.Accepted.Ballot)
 	}
 	p := c.peers[v.Address]
 	if p == nil || p.Disk != v.ID {
-		return time.Time{}, false
+		return 0, false
 	}
 	return p.sentAt, c.notLater(p.epoch, p.accepted)
 }
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -63,11 +63,16 @@
 	ToleratedLosses int
 	// Bootstrap is set when the system starts for the first time.
 	Bootstrap bool
+	// RevocationBound is the time after which no gateway may serve a revoked key; 0 if
+	// gateways needn't be sure of that.
+	RevocationBound time.Duration
 }
 
 // Ports are the external dependencies of a controller.
 type Ports struct {
-	Clock  port.Clock
+	Clock port.Clock
+	// Boot measures the ages of confirmations; nil stands for one that follows Clock.
+	Boot   port.BootClock
 	Logger *slog.Logger
 	Store  port.VoterStore
 	// Hints stores what the next start begins with; nil stores nothing.
@@ -156,6 +161,9 @@
 // is of the disk.
 func New(config Config, ports Ports) (*Controller, error) {
 	now := ports.Clock.Now()
+	if ports.Boot == nil {
+		ports.Boot = port.BootClockOf(ports.Clock)
+	}
 	c := &Controller{
 		config: config, ports: ports, incarnation: uint64(now.UnixNano()),
 		peers: make(map[string]*peer), state: &fleet.State{},
@@ -240,8 +248,9 @@
 			out["gateways.live"]++
 		}
 	}
-	if at := c.confirmed(now); !at.IsZero() {
-		out["register.confirmed_ms_ago"] = now.Sub(at).Milliseconds()
+	sinceBoot := c.ports.Boot.SinceBoot()
+	if at, ok := c.confirmed(sinceBoot); ok {
+		out["register.confirmed_ms_ago"] = (sinceBoot - at).Milliseconds()
 	}
 	for name, r := range c.regions {
 		if r.pool == nil {
--- a/internal/app/controller/orders.go
+++ b/internal/app/controller/orders.go
@@ -139,12 +139,13 @@
 func (c *Controller) Current(ctx context.Context) (*fleet.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	now := c.ports.Clock.Now()
+	began := c.ports.Boot.SinceBoot()
 	c.pollVoters(ctx)
 	c.mu.Lock()
-	confirmed, state := c.confirmed(c.ports.Clock.Now()), c.state
+	at, confirmed := c.confirmed(c.ports.Boot.SinceBoot())
+	state := c.state
 	c.mu.Unlock()
-	if !confirmed.Before(now) {
+	if confirmed && at >= began {
 		return state, nil
 	}
 	reply, err := c.submit(ctx, fleet.Order{})
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -22,8 +22,9 @@
 type peer struct {
 	link port.ControllerPeer
 	port.Controller
-	// sentAt is when the last exchange that the peer answered was sent.
-	sentAt time.Time
+	// sentAt is when the last exchange that the peer answered was sent, since boot. A
+	// clock that stands still with the VM would make the answer look too recent.
+	sentAt time.Duration
 	// endedAt is when the last exchange was sent whose answer had all endpoints that
 	// leave or are gone, as far as the peer knew.
 	endedAt time.Time
@@ -339,7 +340,7 @@
 func (c *Controller) sendOnce(ctx context.Context, p *peer, m port.ExchangeRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sentAt := c.ports.Clock.Now()
+	sentAt, sentSinceBoot := c.ports.Clock.Now(), c.ports.Boot.SinceBoot()
 	reply, err := p.link.Exchange(ctx, m)
 	if err != nil {
 		return err
@@ -353,7 +354,7 @@
 		p.endedAt = sentAt
 	}
 	p.identify(reply.From)
-	p.sentAt = sentAt
+	p.sentAt = sentSinceBoot
 	p.recordRoundTrip(c.ports.Clock.Now().Sub(sentAt))
 	p.epoch, p.accepted, p.reportAcked = reply.Epoch.Number, reply.Accepted, reply.Report
 	c.enterEpoch(reply.Epoch)
@@ -485,14 +486,14 @@
 
 // poll requests the voting state of one voter.
 func (c *Controller) poll(ctx context.Context, p *peer, request port.ExchangeRequest) (port.ExchangeReply, error) {
-	sentAt := c.ports.Clock.Now()
+	sentAt := c.ports.Boot.SinceBoot()
 	reply, err := p.link.Exchange(ctx, request)
 	if err != nil {
 		return reply, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if sentAt.After(p.sentAt) {
+	if sentAt > p.sentAt {
 		p.sentAt, p.epoch, p.accepted = sentAt, reply.Epoch.Number, reply.Accepted
 		p.identify(reply.From)
 	}
--- a/internal/app/controller/report.go
+++ b/internal/app/controller/report.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"sassafrasreach/internal/core/confirmation"
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/port"
@@ -117,10 +118,16 @@
 // mayWait reports whether it is calm and nothing of the message is new to the peer, so
 // that the exchange can wait. Must hold mu.
 func (c *Controller) mayWait(now time.Time, p *peer, m port.ExchangeRequest) bool {
-	return !c.stopping && now.Sub(latest(c.failedAt, c.ranSince)) >= calmAfter && now.Sub(p.lastSent) < calmExchangePeriod-exchangePeriod/2 && m.ReportUnchanged && !m.FullSync && !m.EndedSync && live(now, p.LastSeen) &&
+	return !c.stopping && !c.mustConfirm() && now.Sub(latest(c.failedAt, c.ranSince)) >= calmAfter && now.Sub(p.lastSent) < calmExchangePeriod-exchangePeriod/2 && m.ReportUnchanged && !m.FullSync && !m.EndedSync && live(now, p.LastSeen) &&
 		len(m.Endpoints)+len(m.Suspicions)+len(m.Limits)+len(m.Loads)+len(m.Returns)+len(m.VoteRequests)+len(m.VoteReleases) == 0
 }
 
+// mustConfirm reports whether gateways need confirmations that are more recent than those of
+// calm exchanges.
+func (c *Controller) mustConfirm() bool {
+	return c.config.RevocationBound > 0 && c.config.RevocationBound < confirmation.CalmBound
+}
+
 // receiveReport records what another controller vouches for. It returns the loans,
 // and false if the sender refers to a report that isn't known here. Must hold mu.
 func (c *Controller) receiveReport(now time.Time, m port.ExchangeRequest) ([]dispatch.Loan, bool) {
--- a/internal/app/controller/watch.go
+++ b/internal/app/controller/watch.go
@@ -20,11 +20,12 @@
 
 // Watch implements port.ControllerLink.
 func (c *Controller) Watch(ctx context.Context, g port.Gateway, since port.WatchCursor) (port.Update, error) {
+	received := c.ports.Boot.SinceBoot()
 	c.mu.Lock()
 	c.recordGateway(g)
 	c.watchers[g.Address] = g.LastSeen
 	changed := c.changed
-	update := c.update(since)
+	update := c.update(since, received)
 	c.mu.Unlock()
 	if update.State != nil || since.Incarnation != c.incarnation {
 		return update, nil
@@ -47,19 +48,24 @@
 		c.recordGateway(g)
 		c.watchers[g.Address] = g.LastSeen
 	}
-	return c.update(since), nil
+	return c.update(since, received), nil
 }
 
-// update returns the changes since a cursor. Must hold mu.
-func (c *Controller) update(since port.WatchCursor) port.Update {
-	now := c.ports.Clock.Now()
+// update returns the changes since a cursor, for a call that was received at a time since
+// boot. Must hold mu.
+func (c *Controller) update(since port.WatchCursor, received time.Duration) port.Update {
+	now, sinceBoot := c.ports.Clock.Now(), c.ports.Boot.SinceBoot()
 	if since.Incarnation != c.incarnation {
 		since = port.WatchCursor{Incarnation: c.incarnation}
 	}
 	u := port.Update{
-		Confirmed: c.confirmed(now), Dispatchers: c.knownLeases(now),
+		Dispatchers: c.knownLeases(now), Held: sinceBoot - received,
 		Cursor: port.WatchCursor{Incarnation: c.incarnation, Sequence: since.Sequence},
 	}
+	if at, ok := c.confirmed(sinceBoot); ok {
+		u.Age = sinceBoot - at
+		u.Confirmed = now.Add(-u.Age)
+	}
 	controllers := append(c.liveControllers(now), c.self(now))
 	u.Cursor.Controllers = controllersVersion(controllers)
 	if u.Cursor.Controllers != since.Controllers {
--- a/internal/app/gateway/authenticate.go
+++ b/internal/app/gateway/authenticate.go
@@ -40,6 +40,7 @@
 // admit looks up the route of the request and the account of its client, and sets what
 // both say about it. It returns true with the answer of a request that is refused.
 func (x *inFlightRequest) admit() (port.ClientAnswer, bool) {
+	x.confirmed = x.gateway.confirmed()
 	x.table = x.gateway.table.Load()
 	if x.table == nil {
 		return refusal(verdict.ReasonNoDocument, nil, noDispatcherRetry), true
@@ -66,6 +67,9 @@
 	if fault == "" && x.account == nil {
 		fault = port.KeyUnknown
 	}
+	if fault == port.KeyUnknown && x.needsLease() {
+		return x.refuseUnconfirmed(), true // the key may be a new one
+	}
 	if fault != "" && !x.route.Public {
 		x.gateway.ports.Meter.RecordKeyRefused(fault)
 		return refusal(verdict.ReasonUnauthenticated, &keyError{fault}, 0), true
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasreach/internal/core/confirmation"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/holdoff"
 	"sassafrasreach/internal/core/reserve"
@@ -22,11 +23,16 @@
 	Zone, Region string
 	// Seeds are addresses of controllers.
 	Seeds []string
+	// RevocationBound is the time after the acknowledgement of a configuration without a
+	// key from which on no request with it may run; 0 if it needn't be kept to.
+	RevocationBound time.Duration
 }
 
 // Ports are the external dependencies of a gateway.
 type Ports struct {
-	Clock     port.Clock
+	Clock port.Clock
+	// Boot measures the confirmation lease; nil stands for one that follows Clock.
+	Boot      port.BootClock
 	Logger    *slog.Logger
 	Endpoints port.EndpointCaller
 	Meter     port.FleetMeter
@@ -44,6 +50,11 @@
 	stop     atomic.Pointer[plannedStop]
 	inFlight atomic.Int64
 	table    atomic.Pointer[fleet.Table]
+	// lease is the latest confirmation of the applied state; nil before the first.
+	// refusing is true from the first request that is refused for lack of a valid one
+	// until it is renewed.
+	lease    atomic.Pointer[confirmation.Lease]
+	refusing atomic.Bool
 	// keySecret protects the look-up of keys.
 	keySecret []byte
 
@@ -96,6 +107,9 @@
 
 // New returns a gateway.
 func New(config Config, ports Ports) *Gateway {
+	if ports.Boot == nil {
+		ports.Boot = port.BootClockOf(ports.Clock)
+	}
 	return &Gateway{
 		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds, keySecret: newKeySecret(),
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
@@ -147,6 +161,9 @@
 	if table := g.table.Load(); table != nil {
 		out["config.version"] = int64(table.Config().Version)
 	}
+	if g.config.strict() {
+		out["lease.age_ms"] = g.leaseAge()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out["controllers.known"] = int64(len(g.known))
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -51,7 +51,9 @@
 	priority int
 	regions  []string
 	weight   float64
-	service  string
+	// confirmed is set if the configuration was confirmed when the request was read.
+	confirmed bool
+	service   string
 	// dispatchRegion is the region whose dispatcher grants the slots.
 	dispatchRegion string
 	// fingerprint identifies the content of the request, whoever sends it.
@@ -94,6 +96,9 @@
 	if answer, refused := x.admit(); refused {
 		return answer
 	}
+	if x.needsLease() {
+		return x.refuseUnconfirmed()
+	}
 	x.service, x.dispatchRegion = x.route.Pick(rand.Float64()), x.chooseDispatchRegion()
 	x.request.Service = x.service
 	x.request.OnceOnly = !x.route.Idempotent
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -30,6 +30,12 @@
 	answer   func(req port.SlotRequest) (dispatch.Decision, error)
 	// config replaces the usual configuration if it has a version.
 	config fleet.Config
+	// controllers replaces the usual list, and dead is the address of one that doesn't
+	// answer watch calls.
+	controllers []port.Controller
+	dead        string
+	// watch replaces the usual answers of watch calls.
+	watch func(u port.Update, since port.WatchCursor) (port.Update, error)
 	// rejects names the grants whose releases make their message fail.
 	rejects map[string]bool
 }
@@ -49,11 +55,19 @@
 		if c.config.Version > 0 {
 			u.State.Config = c.config
 		}
-		return u, nil
+	} else {
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.controllers) > 0 {
+		u.Controllers = c.controllers
 	}
-	select {
-	case <-time.After(20 * time.Millisecond):
-	case <-ctx.Done():
+	if c.watch != nil {
+		return c.watch(u, since)
 	}
 	return u, nil
 }
--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -53,12 +53,16 @@
 				continue
 			}
 		}
+		sent := g.ports.Boot.SinceBoot()
 		update, err := g.watchOnce(ctx, address, g.requestCursor(watcher, cursor))
-		now := g.ports.Clock.Now()
+		now, received := g.ports.Clock.Now(), g.ports.Boot.SinceBoot()
 		if err == nil {
 			cursor = update.Cursor
 			g.recordNewest(now, update.Sequence)
 			g.apply(now, watcher, update)
+			g.mu.Lock()
+			g.renew(sent, received, update)
+			g.mu.Unlock()
 			if now.Sub(update.Confirmed) < staleAfter || !g.hasAlternative(watcher, address) {
 				continue
 			}
@@ -77,11 +81,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lagging := g.newest > g.sequence && g.ports.Clock.Now().Sub(g.newestSince) > maxLag
-	cursor.Hold = nearHold
-	if watcher > 0 {
-		cursor.Hold = farHold
-	}
-	if watcher == 0 || lagging || g.sequence == 0 {
+	cursor.Hold = g.config.holdOf(watcher)
+	// An answer without the state doesn't renew the lease if the state is new.
+	if watcher == 0 || lagging || g.sequence == 0 || g.config.strict() {
 		cursor.Sequence = g.sequence
 		return cursor
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"sassafrasreach/internal/adapter/bootclock"
 	"sassafrasreach/internal/adapter/endpointhttp"
 	"sassafrasreach/internal/adapter/fleetgrpc"
 	"sassafrasreach/internal/adapter/logsink"
@@ -64,7 +65,9 @@
 	sink     *logsink.Sink
 	logger   *slog.Logger
 	clock    port.Clock
-	meter    *metrics.Meter
+	// boot goes on while the VM is suspended.
+	boot  port.BootClock
+	meter *metrics.Meter
 	// fleetListen is the IP:port at which a controller listens for gateways and
 	// controllers, if it differs from the address that it announces; else empty.
 	fleetListen string
@@ -96,11 +99,15 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(settings.MemoryBytes / 100 * heapMemoryPercent)
 	}
+	boot, err := bootclock.New()
+	if err != nil {
+		return fail(stderr, exitFailure, err)
+	}
 	sink := logsink.New(stdout)
 	defer sink.Flush()
 	p := &vmProcess{
 		path: *path, settings: settings, sink: sink, logger: newLogger(sink, "info", name, settings.Name),
-		clock: port.ClockFunc(time.Now), meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4),
+		clock: port.ClockFunc(time.Now), boot: boot, meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4),
 	}
 	p.items = fleetgrpc.NewItemFilter(p.logger, p.meter)
 	event.Log(context.Background(), p.logger, event.Started, slog.String("zone", settings.Zone),
@@ -225,8 +232,9 @@
 	g := gateway.New(gateway.Config{
 		Name: p.settings.Name, Address: p.settings.ClientListen,
 		Zone: p.settings.Zone, Region: p.settings.Region, Seeds: p.settings.Seeds,
+		RevocationBound: p.settings.RevocationBound,
 	}, gateway.Ports{
-		Clock: p.clock, Logger: p.logger, Endpoints: endpoints, Meter: p.meter,
+		Clock: p.clock, Boot: p.boot, Logger: p.logger, Endpoints: endpoints, Meter: p.meter,
 		Dial: func(address string) (port.ControllerLink, error) { return p.dial(address) },
 	})
 	return g, endpoints
@@ -237,9 +245,9 @@
 	return controller.New(controller.Config{
 		Name: p.settings.Name, Address: p.settings.FleetAddress, Zone: p.settings.Zone, Region: p.settings.Region,
 		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Bootstrap: p.settings.Bootstrap, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
-		ToleratedLosses: p.settings.ToleratedLosses,
+		ToleratedLosses: p.settings.ToleratedLosses, RevocationBound: p.settings.RevocationBound,
 	}, controller.Ports{
-		Clock: p.clock, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter,
+		Clock: p.clock, Boot: p.boot, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter,
 		Dial: func(address string) (port.ControllerPeer, error) { return p.dial(address) },
 	})
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,6 +99,8 @@
 	RecordsDropped         = Event{1704, "records-dropped", slog.LevelWarn, "Log records were dropped because standard output was too slow or the bound was reached; the attribute gives their number."}
 	ControllerUnresponsive = Event{1707, "controller-deaf", slog.LevelWarn, "A controller failed to answer requests for a slot; for a while this gateway sends them to other controllers."}
 	SettingsLoaded         = Event{1705, "settings-loaded", slog.LevelInfo, "The settings file was reread and its seeds differ; the attribute lists the seeds now in use."}
+	LeaseEnded             = Event{1708, "lease-ended", slog.LevelWarn, "This gateway refuses requests with keys, because no quorum has confirmed its configuration within the bound on revocations; the attribute gives the age of the last confirmation, -1 for none."}
+	LeaseRenewed           = Event{1709, "lease-renewed", slog.LevelInfo, "This gateway serves requests with keys again, because its configuration was confirmed."}
 	SettingsFailed         = Event{1706, "settings-failed", slog.LevelError, "The settings file can't be read; the settings in use are kept."}
 )
 
@@ -115,5 +117,5 @@
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
 	AnnouncementRejected, ExchangeRejected, ItemDropped,
-	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive,
+	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive, LeaseEnded, LeaseRenewed,
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -189,6 +189,10 @@
 	// Confirmed is the latest time at which a quorum confirmed the state, on
 	// this VM's clock; zero if there is none.
 	Confirmed time.Time
+	// Age is the time since then when the controller took it, and Held how long it had
+	// held the call until then; both by clocks that go on while a VM is suspended. Held
+	// is 0 from a former release.
+	Age, Held time.Duration
 	// Sequence is the sequence of the controller's state. State is nil unless
 	// it is later than the cursor.
 	Sequence    uint64
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -145,6 +145,25 @@
 // Now implements Clock.
 func (f ClockFunc) Now() time.Time { return f() }
 
+// BootClock measures time that goes on while the VM is suspended, which the differences
+// between two times of Clock don't.
+type BootClock interface {
+	// SinceBoot returns the time since the VM's start, or since another fixed time.
+	SinceBoot() time.Duration
+}
+
+// BootClockFunc adapts a function to BootClock.
+type BootClockFunc func() time.Duration
+
+// SinceBoot implements BootClock.
+func (f BootClockFunc) SinceBoot() time.Duration { return f() }
+
+// BootClockOf returns a BootClock that follows a Clock, for VMs that are never suspended.
+func BootClockOf(c Clock) BootClock {
+	start := c.Now()
+	return BootClockFunc(func() time.Duration { return c.Now().Sub(start) })
+}
+
 // Answer pairs a response with its error, for queues and tests.
 type Answer struct {
 	Response *Response
