Decode configurations again that a former release stored

A controller of the former release drops the client accounts when it decodes a configuration, and with them the need for keys, also when it stores an evacuation. It keeps the source.

fleet.Config carries a mark of the decoder's release. A controller that learns a state without it decodes the source again (port.ConfigDecoder). A gateway asks a newly watched controller for the state again while it has one without the mark, and replaces it under the same sequence. With a revocation bound it refuses all requests with 503 until then, and looks for other controllers.

--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -194,11 +194,12 @@
 		Name: m.name, Address: address, Zone: m.zone, Region: m.region, Zones: regions, Seeds: c.seeds, Bootstrap: bootstrap,
 		Retries: dispatch.RetryBudget{Ratio: 0.2, Extra: 112, Window: 10 * time.Second}, ToleratedLosses: 2,
 	}, controller.Ports{
-		Clock:  m.clock,
-		Logger: slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
-		Meter:  metrics.New(),
-		Store:  m.disk,
-		Hints:  m.hints,
+		Clock:   m.clock,
+		Logger:  slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
+		Meter:   metrics.New(),
+		Store:   m.disk,
+		Hints:   m.hints,
+		Decoder: testDecoder{},
 		Dial: func(to string) (port.ControllerPeer, error) {
 			return link{cluster: c, from: address, to: to}, nil
 		},
--- a/internal/app/controller/confirm_test.go
+++ b/internal/app/controller/confirm_test.go
@@ -1,12 +1,16 @@
 package controller_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"sassafrasreach/internal/core/confirmation"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/port"
@@ -183,3 +187,57 @@
 	}
 	t.Logf("%d answers, %d acknowledgements", w.answers, len(w.acked))
 }
+
+// testDecoder decodes sources that are the JSON form of a fleet.Config.
+type testDecoder struct{}
+
+func (testDecoder) Decode(source []byte) (fleet.Config, error) {
+	var c fleet.Config
+	err := json.Unmarshal(source, &c)
+	c.Decoder = fleet.DecoderRelease
+	return c, err
+}
+
+// TestFormerReleaseStores guards against accounts that are lost because a controller of the
+// former release stored the configuration, with what it knows of it, or evacuated a zone.
+func TestFormerReleaseStores(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2*time.Millisecond)
+	full := fleet.Config{Version: 3, Authenticate: true, Accounts: []fleet.Account{{Name: "a", KeyDigests: [][]byte{fleet.KeyDigest("k")}}}}
+	source, err := json.Marshal(full)
+	is.NoErr(err)
+	cases := []struct {
+		version  uint64
+		source   []byte
+		complete bool
+	}{{3, source, true}, {4, source, false}, {5, []byte("{"), false}} // of another version, unreadable
+	for i, step := range cases {
+		reply, err := c.anyRunning().Order(t.Context(), fleet.Order{Change: &fleet.Change{
+			Base: []uint64{0, 3, 4}[i], Config: fleet.Config{Version: step.version}, Source: append(step.source, bytes.Repeat([]byte(" "), i)...),
+		}})
+		is.NoErr(err)
+		is.NoErr(reply.Refused)
+		for address := range c.members {
+			config := c.sentConfig(t, address, reply.Chosen.Value.Sequence)
+			is.Equal(config.Complete(), step.complete)
+			is.Equal(config.Version, step.version)
+			if step.complete {
+				is.Equal(config.Accounts, full.Accounts)
+			}
+		}
+	}
+}
+
+// sentConfig returns the configuration that a controller sends gateways, once it knows the
+// state with a sequence.
+func (c *cluster) sentConfig(t *testing.T, address string, sequence uint64) *fleet.Config {
+	for deadline := time.Now().Add(orderLimit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		u, err := c.running(address).Watch(t.Context(), port.Gateway{Address: "g:1"}, port.WatchCursor{Hold: time.Millisecond})
+		if err == nil && u.State != nil && u.Sequence >= sequence {
+			return &u.State.Config
+		}
+	}
+	t.Fatalf("%s doesn't send state %d", address, sequence)
+	return nil
+}
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -78,6 +78,9 @@
 	// Hints stores what the next start begins with; nil stores nothing.
 	Hints port.HintStore
 	Meter port.FleetMeter
+	// Decoder decodes the configurations of former releases again; nil uses them as
+	// they are.
+	Decoder port.ConfigDecoder
 	// Dial returns a client for another controller.
 	Dial func(address string) (port.ControllerPeer, error)
 }
--- a/internal/app/controller/propose.go
+++ b/internal/app/controller/propose.go
@@ -61,6 +61,7 @@
 		if err != nil {
 			return err
 		}
+		c.completeConfig(state, chosen.Value.Sequence)
 		c.state = state
 		c.refillPools()
 		event.Log(context.Background(), c.ports.Logger, event.StateLearned,
@@ -72,6 +73,27 @@
 	return nil
 }
 
+// completeConfig decodes the configuration of a state again if a former release decoded it,
+// which dropped what it didn't know. If it can't be decoded, it is left as it is, and
+// gateways see that by its mark. Must hold mu.
+func (c *Controller) completeConfig(state *fleet.State, sequence uint64) {
+	if state.Config.Complete() || len(state.Source) == 0 || c.ports.Decoder == nil {
+		return
+	}
+	config, err := c.ports.Decoder.Decode(state.Source)
+	if err == nil && config.Version != state.Config.Version {
+		err = fmt.Errorf("%w: the source has version %d, the state %d", fleet.ErrInvalid, config.Version, state.Config.Version)
+	}
+	if err != nil {
+		event.Log(context.Background(), c.ports.Logger, event.ConfigUndecodable,
+			slog.Uint64("sequence", sequence), slog.Uint64("version", state.Config.Version), slog.Any("error", err))
+		return
+	}
+	state.Config = config
+	event.Log(context.Background(), c.ports.Logger, event.ConfigCompleted,
+		slog.Uint64("sequence", sequence), slog.Uint64("version", config.Version), slog.Int("accounts", len(config.Accounts)))
+}
+
 // enterEpoch records a later epoch. Must hold mu.
 func (c *Controller) enterEpoch(epoch quorum.Epoch) {
 	if epoch.Number <= c.epoch.Number {
--- a/internal/app/gateway/authenticate.go
+++ b/internal/app/gateway/authenticate.go
@@ -46,6 +46,9 @@
 		return refusal(verdict.ReasonNoDocument, nil, noDispatcherRetry), true
 	}
 	x.version = x.table.Config().Version
+	if x.gateway.config.strict() && !x.table.Config().Complete() {
+		return refusal(verdict.ReasonFormerState, nil, noDispatcherRetry), true
+	}
 	x.route = x.table.Route(x.request.RouteHost, x.request.Path)
 	if x.route == nil {
 		return refusal(verdict.ReasonNoRoute, nil, 0), true
--- a/internal/app/gateway/authenticate_test.go
+++ b/internal/app/gateway/authenticate_test.go
@@ -24,7 +24,7 @@
 	homes := route("homes", "/homes/", true, 2)
 	homes.Regions = []string{"east", "west"}
 	return fleet.Config{
-		Version: 1, Services: []fleet.Service{{Name: "s"}}, Authenticate: true,
+		Version: 1, Decoder: fleet.DecoderRelease, Services: []fleet.Service{{Name: "s"}}, Authenticate: true,
 		Routes: []fleet.Route{route("safe", "/safe/", true, 2), public, homes},
 		Accounts: []fleet.Account{
 			{Name: "a", KeyDigests: [][]byte{fleet.KeyDigest("ka")}, Priority: &priority, Regions: []string{"west", "north"}, RatePerSecond: 5},
--- a/internal/app/gateway/confirm_test.go
+++ b/internal/app/gateway/confirm_test.go
@@ -183,3 +183,39 @@
 		})
 	}
 }
+
+// TestFormerRelease guards against requests that run without their accounts because a
+// controller of the former release sends the configuration, before or after one of this
+// release does.
+func TestFormerRelease(t *testing.T) {
+	is := is.New(t)
+	r := newLeaseRig(t, "c:1", "c:2")
+	former := func(u port.Update, _ port.WatchCursor) (port.Update, error) {
+		if u.State != nil {
+			state := *u.State
+			state.Config.Accounts, state.Config.Authenticate, state.Config.Decoder = nil, false, 0
+			u.State = &state
+		}
+		return u, nil
+	}
+	r.answer(former)
+	r.controller.mu.Lock()
+	r.controller.controllers = []port.Controller{{Address: "c:1", Zone: "east-1", Region: "east"}, {Address: "c:2", Zone: "west-1", Region: "west"}}
+	r.controller.mu.Unlock()
+	for !r.gateway.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	for _, path := range []string{"/safe/", "/public/"} {
+		answer := r.gateway.Serve(t.Context(), request(path))
+		is.Equal(verdict.ReasonOf(answer.Err), verdict.ReasonFormerState)
+		is.True(answer.RetryAfter > 0)
+	}
+	is.Equal(r.endpoints.calls, 0)
+	r.answer(cut) // the controllers are upgraded, and then have the same state
+	time.Sleep(100 * time.Millisecond)
+	r.answer(nil)
+	r.serves(t, true)
+	r.answer(former)
+	time.Sleep(200 * time.Millisecond)
+	r.serves(t, true) // the same state doesn't replace the complete one
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -63,6 +63,12 @@
 	seeds []string
 	// sequence is the sequence of the applied state.
 	sequence uint64
+	// former is set if the applied state is one whose configuration a former release
+	// decoded, and keyed if one that needs keys was ever applied.
+	former, keyed bool
+	// formerSent holds the sequence of the last such state that each watcher was sent by
+	// the controller that it watches.
+	formerSent [watcherCount]uint64
 	// newest is the sequence of the latest state that a controller reported;
 	// newestSince is when that was first reported.
 	newest      uint64
--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -27,6 +28,9 @@
 	farHold  = time.Second
 	// watchPause is the pause after a failed call.
 	watchPause = 50 * time.Millisecond
+	// formerPause is the pause after a controller of a former release has sent a state.
+	// If all are of that release, each switch costs the whole state.
+	formerPause = 500 * time.Millisecond
 	// avoidFor is how long a controller that failed or has no quorum is passed
 	// over: a few rounds of exchanges among controllers.
 	avoidFor = time.Second
@@ -63,13 +67,15 @@
 			g.mu.Lock()
 			g.renew(sent, received, update)
 			g.mu.Unlock()
-			if now.Sub(update.Confirmed) < staleAfter || !g.hasAlternative(watcher, address) {
+			why := g.disappointment(now, watcher, update)
+			if why == "" || !g.hasAlternative(watcher, address) {
 				continue
 			}
+			err = errors.New(why)
 		}
 		g.stopWatching(now, watcher, address, err)
 		address = ""
-		wait.For(ctx, watchPause)
+		wait.For(ctx, g.pauseAfterWatch())
 	}
 }
 
@@ -82,6 +88,11 @@
 	defer g.mu.Unlock()
 	lagging := g.newest > g.sequence && g.ports.Clock.Now().Sub(g.newestSince) > maxLag
 	cursor.Hold = g.config.holdOf(watcher)
+	if g.former {
+		// A controller of this release has it decoded again, under the same sequence.
+		cursor.Sequence = g.formerSent[watcher]
+		return cursor
+	}
 	// An answer without the state doesn't renew the lease if the state is new.
 	if watcher == 0 || lagging || g.sequence == 0 || g.config.strict() {
 		cursor.Sequence = g.sequence
@@ -136,12 +147,36 @@
 	g.avoidUntil[address] = now.Add(avoidFor)
 	g.watched[watcher] = ""
 	g.lists[watcher] = nil
-	why := "unconfirmed"
-	if err != nil {
-		why = err.Error()
-	}
 	event.Log(context.Background(), g.ports.Logger, event.WatchLost,
-		slog.String("controller", address), slog.String("why", why))
+		slog.String("controller", address), slog.String("why", err.Error()))
+}
+
+// disappointment says why another controller should be watched although this one answers;
+// empty if there is no reason.
+func (g *Gateway) disappointment(now time.Time, watcher int, u port.Update) string {
+	if now.Sub(u.Confirmed) >= staleAfter {
+		return "unconfirmed"
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.needsComplete() && g.formerSent[watcher] == g.sequence {
+		return "former release"
+	}
+	return ""
+}
+
+// needsComplete reports whether the gateway looks for a controller that sends the applied
+// state with its client accounts. Must hold mu.
+func (g *Gateway) needsComplete() bool { return g.former && (g.keyed || g.config.strict()) }
+
+// pauseAfterWatch returns the pause until another controller is watched.
+func (g *Gateway) pauseAfterWatch() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.needsComplete() {
+		return formerPause
+	}
+	return watchPause
 }
 
 // pick chooses the controller that a watcher watches next; empty if there is
@@ -154,7 +189,7 @@
 	if address == "" {
 		return ""
 	}
-	g.watched[watcher] = address
+	g.watched[watcher], g.formerSent[watcher] = address, 0
 	event.Log(context.Background(), g.ports.Logger, event.WatchBegun,
 		slog.String("controller", address), slog.Int("watcher", watcher))
 	return address
@@ -218,14 +253,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.heardAt = now
-	if u.State != nil && u.Sequence > g.sequence {
-		g.sequence, g.evacuated = u.Sequence, u.State.Evacuated
+	former := u.State != nil && !u.State.Config.Complete()
+	if former {
+		g.formerSent[watcher] = u.Sequence
+	}
+	if u.State != nil && (u.Sequence > g.sequence || u.Sequence == g.sequence && g.former && !former) {
+		g.sequence, g.evacuated, g.former = u.Sequence, u.State.Evacuated, former
+		g.keyed = g.keyed || u.State.Config.Authenticate
 		if u.State.Config.Version > 0 {
 			g.table.Store(fleet.NewKeyedTable(&u.State.Config, g.keySecret))
 		}
 		event.Log(context.Background(), g.ports.Logger, event.ConfigApplied,
 			slog.Uint64("sequence", u.Sequence), slog.Uint64("version", u.State.Config.Version),
-			slog.Int64("confirmed_ms_ago", now.Sub(u.Confirmed).Milliseconds()))
+			slog.Int64("confirmed_ms_ago", now.Sub(u.Confirmed).Milliseconds()),
+			slog.Bool("former_release", former), slog.Int("accounts", len(u.State.Config.Accounts)))
 	}
 	for _, l := range u.Dispatchers {
 		until := now.Add(l.Remaining)
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -247,7 +247,7 @@
 		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Bootstrap: p.settings.Bootstrap, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
 		ToleratedLosses: p.settings.ToleratedLosses, RevocationBound: p.settings.RevocationBound,
 	}, controller.Ports{
-		Clock: p.clock, Boot: p.boot, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter,
+		Clock: p.clock, Boot: p.boot, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter, Decoder: platform.ConfigDecoder{},
 		Dial: func(address string) (port.ControllerPeer, error) { return p.dial(address) },
 	})
 }
--- a/internal/core/fleet/config.go
+++ b/internal/core/fleet/config.go
@@ -19,8 +19,19 @@
 	// route is public.
 	Authenticate bool      `json:"Authenticate,omitempty"`
 	Accounts     []Account `json:"Accounts,omitempty"`
+	// Decoder is the DecoderRelease that decoded the configuration from its source, 0 for
+	// one before the first. A former release drops what it doesn't know, also when it
+	// stores a state that a later one decoded.
+	Decoder int `json:"Decoder,omitempty"`
 }
 
+// DecoderRelease is increased when the decoder of configurations keeps more than before, for
+// instance the accounts (1).
+const DecoderRelease = 1
+
+// Complete reports whether nothing of the source is missing that this release knows.
+func (c *Config) Complete() bool { return c.Decoder >= DecoderRelease }
+
 // Account is a client account.
 type Account struct {
 	Name string `json:"Name"`
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -87,6 +87,8 @@
 	AnnouncementRejected  = Event{1619, "announcement-rejected", slog.LevelWarn, "An endpoint's announcement, sent by another controller or read from the disk, can't be passed on; it is ignored."}
 	ExchangeRejected      = Event{1620, "exchange-rejected", slog.LevelWarn, "An exchange with another controller can't be encoded, or the other one fails to handle it; its changes are sent apart, and those that are rejected alone are dropped, with a record for each."}
 	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once, or once for each receiver that rejects it."}
+	ConfigCompleted       = Event{1622, "config-completed", slog.LevelInfo, "A configuration that a former release had decoded, without the client accounts, was decoded again from its source."}
+	ConfigUndecodable     = Event{1623, "config-undecodable", slog.LevelError, "A configuration that a former release had decoded can't be decoded by this one. It is in force as the former release decoded it, without client accounts; gateways that need these refuse all requests. Send a corrected configuration."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
@@ -116,6 +118,6 @@
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
-	AnnouncementRejected, ExchangeRejected, ItemDropped,
+	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive, LeaseEnded, LeaseRenewed,
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -163,6 +163,13 @@
 	Order(ctx context.Context, o fleet.Order) (OrderReply, error)
 }
 
+// ConfigDecoder decodes configurations again that a former release decoded.
+type ConfigDecoder interface {
+	// Decode decodes and checks a configuration in the form in which the operator sent
+	// it. The error wraps fleet.ErrInvalid.
+	Decode(source []byte) (fleet.Config, error)
+}
+
 // VoterStore stores a voter's state.
 type VoterStore interface {
 	// Load returns the stored state; false if there is none.
