--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -170,6 +170,13 @@
 	Order(ctx context.Context, o fleet.Order) (OrderReply, error)
 }
 
+// ConfigDecoder decodes configurations again that a former release decoded.
+type ConfigDecoder interface {
+	// Decode decodes and checks a configuration in the form in which the operator sent
+	// it. The error wraps fleet.ErrInvalid.
+	Decode(source []byte) (fleet.Config, error)
+}
+
 // VoterStore stores a voter's state.
 type VoterStore interface {
 	// Load returns the stored state; false if there is none.
@@ -196,6 +203,10 @@
 	// Confirmed is the latest time at which a quorum confirmed the state, on
 	// this VM's clock; zero if there is none.
 	Confirmed time.Time
+	// Age is the time since then when the controller took it, and Held how long it had
+	// held the call until then; both by clocks that go on while a VM is suspended. Held
+	// is 0 from a former release.
+	Age, Held time.Duration
 	// Sequence is the sequence of the controller's state. State is nil unless
 	// it is later than the cursor.
 	Sequence    uint64
