Take a token for each request of an account with a quota

A dispatcher takes a token at a request's first slot request and refuses it with the reason quota and a RetryAfter if there is none. The token is spent when a slot is granted and returned if the request is refused for another reason. Tokens are requested and issued with the exchanges between controllers; an owner whose tokens run low at a holder is asked at once by a message of its own, which isn't counted as an exchange and never delays one. Times are those since the boot, so tokens have expired after a suspension.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -13,6 +13,7 @@
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/lease"
 	"sassafrasreach/internal/core/quorum"
+	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -61,6 +62,9 @@
 	// ToleratedLosses is the number of controllers' disks that may be lost at the same
 	// time without losing the register; 0 if it isn't known.
 	ToleratedLosses int
+	// Quotas are the bounds on the requests of client accounts; the zero value stands for
+	// quota.DefaultBounds.
+	Quotas quota.Bounds
 	// Bootstrap is set when the system starts for the first time.
 	Bootstrap bool
 	// RevocationBound is the time after which no gateway may serve a revoked key; 0 if
@@ -136,6 +140,7 @@
 	// endedCount counts the endpoints that have begun to leave or ended.
 	endedCount uint64
 	hints      *hints
+	quotas     quotas
 	suspicions *suspicions
 	// limits are the limits that endpoints named last, by the endpoint's ID;
 	// limitChanges are the changes observed by this controller.
@@ -175,6 +180,7 @@
 		regions: make(map[string]*region), loads: make(map[loadKey]reportedLoad), loans: make(map[string]reportedLoans),
 		proposing: make(chan struct{}, 1), changed: make(chan struct{}), seeds: config.Seeds,
 		ranSince: now, lastTick: now, startedAt: now, exchangeNow: make(chan struct{}, 1),
+		quotas: newQuotas(config.Zones, config.Quotas),
 	}
 	for _, name := range config.Zones {
 		if c.regions[name] == nil {
@@ -214,6 +220,7 @@
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.updateVoters(ctx) }) })
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.catchUp(ctx) }) })
 	group.Go(func() { wait.Every(ctx, tickPeriod, c.tick) })
+	group.Go(func() { wait.EveryOrOn(ctx, exchangePeriod, c.quotas.wake, func() { c.askOwners(ctx) }) })
 	group.Go(func() { wait.Every(ctx, hintPeriod, func() { _ = c.saveHints() }) })
 	group.Wait()
 }
@@ -246,6 +253,7 @@
 		"register.confirmed_ms_ago": -1, "config.version": int64(c.state.Config.Version),
 		"controllers.live": int64(len(c.liveControllers(now))), "gateways.known": int64(len(c.gateways)),
 	}
+	c.quotaGauges(out)
 	for _, g := range c.gateways {
 		if live(now, g.LastSeen) {
 			out["gateways.live"]++
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -22,11 +22,13 @@
 	// pool is set while this controller dispatches the region, with or without
 	// a majority of the votes.
 	pool    *dispatch.Pool
-	waiting map[string]chan dispatch.Decision
+	waiting map[string]waiter
 	// holder is the last known holder of the region's lease; until is when
 	// that lease ends.
 	holder string
 	until  time.Time
+	// quotaLease is the end of the lease that the book of quotas was last told.
+	quotaLease time.Time
 	// releasesVotes means that the next exchange releases the votes that the
 	// other controllers granted this one.
 	releasesVotes bool
@@ -74,10 +76,11 @@
 func (c *Controller) updateDispatch(now time.Time, r *region, hasMajority bool) {
 	heldByOther := r.holder != c.config.Address && now.Before(r.until)
 	heldByOther = heldByOther || now.Sub(c.ranSince) < lease.Term && !c.heardMajority()
+	c.updateQuotaLease(now, r, hasMajority)
 	dispatches := hasMajority || !heldByOther && c.shouldDispatch(now, r)
 	if dispatches && r.pool == nil {
 		r.pool = dispatch.NewPool(fmt.Sprintf("%s/%d/", r.name, now.UnixNano()), c.newDispatchConfig(r.name))
-		r.waiting = make(map[string]chan dispatch.Decision)
+		r.waiting = make(map[string]waiter)
 		c.fillPool(now, r)
 		event.Log(context.Background(), c.ports.Logger, event.DispatchBegun,
 			slog.String("region", r.name), slog.Bool("firm", hasMajority))
@@ -87,7 +90,8 @@
 		r.pool.Close(now)
 		r.pool = nil
 		for _, w := range r.waiting {
-			close(w)
+			close(w.decision)
+			c.settle(w.token, false)
 		}
 		r.waiting = nil
 		event.Log(context.Background(), c.ports.Logger, event.DispatchEnded,
@@ -304,19 +308,27 @@
 // acquire decides a slot request at once, or returns the channel on which the
 // decision is sent.
 func (c *Controller) acquire(req port.SlotRequest) (dispatch.Decision, chan dispatch.Decision, error) {
-	now := c.ports.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.ports.Clock.Now()
 	r := c.regions[req.Region]
 	if r == nil || r.pool == nil {
 		return dispatch.Decision{}, nil, fmt.Errorf("%w: %q", port.ErrNotDispatcher, req.Region)
 	}
 	c.learnSuspicions(now, req)
+	token, refusal, ok := c.takeToken(req)
+	if !ok {
+		return refusal, nil, nil
+	}
 	if d, decided := r.pool.Acquire(now, req.SlotRequest); decided {
+		c.settle(token, d.Grant != "")
 		return d, nil, nil
 	}
+	if former, known := r.waiting[req.ID]; known {
+		c.settle(former.token, false)
+	}
 	wait := make(chan dispatch.Decision, 1)
-	r.waiting[req.ID] = wait
+	r.waiting[req.ID] = waiter{wait, token}
 	return dispatch.Decision{}, wait, nil
 }
 
@@ -367,6 +379,9 @@
 	if r.pool == nil {
 		return
 	}
+	if w, waits := r.waiting[req.ID]; waits && w.decision == wait {
+		c.settle(w.token, false)
+	}
 	delete(r.waiting, req.ID)
 	r.pool.Cancel(req.Service, req.ID)
 	select {
@@ -382,9 +397,10 @@
 // deliver sends decisions to the callers that wait for them. Must hold mu.
 func (c *Controller) deliver(r *region, decisions []dispatch.Decision) {
 	for _, d := range decisions {
-		if wait := r.waiting[d.Request.ID]; wait != nil {
+		if w, waits := r.waiting[d.Request.ID]; waits {
 			delete(r.waiting, d.Request.ID)
-			wait <- d
+			c.settle(w.token, d.Grant != "")
+			w.decision <- d
 		}
 	}
 }
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -52,6 +52,9 @@
 	// requested and replied are the lists of controllers last sent in a request and
 	// in a reply.
 	requested, replied sentList
+	// asking is set while a request for tokens is under way to the peer: the next one reports
+	// what its reply gave.
+	asking bool
 	// lost is set while the peer counts as unreachable.
 	lost bool
 }
@@ -157,12 +160,14 @@
 		if p.requested.due(now, list) {
 			exchange.Controllers = controllers
 		}
+		c.addQuotas(now, p, &exchange)
 		p.inFlight, p.lastSent = true, now
 		sendings = append(sendings, sending{p, address, exchange, acknowledged{c.announceSeq, c.suspicions.changes.seq, c.limitChanges.seq, !p.synced}})
 	}
 	c.clearReleased()
 	c.forgetEndpoints(now)
 	c.suspicions.expire(now)
+	c.logQuotas(now)
 	c.mu.Unlock()
 	for _, s := range sendings {
 		go c.sendExchange(ctx, s.p, s.address, s.exchange, s.acked)
@@ -296,6 +301,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.inFlight = false
+	if m.Quota != nil {
+		c.endAsking(p)
+	}
 	switch {
 	case err != nil:
 		p.requested = sentList{}
@@ -369,6 +377,7 @@
 	for _, l := range reply.HeldLeases {
 		c.recordLease(l)
 	}
+	c.recordGrants(atBoot(sentSinceBoot), p, m.Quota, reply.QuotaGrants)
 	return nil
 }
 
@@ -436,6 +445,9 @@
 			reply.Grants = append(reply.Grants, name)
 		}
 	}
+	if m.Quota != nil {
+		reply.QuotaGrants = c.quotas.book.Grant(c.bootTime(), ownerID(m.From), *m.Quota, m.QuotaReturns)
+	}
 	switch {
 	case m.FullSync:
 		reply.Endpoints, _ = c.endpoints.Since(0)
--- a/internal/app/controller/report.go
+++ b/internal/app/controller/report.go
@@ -118,6 +118,9 @@
 // mayWait reports whether it is calm and nothing of the message is new to the peer, so
 // that the exchange can wait. Must hold mu.
 func (c *Controller) mayWait(now time.Time, p *peer, m port.ExchangeRequest) bool {
+	if c.hasQuotaNews(now, p) {
+		return false
+	}
 	return !c.stopping && !c.mustConfirm() && now.Sub(latest(c.failedAt, c.ranSince)) >= calmAfter && now.Sub(p.lastSent) < calmExchangePeriod-exchangePeriod/2 && m.ReportUnchanged && !m.FullSync && !m.EndedSync && live(now, p.LastSeen) &&
 		len(m.Endpoints)+len(m.Suspicions)+len(m.Limits)+len(m.Loads)+len(m.Returns)+len(m.VoteRequests)+len(m.VoteReleases) == 0
 }
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -245,7 +245,7 @@
 	return controller.New(controller.Config{
 		Name: p.settings.Name, Address: p.settings.FleetAddress, Zone: p.settings.Zone, Region: p.settings.Region,
 		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Bootstrap: p.settings.Bootstrap, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
-		ToleratedLosses: p.settings.ToleratedLosses, RevocationBound: p.settings.RevocationBound,
+		ToleratedLosses: p.settings.ToleratedLosses, Quotas: p.settings.Quotas, RevocationBound: p.settings.RevocationBound,
 	}, controller.Ports{
 		Clock: p.clock, Boot: p.boot, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter, Decoder: platform.ConfigDecoder{},
 		Dial: func(address string) (port.ControllerPeer, error) { return p.dial(address) },
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -58,6 +58,8 @@
 	ReasonOverload Reason = "overload"
 	// ReasonRetryBudget means that the retry budget is used up.
 	ReasonRetryBudget Reason = "retry-budget"
+	// ReasonQuota means that the client account is beyond its quota.
+	ReasonQuota Reason = "quota"
 	// ReasonQuarantined means that the request crashed endpoints, or is held
 	// back because it may have.
 	ReasonQuarantined Reason = "quarantined"
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"sassafrasreach/internal/core/rendezvous"
@@ -91,6 +92,20 @@
 	return n > len(voters)/2
 }
 
+// Until returns when the last majority of unexpired votes ends if no further votes come;
+// zero if there was never one.
+func (c *Candidate) Until(voters []string) time.Time {
+	ends := make([]time.Time, len(voters))
+	for i, v := range voters {
+		ends[i] = c.expiry[v]
+	}
+	slices.SortFunc(ends, func(a, b time.Time) int { return b.Compare(a) })
+	if len(ends) == 0 {
+		return time.Time{}
+	}
+	return ends[len(ends)/2]
+}
+
 // DiscardVotes discards all votes.
 func (c *Candidate) DiscardVotes() { c.expiry = make(map[string]time.Time) }
 
--- a/internal/core/quota/book.go
+++ b/internal/core/quota/book.go
@@ -168,8 +168,8 @@
 	return set
 }
 
-// set returns the set of the regions with the names.
-func (b *Book) set(names []string) uint32 {
+// Set returns the set of the regions with the names, as in a Request.
+func (b *Book) Set(names []string) uint32 {
 	set := uint32(0)
 	for _, name := range names {
 		if i, known := slices.BinarySearch(b.regions, name); known {
--- a/internal/core/quota/holder.go
+++ b/internal/core/quota/holder.go
@@ -93,7 +93,7 @@
 // owner, shouldn't wait: there is something to request, to renew or to return, or the owner
 // doesn't know yet what this controller holds.
 func (b *Book) HasNews(now time.Time, owner string, regions []string) bool {
-	owners := b.set(regions) &^ b.owned(now)
+	owners := b.Set(regions) &^ b.owned(now)
 	if owners == 0 || b.owned(now) == 0 || len(b.ordered) == 0 {
 		return false
 	}
@@ -117,7 +117,7 @@
 // if there is nothing to send.
 func (b *Book) Request(now time.Time, owner string, regions []string) (Request, []Return, bool) {
 	own := b.owned(now)
-	owners := b.set(regions) &^ own
+	owners := b.Set(regions) &^ own
 	if owners == 0 || own == 0 || len(b.ordered) == 0 {
 		return Request{}, nil, false
 	}
