Refuse requests of accounts beyond their quota with 429

Clients got 503 for every refusal. A refusal for the quota is now a 429 with Retry-After. A gateway refuses an account whose RetryAfter was 200 ms or more itself, for half of that time and at most 300 ms, and without a dispatcher it runs for an account at most as many requests as it was granted in the last second before.

--- a/internal/app/gateway/alone.go
+++ b/internal/app/gateway/alone.go
@@ -27,8 +27,8 @@
 }
 
 // acquireAlone looks for an endpoint that the request may use because no dispatcher
-// answered, with the error err. A request is sent so only once, and not if it is
-// suspected of crashing endpoints.
+// answered, with the error err. A request is sent so only once, not if it is
+// suspected of crashing endpoints, and only as far as its account may; see quota.Gate.
 func (x *inFlightRequest) acquireAlone(d *dispatch.Decision, err error) bool {
 	g := x.gateway
 	g.mu.Lock()
@@ -37,7 +37,10 @@
 	if errors.Is(err, context.DeadlineExceeded) && now.Sub(g.heardAt) < silentFor {
 		return false
 	}
-	if x.tries+x.unreachable+x.heldOff > 0 || len(g.suspects.known(now, x.fingerprint)) > 0 {
+	if !x.first() || len(g.suspects.known(now, x.fingerprint)) > 0 {
+		return false
+	}
+	if !g.quotas.TakeAlone(x.request.Account) {
 		return false
 	}
 	preferred := ""
@@ -48,24 +51,33 @@
 		return !g.holdoff.Holds(now, e) && !slices.Contains(g.evacuated, e.Zone) &&
 			(len(x.regions) == 0 || slices.Contains(x.regions, region))
 	})
-	if ok {
-		x.alone = true
-		d.Endpoint, d.Region = e, region
+	if !ok {
+		g.quotas.ReturnAlone(x.request.Account)
+		return false
 	}
-	return ok
+	x.alone = true
+	d.Endpoint, d.Region = e, region
+	return true
 }
 
 // returnAlone records the end of a request that was sent without a dispatcher.
-func (g *Gateway) returnAlone(e registry.Endpoint, outcome dispatch.Outcome) {
+func (g *Gateway) returnAlone(account string, e registry.Endpoint, outcome dispatch.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if notRunOutcome(outcome) {
+		g.quotas.ReturnAlone(account)
+	}
 	g.reserve.Returned(e.Service, e.ID, outcome != dispatch.Unreachable && outcome != dispatch.Refused && outcome != dispatch.Broken)
 }
 
 // recordGranted records a granted slot.
-func (g *Gateway) recordGranted(now time.Time, d dispatch.Decision) {
+func (x *inFlightRequest) recordGranted(now time.Time, d dispatch.Decision) {
+	g := x.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if x.first() {
+		g.quotas.Granted(now, x.request.Account)
+	}
 	g.reserve.Granted(now, d.Endpoint, d.Region)
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"sassafrasreach/internal/core/confirmation"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/holdoff"
+	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/core/reserve"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -49,7 +50,10 @@
 	// stop is the planned stop that has begun; nil before.
 	stop     atomic.Pointer[plannedStop]
 	inFlight atomic.Int64
-	table    atomic.Pointer[fleet.Table]
+	// quotaHeld counts the requests that were refused for the quota of their account without
+	// a slot request.
+	quotaHeld atomic.Int64
+	table     atomic.Pointer[fleet.Table]
 	// lease is the latest confirmation of the applied state; nil before the first.
 	// refusing is true from the first request that is refused for lack of a valid one
 	// until it is renewed.
@@ -97,6 +101,7 @@
 	// evacuated are the failure domains that get nothing.
 	reserve   *reserve.Table
 	evacuated []string
+	quotas    *quota.Gate
 	// heardAt is when a controller last answered.
 	heardAt       time.Time
 	releaseQueues map[string]*releaseQueue
@@ -120,7 +125,7 @@
 		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds, keySecret: newKeySecret(),
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
 		avoidUntil: make(map[string]time.Time), skipUntil: make(map[string]time.Time), timeouts: make(map[string]int), lastEndpoint: make(map[string]string), dispatchers: make(map[string]dispatcher),
-		holdoff: holdoff.New(), suspects: newSuspects(), reserve: reserve.New(), releaseQueues: make(map[string]*releaseQueue),
+		holdoff: holdoff.New(), suspects: newSuspects(), reserve: reserve.New(), quotas: quota.NewGate(), releaseQueues: make(map[string]*releaseQueue),
 	}
 }
 
@@ -167,6 +172,7 @@
 	if table := g.table.Load(); table != nil {
 		out["config.version"] = int64(table.Config().Version)
 	}
+	out["quota.held"] = g.quotaHeld.Load()
 	if g.config.strict() {
 		out["lease.age_ms"] = g.leaseAge()
 	}
--- a/internal/app/gateway/locate.go
+++ b/internal/app/gateway/locate.go
@@ -92,6 +92,7 @@
 	defer g.mu.Unlock()
 	delete(g.timeouts, address)
 	g.heardAt = g.ports.Clock.Now()
+	g.quotas.Answered(g.heardAt)
 }
 
 // recordSignals records what an endpoint said about itself in an answer.
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -131,6 +131,9 @@
 // may follow.
 func (x *inFlightRequest) attempt(ctx context.Context) (answer port.ClientAnswer, again bool) {
 	var slot dispatch.Decision
+	if answer, refused := x.refuseBeyondQuota(); refused {
+		return answer, false
+	}
 	address, err := "", errSilent
 	if !x.gateway.silent() || !x.acquireAlone(&slot, err) {
 		slot, address, err = x.acquire(ctx)
@@ -147,6 +150,9 @@
 		switch slot.Reason {
 		case dispatch.ReasonNoEndpoint:
 			reason = verdict.ReasonNoEndpoint
+		case dispatch.ReasonQuota:
+			x.recordQuotaRefusal(retryAfter)
+			reason = verdict.ReasonQuota
 		case dispatch.ReasonQuarantined:
 			x.gateway.recordQuarantined(x.fingerprint)
 			reason = verdict.ReasonQuarantined
@@ -186,7 +192,7 @@
 	answered := false
 	defer func() {
 		if x.alone {
-			g.returnAlone(d.Endpoint, outcome)
+			g.returnAlone(x.request.Account, d.Endpoint, outcome)
 			return
 		}
 		g.recordEnded(d.Endpoint, answered, signals)
@@ -196,7 +202,7 @@
 		})
 	}()
 	if !x.alone {
-		g.recordGranted(began, d)
+		x.recordGranted(began, d)
 	}
 	if g.holds(began, d.Endpoint) {
 		// The dispatcher didn't know it when it granted the slot.
@@ -357,7 +363,7 @@
 			ID: fmt.Sprintf("%s/%d", incarnation, g.serial.Add(1)), Gateway: incarnation, Service: x.service,
 			Fingerprint: x.fingerprint,
 			Kind:        x.route.Name, Priority: x.priority, Zone: g.config.Zone, Target: x.route.Target,
-			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable+x.heldOff > 0,
+			Deadline: x.request.Deadline, Retry: !x.first(),
 			Exclude: append(g.paused(x.service), x.exclude...), Regions: x.regions,
 			Account: x.request.Account, Weight: x.weight,
 		},
--- a/internal/core/verdict/reason.go
+++ b/internal/core/verdict/reason.go
@@ -64,6 +64,8 @@
 	ReasonNoDispatcher Reason = "no-dispatcher"
 	// ReasonUnauthenticated means that the request has no valid key of a client account.
 	ReasonUnauthenticated Reason = "unauthenticated"
+	// ReasonQuota means that the client account is beyond its quota.
+	ReasonQuota Reason = "quota"
 	// ReasonNoRegion means that no region is allowed both for the request's route and
 	// for its client account.
 	ReasonNoRegion Reason = "no-region"
