--- a/internal/testlink/link.go
+++ b/internal/testlink/link.go
@@ -52,6 +52,8 @@
 	delay time.Duration
 	// cut selects the directions in which all bytes are dropped. Guarded by mu.
 	cut Direction
+	// cutFrom is the same for connections from an IP address. Guarded by mu.
+	cutFrom map[string]Direction
 	// next is the fault of each connection accepted from now on; nil means none.
 	// Guarded by mu.
 	next *Fault
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, target: target, pairs: make(map[*pair]struct{})}
+	l := &Link{listener: listener, target: target, pairs: make(map[*pair]struct{}), cutFrom: make(map[string]Direction)}
 	l.work.Go(l.accept)
 	return l, nil
 }
@@ -102,6 +104,13 @@
 	l.cut = d
 }
 
+// CutFrom is Cut for the connections that an IP address has opened; 0 ends it.
+func (l *Link) CutFrom(ip string, d Direction) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cutFrom[ip] = d
+}
+
 // ClearFaults ends Cut and FailNext. Connections that lost bytes or that were
 // accepted with a fault are not repaired.
 func (l *Link) ClearFaults() {
--- a/internal/testlink/pair.go
+++ b/internal/testlink/pair.go
@@ -44,6 +44,12 @@
 	return &p.toDialer
 }
 
+// dialerIP returns the IP address of the dialer.
+func (p *pair) dialerIP() string {
+	ip, _, _ := net.SplitHostPort(p.dialer.RemoteAddr().String()) // the address is of TCP
+	return ip
+}
+
 // setFault sets the fault of the connection. A reset after zero bytes takes effect
 // at once. The caller must hold link.mu.
 func (p *pair) setFault(f Fault) {
@@ -98,7 +104,7 @@
 	p.link.mu.Lock()
 	due := time.Now().Add(p.link.delay)
 	s := p.directionState(d)
-	if p.link.cut&d != 0 {
+	if (p.link.cut|p.link.cutFrom[p.dialerIP()])&d != 0 {
 		s.dropping = true
 	}
 	passed, broken := s.filter(data)
