--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -13,6 +13,7 @@
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/lease"
 	"sassafrasreach/internal/core/quorum"
+	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -61,18 +62,29 @@
 	// ToleratedLosses is the number of controllers' disks that may be lost at the same
 	// time without losing the register; 0 if it isn't known.
 	ToleratedLosses int
+	// Quotas are the bounds on the requests of client accounts; the zero value stands for
+	// quota.DefaultBounds.
+	Quotas quota.Bounds
 	// Bootstrap is set when the system starts for the first time.
 	Bootstrap bool
+	// RevocationBound is the time after which no gateway may serve a revoked key; 0 if
+	// gateways needn't be sure of that.
+	RevocationBound time.Duration
 }
 
 // Ports are the external dependencies of a controller.
 type Ports struct {
-	Clock  port.Clock
+	Clock port.Clock
+	// Boot measures the ages of confirmations; nil stands for one that follows Clock.
+	Boot   port.BootClock
 	Logger *slog.Logger
 	Store  port.VoterStore
 	// Hints stores what the next start begins with; nil stores nothing.
 	Hints port.HintStore
 	Meter port.FleetMeter
+	// Decoder decodes the configurations of former releases again; nil uses them as
+	// they are.
+	Decoder port.ConfigDecoder
 	// Dial returns a client for another controller.
 	Dial func(address string) (port.ControllerPeer, error)
 }
@@ -128,6 +140,7 @@
 	// endedCount counts the endpoints that have begun to leave or ended.
 	endedCount uint64
 	hints      *hints
+	quotas     quotas
 	suspicions *suspicions
 	// limits are the limits that endpoints named last, by the endpoint's ID;
 	// limitChanges are the changes observed by this controller.
@@ -156,6 +169,9 @@
 // is of the disk.
 func New(config Config, ports Ports) (*Controller, error) {
 	now := ports.Clock.Now()
+	if ports.Boot == nil {
+		ports.Boot = port.BootClockOf(ports.Clock)
+	}
 	c := &Controller{
 		config: config, ports: ports, incarnation: uint64(now.UnixNano()),
 		peers: make(map[string]*peer), state: &fleet.State{},
@@ -164,6 +180,7 @@
 		regions: make(map[string]*region), loads: make(map[loadKey]reportedLoad), loans: make(map[string]reportedLoans),
 		proposing: make(chan struct{}, 1), changed: make(chan struct{}), seeds: config.Seeds,
 		ranSince: now, lastTick: now, startedAt: now, exchangeNow: make(chan struct{}, 1),
+		quotas: newQuotas(config.Zones, config.Quotas),
 	}
 	for _, name := range config.Zones {
 		if c.regions[name] == nil {
@@ -203,6 +220,7 @@
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.updateVoters(ctx) }) })
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.catchUp(ctx) }) })
 	group.Go(func() { wait.Every(ctx, tickPeriod, c.tick) })
+	group.Go(func() { wait.EveryOrOn(ctx, exchangePeriod, c.quotas.wake, func() { c.askOwners(ctx) }) })
 	group.Go(func() { wait.Every(ctx, hintPeriod, func() { _ = c.saveHints() }) })
 	group.Wait()
 }
@@ -235,13 +253,15 @@
 		"register.confirmed_ms_ago": -1, "config.version": int64(c.state.Config.Version),
 		"controllers.live": int64(len(c.liveControllers(now))), "gateways.known": int64(len(c.gateways)),
 	}
+	c.quotaGauges(out)
 	for _, g := range c.gateways {
 		if live(now, g.LastSeen) {
 			out["gateways.live"]++
 		}
 	}
-	if at := c.confirmed(now); !at.IsZero() {
-		out["register.confirmed_ms_ago"] = now.Sub(at).Milliseconds()
+	sinceBoot := c.ports.Boot.SinceBoot()
+	if at, ok := c.confirmed(sinceBoot); ok {
+		out["register.confirmed_ms_ago"] = (sinceBoot - at).Milliseconds()
 	}
 	for name, r := range c.regions {
 		if r.pool == nil {
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -22,8 +22,9 @@
 type peer struct {
 	link port.ControllerPeer
 	port.Controller
-	// sentAt is when the last exchange that the peer answered was sent.
-	sentAt time.Time
+	// sentAt is when the last exchange that the peer answered was sent, since boot. A
+	// clock that stands still with the VM would make the answer look too recent.
+	sentAt time.Duration
 	// endedAt is when the last exchange was sent whose answer had all endpoints that
 	// leave or are gone, as far as the peer knew.
 	endedAt time.Time
@@ -51,6 +52,9 @@
 	// requested and replied are the lists of controllers last sent in a request and
 	// in a reply.
 	requested, replied sentList
+	// asking is set while a request for tokens is under way to the peer: the next one reports
+	// what its reply gave.
+	asking bool
 	// lost is set while the peer counts as unreachable.
 	lost bool
 }
@@ -156,12 +160,14 @@
 		if p.requested.due(now, list) {
 			exchange.Controllers = controllers
 		}
+		c.addQuotas(now, p, &exchange)
 		p.inFlight, p.lastSent = true, now
 		sendings = append(sendings, sending{p, address, exchange, acknowledged{c.announceSeq, c.suspicions.changes.seq, c.limitChanges.seq, !p.synced}})
 	}
 	c.clearReleased()
 	c.forgetEndpoints(now)
 	c.suspicions.expire(now)
+	c.logQuotas(now)
 	c.mu.Unlock()
 	for _, s := range sendings {
 		go c.sendExchange(ctx, s.p, s.address, s.exchange, s.acked)
@@ -295,6 +301,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.inFlight = false
+	if m.Quota != nil {
+		c.endAsking(p)
+	}
 	switch {
 	case err != nil:
 		p.requested = sentList{}
@@ -339,7 +348,7 @@
 func (c *Controller) sendOnce(ctx context.Context, p *peer, m port.ExchangeRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sentAt := c.ports.Clock.Now()
+	sentAt, sentSinceBoot := c.ports.Clock.Now(), c.ports.Boot.SinceBoot()
 	reply, err := p.link.Exchange(ctx, m)
 	if err != nil {
 		return err
@@ -353,7 +362,7 @@
 		p.endedAt = sentAt
 	}
 	p.identify(reply.From)
-	p.sentAt = sentAt
+	p.sentAt = sentSinceBoot
 	p.recordRoundTrip(c.ports.Clock.Now().Sub(sentAt))
 	p.epoch, p.accepted, p.reportAcked = reply.Epoch.Number, reply.Accepted, reply.Report
 	c.enterEpoch(reply.Epoch)
@@ -368,6 +377,7 @@
 	for _, l := range reply.HeldLeases {
 		c.recordLease(l)
 	}
+	c.recordGrants(atBoot(sentSinceBoot), p, m.Quota, reply.QuotaGrants)
 	return nil
 }
 
@@ -435,6 +445,9 @@
 			reply.Grants = append(reply.Grants, name)
 		}
 	}
+	if m.Quota != nil {
+		reply.QuotaGrants = c.quotas.book.Grant(c.bootTime(), ownerID(m.From), *m.Quota, m.QuotaReturns)
+	}
 	switch {
 	case m.FullSync:
 		reply.Endpoints, _ = c.endpoints.Since(0)
@@ -485,14 +498,14 @@
 
 // poll requests the voting state of one voter.
 func (c *Controller) poll(ctx context.Context, p *peer, request port.ExchangeRequest) (port.ExchangeReply, error) {
-	sentAt := c.ports.Clock.Now()
+	sentAt := c.ports.Boot.SinceBoot()
 	reply, err := p.link.Exchange(ctx, request)
 	if err != nil {
 		return reply, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if sentAt.After(p.sentAt) {
+	if sentAt > p.sentAt {
 		p.sentAt, p.epoch, p.accepted = sentAt, reply.Epoch.Number, reply.Accepted
 		p.identify(reply.From)
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -7,8 +7,10 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasreach/internal/core/confirmation"
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/holdoff"
+	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/core/reserve"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -22,11 +24,16 @@
 	Zone, Region string
 	// Seeds are addresses of controllers.
 	Seeds []string
+	// RevocationBound is the time after the acknowledgement of a configuration without a
+	// key from which on no request with it may run; 0 if it needn't be kept to.
+	RevocationBound time.Duration
 }
 
 // Ports are the external dependencies of a gateway.
 type Ports struct {
-	Clock     port.Clock
+	Clock port.Clock
+	// Boot measures the confirmation lease; nil stands for one that follows Clock.
+	Boot      port.BootClock
 	Logger    *slog.Logger
 	Endpoints port.EndpointCaller
 	Meter     port.FleetMeter
@@ -43,7 +50,15 @@
 	// stop is the planned stop that has begun; nil before.
 	stop     atomic.Pointer[plannedStop]
 	inFlight atomic.Int64
-	table    atomic.Pointer[fleet.Table]
+	// quotaHeld counts the requests that were refused for the quota of their account without
+	// a slot request.
+	quotaHeld atomic.Int64
+	table     atomic.Pointer[fleet.Table]
+	// lease is the latest confirmation of the applied state; nil before the first.
+	// refusing is true from the first request that is refused for lack of a valid one
+	// until it is renewed.
+	lease    atomic.Pointer[confirmation.Lease]
+	refusing atomic.Bool
 	// keySecret protects the look-up of keys.
 	keySecret []byte
 
@@ -52,6 +67,12 @@
 	seeds []string
 	// sequence is the sequence of the applied state.
 	sequence uint64
+	// former is set if the applied state is one whose configuration a former release
+	// decoded, and keyed if one that needs keys was ever applied.
+	former, keyed bool
+	// formerSent holds the sequence of the last such state that each watcher was sent by
+	// the controller that it watches.
+	formerSent [watcherCount]uint64
 	// newest is the sequence of the latest state that a controller reported;
 	// newestSince is when that was first reported.
 	newest      uint64
@@ -80,6 +101,7 @@
 	// evacuated are the failure domains that get nothing.
 	reserve   *reserve.Table
 	evacuated []string
+	quotas    *quota.Gate
 	// heardAt is when a controller last answered.
 	heardAt       time.Time
 	releaseQueues map[string]*releaseQueue
@@ -96,11 +118,14 @@
 
 // New returns a gateway.
 func New(config Config, ports Ports) *Gateway {
+	if ports.Boot == nil {
+		ports.Boot = port.BootClockOf(ports.Clock)
+	}
 	return &Gateway{
 		config: config, ports: ports, incarnation: uint64(ports.Clock.Now().UnixNano()), seeds: config.Seeds, keySecret: newKeySecret(),
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
 		avoidUntil: make(map[string]time.Time), skipUntil: make(map[string]time.Time), timeouts: make(map[string]int), lastEndpoint: make(map[string]string), dispatchers: make(map[string]dispatcher),
-		holdoff: holdoff.New(), suspects: newSuspects(), reserve: reserve.New(), releaseQueues: make(map[string]*releaseQueue),
+		holdoff: holdoff.New(), suspects: newSuspects(), reserve: reserve.New(), quotas: quota.NewGate(), releaseQueues: make(map[string]*releaseQueue),
 	}
 }
 
@@ -147,6 +172,10 @@
 	if table := g.table.Load(); table != nil {
 		out["config.version"] = int64(table.Config().Version)
 	}
+	out["quota.held"] = g.quotaHeld.Load()
+	if g.config.strict() {
+		out["lease.age_ms"] = g.leaseAge()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out["controllers.known"] = int64(len(g.known))
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -87,6 +87,9 @@
 	AnnouncementRejected  = Event{1619, "announcement-rejected", slog.LevelWarn, "An endpoint's announcement, sent by another controller or read from the disk, can't be passed on; it is ignored."}
 	ExchangeRejected      = Event{1620, "exchange-rejected", slog.LevelWarn, "An exchange with another controller can't be encoded, or the other one fails to handle it; its changes are sent apart, and those that are rejected alone are dropped, with a record for each."}
 	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once, or once for each receiver that rejects it."}
+	ConfigCompleted       = Event{1622, "config-completed", slog.LevelInfo, "A configuration that a former release had decoded, without the client accounts, was decoded again from its source."}
+	ConfigUndecodable     = Event{1623, "config-undecodable", slog.LevelError, "A configuration that a former release had decoded can't be decoded by this one. It is in force as the former release decoded it, without client accounts; gateways that need these refuse all requests. Send a corrected configuration."}
+	QuotaExceeded         = Event{1630, "quota-exceeded", slog.LevelInfo, "A client account had requests refused for its quota; attributes count those since the last record of it, and those since the start that got a token, also of the region's floor. The accounts with the most refusals are logged every 10 s."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
@@ -99,6 +102,8 @@
 	RecordsDropped         = Event{1704, "records-dropped", slog.LevelWarn, "Log records were dropped because standard output was too slow or the bound was reached; the attribute gives their number."}
 	ControllerUnresponsive = Event{1707, "controller-deaf", slog.LevelWarn, "A controller failed to answer requests for a slot; for a while this gateway sends them to other controllers."}
 	SettingsLoaded         = Event{1705, "settings-loaded", slog.LevelInfo, "The settings file was reread and its seeds differ; the attribute lists the seeds now in use."}
+	LeaseEnded             = Event{1708, "lease-ended", slog.LevelWarn, "This gateway refuses requests with keys, because no quorum has confirmed its configuration within the bound on revocations; the attribute gives the age of the last confirmation, -1 for none."}
+	LeaseRenewed           = Event{1709, "lease-renewed", slog.LevelInfo, "This gateway serves requests with keys again, because its configuration was confirmed."}
 	SettingsFailed         = Event{1706, "settings-failed", slog.LevelError, "The settings file can't be read; the settings in use are kept."}
 )
 
@@ -114,6 +119,6 @@
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
-	AnnouncementRejected, ExchangeRejected, ItemDropped,
-	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive,
+	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable, QuotaExceeded,
+	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive, LeaseEnded, LeaseRenewed,
 }
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -10,6 +10,7 @@
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/quorum"
+	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/core/registry"
 )
 
@@ -99,6 +100,10 @@
 	// that the receiver's last reply confirmed, and still hold.
 	Report          uint64
 	ReportUnchanged bool
+	// Quota is the request for tokens of the accounts that the receiver owns, nil if there is
+	// none, and QuotaReturns the tokens that are returned with it.
+	Quota        *quota.Request
+	QuotaReturns []quota.Return
 	// Durable requests that the receiver answers only once the Endpoints that leave
 	// or are gone are on its disk.
 	Durable bool
@@ -141,6 +146,8 @@
 	// Report is the version of the report that the receiver now has of the sender;
 	// 0 if it has none.
 	Report uint64
+	// QuotaGrants answers ExchangeRequest.Quota.
+	QuotaGrants quota.Grants
 }
 
 // OrderReply is the answer to an order.
@@ -163,6 +170,13 @@
 	Order(ctx context.Context, o fleet.Order) (OrderReply, error)
 }
 
+// ConfigDecoder decodes configurations again that a former release decoded.
+type ConfigDecoder interface {
+	// Decode decodes and checks a configuration in the form in which the operator sent
+	// it. The error wraps fleet.ErrInvalid.
+	Decode(source []byte) (fleet.Config, error)
+}
+
 // VoterStore stores a voter's state.
 type VoterStore interface {
 	// Load returns the stored state; false if there is none.
@@ -189,6 +203,10 @@
 	// Confirmed is the latest time at which a quorum confirmed the state, on
 	// this VM's clock; zero if there is none.
 	Confirmed time.Time
+	// Age is the time since then when the controller took it, and Held how long it had
+	// held the call until then; both by clocks that go on while a VM is suspended. Held
+	// is 0 from a former release.
+	Age, Held time.Duration
 	// Sequence is the sequence of the controller's state. State is nil unless
 	// it is later than the cursor.
 	Sequence    uint64
