Stream large responses and those of downloads

Whole responses of up to 1 MiB were buffered before the first byte went to the client: on a link of 4.1 Mbit/s that costs 0.18 s for 90 KB, and a larger response was refused.

A body beyond 64 KiB (16 KiB on download routes) is now passed on as it arrives, while the rest is read from the endpoint at its speed into a buffer of at most 1 MiB that is charged to the budget of responses. The slot, the end of the run, the metrics and the log record are reported when the endpoint's part is complete or has failed. An endpoint whose response was held back by the client isn't held at fault. A response that breaks off aborts the connection of the client; a client that reads less than 8 KiB in 5 s is cut off. A body without a declared length isn't streamed to HTTP/1.0, which can't tell its end from a broken connection. Slot requests carry the size of the body.

--- a/internal/adapter/endpointhttp/body.go
+++ b/internal/adapter/endpointhttp/body.go
@@ -11,25 +11,31 @@
 	"sassafrasreach/internal/port"
 )
 
-// readBody buffers the body up to MaxBufferedBytes and streams the remainder.
+// readBody buffers a small body. Of a larger one it buffers the first part; the rest is a
+// stream if the request allows that.
 func (x *exchange) readBody(in *response) (*port.Response, error) {
 	limit := min(x.caller.opts.MaxBufferedBytes, x.maxBytes())
+	streams := x.streamable(in)
+	if streams {
+		limit = min(limit, x.req.StreamAfter)
+		if in.length > limit {
+			return x.startStream(in, nil)
+		}
+	}
 	body, complete, err := x.readUpTo(in, limit)
 	if err == nil && complete {
 		err = x.checkTrailingBytes()
 	}
-	if err == nil && !complete && limit == x.maxBytes() {
+	if err == nil && !complete && (limit == x.maxBytes() || x.req.StreamAfter > 0 && !streams) {
 		err = fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
 	}
 	if err != nil {
 		return nil, x.fail(verdict.ReasonBadAnswer, err)
 	}
-	out := &port.Response{
-		Status: in.status, Header: endToEnd(in.header), Body: body, Signals: x.caller.opts.HeaderConvention.signals(in),
-		Release: x.account.Close,
+	if !complete && streams {
+		return x.startStream(in, body)
 	}
-	// A response that is dropped without Release gives its memory back, too.
-	runtime.AddCleanup(out, (*memory.Account).Close, x.account)
+	out := x.newResponse(in, body)
 	if complete {
 		x.finish(in)
 		return out, nil
@@ -38,6 +44,17 @@
 	return out, nil
 }
 
+// newResponse returns the response with the part of its body that has been read.
+func (x *exchange) newResponse(in *response, body []byte) *port.Response {
+	out := &port.Response{
+		Status: in.status, Header: endToEnd(in.header), Body: body, Signals: x.caller.opts.HeaderConvention.signals(in),
+		Release: x.account.Close,
+	}
+	// A response that is dropped without Release gives its memory back, too.
+	runtime.AddCleanup(out, (*memory.Account).Close, x.account)
+	return out
+}
+
 // readUpTo reads the body up to limit bytes, and one more to detect its end. It
 // reports whether the body is complete; otherwise body has limit+1 bytes. Memory beyond
 // freeBodyBytes is charged to the exchange's account before it is used.
@@ -125,7 +142,7 @@
 // is closed instead of reused.
 func (r *bodyStream) Close() error {
 	if r.err == nil {
-		r.fail(errors.New("response body closed before its end"))
+		r.fail(errClosed)
 	}
 	return nil
 }
--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -48,10 +48,7 @@
 	if req.OnceOnly {
 		maxAge = c.opts.OnceOnlyMaxIdle
 	}
-	cancel := context.CancelFunc(func() {})
-	if !req.Deadline.IsZero() {
-		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
-	}
+	ctx, cancel := callContext(ctx, req)
 	httpReq, err := c.newRequest(ctx, to, req)
 	if err != nil {
 		cancel()
@@ -80,6 +77,19 @@
 	return x.run(httpReq, gate)
 }
 
+// callContext returns the context of a call. Without a deadline, only a stream needs to
+// cancel it.
+func callContext(ctx context.Context, req *port.Request) (context.Context, context.CancelFunc) {
+	switch {
+	case !req.Deadline.IsZero():
+		return context.WithDeadline(ctx, req.Deadline)
+	case req.StreamAfter > 0:
+		return context.WithCancel(ctx)
+	default:
+		return ctx, func() {}
+	}
+}
+
 // openGate is the gate of a call without one.
 type openGate struct{}
 
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -44,6 +44,7 @@
 	if errWrite == nil {
 		gate.Written()
 	}
+	out.Body, out.GetBody = nil, nil // a streamed response refers to the request for long
 	if errWrite != nil && !x.mayHaveResponse() {
 		return nil, x.fail(verdict.ReasonConnection, errWrite)
 	}
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -15,6 +15,9 @@
 	// DefaultMaxHeldBytes is the default of Options.MaxHeldBytes.
 	DefaultMaxHeldBytes = 64 << 20
 
+	// DefaultStreamBufferBytes is the default of Options.StreamBufferBytes.
+	DefaultStreamBufferBytes = 1 << 20
+
 	// freeHeadBytes and freeBodyBytes are the parts of a response head and body that
 	// don't count for MaxHeldBytes.
 	freeHeadBytes = 8 << 10
@@ -57,6 +60,9 @@
 	// MaxBufferedBytes is the size up to which a response body is buffered; the
 	// remainder of a larger body is streamed.
 	MaxBufferedBytes int64
+	// StreamBufferBytes is how much of a streamed response is read from the endpoint
+	// ahead of its reader.
+	StreamBufferBytes int64
 	// MaxHeldBytes bounds the memory of all responses together, from the first byte
 	// until their Release. Small ones don't count.
 	MaxHeldBytes int64
@@ -75,6 +81,7 @@
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
 	setDefault(&o.UserTimeout, defaultUserTimeout)
 	setDefault(&o.MaxBufferedBytes, DefaultMaxBufferedBytes)
+	setDefault(&o.StreamBufferBytes, DefaultStreamBufferBytes)
 	setDefault(&o.MaxHeldBytes, DefaultMaxHeldBytes)
 	if o.HeaderConvention.IDHeader == "" {
 		o.HeaderConvention = defaultHeaderConvention()
--- a/internal/app/gateway/run_end_test.go
+++ b/internal/app/gateway/run_end_test.go
@@ -150,6 +150,26 @@
 			is.New(t).Equal(runEnd(t, scriptedEndpoint(t, c.answer), c.patience), c.want)
 		})
 	}
+	for name, c := range map[string]struct {
+		sent     int
+		patience time.Duration
+		want     quarantine.End
+	}{
+		"streamed answer that nobody reads": {200_000, time.Minute, quarantine.Answered},
+		"streamed answer that is cut":       {199_999, time.Minute, quarantine.Reset},
+		"client leaves within a stream":     {150_000, 100 * time.Millisecond, quarantine.Abandoned},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			answer := func(conn *net.TCPConn, id string) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 200000\r\n\r\n%s", id, strings.Repeat("x", c.sent))
+				if c.want == quarantine.Abandoned {
+					hang(conn, id)
+				}
+			}
+			is.New(t).Equal(runEnd(t, scriptedEndpoint(t, answer), c.patience), c.want)
+		})
+	}
 	t.Run("nothing listens", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.New(t).NoErr(err)
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -64,6 +64,10 @@
 	version     uint64
 	// alone is set if the request was sent to an endpoint without a dispatcher.
 	alone bool
+	// cancel ends the context of the attempts; streamed means that this, and the record of
+	// the request's end, is left to the end of a streamed response.
+	cancel   context.CancelFunc
+	streamed bool
 	// uncertainErr is the failure of an earlier attempt that may have run; nil
 	// if there is none.
 	uncertainErr error
@@ -72,12 +76,19 @@
 // Serve implements port.GatewayService.
 func (g *Gateway) Serve(ctx context.Context, r *port.ClientRequest) port.ClientAnswer {
 	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	x := &inFlightRequest{gateway: g, request: r, began: g.ports.Clock.Now()}
 	answer := x.serve(ctx)
+	if !x.streamed {
+		x.finish(ctx, answer)
+	}
+	return answer
+}
+
+// finish records the end of a request.
+func (x *inFlightRequest) finish(ctx context.Context, answer port.ClientAnswer) {
+	defer x.gateway.inFlight.Add(-1)
 	x.log(ctx, answer)
 	x.recordMetrics(answer)
-	return answer
 }
 
 func refusal(reason verdict.Reason, cause error, retryAfter time.Duration) port.ClientAnswer {
@@ -106,9 +117,13 @@
 		return refusal(verdict.ReasonStopping, nil, refusedRetry)
 	}
 	x.request.Deadline = limit
-	ctx, cancel := context.WithDeadline(ctx, limit)
-	defer cancel()
-	return x.attempts(ctx)
+	x.setStreaming()
+	ctx, x.cancel = context.WithDeadline(ctx, limit)
+	answer := x.attempts(ctx)
+	if !x.streamed {
+		x.cancel()
+	}
+	return answer
 }
 
 // attempts sends the request to endpoints until one has answered or no further
@@ -176,26 +191,18 @@
 	g := x.gateway
 	began := g.ports.Clock.Now()
 	x.endpoint, x.region = d.Endpoint.ID, d.Region
-	outcome, end := dispatch.Unsent, quarantine.NotStarted
-	var signals registry.Signals
-	answered := false
+	use := &slotUse{slot: d, address: address, began: began, outcome: dispatch.Unsent, end: quarantine.NotStarted}
 	defer func() {
-		if x.alone {
-			g.returnAlone(d.Endpoint, outcome)
-			return
+		if !use.streamed {
+			x.endUse(use)
 		}
-		g.recordEnded(d.Endpoint, answered, signals)
-		g.release(address, port.SlotRelease{
-			Region: x.dispatchRegion, Grant: d.Grant, Outcome: outcome, RunEnd: &end, Took: g.ports.Clock.Now().Sub(began),
-			Answered: answered, Signals: signals,
-		})
 	}()
 	if !x.alone {
 		g.recordGranted(began, d)
 	}
 	if g.holds(began, d.Endpoint) {
 		// The dispatcher didn't know it when it granted the slot.
-		signals, answered = g.leavingSignal(began, d.Endpoint)
+		use.signals, use.answered = g.leavingSignal(began, d.Endpoint)
 		x.heldOff++
 		x.exclude = append(x.exclude, d.Endpoint.ID)
 		return x.withoutSlot(ctx, verdict.ReasonNoEndpoint, nil, 0), true
@@ -204,11 +211,11 @@
 		return x.withoutSlot(ctx, verdict.ReasonDeadline, nil, 0), false
 	}
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
-	outcome, end = outcomeOf(ctx, response, err), runEndOf(response, err)
-	if signals, answered = signalsOf(response, err); answered {
-		g.recordSignals(d.Endpoint, signals)
+	use.observe(ctx, response, err)
+	if use.signals, use.answered = signalsOf(response, err); use.answered {
+		g.recordSignals(d.Endpoint, use.signals)
 	}
-	if outcome == dispatch.Unreachable {
+	if use.outcome == dispatch.Unreachable {
 		x.unreachable++
 		x.exclude = append(x.exclude, d.Endpoint.ID)
 	} else {
@@ -216,10 +223,11 @@
 		// its cache.
 		x.tries++
 	}
-	g.recordRun(x.fingerprint, d.Endpoint, end)
-	if outcome == dispatch.Served {
-		g.remember(x.objectKey(), d.Endpoint.ID)
+	if err == nil && response.Begin != nil {
+		x.followStream(ctx, use, response)
+		return port.ClientAnswer{Response: response}, false
 	}
+	x.recordRun(use)
 	switch {
 	case err == nil:
 		return port.ClientAnswer{Response: response}, false
@@ -271,7 +279,7 @@
 		return dispatch.Served
 	case err == nil:
 		return dispatch.Failed
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), verdict.ReasonOf(err) == verdict.ReasonCanceled:
 		return dispatch.Unsent
 	case verdict.Of(err) == verdict.NotRun && verdict.ReasonOf(err) == verdict.ReasonShed:
 		return dispatch.Refused
@@ -354,6 +362,7 @@
 			Kind:        x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
 			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable+x.heldOff > 0,
 			Exclude: append(g.paused(x.service), x.exclude...), Regions: x.route.Regions,
+			BodyBytes: int64(len(x.request.Body)),
 		},
 	}
 	if x.route.Sticky {
@@ -402,6 +411,9 @@
 	if x.alone {
 		attrs = append(attrs, slog.Bool("alone", true))
 	}
+	if x.streamed {
+		attrs = append(attrs, slog.Bool("streamed", true))
+	}
 	if a.Err != nil {
 		attrs = append(attrs, slog.String("verdict", verdict.Of(a.Err).String()),
 			slog.String("why", a.Err.Error()), slog.Int64("retry_after_ms", a.RetryAfter.Milliseconds()))
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -39,6 +39,12 @@
 	Deadline time.Time
 	// MaxAnswerBytes bounds the answer's body.
 	MaxAnswerBytes int64
+	// StreamAfter is the size in bytes beyond which the answer's body is passed on
+	// before it is complete (Response.Begin); 0 turns that off.
+	StreamAfter int64
+	// NeedsLength means that the reader can't tell a truncated body from a complete one
+	// unless its length was declared. Other bodies aren't streamed.
+	NeedsLength bool
 }
 
 // Response is an endpoint's answer. It exists only when the request ran.
@@ -54,6 +60,11 @@
 	// Rest is the unread part of a large body; nil when Body is the whole. A
 	// reader must treat any error but io.EOF as a truncated answer.
 	Rest io.ReadCloser
+	// Begin starts to read Rest from the endpoint, ahead of the reader of Rest; nil if
+	// Rest is read at its reader's speed. It must be called once. ended is called once:
+	// with nil when the endpoint's part is complete, though its reader may not have read
+	// it all, or with a *verdict.Error.
+	Begin func(ended func(error))
 	// Release is called once Header and Body have been written or dropped, so that
 	// others may use their memory. It may be nil, and be called again.
 	Release func()
