Bound the bytes of bodies in flight at an endpoint

An endpoint ends if the bodies of the requests that it holds exceed its memory. The dispatcher knows the size of each body from the slot request and grants an endpoint 8 MiB of bodies at a time, over all gateways, or one larger body beside 64 KiB of others, so that small ones neither keep a large one waiting nor wait for it. An endpoint without room is passed over; if none has room, the request waits in the queue.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -54,7 +54,7 @@
 
 // eligible reports whether a slot request may be granted a slot of an endpoint.
 func eligible(now time.Time, s *server, req SlotRequest) bool {
-	return s.usable(now) && !slices.Contains(req.Exclude, s.endpoint.ID) &&
+	return s.usable(now) && s.bodies.fits(req.BodyBytes) && !slices.Contains(req.Exclude, s.endpoint.ID) &&
 		(len(req.Regions) == 0 || slices.Contains(req.Regions, s.region))
 }
 
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -87,6 +87,8 @@
 	// that was granted.
 	fingerprint fingerprint.Fingerprint
 	started     registry.Endpoint
+	// bodyBytes is the size of the request's body.
+	bodyBytes int64
 	// runEnd is how the run ended, if runEnded is set.
 	runEnd   quarantine.End
 	runEnded bool
@@ -271,11 +273,12 @@
 	id := p.prefix + strconv.FormatUint(p.grantCount, 36)
 	object := req.object()
 	g := grant{server: s, service: svc, kind: svc.kind(req), depth: -1, expires: req.Deadline.Add(graceAfterDeadline)}
-	g.fingerprint, g.started = req.Fingerprint, s.endpoint
+	g.fingerprint, g.started, g.bodyBytes = req.Fingerprint, s.endpoint, req.BodyBytes
 	if depth, known := s.memory.depth(object); known {
 		g.depth = depth
 	}
 	s.inFlight++
+	s.bodies.add(req.BodyBytes)
 	s.granted++
 	s.lastGrant = now
 	s.limiter.take(now)
--- a/internal/core/dispatch/queue.go
+++ b/internal/core/dispatch/queue.go
@@ -96,7 +96,7 @@
 			svc.countQueued(w, 1)
 		}
 		switch {
-		case w.preferred != nil && w.preferred.free(now):
+		case w.preferred != nil && w.preferred.free(now) && w.preferred.bodies.fits(w.request.BodyBytes):
 			svc.countQueued(w, -1)
 			out = append(out, p.grant(now, svc, w.preferred, w.request))
 		case now.Before(w.until):
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -52,6 +52,7 @@
 func (p *Pool) endRun(now time.Time, id string, g grant, outcome Outcome) {
 	delete(p.grants, id)
 	g.server.inFlight--
+	g.server.bodies.remove(g.bodyBytes)
 	if g.fingerprint.IsZero() {
 		return
 	}
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -41,6 +41,7 @@
 	// limitObserved is the time of the last answer.
 	limitObserved time.Time
 	limiter       limiter
+	bodies        bodyMeter
 	loanState
 }
 
