Prefer gateways whose links have room

Nobody knew how much of a gateway's link was used, so clients were sent to full links while others nearby had room.

A gateway counts the bytes of its clients' and endpoints' connections against limits.linkMbps and reports the use with its watch calls (Gateway.link_percent), seldom enough that controllers don't exchange their lists of gateways more often.

--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, c.opts.Clock.Now()), nil
+	return newConn(raw, c.opts.Clock.Now(), c.opts.Traffic), nil
 }
 
 // pool returns the pool of the endpoint incarnation. When it creates one, it
--- a/internal/adapter/endpointhttp/conn.go
+++ b/internal/adapter/endpointhttp/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"sassafrasreach/internal/adapter/traffic"
 	"sassafrasreach/internal/core/memory"
 )
 
@@ -26,11 +27,13 @@
 	// connection. None of them is sent on it again: its refusal may come once more,
 	// and would be taken for the answer.
 	refused map[string]bool
+	// traffic counts its bytes.
+	traffic *traffic.Counter
 }
 
-func newConn(raw net.Conn, now time.Time) *conn {
-	c := &conn{Conn: raw, lastAlive: now, refused: make(map[string]bool)}
-	c.input = &boundedReader{source: raw}
+func newConn(raw net.Conn, now time.Time, counter *traffic.Counter) *conn {
+	c := &conn{Conn: raw, lastAlive: now, refused: make(map[string]bool), traffic: counter}
+	c.input = &boundedReader{source: raw, traffic: counter}
 	c.reader = bufio.NewReaderSize(c.input, readBufferBytes)
 	c.writer = bufio.NewWriterSize(countingWriter{c}, writeBufferBytes)
 	return c
@@ -42,6 +45,7 @@
 func (w countingWriter) Write(p []byte) (int, error) {
 	n, err := w.c.Write(p)
 	w.c.written += int64(n)
+	w.c.traffic.Add(n, 0)
 	return n, err
 }
 
@@ -56,6 +60,8 @@
 	account *memory.Account
 	// err is the last error of source; parsers may return their own instead.
 	err error
+	// traffic counts the bytes read.
+	traffic *traffic.Counter
 }
 
 func (r *boundedReader) Read(p []byte) (int, error) {
@@ -66,6 +72,7 @@
 		p = p[:r.left]
 	}
 	n, err := r.source.Read(p)
+	r.traffic.Add(0, n)
 	r.left -= int64(n)
 	r.err = err
 	if r.account == nil {
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"sassafrasreach/internal/adapter/traffic"
 	"sassafrasreach/internal/port"
 )
 
@@ -66,6 +67,8 @@
 	// MaxHeldBytes bounds the memory of all responses together, from the first byte
 	// until their Release. Small ones don't count.
 	MaxHeldBytes int64
+	// Traffic counts the bytes of all connections; nil counts nothing.
+	Traffic *traffic.Counter
 	// Clock measures how long connections are idle.
 	Clock port.Clock
 	// HeaderConvention is the header convention of the endpoints. An empty
--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -114,14 +114,14 @@
 func (c codec) gatewayToProto(g port.Gateway) *fleetv1.Gateway {
 	return &fleetv1.Gateway{
 		Address: g.Address, Zone: g.Zone, Region: g.Region, Incarnation: g.Incarnation,
-		Ready: g.Ready, AgeMs: c.age(g.LastSeen),
+		Ready: g.Ready, AgeMs: c.age(g.LastSeen), LinkPercent: int32(g.LinkPercent),
 	}
 }
 
 func (c codec) gatewayFromProto(m *fleetv1.Gateway) port.Gateway {
 	return port.Gateway{
 		Address: m.GetAddress(), Zone: m.GetZone(), Region: m.GetRegion(), Incarnation: m.GetIncarnation(),
-		Ready: m.GetReady(), LastSeen: c.timeAt(m.GetAgeMs()),
+		Ready: m.GetReady(), LastSeen: c.timeAt(m.GetAgeMs()), LinkPercent: int(m.GetLinkPercent()),
 	}
 }
 
--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -93,6 +94,18 @@
 	return n, err
 }
 
+// NetConn returns the connection of the underlying listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite closes the sending side, if the connection can do that. The server uses it so
+// that a client can read the response to a request whose body wasn't read to its end.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // awaitRequest marks that the next byte begins a request.
 func (c *conn) awaitRequest() {
 	c.mu.Lock()
--- a/internal/app/controller/report.go
+++ b/internal/app/controller/report.go
@@ -52,6 +52,7 @@
 	for _, g := range gateways {
 		h.text(g.Address, g.Zone, g.Region)
 		h.number(g.Incarnation)
+		h.number(uint64(g.LinkPercent))
 		if g.Ready {
 			h.number(1)
 		}
--- a/internal/app/controller/watch.go
+++ b/internal/app/controller/watch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sassafrasreach/internal/core/link"
 	"sassafrasreach/internal/port"
 )
 
@@ -108,29 +109,20 @@
 // maxGatewaysReturned bounds the gateways that an answer of Nearest names.
 const maxGatewaysReturned = 64
 
-// Nearest returns the addresses of the live, ready gateways of a failure
-// domain, else of its region, else of all. It is empty when no such gateway is
-// known.
+// Nearest returns the addresses of the live, ready gateways of a failure domain, else of
+// its region, else of all, and prefers those whose links have room (link.Nearest). It is
+// empty when no such gateway is known.
 func (c *Controller) Nearest(zone, region string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	named := c.namedGateways(c.ports.Clock.Now())
-	near := []func(g port.Gateway) bool{
-		func(g port.Gateway) bool { return g.Zone == zone },
-		func(g port.Gateway) bool { return g.Region == region },
-		func(port.Gateway) bool { return true },
+	var named []link.Gateway
+	for _, g := range c.namedGateways(c.ports.Clock.Now()) {
+		named = append(named, link.Gateway{Address: g.Address, Zone: g.Zone, Region: g.Region, Percent: g.LinkPercent})
 	}
-	for _, fits := range near {
-		var out []string
-		for _, g := range named {
-			if fits(g) {
-				out = append(out, g.Address)
-			}
-		}
-		if len(out) > 0 {
-			slices.Sort(out)
-			return out[:min(len(out), maxGatewaysReturned)]
-		}
+	var out []string
+	for _, g := range link.Nearest(named, zone, region) {
+		out = append(out, g.Address)
 	}
-	return nil
+	slices.Sort(out)
+	return out[:min(len(out), maxGatewaysReturned)]
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/holdoff"
+	"sassafrasreach/internal/core/link"
 	"sassafrasreach/internal/core/reserve"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -22,6 +23,8 @@
 	Zone, Region string
 	// Seeds are addresses of controllers.
 	Seeds []string
+	// LinkBitsPerSecond is the capacity of the VM's link in each direction; 0 if unknown.
+	LinkBitsPerSecond float64
 }
 
 // Ports are the external dependencies of a gateway.
@@ -30,6 +33,9 @@
 	Logger    *slog.Logger
 	Endpoints port.EndpointCaller
 	Meter     port.FleetMeter
+	// Traffic returns the bytes sent to and received from clients and endpoints so far;
+	// nil if they aren't counted.
+	Traffic func() (sent, received int64)
 	// Dial returns a client for a controller.
 	Dial func(address string) (port.ControllerLink, error)
 }
@@ -81,6 +87,7 @@
 	// heardAt is when a controller last answered.
 	heardAt       time.Time
 	releaseQueues map[string]*releaseQueue
+	linkUse       *link.Meter
 }
 
 // dispatcher is the last known dispatcher of a region and the end of its
@@ -99,6 +106,7 @@
 		links: make(map[string]port.ControllerLink), known: make(map[string]port.Controller),
 		avoidUntil: make(map[string]time.Time), skipUntil: make(map[string]time.Time), timeouts: make(map[string]int), lastEndpoint: make(map[string]string), dispatchers: make(map[string]dispatcher),
 		holdoff: holdoff.New(), suspects: newSuspects(), reserve: reserve.New(), releaseQueues: make(map[string]*releaseQueue),
+		linkUse: link.NewMeter(config.LinkBitsPerSecond),
 	}
 }
 
@@ -153,6 +161,13 @@
 			out["controllers.watched"]++
 		}
 	}
+	if g.config.LinkBitsPerSecond > 0 {
+		out["link.use_percent"] = int64(g.linkUse.Percent())
+		out["link.full"] = 0
+		if g.linkUse.Full() {
+			out["link.full"] = 1
+		}
+	}
 	return out
 }
 
--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -107,10 +107,26 @@
 	defer cancel()
 	return link.Watch(ctx, port.Gateway{
 		Address: g.config.Address, Zone: g.config.Zone, Region: g.config.Region,
-		Incarnation: g.incarnation, Ready: g.Ready(), LastSeen: g.ports.Clock.Now(),
+		Incarnation: g.incarnation, Ready: g.Ready(), LastSeen: g.ports.Clock.Now(), LinkPercent: g.measureLink(),
 	}, cursor)
 }
 
+// measureLink measures the use of the link since the last call and returns what
+// controllers are told.
+func (g *Gateway) measureLink() int {
+	if g.ports.Traffic == nil {
+		return 0
+	}
+	sent, received := g.ports.Traffic()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.linkUse.Sample(g.ports.Clock.Now(), sent, received) {
+		event.Log(context.Background(), g.ports.Logger, event.LinkUseChanged,
+			slog.Bool("full", g.linkUse.Full()), slog.Int("percent", g.linkUse.Percent()))
+	}
+	return g.linkUse.Reported()
+}
+
 // link returns a client for a controller.
 func (g *Gateway) link(address string) (port.ControllerLink, error) {
 	g.mu.Lock()
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -20,6 +20,7 @@
 	"sassafrasreach/internal/adapter/fleetgrpc"
 	"sassafrasreach/internal/adapter/logsink"
 	"sassafrasreach/internal/adapter/metrics"
+	"sassafrasreach/internal/adapter/traffic"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/event"
@@ -71,8 +72,10 @@
 	// metricsPort is the port at which metrics are served; 0 disables them.
 	metricsPort int
 	// items is the codec of the messages between gateways and controllers.
-	items  *fleetgrpc.ItemFilter
-	failed chan error
+	items *fleetgrpc.ItemFilter
+	// traffic counts the bytes of clients' and endpoints' connections.
+	traffic *traffic.Counter
+	failed  chan error
 }
 
 // withVM parses the arguments, loads the settings of a controller or gateway and
@@ -100,7 +103,7 @@
 	defer sink.Flush()
 	p := &vmProcess{
 		path: *path, settings: settings, sink: sink, logger: newLogger(sink, "info", name, settings.Name),
-		clock: port.ClockFunc(time.Now), meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4),
+		clock: port.ClockFunc(time.Now), meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4), traffic: &traffic.Counter{},
 	}
 	p.items = fleetgrpc.NewItemFilter(p.logger, p.meter)
 	event.Log(context.Background(), p.logger, event.Started, slog.String("zone", settings.Zone),
@@ -220,13 +223,14 @@
 func newGateway(p *vmProcess) (*gateway.Gateway, *endpointhttp.Caller) {
 	endpoints := endpointhttp.New(endpointhttp.Options{
 		Clock: p.clock, HeaderConvention: platform.HeaderConvention(), IdleTimeout: endpointIdleTimeout,
-		MaxHeldBytes: p.settings.MemoryBytes / responseMemoryDivisor,
+		MaxHeldBytes: p.settings.MemoryBytes / responseMemoryDivisor, Traffic: p.traffic,
 	})
 	g := gateway.New(gateway.Config{
 		Name: p.settings.Name, Address: p.settings.ClientListen,
-		Zone: p.settings.Zone, Region: p.settings.Region, Seeds: p.settings.Seeds,
+		Zone: p.settings.Zone, Region: p.settings.Region, Seeds: p.settings.Seeds, LinkBitsPerSecond: p.settings.LinkBitsPerSecond,
 	}, gateway.Ports{
-		Clock: p.clock, Logger: p.logger, Endpoints: endpoints, Meter: p.meter,
+		Traffic: p.traffic.Totals,
+		Clock:   p.clock, Logger: p.logger, Endpoints: endpoints, Meter: p.meter,
 		Dial: func(address string) (port.ControllerLink, error) { return p.dial(address) },
 	})
 	return g, endpoints
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	clients := p.serveOn(ctx, "clients", idle.Listener(listener), platform.NewClients(g, p.clock), idle.ConnState, clientHeaderBytes)
+	clients := p.serveOn(ctx, "clients", idle.Listener(p.traffic.Listener(listener)), platform.NewClients(g, p.clock), idle.ConnState, clientHeaderBytes)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
 	if err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g)); err != nil {
 		return err
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -52,6 +52,8 @@
 	Incarnation  uint64
 	// Ready means that clients may use it.
 	Ready bool
+	// LinkPercent is the use of its link in percent; 0 if it isn't known.
+	LinkPercent int
 	// LastSeen is when it was last known to be live, on this VM's clock.
 	LastSeen time.Time
 }
