Bound what a process holds for clients that aren't trusted

Each body had a limit, and nothing bounded all of them together: eight clients whose bodies stopped a byte short took a gateway of 136 MB to 784 MB. Controllers had no bound on configurations, and no process one on connections.

A process has one budget (core/memory, 62% of limits.memoryMb) for connections, heads, bodies, orders and responses. Responses get a quarter of the memory at most, as before; large bodies leave 16% of the budget to small ones and to the rest. Bodies are read by adapter/intake in pieces that are charged when they are about to be read, so that an announced length alone takes nothing: 8 KiB in 4 s at least, a body that stands still for 1 s makes room for others, and a stop doesn't wait for bodies. Open connections are bounded by adapter/connlimit from limits.fds and the budget; one that sends no requests is closed for a new one. Refusals say truly that the request hasn't run: 503 with Retry-After, 408, or 413 at once if the length is announced. A body is kept in pieces, so that 64 MiB fit in 136 MB. Metrics memory.*, refused.*, connections.clients; event 1709.

--- /dev/null
+++ b/internal/adapter/connlimit/connlimit.go
@@ -0,0 +1,238 @@
+// Package connlimit bounds the open connections of an HTTP server and the memory of the
+// heads that are read from them. When there is no room for another connection, it closes
+// one that sends no requests: first those that never sent one, then those that are idle.
+package connlimit
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"sassafrasreach/internal/core/memory"
+	"sassafrasreach/internal/port"
+)
+
+const (
+	// headGrace is the time that a new connection has for the head of its first request
+	// before it may be closed for another one.
+	headGrace = 500 * time.Millisecond
+	// closingSlack is how many connections may be open beyond the limit while others are
+	// being closed for them.
+	closingSlack = 16
+	// freeHeadBytes is the part of a head that isn't charged, and parsedHeadCost what a
+	// byte beyond it may take once it is parsed: a head of short lines takes far more
+	// memory than it has bytes.
+	freeHeadBytes  = 8 << 10
+	parsedHeadCost = 16
+)
+
+// Reasons of refusals.
+const (
+	reasonLimit = "connections"
+	reasonIdle  = "idle-connection"
+	reasonHead  = "head-memory"
+)
+
+var errHeadMemory = errors.New("no memory is left for the head of the request")
+
+// Options sets up a Limiter.
+type Options struct {
+	// Max bounds the open connections.
+	Max int
+	// Budget is charged for each connection and for large heads.
+	Budget *memory.Budget
+	Clock  port.Clock
+	// MakeRoom ends a request that doesn't get on, so that its connection is closed. It
+	// returns false if there is none.
+	MakeRoom func() bool
+	// Refused is called for each connection that was refused or closed, with the reason
+	// and the client's address.
+	Refused func(reason, address string)
+}
+
+// Limiter bounds the connections of one server. It is safe for concurrent use.
+type Limiter struct {
+	opts Options
+
+	mu sync.Mutex
+	// open holds the open connections. Guarded by mu.
+	open map[*conn]struct{}
+}
+
+// New returns a Limiter.
+func New(opts Options) *Limiter { return &Limiter{opts: opts, open: make(map[*conn]struct{})} }
+
+// Open returns the number of open connections.
+func (l *Limiter) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+// Listener returns the listener that the server must use.
+func (l *Limiter) Listener(inner net.Listener) net.Listener { return listener{inner, l} }
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.limiter.admit(raw); c != nil {
+			return c, nil
+		}
+		l.limiter.opts.Refused(reasonLimit, raw.RemoteAddr().String())
+		_ = raw.Close()
+	}
+}
+
+// conn is an open connection. The fields below the account are guarded by the mu of the
+// Limiter.
+type conn struct {
+	net.Conn
+	limiter *Limiter
+	account *memory.Account
+
+	// active means that the head of a request was read and its response isn't complete;
+	// served, that there was a complete response.
+	active, served bool
+	// since is when the connection was accepted or became idle.
+	since time.Time
+	// headBytes is what was read of the next head, and headCharge what was taken for it.
+	headBytes, headCharge int64
+}
+
+// admit returns the connection if there is room for it, or was made.
+func (l *Limiter) admit(raw net.Conn) *conn {
+	c := &conn{Conn: raw, limiter: l, account: l.opts.Budget.OpenFor(memory.Connections), since: l.opts.Clock.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	victim := (*conn)(nil)
+	if len(l.open) >= l.opts.Max {
+		if victim = l.leastUseful(); victim == nil && (len(l.open) >= l.opts.Max+closingSlack || !l.opts.MakeRoom()) {
+			return nil
+		}
+	}
+	if victim != nil {
+		l.remove(victim)
+		l.opts.Refused(reasonIdle, victim.RemoteAddr().String())
+		_ = victim.Conn.Close()
+	}
+	if !c.account.TakeConnection() {
+		return nil
+	}
+	l.open[c] = struct{}{}
+	return c
+}
+
+// leastUseful returns the connection to close for another one: the oldest that never sent
+// a request, else the one that has been idle for longest; nil if there is none. Must hold
+// mu.
+func (l *Limiter) leastUseful() *conn {
+	now := l.opts.Clock.Now()
+	var least *conn
+	for c := range l.open {
+		if c.active || !c.served && now.Sub(c.since) < headGrace {
+			continue
+		}
+		if least == nil || !c.served && least.served || c.served == least.served && c.since.Before(least.since) {
+			least = c
+		}
+	}
+	return least
+}
+
+// remove gives back what a connection holds. Must hold mu.
+func (l *Limiter) remove(c *conn) {
+	delete(l.open, c)
+	c.account.Close()
+}
+
+// ConnState must be called with the states of the server's connections.
+func (l *Limiter) ConnState(nc net.Conn, to http.ConnState) {
+	c := unwrap(nc)
+	if c == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch to {
+	case http.StateActive:
+		c.active = true
+	case http.StateIdle:
+		c.active, c.served, c.since = false, true, l.opts.Clock.Now()
+		c.account.Return(c.headCharge)
+		c.headBytes, c.headCharge = 0, 0
+	default:
+	}
+}
+
+// unwrap returns the connection that other listeners have wrapped.
+func unwrap(nc net.Conn) *conn {
+	for {
+		if c, ok := nc.(*conn); ok {
+			return c
+		}
+		outer, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		nc = outer.NetConn()
+	}
+}
+
+// Read implements net.Conn. It fails if there is no memory for the head that is read.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.chargeHead(int64(n)) {
+		c.limiter.opts.Refused(reasonHead, c.RemoteAddr().String())
+		_ = c.Close()
+		return 0, errHeadMemory
+	}
+	return n, err
+}
+
+// chargeHead charges bytes that were read, if they belong to a head.
+func (c *conn) chargeHead(n int64) bool {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.active {
+		return true
+	}
+	before := max(c.headBytes, freeHeadBytes)
+	c.headBytes += n
+	charge := max(c.headBytes-before, 0) * parsedHeadCost
+	if charge == 0 {
+		return true
+	}
+	if !c.account.Take(charge) {
+		return false
+	}
+	c.headCharge += charge
+	return true
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.limiter.mu.Lock()
+	c.limiter.remove(c)
+	c.limiter.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending side, if the connection can do that.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -36,7 +37,11 @@
 // New returns a Caller.
 func New(opts Options) *Caller {
 	opts = opts.withDefaults()
-	return &Caller{opts: opts, memory: memory.NewBudget(opts.MaxHeldBytes), pools: make(map[poolKey]*pool)}
+	budget := opts.Memory
+	if budget == nil {
+		budget = memory.NewBudget(opts.MaxHeldBytes)
+	}
+	return &Caller{opts: opts, memory: budget, pools: make(map[poolKey]*pool)}
 }
 
 // Call sends req to the endpoint at most once. A once-only request uses a new
@@ -179,6 +184,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(req.BodyRest) > 0 {
+		out.Body, out.ContentLength, out.GetBody = newBodyReader(req), req.BodyBytes(), nil
+	}
 	if out.URL.RequestURI() != req.Target {
 		return nil, errBadTarget
 	}
@@ -193,6 +201,15 @@
 	return out, nil
 }
 
+// newBodyReader returns a reader of a body in several pieces.
+func newBodyReader(req *port.Request) io.ReadCloser {
+	pieces := []io.Reader{bytes.NewReader(req.Body)}
+	for _, p := range req.BodyRest {
+		pieces = append(pieces, bytes.NewReader(p))
+	}
+	return io.NopCloser(io.MultiReader(pieces...))
+}
+
 // exchangeID returns the ID that a response must echo. Callers choose their
 // request IDs and may choose the same ones, so a random part is added for each
 // exchange. An ID with a space or a byte that isn't printable ASCII is replaced by
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasreach/internal/adapter/traffic"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/port"
 )
 
@@ -67,6 +68,8 @@
 	// MaxHeldBytes bounds the memory of all responses together, from the first byte
 	// until their Release. Small ones don't count.
 	MaxHeldBytes int64
+	// Memory, if not nil, is charged instead of a budget of MaxHeldBytes.
+	Memory *memory.Budget
 	// Traffic counts the bytes of all connections; nil counts nothing.
 	Traffic *traffic.Counter
 	// Clock measures how long connections are idle.
--- a/internal/adapter/endpointhttp/stream.go
+++ b/internal/adapter/endpointhttp/stream.go
@@ -87,6 +87,10 @@
 	charged bool
 }
 
+// blocks holds blocks for reuse: responses of many streams would else leave garbage faster
+// than the collector removes it.
+var blocks = sync.Pool{New: func() any { return &block{bytes: make([]byte, streamBlockBytes)} }}
+
 // begin starts to read from the endpoint. ended is called once the endpoint's part is
 // complete, with nil, or has failed.
 func (s *stream) begin(ended func(error)) {
@@ -155,7 +159,8 @@
 	if !charged && s.unread > 0 {
 		return nil
 	}
-	b := &block{bytes: make([]byte, streamBlockBytes), charged: charged}
+	b := blocks.Get().(*block)
+	*b = block{bytes: b.bytes, charged: charged}
 	s.blocks = append(s.blocks, b)
 	return b.bytes
 }
@@ -247,6 +252,7 @@
 		if b.charged {
 			s.x.account.Return(streamBlockBytes)
 		}
+		blocks.Put(b)
 	}
 	s.unread -= int64(n)
 	s.changed.Broadcast()
--- /dev/null
+++ b/internal/adapter/intake/intake.go
@@ -0,0 +1,350 @@
+// Package intake reads the bodies of requests of clients that aren't trusted. The bytes
+// are charged to the process's budget as they arrive: what is only announced takes
+// nothing. A body has to arrive at a least rate and within a time, and a body that stands
+// still makes room for others when the budget is full.
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"sassafrasreach/internal/core/memory"
+	"sassafrasreach/internal/port"
+)
+
+const (
+	// leastBytes have to arrive within leastWindow, until the end of the body. The time
+	// is longer than a link is usually cut off.
+	leastBytes  = 8 << 10
+	leastWindow = 4 * time.Second
+	// maxBodyTime bounds the time of a whole body, if the request names no deadline or a
+	// later one.
+	maxBodyTime = 2 * time.Minute
+	// firstPartBytes and maxPartBytes bound the memory that is taken before the bytes for
+	// it have arrived; a part is at most a quarter of what has arrived before.
+	firstPartBytes, maxPartBytes = 4 << 10, 1 << 20
+	partShare                    = 4
+	// quietFor is the time without a byte after which a body makes room for others.
+	quietFor = time.Second
+	// roomWait is how long a body waits for the room that another one makes.
+	roomWait = 100 * time.Millisecond
+	roomPoll = 5 * time.Millisecond
+)
+
+var (
+	// ErrTooLarge means that a body is longer than permitted.
+	ErrTooLarge = errors.New("body too large")
+	// ErrSlow means that a body didn't arrive at the least rate or in time.
+	ErrSlow = errors.New("body arrives too slowly")
+	// ErrMemory means that the process has no memory left for the body.
+	ErrMemory = errors.New("no memory is left for the body")
+	// ErrStopping means that the process ends before the body has arrived.
+	ErrStopping = errors.New("the process stops")
+)
+
+// Intake reads bodies. It is safe for concurrent use. A nil Intake bounds only the size
+// of each.
+type Intake struct {
+	budget *memory.Budget
+	kind   memory.Kind
+	clock  port.Clock
+
+	mu sync.Mutex
+	// unfinished holds the bodies that are being read. Guarded by mu.
+	unfinished map[*reading]struct{}
+	// stopped is true once unfinished bodies are no longer waited for. Guarded by mu.
+	stopped bool
+}
+
+// New returns an Intake that charges bodies to a budget.
+func New(budget *memory.Budget, kind memory.Kind, clock port.Clock) *Intake {
+	return &Intake{budget: budget, kind: kind, clock: clock, unfinished: make(map[*reading]struct{})}
+}
+
+// Body is a body that has arrived.
+type Body struct {
+	// Parts are its bytes; none is empty.
+	Parts   [][]byte
+	account *memory.Account
+}
+
+// Size returns the number of its bytes.
+func (b *Body) Size() int64 {
+	n := int64(0)
+	for _, p := range b.Parts {
+		n += int64(len(p))
+	}
+	return n
+}
+
+// Join returns the body in one piece. It fails if the budget doesn't have another copy of
+// it, and times as much for decoding it.
+func (b *Body) Join(times int64) ([]byte, error) {
+	if len(b.Parts) == 0 {
+		return nil, nil
+	}
+	size := b.Size()
+	if size > memory.SmallBytes && !b.account.Take(size*(1+times)) {
+		return nil, ErrMemory
+	}
+	if len(b.Parts) == 1 {
+		return b.Parts[0], nil
+	}
+	whole := make([]byte, 0, size)
+	for _, p := range b.Parts {
+		whole = append(whole, p...)
+	}
+	b.account.Return(size) // the parts
+	b.Parts = [][]byte{whole}
+	return whole, nil
+}
+
+// Done gives its memory back; the bytes must not be used any more.
+func (b *Body) Done() {
+	b.account.Close()
+	b.Parts = nil
+}
+
+// reading is a body that is being read. Its fields are guarded by the mu of the Intake.
+type reading struct {
+	control *http.ResponseController
+	account *memory.Account
+	// lastByte is when bytes last arrived.
+	lastByte time.Time
+	// ended is ErrMemory or ErrStopping once the body is no longer waited for; nil before.
+	ended error
+}
+
+// Read reads the body of a request, of at most maxBytes. A deadline that isn't zero bounds
+// its time, too. After an error, which may wrap one of this package, the request must be
+// answered by Refuse.
+func (in *Intake) Read(w http.ResponseWriter, r *http.Request, maxBytes int64, deadline time.Time) (*Body, error) {
+	if r.ContentLength > maxBytes {
+		return nil, fmt.Errorf("%w: %d bytes, %d are permitted", ErrTooLarge, r.ContentLength, maxBytes)
+	}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return &Body{account: (*memory.Budget)(nil).Open()}, nil
+	}
+	if in == nil {
+		in = &Intake{clock: port.ClockFunc(time.Now), unfinished: make(map[*reading]struct{})}
+	}
+	now := in.clock.Now()
+	end := now.Add(maxBodyTime)
+	if !deadline.IsZero() && deadline.Before(end) {
+		end = deadline
+	}
+	x := &reading{control: http.NewResponseController(w), account: in.budget.OpenFor(in.kind), lastByte: now}
+	body, err := in.readAll(x, r, maxBytes, end)
+	in.mu.Lock()
+	delete(in.unfinished, x)
+	if x.ended != nil {
+		err = x.ended
+	}
+	in.mu.Unlock()
+	if err != nil {
+		x.account.Close()
+		return nil, err
+	}
+	_ = x.control.SetReadDeadline(time.Time{}) // unless it has none, as in tests
+	return body, nil
+}
+
+// readAll reads the parts of a body until its end.
+func (in *Intake) readAll(x *reading, r *http.Request, maxBytes int64, end time.Time) (*Body, error) {
+	body := &Body{account: x.account}
+	total, window := int64(0), int64(0)
+	if err := in.begin(x, end); err != nil {
+		return nil, err
+	}
+	for {
+		part, err := in.newPart(x, total, r.ContentLength)
+		if err != nil {
+			return nil, err
+		}
+		filled := 0
+		for filled < len(part) {
+			n, err := r.Body.Read(part[filled:])
+			filled, total, window = filled+n, total+int64(n), window+int64(n)
+			if total > maxBytes {
+				return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, maxBytes)
+			}
+			if errors.Is(err, io.EOF) {
+				body.add(part[:filled])
+				return body, nil
+			}
+			if err != nil {
+				return nil, in.classify(err)
+			}
+			extend := window >= leastBytes
+			if extend {
+				window = 0
+			}
+			in.arrived(x, n, extend, end)
+		}
+		body.add(part)
+	}
+}
+
+func (b *Body) add(part []byte) {
+	if len(part) > 0 {
+		b.Parts = append(b.Parts, part)
+	}
+}
+
+// classify tells a body that is too slow from one that is malformed or whose connection
+// broke.
+func (in *Intake) classify(err error) error {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return fmt.Errorf("%w: %w", ErrSlow, err)
+	}
+	return err
+}
+
+// begin makes a body known and sets its first time limit.
+func (in *Intake) begin(x *reading, end time.Time) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.stopped {
+		return ErrStopping
+	}
+	in.unfinished[x] = struct{}{}
+	in.extend(x, end)
+	return nil
+}
+
+// extend gives the next leastBytes their time. Must hold mu, so that a body that has been
+// ended isn't given more.
+func (in *Intake) extend(x *reading, end time.Time) {
+	now := in.clock.Now()
+	left := min(leastWindow, end.Sub(now))
+	_ = x.control.SetReadDeadline(time.Now().Add(left)) // unless it has none, as in tests
+}
+
+func (in *Intake) arrived(x *reading, n int, extend bool, end time.Time) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if n > 0 {
+		x.lastByte = in.clock.Now()
+	}
+	if extend && x.ended == nil {
+		in.extend(x, end)
+	}
+}
+
+// newPart returns memory for the next bytes of a body of which total have arrived. length
+// is what was announced, negative if nothing.
+func (in *Intake) newPart(x *reading, total, length int64) ([]byte, error) {
+	size := min(max(firstPartBytes, total/partShare), maxPartBytes)
+	if length >= 0 {
+		size = min(size, max(length-total, 0)+1) // the last byte shows the end
+	}
+	if x.account.Take(size) {
+		return make([]byte, size), nil
+	}
+	if !in.makeRoom(x) {
+		return nil, ErrMemory
+	}
+	for waited := time.Duration(0); waited < roomWait; waited += roomPoll {
+		time.Sleep(roomPoll)
+		if x.account.Take(size) {
+			return make([]byte, size), nil
+		}
+	}
+	return nil, ErrMemory
+}
+
+// makeRoom ends the largest other body that stands still, if it is larger than x.
+func (in *Intake) makeRoom(x *reading) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var largest *reading
+	most := x.account.Held()
+	for o := range in.unfinished {
+		if held := o.account.Held(); o != x && o.ended == nil && held > most && in.quiet(o) {
+			largest, most = o, held
+		}
+	}
+	if largest != nil {
+		in.end(largest, ErrMemory)
+	}
+	return largest != nil
+}
+
+// quiet reports whether a body stands still. Must hold mu.
+func (in *Intake) quiet(x *reading) bool { return in.clock.Now().Sub(x.lastByte) >= quietFor }
+
+// end lets the reading of a body fail. Must hold mu.
+func (in *Intake) end(x *reading, why error) {
+	x.ended = why
+	_ = x.control.SetReadDeadline(time.Unix(1, 0))
+}
+
+// MakeRoom ends the unfinished body that has stood still for longest, so that its
+// connection is closed. It returns false if none stands still.
+func (in *Intake) MakeRoom() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var oldest *reading
+	for o := range in.unfinished {
+		if o.ended == nil && in.quiet(o) && (oldest == nil || o.lastByte.Before(oldest.lastByte)) {
+			oldest = o
+		}
+	}
+	if oldest != nil {
+		in.end(oldest, ErrMemory)
+	}
+	return oldest != nil
+}
+
+// Stop ends all unfinished bodies, and those that come later, so that they don't delay the
+// end of the process.
+func (in *Intake) Stop() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.stopped = true
+	for o := range in.unfinished {
+		if o.ended == nil {
+			in.end(o, ErrStopping)
+		}
+	}
+}
+
+// retryAfter is the Retry-After, in seconds, of a response to a request for which there
+// was no memory: bodies that stand still have ended by then.
+const retryAfter = "1.000"
+
+// Refuse answers a request whose body couldn't be read, with a text. The request hasn't
+// run. Its connection is closed after the response, since the rest of the body isn't read.
+// It returns the reason for metrics.
+func Refuse(w http.ResponseWriter, err error, text string) (reason string) {
+	status := http.StatusBadRequest
+	reason = "malformed"
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		status, reason = http.StatusRequestEntityTooLarge, "too-large"
+	case errors.Is(err, ErrSlow):
+		status, reason = http.StatusRequestTimeout, "slow"
+	case errors.Is(err, ErrMemory), errors.Is(err, ErrStopping):
+		status, reason = http.StatusServiceUnavailable, "memory"
+		w.Header().Set("Retry-After", retryAfter)
+	case errors.Is(err, context.Canceled):
+		reason = "canceled"
+	}
+	w.Header().Set("Connection", "close")
+	if text != "" {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
+	// The server would read the rest of the body, for as long as it takes.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	return reason
+}
--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -128,6 +128,9 @@
 	m.count("endpoint.announced." + outcome(accepted))
 }
 
+// RecordRefused implements port.FleetMeter.
+func (m *Meter) RecordRefused(clients, reason string) { m.count("refused." + clients + "." + reason) }
+
 func outcome(accepted bool) string {
 	if accepted {
 		return "accepted"
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -108,7 +108,7 @@
 	x.service, x.dispatchRegion = x.route.Pick(rand.Float64()), x.chooseDispatchRegion()
 	x.request.Service = x.service
 	x.request.OnceOnly = !x.route.Idempotent
-	x.fingerprint = fingerprint.Of(x.request.RouteHost, x.request.Method, x.request.Target, x.request.Body)
+	x.fingerprint = fingerprint.Of(x.request.RouteHost, x.request.Method, x.request.Target, slices.Insert(slices.Clone(x.request.BodyRest), 0, x.request.Body)...)
 	limit := x.began.Add(x.route.Timeout)
 	if d := x.request.Deadline; !d.IsZero() && d.Add(-answerMargin).Before(limit) {
 		limit = d.Add(-answerMargin)
@@ -362,7 +362,7 @@
 			Kind:        x.route.Name, Priority: x.route.Priority, Zone: g.config.Zone, Target: x.route.Target,
 			Deadline: x.request.Deadline, Retry: x.tries+x.unreachable+x.heldOff > 0,
 			Exclude: append(g.paused(x.service), x.exclude...), Regions: x.route.Regions,
-			BodyBytes: int64(len(x.request.Body)),
+			BodyBytes: x.request.BodyBytes(),
 		},
 	}
 	if x.route.Sticky {
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -76,7 +76,7 @@
 // response has ended, however much of it the client has read then.
 func (x *inFlightRequest) followStream(ctx context.Context, u *slotUse, response *port.Response) {
 	u.streamed, x.streamed = true, true
-	x.request.Body = nil // not sent again, and a slow client may take long
+	x.request.Body, x.request.BodyRest = nil, nil // not sent again, and a slow client may take long
 	response.Begin(func(err error) {
 		u.observe(ctx, response, err)
 		x.recordRun(u)
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -10,6 +10,8 @@
 	"sassafrasreach/internal/adapter/disk"
 	"sassafrasreach/internal/adapter/fleetgrpc"
 	"sassafrasreach/internal/adapter/grpcpanic"
+	"sassafrasreach/internal/adapter/intake"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/platform"
 )
@@ -47,14 +49,16 @@
 	}
 	fleet := fleetgrpc.NewServer(c, p.clock, append(grpcpanic.Options(p.logger), p.items.ServerOption())...)
 	go func() { p.failed <- fleet.Serve(listener) }()
+	bodies := intake.New(p.memory, memory.Orders, p.clock)
 	control := platform.NewControl(platform.ControlOptions{
-		OperatorService: c, EndpointService: c, Clock: p.clock, Zones: p.settings.Zones,
+		OperatorService: c, EndpointService: c, Clock: p.clock, Zones: p.settings.Zones, Bodies: bodies, Refusals: p.refusals,
 	})
-	if err := p.serve(ctx, "operators", p.settings.OperatorListen, control); err != nil {
+	half := p.openConnections(false) / 2
+	if err := p.serve(ctx, "operators", p.settings.OperatorListen, control, half, bodies.MakeRoom); err != nil {
 		return err
 	}
 	lookups := platform.NewDirectory(c, p.settings.MaxDirectoryTTL)
-	if err := p.serve(ctx, "look-ups", p.settings.DirectoryListen, lookups); err != nil {
+	if err := p.serve(ctx, "look-ups", p.settings.DirectoryListen, lookups, half, nil); err != nil {
 		return err
 	}
 	p.serveMetrics(ctx, c.Gauges)
@@ -64,6 +68,7 @@
 		return err
 	}
 	c.Stop()
+	bodies.Stop()
 	time.Sleep(handOverPeriod)
 	for left := maxHandOverPeriod - handOverPeriod; left > 0 && !c.HandedOver(); left -= handOverCheckPeriod {
 		time.Sleep(handOverCheckPeriod)
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -20,9 +21,11 @@
 	"sassafrasreach/internal/adapter/fleetgrpc"
 	"sassafrasreach/internal/adapter/logsink"
 	"sassafrasreach/internal/adapter/metrics"
+	"sassafrasreach/internal/adapter/refusals"
 	"sassafrasreach/internal/adapter/traffic"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
@@ -46,9 +49,6 @@
 	// endpoint may be used for an idempotent request. Endpoints close idle
 	// connections some seconds later.
 	endpointIdleTimeout = 4 * time.Second
-	// responseMemoryDivisor is the divisor that gives the part of the process's memory
-	// that responses may hold. The collector may let as much garbage stand beside it.
-	responseMemoryDivisor = 4
 	// heapMemoryPercent is the part of the process's memory near which the collector
 	// works harder; the rest is for what isn't on the heap.
 	heapMemoryPercent = 75
@@ -75,7 +75,11 @@
 	items *fleetgrpc.ItemFilter
 	// traffic counts the bytes of clients' and endpoints' connections.
 	traffic *traffic.Counter
-	failed  chan error
+	// memory is charged with what is held for clients and endpoints; refusals records the
+	// clients that were refused.
+	memory   *memory.Budget
+	refusals *refusals.Recorder
+	failed   chan error
 }
 
 // withVM parses the arguments, loads the settings of a controller or gateway and
@@ -104,7 +108,9 @@
 	p := &vmProcess{
 		path: *path, settings: settings, sink: sink, logger: newLogger(sink, "info", name, settings.Name),
 		clock: port.ClockFunc(time.Now), meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4), traffic: &traffic.Counter{},
+		memory: memory.ForProcess(settings.MemoryBytes),
 	}
+	p.refusals = refusals.New(p.logger, p.meter, p.clock)
 	p.items = fleetgrpc.NewItemFilter(p.logger, p.meter)
 	event.Log(context.Background(), p.logger, event.Started, slog.String("zone", settings.Zone),
 		slog.String("region", settings.Region), slog.Any("seeds", settings.Seeds), slog.Bool("founding", settings.Bootstrap))
@@ -160,13 +166,15 @@
 	event.Log(ctx, p.logger, event.SettingsLoaded, slog.Any("seeds", fresh.Seeds))
 }
 
-// serve serves HTTP at an address.
-func (p *vmProcess) serve(ctx context.Context, clients, address string, h http.Handler) error {
+// serve serves HTTP at an address, with a bound on connections. makeRoom ends a request
+// that doesn't get on; it may be nil.
+func (p *vmProcess) serve(ctx context.Context, clients, address string, h http.Handler, maxConnections int, makeRoom func() bool) error {
 	listener, err := listenFor(ctx, clients, address)
 	if err != nil {
 		return err
 	}
-	p.serveOn(ctx, clients, listener, h, nil, headerBytes)
+	limiter := p.newLimiter(clients, maxConnections, makeRoom)
+	p.serveOn(ctx, clients, limiter.Listener(listener), h, limiter.ConnState, headerBytes)
 	return nil
 }
 
@@ -193,9 +201,13 @@
 		return
 	}
 	routes := chi.NewRouter()
-	routes.Method(http.MethodGet, "/metrics", p.meter.Handler(gauges))
+	routes.Method(http.MethodGet, "/metrics", p.meter.Handler(func() map[string]int64 {
+		out := gauges()
+		maps.Copy(out, p.memory.Gauges())
+		return out
+	}))
 	address := net.JoinHostPort(p.settings.IP.String(), strconv.Itoa(p.metricsPort))
-	if err := p.serve(ctx, "metrics", address, routes); err != nil {
+	if err := p.serve(ctx, "metrics", address, routes, sideConnections, nil); err != nil {
 		event.Log(ctx, p.logger, event.ServeFailed, slog.Any("error", err))
 	}
 }
@@ -223,7 +235,7 @@
 func newGateway(p *vmProcess) (*gateway.Gateway, *endpointhttp.Caller) {
 	endpoints := endpointhttp.New(endpointhttp.Options{
 		Clock: p.clock, HeaderConvention: platform.HeaderConvention(), IdleTimeout: endpointIdleTimeout,
-		MaxHeldBytes: p.settings.MemoryBytes / responseMemoryDivisor, Traffic: p.traffic,
+		Memory: p.memory, Traffic: p.traffic,
 	})
 	g := gateway.New(gateway.Config{
 		Name: p.settings.Name, Address: p.settings.ClientListen,
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -4,10 +4,14 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
+	"net/http"
 	"time"
 
 	"sassafrasreach/internal/adapter/idleconns"
+	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/wait"
 	"sassafrasreach/platform"
@@ -40,19 +44,32 @@
 	if err != nil {
 		return err
 	}
-	clients := p.serveOn(ctx, "clients", idle.Listener(p.traffic.Listener(listener)), platform.NewClients(g, p.clock), idle.ConnState, clientHeaderBytes)
+	bodies := intake.New(p.memory, memory.Bodies, p.clock)
+	limiter := p.newLimiter("clients", p.openConnections(true), bodies.MakeRoom)
+	clients := p.serveOn(ctx, "clients", idle.Listener(limiter.Listener(p.traffic.Listener(listener))),
+		platform.NewBoundedClients(g, p.clock, bodies, p.refusals), func(c net.Conn, s http.ConnState) {
+			limiter.ConnState(c, s)
+			idle.ConnState(c, s)
+		}, clientHeaderBytes)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
-	if err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g)); err != nil {
+	if err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g), sideConnections, nil); err != nil {
 		return err
 	}
-	p.serveMetrics(ctx, g.Gauges)
+	p.serveMetrics(ctx, func() map[string]int64 {
+		out := g.Gauges()
+		out["connections.clients"] = int64(limiter.Open())
+		return out
+	})
 	go g.Run(ctx)
 	go p.reload(ctx, g.SetSeeds)
 	go wait.Every(ctx, sweepPeriod, endpoints.Sweep)
 	if err := p.awaitStop(); err != nil {
 		return err
 	}
-	stopGateway(ctx, p, g, func(ctx context.Context) error { return idle.Shutdown(ctx, clients, listener) })
+	stopGateway(ctx, p, g, func(ctx context.Context) error {
+		bodies.Stop()
+		return idle.Shutdown(ctx, clients, listener)
+	})
 	return nil
 }
 
--- a/internal/core/fingerprint/fingerprint.go
+++ b/internal/core/fingerprint/fingerprint.go
@@ -17,13 +17,14 @@
 
 // Of returns the fingerprint of a request. The scope is what gives the target its
 // meaning: a service, or a host whose routes lead to several services. Each part is
-// preceded by its length, so that different requests have different encodings.
-func Of(scope, method, target string, body []byte) Fingerprint {
+// preceded by its length, so that different requests have different encodings. The body may
+// be in several pieces.
+func Of(scope, method, target string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	addPart(h, []byte(scope))
 	addPart(h, []byte(method))
 	addPart(h, []byte(target))
-	addPart(h, body)
+	addPart(h, body...)
 	var f Fingerprint
 	h.Sum(f[:0])
 	return f
@@ -32,11 +33,17 @@
 // IsZero reports whether f is the zero value, which is no request's fingerprint.
 func (f Fingerprint) IsZero() bool { return f == Fingerprint{} }
 
-func addPart(h hash.Hash, part []byte) {
+func addPart(h hash.Hash, pieces ...[]byte) {
+	length := 0
+	for _, p := range pieces {
+		length += len(p)
+	}
 	var size [8]byte
-	binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+	binary.BigEndian.PutUint64(size[:], uint64(length))
 	_, _ = h.Write(size[:])
-	_, _ = h.Write(part)
+	for _, p := range pieces {
+		_, _ = h.Write(p)
+	}
 }
 
 // String returns the fingerprint in hexadecimal.
--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -1,31 +1,82 @@
-// Package memory bounds the bytes that the requests of a process hold together, where
-// each of them alone is within its own limit.
+// Package memory bounds the bytes that a process holds for clients, endpoints and other
+// VMs together, where each of them alone is within its own limit.
 package memory
 
 import "sync"
 
-// Budget is a number of bytes that accounts share. It is safe for concurrent use; a nil
-// Budget has no bound.
+// Kind says what bytes are held for.
+type Kind uint8
+
+const (
+	// Responses are those of endpoints, until they are written to their clients. It is
+	// the kind of an account that was opened without one.
+	Responses Kind = iota
+	// Connections are those of clients, with the heads of their requests.
+	Connections
+	// Bodies are those of clients' requests, until they were sent.
+	Bodies
+	// Orders are those of operators and endpoints at a controller.
+	Orders
+	kinds
+)
+
+// String returns the name of the kind in metrics.
+func (k Kind) String() string {
+	return [kinds]string{"responses", "connections", "bodies", "orders"}[k]
+}
+
+// SmallBytes is what an account for bodies or orders may hold of the reserved part of a
+// budget.
+const SmallBytes = 16 << 10
+
+// Budget is a number of bytes that accounts share. A part of it is reserved for small
+// bodies and orders, for responses and for connections: large bodies and orders get only
+// the rest. It is safe for concurrent use; a nil Budget has no bound.
 type Budget struct {
-	mu          sync.Mutex
-	limit, held int64
+	mu                    sync.Mutex
+	limit, reserved, held int64
+	// caps bounds the bytes of a kind; 0 sets no bound but the limit.
+	caps    [kinds]int64
+	byKind  [kinds]int64
+	refused [kinds]int64
 }
 
-// NewBudget returns a budget of so many bytes.
+// NewBudget returns a budget of so many bytes without a reserved part.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
-// take takes bytes from the budget. It returns false, and takes nothing, if fewer are
-// left.
-func (b *Budget) take(n int64) bool {
+// NewReservedBudget returns a budget of so many bytes, of which a part is reserved.
+func NewReservedBudget(limit, reserved int64) *Budget {
+	return &Budget{limit: limit, reserved: reserved}
+}
+
+// take takes bytes for an account that holds as many of its kind already. It returns
+// false, and takes nothing, if fewer are left.
+func (b *Budget) take(n, holds int64, kind Kind) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n > b.limit-b.held {
+	left := b.limit - b.held
+	if (kind == Bodies || kind == Orders) && holds+n > SmallBytes {
+		left -= b.reserved
+	}
+	if most := b.caps[kind]; most > 0 {
+		left = min(left, most-b.byKind[kind])
+	}
+	if n > left {
+		b.refused[kind]++
 		return false
 	}
 	b.held += n
+	b.byKind[kind] += n
 	return true
 }
 
+func (b *Budget) give(n int64, kind Kind) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held -= n
+	b.byKind[kind] -= n
+}
+
 // Held returns the bytes that are taken.
 func (b *Budget) Held() int64 {
 	b.mu.Lock()
@@ -33,30 +84,55 @@
 	return b.held
 }
 
-// Account is the part of a budget that one request holds. It is safe for concurrent use.
+// Gauges returns the limit, the bytes held by kind, and how often bytes of a kind were
+// refused, by the names of the metrics.
+func (b *Budget) Gauges() map[string]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]int64{"memory.limit": b.limit, "memory.reserved": b.reserved, "memory.held": b.held}
+	for k := range kinds {
+		out["memory.held."+k.String()] = b.byKind[k]
+		out["memory.refused."+k.String()] = b.refused[k]
+	}
+	return out
+}
+
+// Account is the part of a budget that one request or connection holds. It is safe for
+// concurrent use.
 type Account struct {
 	budget *Budget
+	kind   Kind
 
 	mu     sync.Mutex
 	held   int64
 	closed bool
 }
 
-// Open returns an empty account.
-func (b *Budget) Open() *Account { return &Account{budget: b} }
+// Open returns an empty account for a response.
+func (b *Budget) Open() *Account { return b.OpenFor(Responses) }
+
+// OpenFor returns an empty account.
+func (b *Budget) OpenFor(kind Kind) *Account { return &Account{budget: b, kind: kind} }
 
 // Take adds bytes to the account. It returns false, and adds nothing, if the budget
 // doesn't have them or the account is closed.
 func (a *Account) Take(n int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed || a.budget != nil && !a.budget.take(n) {
+	if a.closed || a.budget != nil && !a.budget.take(n, a.held, a.kind) {
 		return false
 	}
 	a.held += n
 	return true
 }
 
+// Held returns the bytes of the account.
+func (a *Account) Held() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held
+}
+
 // Return gives bytes of the account back to the budget.
 func (a *Account) Return(n int64) {
 	a.mu.Lock()
@@ -74,10 +150,7 @@
 
 func (a *Account) give(n int64) {
 	a.held -= n
-	if a.budget == nil {
-		return
+	if a.budget != nil {
+		a.budget.give(n, a.kind)
 	}
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	a.budget.held -= n
 }
--- a/internal/core/memory/budget_test.go
+++ b/internal/core/memory/budget_test.go
@@ -27,3 +27,25 @@
 	var unbounded *memory.Budget
 	is.True(unbounded.Open().Take(1 << 60))
 }
+
+// TestReservedPart guards against large bodies that leave nothing for small ones, for
+// responses and for connections, and against a process of 136 MB that can't hold one body
+// of 64 MiB.
+func TestReservedPart(t *testing.T) {
+	is := is.New(t)
+	b := memory.ForProcess(136_000_000)
+	large := b.OpenFor(memory.Bodies)
+	is.True(large.Take(64 << 20))
+	for large.Take(memory.SmallBytes + 1) {
+	}
+	small, order, response, connection := b.OpenFor(memory.Bodies), b.OpenFor(memory.Orders), b.Open(), b.OpenFor(memory.Connections)
+	is.True(small.Take(memory.SmallBytes))
+	is.True(order.Take(memory.SmallBytes))
+	is.True(response.Take(1 << 20))
+	is.True(connection.TakeConnection())
+	is.True(!small.Take(1)) // it isn't small any more
+	is.Equal(b.Gauges()["memory.held.bodies"], large.Held()+memory.SmallBytes)
+	is.Equal(b.Gauges()["memory.held.orders"], int64(memory.SmallBytes))
+	large.Close()
+	is.True(small.Take(1))
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -98,6 +98,7 @@
 	RequestEnded           = Event{1703, "request-ended", slog.LevelInfo, "A request ended; attributes give its route, service, endpoint, attempts, verdict and times."}
 	RecordsDropped         = Event{1704, "records-dropped", slog.LevelWarn, "Log records were dropped because standard output was too slow or the bound was reached; the attribute gives their number."}
 	LinkUseChanged         = Event{1708, "link-use-changed", slog.LevelWarn, "The link of this gateway became full or has room again; attributes give which, and its use in percent. Clients that look up a gateway are sent to others while it is full."}
+	ClientRefused          = Event{1709, "client-refused", slog.LevelWarn, "A request or connection of a client was refused or closed to protect the process; attributes give the port, the reason, the client, and how many more there were since the last record of the kind. OPERATIONS.md explains the reasons."}
 	ControllerUnresponsive = Event{1707, "controller-deaf", slog.LevelWarn, "A controller failed to answer requests for a slot; for a while this gateway sends them to other controllers."}
 	SettingsLoaded         = Event{1705, "settings-loaded", slog.LevelInfo, "The settings file was reread and its seeds differ; the attribute lists the seeds now in use."}
 	SettingsFailed         = Event{1706, "settings-failed", slog.LevelError, "The settings file can't be read; the settings in use are kept."}
@@ -117,5 +118,5 @@
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
 	AnnouncementRejected, ExchangeRejected, ItemDropped,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive,
-	LinkUseChanged,
+	LinkUseChanged, ClientRefused,
 }
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -18,6 +18,8 @@
 	Path      string
 	// Affinity names the object that the request concerns; empty if none.
 	Affinity string
+	// BodyDone is called once the body is no longer used; nil if nothing is held for it.
+	BodyDone func()
 }
 
 // ClientAnswer is the result of a client's request.
--- a/internal/port/meter.go
+++ b/internal/port/meter.go
@@ -39,4 +39,7 @@
 	RecordItemDropped(kind string)
 	// RecordAnnouncement records the outcome of an endpoint's announcement.
 	RecordAnnouncement(leaving, accepted bool)
+	// RecordRefused records a request or connection that was refused or closed to
+	// protect the process, at the port for some clients.
+	RecordRefused(clients, reason string)
 }
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -30,6 +30,9 @@
 	// Body is the whole body; its length is bounded by the service's
 	// MaxBodyBytes.
 	Body []byte
+	// BodyRest holds what follows Body of a large body, which isn't held in one piece,
+	// since that would take twice its memory while it arrives.
+	BodyRest [][]byte
 	// OnceOnly means that the request must not run twice.
 	OnceOnly bool
 	// Key is the once-only key; empty for idempotent requests.
@@ -47,6 +50,15 @@
 	NeedsLength bool
 }
 
+// BodyBytes returns the size of the body in bytes.
+func (r *Request) BodyBytes() int64 {
+	n := int64(len(r.Body))
+	for _, part := range r.BodyRest {
+		n += int64(len(part))
+	}
+	return n
+}
+
 // Response is an endpoint's answer. It exists only when the request ran.
 type Response struct {
 	// Status is the HTTP status.
