--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -115,9 +115,15 @@
 type reading struct {
 	control *http.ResponseController
 	account *memory.Account
+	// until bounds its time.
+	until time.Time
 	// lastByte is when bytes last arrived.
 	lastByte time.Time
-	// ended is ErrMemory or ErrStopping once the body is no longer waited for; nil before.
+	// windowBegan is when the time for the next leastBytes began, and window counts those
+	// that have arrived.
+	windowBegan time.Time
+	window      int64
+	// ended is the error of a body that is no longer waited for; nil before.
 	ended error
 }
 
@@ -135,12 +141,14 @@
 		in = &Intake{clock: port.ClockFunc(time.Now), unfinished: make(map[*reading]struct{})}
 	}
 	now := in.clock.Now()
-	end := now.Add(maxBodyTime)
-	if !deadline.IsZero() && deadline.Before(end) {
-		end = deadline
+	x := &reading{
+		control: http.NewResponseController(w), account: in.budget.OpenFor(in.kind),
+		until: now.Add(maxBodyTime), lastByte: now, windowBegan: now,
 	}
-	x := &reading{control: http.NewResponseController(w), account: in.budget.OpenFor(in.kind), lastByte: now}
-	body, err := in.readAll(x, r, maxBytes, end)
+	if !deadline.IsZero() && deadline.Before(x.until) {
+		x.until = deadline
+	}
+	body, err := in.readAll(x, r, maxBytes)
 	in.mu.Lock()
 	delete(in.unfinished, x)
 	if x.ended != nil {
@@ -151,15 +159,14 @@
 		x.account.Close()
 		return nil, err
 	}
-	_ = x.control.SetReadDeadline(time.Time{}) // unless it has none, as in tests
 	return body, nil
 }
 
 // readAll reads the parts of a body until its end.
-func (in *Intake) readAll(x *reading, r *http.Request, maxBytes int64, end time.Time) (*Body, error) {
+func (in *Intake) readAll(x *reading, r *http.Request, maxBytes int64) (*Body, error) {
 	body := &Body{account: x.account}
-	total, window := int64(0), int64(0)
-	if err := in.begin(x, end); err != nil {
+	total := int64(0)
+	if err := in.begin(x); err != nil {
 		return nil, err
 	}
 	for {
@@ -170,7 +177,7 @@
 		filled := 0
 		for filled < len(part) {
 			n, err := r.Body.Read(part[filled:])
-			filled, total, window = filled+n, total+int64(n), window+int64(n)
+			filled, total = filled+n, total+int64(n)
 			if total > maxBytes {
 				return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, maxBytes)
 			}
@@ -179,13 +186,9 @@
 				return body, nil
 			}
 			if err != nil {
-				return nil, in.classify(err)
-			}
-			extend := window >= leastBytes
-			if extend {
-				window = 0
+				return nil, err
 			}
-			in.arrived(x, n, extend, end)
+			in.arrived(x, n)
 		}
 		body.add(part)
 	}
@@ -197,44 +200,40 @@
 	}
 }
 
-// classify tells a body that is too slow from one that is malformed or whose connection
-// broke.
-func (in *Intake) classify(err error) error {
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return fmt.Errorf("%w: %w", ErrSlow, err)
-	}
-	return err
-}
-
-// begin makes a body known and sets its first time limit.
-func (in *Intake) begin(x *reading, end time.Time) error {
+// begin makes a body known to Sweep.
+func (in *Intake) begin(x *reading) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.stopped {
 		return ErrStopping
 	}
 	in.unfinished[x] = struct{}{}
-	in.extend(x, end)
 	return nil
 }
 
-// extend gives the next leastBytes their time. Must hold mu, so that a body that has been
-// ended isn't given more.
-func (in *Intake) extend(x *reading, end time.Time) {
-	now := in.clock.Now()
-	left := min(leastWindow, end.Sub(now))
-	_ = x.control.SetReadDeadline(time.Now().Add(left)) // unless it has none, as in tests
+// arrived records that bytes have arrived.
+func (in *Intake) arrived(x *reading, n int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if n == 0 {
+		return
+	}
+	x.lastByte = in.clock.Now()
+	if x.window += int64(n); x.window >= leastBytes {
+		x.window, x.windowBegan = 0, x.lastByte
+	}
 }
 
-func (in *Intake) arrived(x *reading, n int, extend bool, end time.Time) {
+// Sweep ends the bodies that arrive too slowly. It should be called about once a second.
+// Bodies that arrive at once, as most do, so need no timer.
+func (in *Intake) Sweep() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if n > 0 {
-		x.lastByte = in.clock.Now()
-	}
-	if extend && x.ended == nil {
-		in.extend(x, end)
+	now := in.clock.Now()
+	for x := range in.unfinished {
+		if x.ended == nil && (now.After(x.until) || now.Sub(x.windowBegan) >= leastWindow) {
+			in.end(x, ErrSlow)
+		}
 	}
 }
 
--- a/internal/adapter/intake/intake_test.go
+++ b/internal/adapter/intake/intake_test.go
@@ -19,6 +19,7 @@
 	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 const maxBytes = 1 << 20
@@ -41,6 +42,7 @@
 		_, _ = w.Write(whole)
 	}))
 	t.Cleanup(server.Close)
+	go wait.Every(t.Context(), 100*time.Millisecond, in.Sweep)
 	return in, server.Listener.Addr().String()
 }
 
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -13,6 +13,7 @@
 	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/wait"
 	"sassafrasreach/platform"
 )
 
@@ -53,6 +54,7 @@
 	control := platform.NewControl(platform.ControlOptions{
 		OperatorService: c, EndpointService: c, Clock: p.clock, Zones: p.settings.Zones, Bodies: bodies, Refusals: p.refusals,
 	})
+	go wait.Every(ctx, sweepPeriod, bodies.Sweep)
 	half := p.openConnections(false) / 2
 	if err := p.serve(ctx, "operators", p.settings.OperatorListen, control, half, bodies.MakeRoom); err != nil {
 		return err
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -52,6 +52,7 @@
 			idle.ConnState(c, s)
 		}, clientHeaderBytes)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
+	go wait.Every(ctx, sweepPeriod, bodies.Sweep)
 	if err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g), sideConnections, nil); err != nil {
 		return err
 	}
