Bound bodies that nobody reads, and share buffers of streams fairly

A request whose body isn't read, such as one without an attempt's ID or a look-up, held its connection until the client sent the rest. It is given 1 s now. A stream holds at most a quarter of what is left for responses, so that slow clients that came first don't take all. A refusal for memory asks to come back after 0.5 s.

--- a/internal/adapter/endpointhttp/stream.go
+++ b/internal/adapter/endpointhttp/stream.go
@@ -155,7 +155,7 @@
 	if s.unread >= s.limit {
 		return nil
 	}
-	charged := s.x.account.Take(streamBlockBytes)
+	charged := s.x.account.Fair(s.unread+streamBlockBytes) && s.x.account.Take(streamBlockBytes)
 	if !charged && s.unread > 0 {
 		return nil
 	}
--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -315,9 +315,32 @@
 	}
 }
 
+// ignoredBodyTime is how long the server may read a body that its handler doesn't read,
+// after the response, so that the connection can be used again.
+const ignoredBodyTime = time.Second
+
+// Ignore bounds the time of a body that isn't going to be read. Without it the server would
+// wait for up to 256 KiB of it.
+func Ignore(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(ignoredBodyTime))
+	}
+}
+
+// IgnoreBodies returns a handler of requests whose bodies aren't read.
+func IgnoreBodies(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Ignore(w, r)
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Expect undoes Ignore, for a body that is read after all.
+func Expect(w http.ResponseWriter) { _ = http.NewResponseController(w).SetReadDeadline(time.Time{}) }
+
 // retryAfter is the Retry-After, in seconds, of a response to a request for which there
-// was no memory: bodies that stand still have ended by then.
-const retryAfter = "1.000"
+// was no memory. Clients honor up to a third of their remaining time.
+const retryAfter = "0.500"
 
 // Refuse answers a request whose body couldn't be read, with a text. The request hasn't
 // run. Its connection is closed after the response, since the rest of the body isn't read.
--- a/internal/adapter/intake/intake_test.go
+++ b/internal/adapter/intake/intake_test.go
@@ -189,3 +189,15 @@
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
 }
+
+// TestIgnoredBody guards against a connection that is held by a body that nobody reads.
+func TestIgnoredBody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	server := httptest.NewServer(intake.IgnoreBodies(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+	t.Cleanup(server.Close)
+	c := open(t, server.Listener.Addr().String(), "Content-Length: 1000", "x")
+	is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Second)))
+	_, err := io.Copy(io.Discard, c) // to the end of the connection
+	is.NoErr(err)
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -19,6 +19,7 @@
 
 	"sassafrasreach/internal/adapter/endpointhttp"
 	"sassafrasreach/internal/adapter/fleetgrpc"
+	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/adapter/logsink"
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/adapter/refusals"
@@ -207,7 +208,7 @@
 		return out
 	}))
 	address := net.JoinHostPort(p.settings.IP.String(), strconv.Itoa(p.metricsPort))
-	if err := p.serve(ctx, "metrics", address, routes, sideConnections, nil); err != nil {
+	if err := p.serve(ctx, "metrics", address, intake.IgnoreBodies(routes), sideConnections, nil); err != nil {
 		event.Log(ctx, p.logger, event.ServeFailed, slog.Any("error", err))
 	}
 }
--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -25,6 +25,10 @@
 	return [kinds]string{"responses", "connections", "bodies", "orders"}[k]
 }
 
+// fairPart divides what is left of a budget: an account that is to be fair holds that part
+// at most.
+const fairPart = 4
+
 // SmallBytes is what an account for bodies or orders may hold of the reserved part of a
 // budget.
 const SmallBytes = 16 << 10
@@ -97,6 +101,17 @@
 	return out
 }
 
+// left returns the bytes that may still be taken for a kind.
+func (b *Budget) left(kind Kind) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := b.limit - b.held
+	if most := b.caps[kind]; most > 0 {
+		left = min(left, most-b.byKind[kind])
+	}
+	return left
+}
+
 // Account is the part of a budget that one request or connection holds. It is safe for
 // concurrent use.
 type Account struct {
@@ -126,6 +141,13 @@
 	return true
 }
 
+// Fair reports whether the account may grow to so many bytes and leave the others as much
+// each: what it holds then is at most a part of what is left. So those that came first and
+// give nothing back don't take all.
+func (a *Account) Fair(n int64) bool {
+	return a.budget == nil || n <= a.budget.left(a.kind)/fairPart
+}
+
 // Held returns the bytes of the account.
 func (a *Account) Held() int64 {
 	a.mu.Lock()
--- a/internal/core/memory/budget_test.go
+++ b/internal/core/memory/budget_test.go
@@ -49,3 +49,21 @@
 	large.Close()
 	is.True(small.Take(1))
 }
+
+// TestFair guards against accounts that grow as long as there is room and leave nothing to
+// those that come later.
+func TestFair(t *testing.T) {
+	is := is.New(t)
+	b := memory.NewBudget(1000)
+	for range 50 {
+		a := b.Open()
+		held := int64(0)
+		for a.Fair(held+1) && a.Take(1) {
+			held++
+		}
+		is.True(held > 0)
+		if b.Held() > 990 {
+			return // every one of many got something
+		}
+	}
+}
