--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -5,10 +5,10 @@
 package intake
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -344,8 +344,9 @@
 
 // Refuse answers a request whose body couldn't be read, with a text. The request hasn't
 // run. Its connection is closed after the response, since the rest of the body isn't read.
-// It returns the reason for metrics.
+// It returns the reason for metrics, empty if the client's connection broke.
 func Refuse(w http.ResponseWriter, err error, text string) (reason string) {
+	var broken net.Error
 	status := http.StatusBadRequest
 	reason = "malformed"
 	switch {
@@ -356,8 +357,8 @@
 	case errors.Is(err, ErrMemory), errors.Is(err, ErrStopping):
 		status, reason = http.StatusServiceUnavailable, "memory"
 		w.Header().Set("Retry-After", retryAfter)
-	case errors.Is(err, context.Canceled):
-		reason = "canceled"
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
+		reason = "" // the client left
 	}
 	w.Header().Set("Connection", "close")
 	if text != "" {
--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -128,6 +128,15 @@
 	m.count("endpoint.announced." + outcome(accepted))
 }
 
+// RecordStreamed implements port.FleetMeter.
+func (m *Meter) RecordStreamed(service string, complete bool) {
+	if complete {
+		m.count("response.streamed." + service)
+		return
+	}
+	m.count("response.broken." + service)
+}
+
 // RecordRefused implements port.FleetMeter.
 func (m *Meter) RecordRefused(clients, reason string) { m.count("refused." + clients + "." + reason) }
 
--- a/internal/adapter/refusals/refusals.go
+++ b/internal/adapter/refusals/refusals.go
@@ -39,9 +39,9 @@
 }
 
 // Record records a refusal at the port for some clients, with its reason and the address
-// of the client.
+// of the client. Without a reason it records nothing.
 func (r *Recorder) Record(clients, reason, address string) {
-	if r == nil {
+	if r == nil || reason == "" {
 		return
 	}
 	r.meter.RecordRefused(clients, reason)
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -85,6 +85,7 @@
 		if err != nil {
 			answer = port.ClientAnswer{Err: err}
 		}
+		x.gateway.ports.Meter.RecordStreamed(x.service, err == nil)
 		x.finish(ctx, answer)
 		x.cancel()
 	})
--- a/internal/port/meter.go
+++ b/internal/port/meter.go
@@ -39,6 +39,9 @@
 	RecordItemDropped(kind string)
 	// RecordAnnouncement records the outcome of an endpoint's announcement.
 	RecordAnnouncement(leaving, accepted bool)
+	// RecordStreamed records a streamed response and whether the endpoint's part of it
+	// was complete.
+	RecordStreamed(service string, complete bool)
 	// RecordRefused records a request or connection that was refused or closed to
 	// protect the process, at the port for some clients.
 	RecordRefused(clients, reason string)
