--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -36,7 +37,11 @@
 // New returns a Caller.
 func New(opts Options) *Caller {
 	opts = opts.withDefaults()
-	return &Caller{opts: opts, memory: memory.NewBudget(opts.MaxHeldBytes), pools: make(map[poolKey]*pool)}
+	budget := opts.Memory
+	if budget == nil {
+		budget = memory.NewBudget(opts.MaxHeldBytes)
+	}
+	return &Caller{opts: opts, memory: budget, pools: make(map[poolKey]*pool)}
 }
 
 // Call sends req to the endpoint at most once. A once-only request uses a new
@@ -48,10 +53,7 @@
 	if req.OnceOnly {
 		maxAge = c.opts.OnceOnlyMaxIdle
 	}
-	cancel := context.CancelFunc(func() {})
-	if !req.Deadline.IsZero() {
-		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
-	}
+	ctx, cancel := callContext(ctx, req)
 	httpReq, err := c.newRequest(ctx, to, req)
 	if err != nil {
 		cancel()
@@ -80,6 +82,19 @@
 	return x.run(httpReq, gate)
 }
 
+// callContext returns the context of a call. Without a deadline, only a stream needs to
+// cancel it.
+func callContext(ctx context.Context, req *port.Request) (context.Context, context.CancelFunc) {
+	switch {
+	case !req.Deadline.IsZero():
+		return context.WithDeadline(ctx, req.Deadline)
+	case req.StreamAfter > 0:
+		return context.WithCancel(ctx)
+	default:
+		return ctx, func() {}
+	}
+}
+
 // openGate is the gate of a call without one.
 type openGate struct{}
 
@@ -98,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, c.opts.Clock.Now()), nil
+	return newConn(raw, c.opts.Clock.Now(), c.opts.Traffic), nil
 }
 
 // pool returns the pool of the endpoint incarnation. When it creates one, it
@@ -169,6 +184,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(req.BodyRest) > 0 {
+		out.Body, out.ContentLength, out.GetBody = newBodyReader(req), req.BodyBytes(), nil
+	}
 	if out.URL.RequestURI() != req.Target {
 		return nil, errBadTarget
 	}
@@ -183,6 +201,15 @@
 	return out, nil
 }
 
+// newBodyReader returns a reader of a body in several pieces.
+func newBodyReader(req *port.Request) io.ReadCloser {
+	pieces := []io.Reader{bytes.NewReader(req.Body)}
+	for _, p := range req.BodyRest {
+		pieces = append(pieces, bytes.NewReader(p))
+	}
+	return io.NopCloser(io.MultiReader(pieces...))
+}
+
 // exchangeID returns the ID that a response must echo. Callers choose their
 // request IDs and may choose the same ones, so a random part is added for each
 // exchange. An ID with a space or a byte that isn't printable ASCII is replaced by
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -19,10 +20,14 @@
 	"sassafrasreach/internal/adapter/bootclock"
 	"sassafrasreach/internal/adapter/endpointhttp"
 	"sassafrasreach/internal/adapter/fleetgrpc"
+	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/adapter/logsink"
 	"sassafrasreach/internal/adapter/metrics"
+	"sassafrasreach/internal/adapter/refusals"
+	"sassafrasreach/internal/adapter/traffic"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
@@ -46,9 +51,6 @@
 	// endpoint may be used for an idempotent request. Endpoints close idle
 	// connections some seconds later.
 	endpointIdleTimeout = 4 * time.Second
-	// responseMemoryDivisor is the divisor that gives the part of the process's memory
-	// that responses may hold. The collector may let as much garbage stand beside it.
-	responseMemoryDivisor = 4
 	// heapMemoryPercent is the part of the process's memory near which the collector
 	// works harder; the rest is for what isn't on the heap.
 	heapMemoryPercent = 75
@@ -74,8 +76,14 @@
 	// metricsPort is the port at which metrics are served; 0 disables them.
 	metricsPort int
 	// items is the codec of the messages between gateways and controllers.
-	items  *fleetgrpc.ItemFilter
-	failed chan error
+	items *fleetgrpc.ItemFilter
+	// traffic counts the bytes of clients' and endpoints' connections.
+	traffic *traffic.Counter
+	// memory is charged with what is held for clients and endpoints; refusals records the
+	// clients that were refused.
+	memory   *memory.Budget
+	refusals *refusals.Recorder
+	failed   chan error
 }
 
 // withVM parses the arguments, loads the settings of a controller or gateway and
@@ -107,8 +115,10 @@
 	defer sink.Flush()
 	p := &vmProcess{
 		path: *path, settings: settings, sink: sink, logger: newLogger(sink, "info", name, settings.Name),
-		clock: port.ClockFunc(time.Now), boot: boot, meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4),
+		clock: port.ClockFunc(time.Now), boot: boot, meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4), traffic: &traffic.Counter{},
+		memory: memory.ForProcess(settings.MemoryBytes),
 	}
+	p.refusals = refusals.New(p.logger, p.meter, p.clock)
 	p.items = fleetgrpc.NewItemFilter(p.logger, p.meter)
 	event.Log(context.Background(), p.logger, event.Started, slog.String("zone", settings.Zone),
 		slog.String("region", settings.Region), slog.Any("seeds", settings.Seeds), slog.Bool("founding", settings.Bootstrap))
@@ -164,13 +174,15 @@
 	event.Log(ctx, p.logger, event.SettingsLoaded, slog.Any("seeds", fresh.Seeds))
 }
 
-// serve serves HTTP at an address.
-func (p *vmProcess) serve(ctx context.Context, clients, address string, h http.Handler) error {
+// serve serves HTTP at an address, with a bound on connections. makeRoom ends a request
+// that doesn't get on; it may be nil.
+func (p *vmProcess) serve(ctx context.Context, clients, address string, h http.Handler, maxConnections int, makeRoom func() bool) error {
 	listener, err := listenFor(ctx, clients, address)
 	if err != nil {
 		return err
 	}
-	p.serveOn(ctx, clients, listener, h, nil, headerBytes)
+	limiter := p.newLimiter(clients, maxConnections, makeRoom)
+	p.serveOn(ctx, clients, limiter.Listener(listener), h, limiter.ConnState, headerBytes)
 	return nil
 }
 
@@ -197,9 +209,13 @@
 		return
 	}
 	routes := chi.NewRouter()
-	routes.Method(http.MethodGet, "/metrics", p.meter.Handler(gauges))
+	routes.Method(http.MethodGet, "/metrics", p.meter.Handler(func() map[string]int64 {
+		out := gauges()
+		maps.Copy(out, p.memory.Gauges())
+		return out
+	}))
 	address := net.JoinHostPort(p.settings.IP.String(), strconv.Itoa(p.metricsPort))
-	if err := p.serve(ctx, "metrics", address, routes); err != nil {
+	if err := p.serve(ctx, "metrics", address, intake.IgnoreBodies(routes), sideConnections, nil); err != nil {
 		event.Log(ctx, p.logger, event.ServeFailed, slog.Any("error", err))
 	}
 }
@@ -227,14 +243,15 @@
 func newGateway(p *vmProcess) (*gateway.Gateway, *endpointhttp.Caller) {
 	endpoints := endpointhttp.New(endpointhttp.Options{
 		Clock: p.clock, HeaderConvention: platform.HeaderConvention(), IdleTimeout: endpointIdleTimeout,
-		MaxHeldBytes: p.settings.MemoryBytes / responseMemoryDivisor,
+		Memory: p.memory, Traffic: p.traffic,
 	})
 	g := gateway.New(gateway.Config{
 		Name: p.settings.Name, Address: p.settings.ClientListen,
-		Zone: p.settings.Zone, Region: p.settings.Region, Seeds: p.settings.Seeds,
+		Zone: p.settings.Zone, Region: p.settings.Region, Seeds: p.settings.Seeds, LinkBitsPerSecond: p.settings.LinkBitsPerSecond,
 		RevocationBound: p.settings.RevocationBound,
 	}, gateway.Ports{
-		Clock: p.clock, Boot: p.boot, Logger: p.logger, Endpoints: endpoints, Meter: p.meter,
+		Traffic: p.traffic.Totals,
+		Clock:   p.clock, Boot: p.boot, Logger: p.logger, Endpoints: endpoints, Meter: p.meter,
 		Dial: func(address string) (port.ControllerLink, error) { return p.dial(address) },
 	})
 	return g, endpoints
--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -12,7 +12,7 @@
 	// and of all services, whose borrowed slots a pool stops using per second for a lender
 	// that lacks slots. What runs elsewhere or is refused then changes the shares of the
 	// regions, within MaxShift in two windows of two seconds.
-	drainShare      = 0.045
+	drainShare      = 0.05
 	drainShareOfAll = 0.005
 	// maxDrainTime is how long the last requests at a drained endpoint may take before it
 	// is returned. It queues what exceeds its slots.
--- a/internal/core/dispatch/queue.go
+++ b/internal/core/dispatch/queue.go
@@ -145,7 +145,7 @@
 			svc.countQueued(w, 1)
 		}
 		switch {
-		case w.preferred != nil && w.preferred.free(now):
+		case w.preferred != nil && w.preferred.free(now) && w.preferred.bodies.fits(w.request.BodyBytes):
 			svc.countQueued(w, -1)
 			svc.fair.granted(w)
 			out = append(out, p.grant(now, svc, w.preferred, w.request))
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -43,6 +43,7 @@
 	limiter       limiter
 	// reserved is set while the endpoint is kept for restricted requests.
 	reserved bool
+	bodies   bodyMeter
 	loanState
 }
 
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -23,6 +23,8 @@
 	// Key is the key of the client's account; empty if KeyFault says why there is none.
 	Key      Key
 	KeyFault KeyFault
+	// BodyDone is called once the body is no longer used; nil if nothing is held for it.
+	BodyDone func()
 }
 
 // Key is the key of a client account. It hides itself from logs and error texts.
