Ignore the closed listener at the end of a shutdown

Reaper.Shutdown closes the listener, and http.Server.Close closes it again unless Serve has noticed that before. Then a complete shutdown failed with 'use of closed network connection', and the gateway logged 1004 stop-forced. This error is ignored now.

--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -163,7 +164,11 @@
 		open := r.open
 		r.mu.Unlock()
 		if open == 0 {
-			return s.Close()
+			// Close may find the listener that was closed above.
+			if err := s.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			return nil
 		}
 		if !wait.For(ctx, shutdownPoll) {
 			_ = s.Close()
