Keep count of connections that a handler takes over

http.Server forgets a connection that is hijacked, and so did the Reaper: a planned stop didn't wait for it. The Reaper now counts it until its handler reports StateClosed, closes it when it is idle for too long, and at the end of a forced stop. The handler marks the beginning of a request itself, since it may read while a response is written.

--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -41,6 +41,9 @@
 	mu sync.Mutex
 	// idle holds the idle connections. Guarded by mu.
 	idle map[*conn]idleState
+	// taken holds the open connections that a handler has taken over from the server.
+	// Guarded by mu.
+	taken map[*conn]bool
 	// open counts the connections. Guarded by mu.
 	open int
 }
@@ -54,7 +57,7 @@
 
 // New returns a Reaper that calls limits at each sweep.
 func New(clock port.Clock, limits func() Limits) *Reaper {
-	return &Reaper{clock: clock, limits: limits, idle: make(map[*conn]idleState)}
+	return &Reaper{clock: clock, limits: limits, idle: make(map[*conn]idleState), taken: make(map[*conn]bool)}
 }
 
 // Listener returns the listener that the server must use.
@@ -82,6 +85,9 @@
 	received, closed bool
 }
 
+// NetConn returns the connection of the server's own listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -94,8 +100,9 @@
 	return n, err
 }
 
-// awaitRequest marks that the next byte begins a request.
-func (c *conn) awaitRequest() {
+// AwaitRequest marks that the next byte begins a request. A handler that has taken the
+// connection over calls it before it reads that byte.
+func (c *conn) AwaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received = false
@@ -111,7 +118,9 @@
 	}
 }
 
-// ConnState must be set as http.Server.ConnState.
+// ConnState must be set as http.Server.ConnState. A connection stays open for the Reaper
+// when it is hijacked: the handler that has taken it over calls ConnState with StateActive,
+// StateIdle and finally StateClosed.
 func (r *Reaper) ConnState(nc net.Conn, to http.ConnState) {
 	c, ok := nc.(*conn)
 	if !ok {
@@ -125,9 +134,14 @@
 		r.open++
 		r.idle[c] = idleState{since: r.clock.Now()}
 	case http.StateIdle:
-		c.awaitRequest()
+		if !r.taken[c] {
+			c.AwaitRequest()
+		}
 		r.idle[c] = idleState{r.clock.Now(), true}
-	case http.StateClosed, http.StateHijacked:
+	case http.StateHijacked:
+		r.taken[c] = true
+	case http.StateClosed:
+		delete(r.taken, c)
 		r.open--
 	default:
 	}
@@ -153,6 +167,15 @@
 	}
 }
 
+// closeTaken closes the connections that were taken over from the server.
+func (r *Reaper) closeTaken() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.taken {
+		_ = c.Close()
+	}
+}
+
 // Shutdown closes the server's listener and each connection once it is idle. It
 // returns when no connection is open; when ctx ends before, it closes the others and
 // returns the error of ctx.
@@ -172,6 +195,7 @@
 		}
 		if !wait.For(ctx, shutdownPoll) {
 			_ = s.Close()
+			r.closeTaken()
 			return ctx.Err()
 		}
 	}
