Serve pipelined requests by a loop of their own

Package pipelinehttp detects bytes behind a request that is being served: in the segment of that request, or by the read of one byte that net/http does in the background. Only then the connection is taken over by http.Hijacker, and a loop reads ahead with http.ReadRequest, runs what core/pipeline lets it run, and writes the responses in order. It keeps the limits, timeouts and answers of http.Server, charges what waits to a budget, detects that the client left also while nothing is read (POLLRDHUP), and reads on for a short time after a closing response, so that unread requests don't reset it.

Tests with -race: order under random durations and segments, closing and broken responses, clients that leave, malformed requests, budget, planned and forced stop, idle connections.

--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -17,14 +17,15 @@
 	sampleAlpha = 0.015
 )
 
-// Meter implements port.Meter and port.FleetMeter.
+// Meter implements port.Meter, port.FleetMeter and port.PipelineMeter.
 type Meter struct {
 	registry gometrics.Registry
 }
 
 var (
-	_ port.Meter      = (*Meter)(nil)
-	_ port.FleetMeter = (*Meter)(nil)
+	_ port.Meter         = (*Meter)(nil)
+	_ port.FleetMeter    = (*Meter)(nil)
+	_ port.PipelineMeter = (*Meter)(nil)
 )
 
 // New returns a Meter with its own registry.
@@ -128,6 +129,20 @@
 	m.count("endpoint.announced." + outcome(accepted))
 }
 
+// RecordTakeover implements port.PipelineMeter.
+func (m *Meter) RecordTakeover() { m.count("pipeline.taken_over") }
+
+// RecordReadAhead implements port.PipelineMeter.
+func (m *Meter) RecordReadAhead() { m.count("pipeline.read_ahead") }
+
+// RecordPipelineEnd implements port.PipelineMeter.
+func (m *Meter) RecordPipelineEnd(canceled int) {
+	m.count("pipeline.ended")
+	if canceled > 0 {
+		gometrics.GetOrRegisterCounter("pipeline.canceled", m.registry).Inc(int64(canceled))
+	}
+}
+
 func outcome(accepted bool) string {
 	if accepted {
 		return "accepted"
--- /dev/null
+++ b/internal/adapter/pipelinehttp/handler.go
@@ -0,0 +1,124 @@
+package pipelinehttp
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"sassafrasreach/internal/core/memory"
+	"sassafrasreach/internal/port"
+)
+
+// Service serves clients' requests. It is used by several goroutines at once.
+type Service interface {
+	// Stopping reports whether a planned stop has begun.
+	Stopping() bool
+	// MayRunConcurrently reports whether a request may run at the same time as others
+	// of its connection: its method is safe, and its route allows repeated runs.
+	MayRunConcurrently(r *http.Request) bool
+	// Receive reads the request with its body and checks it. at is when its head had
+	// been read; w is the writer of its response, to which nothing is written yet. It
+	// returns accepted as false for a request that is answered without Run.
+	Receive(w http.ResponseWriter, r *http.Request, at time.Time) (x Exchange, accepted bool)
+}
+
+// Exchange is a received request with its answer.
+type Exchange interface {
+	// Run runs the request and keeps its answer. concurrent means that earlier
+	// requests of the connection may be unanswered yet, so that it must not run unless
+	// its route allows repeated runs.
+	Run(ctx context.Context, concurrent bool)
+	// Write writes the answer. As a handler of net/http, it panics with
+	// http.ErrAbortHandler if the answer breaks off.
+	Write(w http.ResponseWriter)
+	// Drop releases the answer of a request that was run and isn't written.
+	Drop()
+}
+
+// Options sets up a Handler. All fields but Budget are needed.
+type Options struct {
+	Clock  port.Clock
+	Logger *slog.Logger
+	Meter  port.PipelineMeter
+	// ConnState is called with StateActive, StateIdle and StateClosed for connections
+	// that were taken over, as http.Server does for the others.
+	ConnState func(net.Conn, http.ConnState)
+	// HeaderBytes, HeaderTimeout and IdleTimeout are those of the http.Server.
+	HeaderBytes   int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	// Budget bounds the memory of all requests that are read ahead; nil means no bound.
+	Budget *memory.Budget
+}
+
+// Handler serves the connections of one http.Server, which must use its ConnContext and
+// the listener returned by Listener.
+type Handler struct {
+	service Service
+	opts    Options
+	// taken counts the open connections that were taken over.
+	taken      atomic.Int64
+	takeovers  limitedEvent
+	cutRecords limitedEvent
+}
+
+// New returns a Handler.
+func New(service Service, opts Options) *Handler { return &Handler{service: service, opts: opts} }
+
+// Connections returns the number of open connections that were taken over.
+func (h *Handler) Connections() int64 { return h.taken.Load() }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	stopping := h.service.Stopping()
+	if stopping {
+		w.Header().Set("Connection", "close")
+	}
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	x, accepted := h.service.Receive(w, r, h.opts.Clock.Now())
+	switch {
+	case !accepted:
+		c.unwatch()
+		x.Write(w)
+	case c == nil || stopping || isFinal(r):
+		x.Run(r.Context(), false)
+		c.unwatch()
+		x.Write(w)
+	default:
+		h.serveWatched(c, w, r, x)
+	}
+}
+
+// isFinal reports whether the connection isn't used for requests behind this one, or,
+// with HTTP/1.0, only if its client waits for the answer.
+func isFinal(r *http.Request) bool { return r.Close || !r.ProtoAtLeast(1, 1) }
+
+// serveWatched serves a request and takes its connection over as soon as something
+// arrives behind it.
+func (h *Handler) serveWatched(c *conn, w http.ResponseWriter, r *http.Request, x Exchange) {
+	complete := false
+	defer func() {
+		// After a panic, net/http doesn't close a connection that was taken over.
+		if complete {
+			return
+		}
+		if l := c.unwatch(); l != nil {
+			<-l.hijacked
+			l.end(reasonPanic)
+		}
+	}()
+	c.watch(h, w, r, x)
+	x.Run(r.Context(), false)
+	l := c.unwatch()
+	if l == nil {
+		complete = true
+		x.Write(w)
+		return
+	}
+	<-l.hijacked
+	l.finish(l.first)
+	complete = true
+}
--- /dev/null
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -0,0 +1,324 @@
+package pipelinehttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"sassafrasreach/internal/core/memory"
+	"sassafrasreach/internal/core/pipeline"
+	"sassafrasreach/internal/event"
+)
+
+const (
+	// readAheadCharge is charged to the budget for each request that is read ahead: 24 KiB
+	// of its response that the caller of endpoints doesn't charge, 16 KiB for its parsed
+	// head, and 8 KiB for its goroutine. freeHeadBytes of the head are within it; each
+	// further byte is charged as parsedHeadCost bytes, which a parsed head may take.
+	readAheadCharge = 48 << 10
+	freeHeadBytes   = 1 << 10
+	parsedHeadCost  = 16
+	// pollInterval is the time between two checks whether the client is still there, and
+	// whether there is room in the budget, while nothing is read.
+	pollInterval = 100 * time.Millisecond
+	// lingerTimeout and lingerBytes bound how long and how much is read after a response
+	// that closes the connection. Without that, what the client sent behind the request
+	// resets the connection before the client has read the response.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 4 << 20
+	writeBuffer   = 4 << 10
+)
+
+// endReason says why a connection ended.
+type endReason string
+
+const (
+	reasonClientLeft endReason = "client-left"
+	reasonClosed     endReason = "closing-response"
+	reasonIdle       endReason = "idle"
+	reasonSlowHead   endReason = "header-timeout"
+	reasonBroken     endReason = "response-broke-off"
+	reasonPanic      endReason = "panic"
+	reasonTakeover   endReason = "take-over-failed"
+)
+
+// entry is a request that was read and isn't answered.
+type entry struct {
+	pipeline.Progress
+	exchange Exchange
+	request  *http.Request
+	writer   *response
+	cancel   context.CancelFunc
+	// charged is what the budget was charged for it.
+	charged int64
+}
+
+// loop serves one connection that was taken over. One goroutine reads it. Requests run in
+// goroutines of their own, of which the one that completes the first request in the queue
+// writes its response and those that are ready behind it.
+type loop struct {
+	handler *Handler
+	inner   *conn
+	conn    net.Conn
+	account *memory.Account
+	first   *entry
+	// hijacked is closed once net/http has handed over the connection.
+	hijacked chan struct{}
+	source   source
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	// progress holds an element after a response was written.
+	progress chan struct{}
+	// lastMethod is the method of the request that was read last. It belongs to the
+	// reader.
+	lastMethod string
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	queue pipeline.Queue[*entry]
+	// reading means that a part of a request was read that isn't in the queue.
+	reading bool
+	// ended says why the connection ended; empty before.
+	ended endReason
+	// served and ahead count the requests and those that were read ahead.
+	served, ahead int
+}
+
+// newLoop returns the loop for a connection whose first request is being run.
+func newLoop(c *conn, h *Handler, r *http.Request, x Exchange) *loop {
+	l := &loop{
+		handler: h, inner: c, conn: c.server, account: h.opts.Budget.Open(),
+		hijacked: make(chan struct{}), progress: make(chan struct{}, 1), lastMethod: r.Method,
+	}
+	l.first = &entry{exchange: x, request: r, cancel: func() {}}
+	l.first.Concurrent = h.service.MayRunConcurrently(r)
+	l.first.writer = newResponse(l, l.first)
+	l.queue.AddRunning(l.first)
+	l.served = 1
+	return l
+}
+
+// run takes the connection over from net/http and reads it until it ends. w is the
+// writer of the first response.
+func (l *loop) run(w http.ResponseWriter) {
+	h := l.handler
+	h.taken.Add(1)
+	defer h.taken.Add(-1)
+	h.opts.Meter.RecordTakeover()
+	h.takeovers.log(h.opts.Clock.Now(), h.opts.Logger, event.ConnectionTakenOver, slog.String("client", l.conn.RemoteAddr().String()))
+	err := l.hijack(w)
+	close(l.hijacked)
+	if err == nil {
+		l.read()
+		l.linger()
+	} else {
+		l.end(reasonTakeover)
+	}
+	_ = l.conn.Close()
+	l.account.Close()
+	h.opts.ConnState(l.conn, http.StateClosed)
+}
+
+func (l *loop) hijack(w http.ResponseWriter) error {
+	nc, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	// The reader of net/http is the same connection with other limits; what it holds is
+	// all that has been read.
+	held, err := buffered.Reader.Peek(buffered.Reader.Buffered())
+	if err != nil {
+		return err
+	}
+	l.source = source{conn: nc, held: append([]byte(nil), held...)}
+	l.reader = bufio.NewReader(&l.source)
+	l.writer = bufio.NewWriterSize(nc, writeBuffer)
+	return nil
+}
+
+// enqueue adds a request that was read, and that already has its answer if answered is
+// true. It returns false if the connection takes no more.
+func (l *loop) enqueue(e *entry, answered bool) bool {
+	l.mu.Lock()
+	l.reading = false
+	ahead, add := l.queue.Len() > 0, l.queue.Add
+	if answered {
+		add = l.queue.AddAnswered
+	}
+	if !add(e) {
+		l.mu.Unlock()
+		e.cancel()
+		return false
+	}
+	l.served++
+	if ahead {
+		l.ahead++
+		l.handler.opts.Meter.RecordReadAhead()
+	}
+	l.start()
+	l.mu.Unlock()
+	l.writeReady()
+	return true
+}
+
+// start starts the requests that may run now. The caller must hold mu.
+func (l *loop) start() {
+	for _, e := range l.queue.Start(l.handler.service.Stopping()) {
+		go l.serve(e)
+	}
+}
+
+// serve runs a request.
+func (l *loop) serve(e *entry) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.recordPanic(v)
+			l.end(reasonPanic)
+		}
+	}()
+	e.exchange.Run(e.request.Context(), e.Ahead())
+	l.finish(e)
+}
+
+// recordPanic logs a panic that isn't http.ErrAbortHandler.
+func (l *loop) recordPanic(v any) {
+	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		return
+	}
+	event.Log(context.Background(), l.handler.opts.Logger, event.ServingPanicked,
+		slog.Any("panic", v), slog.String("stack", string(debug.Stack())))
+}
+
+// finish notes that a request has its answer and writes what is ready.
+func (l *loop) finish(e *entry) {
+	l.mu.Lock()
+	open := l.queue.Answer(e)
+	l.mu.Unlock()
+	if !open {
+		e.exchange.Drop()
+		return
+	}
+	l.writeReady()
+}
+
+// writeReady writes the responses that are ready in the order of the queue, unless
+// another goroutine does.
+func (l *loop) writeReady() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		e, ready := l.queue.BeginWrite()
+		if !ready {
+			return
+		}
+		l.mu.Unlock()
+		l.write(e)
+		l.mu.Lock()
+		e.cancel()
+		if !l.queue.EndWrite() {
+			return
+		}
+		l.account.Return(e.charged)
+		l.start()
+		l.noteIdle()
+		l.signal()
+	}
+}
+
+// noteIdle notes that the connection is idle if it is. The caller must hold mu.
+func (l *loop) noteIdle() {
+	if !l.queue.HasTurn() || l.reading {
+		return
+	}
+	_ = l.conn.SetReadDeadline(time.Now().Add(l.handler.opts.IdleTimeout))
+	l.handler.opts.ConnState(l.conn, http.StateIdle)
+}
+
+// signal wakes the reader.
+func (l *loop) signal() {
+	select {
+	case l.progress <- struct{}{}:
+	default:
+	}
+}
+
+// write writes the response of the first request in the queue.
+func (l *loop) write(e *entry) {
+	switch err := l.writeWhole(e); {
+	case err != nil:
+		l.end(reasonBroken)
+	case e.writer.closes:
+		l.end(reasonClosed)
+	}
+}
+
+// writeWhole returns an error if the response isn't complete.
+func (l *loop) writeWhole(e *entry) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.recordPanic(v)
+			err = http.ErrAbortHandler
+		}
+	}()
+	e.exchange.Write(e.writer)
+	return e.writer.finish()
+}
+
+// beginResponse reports whether the connection is closed after the response that is being
+// written. closes means that the response asks for it.
+func (l *loop) beginResponse(closes bool) bool {
+	stopping := l.handler.service.Stopping()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, canceled := l.queue.BeginResponse(stopping, closes)
+	for _, e := range canceled {
+		e.cancel()
+	}
+	return last
+}
+
+// end ends the connection. After a closing response it is half-closed, and the reader
+// closes it; otherwise it is closed at once. All requests that are unanswered are canceled.
+func (l *loop) end(why endReason) {
+	l.mu.Lock()
+	inFlight := l.queue.Len()
+	unanswered, ok := l.queue.End()
+	if !ok {
+		l.mu.Unlock()
+		return
+	}
+	l.ended = why
+	canceled := inFlight
+	if why == reasonClosed {
+		canceled = len(unanswered)
+		_ = l.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	}
+	served, ahead := l.served-canceled, l.ahead
+	for _, e := range unanswered {
+		e.cancel()
+	}
+	l.mu.Unlock()
+	l.inner.cancel()
+	for _, e := range unanswered {
+		if e.Answered() {
+			e.exchange.Drop()
+		}
+	}
+	if half, ok := l.inner.Conn.(interface{ CloseWrite() error }); why == reasonClosed && ok {
+		_ = half.CloseWrite()
+	} else if why != reasonClosed {
+		_ = l.conn.Close()
+	}
+	h := l.handler
+	h.opts.Meter.RecordPipelineEnd(canceled)
+	if canceled > 0 {
+		h.cutRecords.log(h.opts.Clock.Now(), h.opts.Logger, event.PipelineCut, slog.String("client", l.conn.RemoteAddr().String()),
+			slog.String("why", string(why)), slog.Int("canceled", canceled), slog.Int("served", served), slog.Int("ahead", ahead))
+	}
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,6 +99,9 @@
 	RecordsDropped         = Event{1704, "records-dropped", slog.LevelWarn, "Log records were dropped because standard output was too slow or the bound was reached; the attribute gives their number."}
 	ControllerUnresponsive = Event{1707, "controller-deaf", slog.LevelWarn, "A controller failed to answer requests for a slot; for a while this gateway sends them to other controllers."}
 	SettingsLoaded         = Event{1705, "settings-loaded", slog.LevelInfo, "The settings file was reread and its seeds differ; the attribute lists the seeds now in use."}
+	ConnectionTakenOver    = Event{1740, "pipelining-begun", slog.LevelInfo, "A client sent a request behind one that wasn't answered; its connection is read ahead from now on. There is one record a second at most; the attribute omitted counts those left out."}
+	PipelineCut            = Event{1741, "pipelining-cut", slog.LevelInfo, "A connection with pipelined requests ended before all of them were answered; attributes give the reason and the numbers of requests canceled, served and read ahead. There is one record a second at most; the attribute omitted counts those left out."}
+	ServingPanicked        = Event{1742, "serving-panicked", slog.LevelError, "Serving a pipelined request failed unexpectedly; its connection was closed, the process goes on. Report it with the stack in the record."}
 	SettingsFailed         = Event{1706, "settings-failed", slog.LevelError, "The settings file can't be read; the settings in use are kept."}
 )
 
@@ -116,4 +119,5 @@
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
 	AnnouncementRejected, ExchangeRejected, ItemDropped,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive,
+	ConnectionTakenOver, PipelineCut, ServingPanicked,
 }
--- a/internal/port/meter.go
+++ b/internal/port/meter.go
@@ -23,6 +23,19 @@
 	RecordDrain(took time.Duration)
 }
 
+// PipelineMeter records the metrics of connections on which clients send requests
+// before earlier ones were answered.
+type PipelineMeter interface {
+	// RecordTakeover records a connection that is read ahead from now on.
+	RecordTakeover()
+	// RecordReadAhead records a request that was read before earlier ones of its
+	// connection were answered.
+	RecordReadAhead()
+	// RecordPipelineEnd records the end of a connection that was read ahead, and how many
+	// requests were canceled by it.
+	RecordPipelineEnd(canceled int)
+}
+
 // FleetMeter records the metrics of gateways and controllers.
 type FleetMeter interface {
 	// RecordRequest records the result and the latency of one request.
