--- a/internal/adapter/pipelinehttp/conn.go
+++ b/internal/adapter/pipelinehttp/conn.go
@@ -23,17 +23,29 @@
 
 type connKey struct{}
 
-// ConnContext must be set as http.Server.ConnContext. The context that it returns is
-// canceled when a connection that was taken over ends, since net/http doesn't watch it
-// any more.
+// connContext is the context of a connection, which holds the conn. It is a part of the
+// conn and isn't canceled, so that it costs nothing.
+type connContext struct {
+	context.Context
+	conn *conn
+}
+
+// Value implements context.Context.
+func (c *connContext) Value(key any) any {
+	if key == (connKey{}) {
+		return c.conn
+	}
+	return c.Context.Value(key)
+}
+
+// ConnContext must be set as http.Server.ConnContext.
 func (h *Handler) ConnContext(ctx context.Context, nc net.Conn) context.Context {
 	c := innerConn(nc)
 	if c == nil {
 		return ctx // of another listener
 	}
-	c.server = nc
-	c.ctx, c.cancel = context.WithCancel(ctx)
-	return context.WithValue(c.ctx, connKey{}, c)
+	c.server, c.context = nc, connContext{ctx, c}
+	return &c.context
 }
 
 // innerConn returns the conn of this package within a connection that was wrapped, or nil.
@@ -62,14 +74,13 @@
 	takenOver
 )
 
-// conn is a client's connection. It doesn't cost an allocation per request.
+// conn is a client's connection. It costs one allocation, and none per request.
 type conn struct {
 	net.Conn
-	// server is the connection as http.Server knows it, ctx that of its requests. They
-	// are set before the first read.
-	server net.Conn
-	ctx    context.Context
-	cancel context.CancelFunc
+	// server is the connection as http.Server knows it. It and context are set before the
+	// first read.
+	server  net.Conn
+	context connContext
 
 	mu    sync.Mutex
 	state watchState
--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -67,7 +67,12 @@
 	inner   *conn
 	conn    net.Conn
 	account *memory.Account
-	first   *entry
+	// ctx is the parent of the contexts of all requests but the first.
+	ctx    context.Context
+	cancel context.CancelFunc
+	first  *entry
+	// serverReader is that of net/http; nil before the connection was handed over.
+	serverReader *bufio.Reader
 	// hijacked is closed once net/http has handed over the connection.
 	hijacked chan struct{}
 	source   source
@@ -96,6 +101,7 @@
 		handler: h, inner: c, conn: c.server, account: h.opts.Budget.Open(),
 		hijacked: make(chan struct{}), progress: make(chan struct{}, 1), lastMethod: r.Method,
 	}
+	l.ctx, l.cancel = context.WithCancel(c.context.Context)
 	l.first = &entry{exchange: x, request: r, cancel: func() {}}
 	l.first.Concurrent = h.service.MayRunConcurrently(r)
 	l.first.writer = newResponse(l, l.first)
@@ -136,6 +142,7 @@
 	if err != nil {
 		return err
 	}
+	l.serverReader = buffered.Reader
 	l.source = source{conn: nc, held: append([]byte(nil), held...)}
 	l.reader = bufio.NewReader(&l.source)
 	l.writer = bufio.NewWriterSize(nc, writeBuffer)
@@ -304,7 +311,7 @@
 		e.cancel()
 	}
 	l.mu.Unlock()
-	l.inner.cancel()
+	l.cancel()
 	for _, e := range unanswered {
 		if e.Answered() {
 			e.exchange.Drop()
@@ -314,6 +321,7 @@
 		_ = half.CloseWrite()
 	} else if why != reasonClosed {
 		_ = l.conn.Close()
+		l.cancelFirst()
 	}
 	h := l.handler
 	h.opts.Meter.RecordPipelineEnd(canceled)
@@ -322,3 +330,14 @@
 			slog.String("why", string(why)), slog.Int("canceled", canceled), slog.Int("served", served), slog.Int("ahead", ahead))
 	}
 }
+
+// cancelFirst cancels the context of the first request, if that is still being run, after
+// the connection was closed. net/http cancels it when a read of its own fails. A context
+// of this package would cost each connection some allocations.
+func (l *loop) cancelFirst() {
+	if l.serverReader == nil {
+		return
+	}
+	_, _ = l.serverReader.Discard(l.serverReader.Buffered())
+	_, _ = l.serverReader.Peek(1)
+}
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -130,7 +130,7 @@
 	defer timer.Stop()
 	select {
 	case <-l.progress:
-	case <-l.inner.ctx.Done():
+	case <-l.ctx.Done():
 	case <-timer.C:
 		if peerClosed(l.inner.Conn) {
 			l.end(reasonClientLeft)
@@ -191,7 +191,7 @@
 	h := l.handler
 	r := e.request
 	r.RemoteAddr = l.conn.RemoteAddr().String()
-	ctx, cancel := context.WithCancel(l.inner.ctx)
+	ctx, cancel := context.WithCancel(l.ctx)
 	e.request, e.cancel = r.WithContext(ctx), cancel
 	e.writer = newResponse(l, e)
 	e.Concurrent = h.service.MayRunConcurrently(e.request)
