--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -136,13 +136,12 @@
 	if err != nil {
 		return err
 	}
-	// The reader of net/http is the same connection with other limits; what it holds is
-	// all that has been read.
-	held, err := buffered.Reader.Peek(buffered.Reader.Buffered())
+	l.serverReader = buffered.Reader
+	// What the reader of net/http holds is all that has been read.
+	held, err := l.serverReader.Peek(l.serverReader.Buffered())
 	if err != nil {
 		return err
 	}
-	l.serverReader = buffered.Reader
 	l.source = source{conn: nc, held: append([]byte(nil), held...)}
 	l.reader = bufio.NewReader(&l.source)
 	l.writer = bufio.NewWriterSize(nc, writeBuffer)
--- a/internal/core/pipeline/queue_test.go
+++ b/internal/core/pipeline/queue_test.go
@@ -20,9 +20,9 @@
 type request struct {
 	pipeline.Progress
 	number int
-	// sent, read and ends are times from the start; ends is 0 until it was started.
-	sent, read, ends time.Duration
-	run              time.Duration
+	// sent and ends are times from the start; ends is 0 until it was started.
+	sent, ends time.Duration
+	run        time.Duration
 }
 
 // TestQueue does random steps. It guards against responses out of order, a request that
