Read ahead on clients' connections of gateways

Some clients send further requests before the first one is answered. They were read only after its response, and given up by then. Gateways now serve clients through pipelinehttp.

Whether a request may run beside others depends on its method (safe ones) and on its route (idempotent), for which the loop asks the gateway. Gateway.Serve checks the route again for a request that runs ahead, since a configuration may have come meanwhile. What waits may hold a 32nd of the process's memory.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -156,6 +156,16 @@
 	return out
 }
 
+// Idempotent implements port.GatewayService.
+func (g *Gateway) Idempotent(host, path string) bool {
+	table := g.table.Load()
+	if table == nil {
+		return false
+	}
+	route := table.Route(host, path)
+	return route != nil && route.Idempotent
+}
+
 // Ready implements port.GatewayService.
 func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.Stopping() }
 
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -39,6 +39,10 @@
 	noDispatcherRetry = 500 * time.Millisecond
 )
 
+// errRouteChanged means that a configuration came into force after a request was read
+// ahead, and that its route isn't idempotent any more.
+var errRouteChanged = errors.New("route is no longer idempotent, and earlier requests of the connection are unanswered")
+
 // inFlightRequest is one client's request with the state of its attempts.
 type inFlightRequest struct {
 	gateway *Gateway
@@ -94,6 +98,9 @@
 	if x.route == nil {
 		return refusal(verdict.ReasonNoRoute, nil, 0)
 	}
+	if x.request.IdempotentOnly && !x.route.Idempotent {
+		return refusal(verdict.ReasonInternal, errRouteChanged, refusedRetry)
+	}
 	x.service, x.dispatchRegion = x.route.Pick(rand.Float64()), x.chooseDispatchRegion()
 	x.request.Service = x.service
 	x.request.OnceOnly = !x.route.Idempotent
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -374,3 +374,21 @@
 	is.True(answer.RetryAfter > 0)
 	is.Equal(e.calls, 2)
 }
+
+// TestReadAhead guards against a request that was read ahead and runs although its route
+// isn't idempotent, for instance because a new configuration came meanwhile, or there is
+// no route.
+func TestReadAhead(t *testing.T) {
+	is := is.New(t)
+	e := &endpoints{ends: []error{nil}}
+	g := startGateway(t, &fakeController{}, e)
+	is.True(g.Idempotent("shop", "/safe/1"))
+	is.True(!g.Idempotent("shop", "/once/1"))
+	is.True(!g.Idempotent("shop", "/none/1"))
+	once, safe := request("/once/1"), request("/safe/1")
+	once.IdempotentOnly, safe.IdempotentOnly = true, true
+	answer := g.Serve(t.Context(), once)
+	is.Equal(verdict.Of(answer.Err), verdict.NotRun)
+	is.Equal(e.calls, 0)
+	is.NoErr(g.Serve(t.Context(), safe).Err)
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -20,8 +20,10 @@
 	"sassafrasreach/internal/adapter/fleetgrpc"
 	"sassafrasreach/internal/adapter/logsink"
 	"sassafrasreach/internal/adapter/metrics"
+	"sassafrasreach/internal/adapter/pipelinehttp"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
@@ -48,6 +50,9 @@
 	// responseMemoryDivisor is the divisor that gives the part of the process's memory
 	// that responses may hold. The collector may let as much garbage stand beside it.
 	responseMemoryDivisor = 4
+	// readAheadMemoryDivisor is the divisor that gives the part of the process's memory
+	// that pipelined requests may hold until their turn, besides their large responses.
+	readAheadMemoryDivisor = 32
 	// heapMemoryPercent is the part of the process's memory near which the collector
 	// works harder; the rest is for what isn't on the heap.
 	heapMemoryPercent = 75
@@ -163,23 +168,22 @@
 	if err != nil {
 		return err
 	}
-	p.serveOn(ctx, clients, listener, h, nil, headerBytes)
+	p.serveOn(ctx, clients, listener, p.newServer(h, headerBytes))
 	return nil
 }
 
-// serveOn serves HTTP on a listener. The hook is called when the state of a
-// connection changes; it may be nil. A request's header has maxHeaderBytes at most.
-func (p *vmProcess) serveOn(
-	ctx context.Context, clients string, listener net.Listener, h http.Handler, hook func(net.Conn, http.ConnState), maxHeaderBytes int,
-) *http.Server {
-	server := &http.Server{
-		ConnState: hook,
-		Handler:   h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+// newServer returns an HTTP server. A request's header has maxHeaderBytes at most.
+func (p *vmProcess) newServer(h http.Handler, maxHeaderBytes int) *http.Server {
+	return &http.Server{
+		Handler: h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
 	}
+}
+
+// serveOn serves HTTP on a listener.
+func (p *vmProcess) serveOn(ctx context.Context, clients string, listener net.Listener, server *http.Server) {
 	event.Log(ctx, p.logger, event.Listening, slog.String("for", clients), slog.String("address", listener.Addr().String()))
 	go func() { p.failed <- server.Serve(listener) }()
-	return server
 }
 
 // serveMetrics serves the process's metrics, if a port is set. If it can't listen on
@@ -232,6 +236,19 @@
 	return g, endpoints
 }
 
+// newClients returns the handler of clients that may send further requests before the
+// first one has been answered. connState is called as by http.Server.
+func newClients(p *vmProcess, g *gateway.Gateway, connState func(net.Conn, http.ConnState)) *pipelinehttp.Handler {
+	var budget *memory.Budget
+	if p.settings.MemoryBytes > 0 {
+		budget = memory.NewBudget(p.settings.MemoryBytes / readAheadMemoryDivisor)
+	}
+	return pipelinehttp.New(platform.NewClients(g, p.clock), pipelinehttp.Options{
+		Clock: p.clock, Logger: p.logger, Meter: p.meter, ConnState: connState, Budget: budget,
+		HeaderBytes: clientHeaderBytes, HeaderTimeout: clientHeaderTimeout, IdleTimeout: clientIdleTimeout,
+	})
+}
+
 // newController returns a controller with the platform's settings.
 func newController(p *vmProcess, store port.VoterStore, hints port.HintStore) (*controller.Controller, error) {
 	return controller.New(controller.Config{
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sassafrasreach/internal/adapter/idleconns"
+	"sassafrasreach/internal/adapter/pipelinehttp"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/wait"
@@ -40,12 +41,19 @@
 	if err != nil {
 		return err
 	}
-	clients := p.serveOn(ctx, "clients", idle.Listener(listener), platform.NewClients(g, p.clock), idle.ConnState, clientHeaderBytes)
+	pipelines := newClients(p, g, idle.ConnState)
+	clients := p.newServer(pipelines, clientHeaderBytes)
+	clients.ConnState, clients.ConnContext = idle.ConnState, pipelines.ConnContext
+	p.serveOn(ctx, "clients", idle.Listener(pipelinehttp.Listener(listener)), clients)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
 	if err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g)); err != nil {
 		return err
 	}
-	p.serveMetrics(ctx, g.Gauges)
+	p.serveMetrics(ctx, func() map[string]int64 {
+		gauges := g.Gauges()
+		gauges["pipeline.connections"] = pipelines.Connections()
+		return gauges
+	})
 	go g.Run(ctx)
 	go p.reload(ctx, g.SetSeeds)
 	go wait.Every(ctx, sweepPeriod, endpoints.Sweep)
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -18,6 +18,9 @@
 	Path      string
 	// Affinity names the object that the request concerns; empty if none.
 	Affinity string
+	// IdempotentOnly means that the request must not run unless its route is idempotent,
+	// because earlier requests of its connection are unanswered.
+	IdempotentOnly bool
 }
 
 // ClientAnswer is the result of a client's request.
@@ -39,6 +42,9 @@
 	// Limits returns the bounds of clients' requests; false before a
 	// configuration is known.
 	Limits() (fleet.Limits, bool)
+	// Idempotent reports whether the route of a host and a path allows that a request
+	// runs more than once; false if there is none.
+	Idempotent(host, path string) bool
 	// Ready reports whether clients may use this gateway.
 	Ready() bool
 	// Stopping reports whether a planned stop has begun.
