Check in the test of the queue what closes a connection

TestQueue seldom drew a response that closes the connection before others could start, and didn't check which one is the last in a planned stop, nor which are canceled. It checks that now.

--- a/internal/core/pipeline/queue_test.go
+++ b/internal/core/pipeline/queue_test.go
@@ -23,8 +23,12 @@
 	// sent and ends are times from the start; ends is 0 until it was started.
 	sent, ends time.Duration
 	run        time.Duration
+	// started means that it was run, refused that it is answered without.
+	started, refused bool
 }
 
+func (r *request) begun() bool { return r.started || r.refused }
+
 // TestQueue does random steps. It guards against responses out of order, a request that
 // isn't concurrent running beside others or behind a closing response, a started request
 // that is neither answered nor canceled, and reading ahead beyond the bounds or in a
@@ -37,6 +41,7 @@
 		first := &request{Progress: pipeline.Progress{Concurrent: rapid.Bool().Draw(rt, "first")}}
 		q.AddRunning(first)
 		running = append(running, first)
+		unanswered := []*request{first}
 		serial, written, stopping, closed := 0, 0, false, false
 		var writing *request
 		start := func() {
@@ -47,7 +52,7 @@
 				}
 				is.True(r.Concurrent || r.number == written)
 				is.True(!stopping || r.number == written)
-				running = append(running, r)
+				running, r.started = append(running, r), true
 			}
 		}
 		steps := map[string]func(*rapid.T){
@@ -59,12 +64,13 @@
 				is.True(!stopping || q.Len() == 0)
 				serial++
 				kind := rapid.IntRange(0, 5).Draw(rt, "kind")
-				r := &request{number: serial, Progress: pipeline.Progress{Concurrent: kind > 1, HeadBytes: 1 << kind}}
+				r := &request{number: serial, refused: kind == 5, Progress: pipeline.Progress{Concurrent: kind > 0, HeadBytes: 1 << kind}}
 				if kind == 5 {
 					is.True(q.AddAnswered(r))
 				} else {
 					is.True(q.Add(r))
 				}
+				unanswered = append(unanswered, r)
 				start()
 			},
 			"answer": func(rt *rapid.T) {
@@ -78,14 +84,16 @@
 			"begin": func(rt *rapid.T) {
 				r, ok := q.BeginWrite()
 				if !ok {
+					is.True(writing != nil || len(unanswered) == 0 || !unanswered[0].Answered())
 					return
 				}
 				is.True(writing == nil && r.number == written)
 				writing = r
-				last, canceled := q.BeginResponse(stopping, rapid.IntRange(0, 20).Draw(rt, "closes") == 0)
+				asked := rapid.IntRange(0, 4).Draw(rt, "closes") == 3
+				last, canceled := q.BeginResponse(stopping, asked)
 				closed = closed || last
-				is.True(last || !stopping || q.Len() > 1)
-				is.True(len(canceled) < max(1, q.Len()))
+				is.Equal(last, asked || stopping && (len(unanswered) == 1 || !unanswered[1].begun()))
+				is.True(!last || len(canceled) == q.Len()-1)
 			},
 			"end write": func(*rapid.T) {
 				if writing == nil {
@@ -93,15 +101,16 @@
 				}
 				writing = nil
 				if closed {
-					_, ok := q.End()
-					is.Equal(ok, true)
+					canceled, ok := q.End()
+					is.True(ok && len(canceled) == len(unanswered)-1)
 				}
 				if q.EndWrite() {
+					unanswered = unanswered[1:]
 					written++
 					start()
 				}
 			},
-			"stop": func(rt *rapid.T) { stopping = stopping || rapid.IntRange(0, 9).Draw(rt, "stop") == 0 },
+			"stop": func(rt *rapid.T) { stopping = stopping || rapid.IntRange(0, 29).Draw(rt, "stop") == 17 },
 		}
 		for range 200 {
 			if q.Ended() {
