Bound the responses that wait on one connection

Up to 31 responses of 1 MiB each may have waited behind a slow first one, a quarter of the memory of a VM of 136 MB. From 1 MiB of waiting responses on, nothing more is read from the connection; those that are run already come on top, each charged to the budget of responses. TestLargeResponses.

--- a/internal/adapter/pipelinehttp/cost_test.go
+++ b/internal/adapter/pipelinehttp/cost_test.go
@@ -36,6 +36,7 @@
 
 func (constant) Run(context.Context, bool)   {}
 func (constant) Write(w http.ResponseWriter) { _, _ = io.WriteString(w, "x") }
+func (constant) Bytes() int64                { return 0 }
 func (constant) Drop()                       {}
 
 // BenchmarkPlainConnection measures a connection without pipelining, served with and
--- a/internal/adapter/pipelinehttp/handler.go
+++ b/internal/adapter/pipelinehttp/handler.go
@@ -31,6 +31,8 @@
 	// requests of the connection may be unanswered yet, so that it must not run unless
 	// its route allows repeated runs.
 	Run(ctx context.Context, concurrent bool)
+	// Bytes returns the size of the answer that is kept after Run.
+	Bytes() int64
 	// Write writes the answer. As a handler of net/http, it panics with
 	// http.ErrAbortHandler if the answer breaks off.
 	Write(w http.ResponseWriter)
--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -204,7 +204,7 @@
 // finish notes that a request has its answer and writes what is ready.
 func (l *loop) finish(e *entry) {
 	l.mu.Lock()
-	open := l.queue.Answer(e)
+	open := l.queue.Answer(e, e.exchange.Bytes())
 	l.mu.Unlock()
 	if !open {
 		e.exchange.Drop()
--- a/internal/adapter/pipelinehttp/pipeline_test.go
+++ b/internal/adapter/pipelinehttp/pipeline_test.go
@@ -261,6 +261,24 @@
 	s.eventually(500*time.Millisecond, func() bool { return slices.Contains(s.ids(&s.started), "other") })
 }
 
+// TestLargeResponses guards against reading ahead while large responses wait for a slow
+// first one.
+func TestLargeResponses(t *testing.T) {
+	s := newRig(t, nil)
+	c := s.dial(t)
+	c.send(get("/safe/first?wait=1"), get("/safe/2?bytes=600000"), get("/safe/3?bytes=600000"))
+	s.eventually(time.Second, s.has(&s.started, "2", "3", "first"))
+	time.Sleep(50 * time.Millisecond)
+	c.send(get("/safe/4"))
+	time.Sleep(200 * time.Millisecond)
+	s.True(s.has(&s.started, "2", "3", "first")())
+	close(s.release)
+	for range 3 {
+		c.answer()
+	}
+	c.answered("GET 4 ", false)
+}
+
 // TestStop guards against a planned stop that reads further requests ahead, cuts off those
 // that run, or announces the end of the connection before the last response.
 func TestStop(t *testing.T) {
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -250,6 +250,9 @@
 // Run implements Exchange. It isn't called.
 func (rejection) Run(context.Context, bool) {}
 
+// Bytes implements Exchange.
+func (rejection) Bytes() int64 { return 0 }
+
 // Write implements Exchange.
 func (x rejection) Write(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -96,6 +96,11 @@
 	delete(x.unfinished, x.id)
 }
 
+func (x *exchange) Bytes() int64 {
+	n, _ := strconv.Atoi(x.r.FormValue("bytes"))
+	return int64(n)
+}
+
 func (x *exchange) Drop() { x.note(&x.dropped) }
 
 func (x *exchange) Write(w http.ResponseWriter) {
--- a/internal/core/pipeline/queue.go
+++ b/internal/core/pipeline/queue.go
@@ -9,6 +9,9 @@
 	MaxUnanswered = 32
 	// MaxHeadBytes is the size of their heads from which on nothing more is read.
 	MaxHeadBytes = 256 << 10
+	// MaxWaitingBytes is the size of responses that wait for an earlier one from which on
+	// nothing more is read. Those that are being run come on top.
+	MaxWaitingBytes = 1 << 20
 )
 
 // state is the progress of a request.
@@ -29,6 +32,8 @@
 
 	state state
 	ahead bool
+	// answerBytes is the size of its answer.
+	answerBytes int64
 }
 
 func (p *Progress) progress() *Progress { return p }
@@ -67,11 +72,14 @@
 	if len(q.requests) == 0 {
 		return q.Open()
 	}
-	heads := int64(0)
-	for _, r := range q.requests {
+	heads, answers := int64(0), int64(0)
+	for i, r := range q.requests {
 		heads += r.progress().HeadBytes
+		if i > 0 {
+			answers += r.progress().answerBytes
+		}
 	}
-	return q.Open() && !stopping && len(q.requests) < MaxUnanswered && heads < MaxHeadBytes
+	return q.Open() && !stopping && len(q.requests) < MaxUnanswered && heads < MaxHeadBytes && answers < MaxWaitingBytes
 }
 
 // HasTurn reports whether a request that must not run beside others may be read whole.
@@ -120,13 +128,14 @@
 	return out
 }
 
-// Answer records that a request that was started has its answer. It returns false if the
-// connection has ended; the answer is dropped then.
-func (q *Queue[R]) Answer(r R) bool {
+// Answer records that a request that was started has its answer, of so many bytes. It
+// returns false if the connection has ended; the answer is dropped then.
+func (q *Queue[R]) Answer(r R, bytes int64) bool {
 	if q.ended {
 		return false
 	}
-	r.progress().state = answered
+	p := r.progress()
+	p.state, p.answerBytes = answered, bytes
 	return true
 }
 
--- a/internal/core/pipeline/queue_test.go
+++ b/internal/core/pipeline/queue_test.go
@@ -78,7 +78,7 @@
 					return
 				}
 				i := rapid.IntRange(0, len(running)-1).Draw(rt, "which")
-				is.Equal(q.Answer(running[i]), !q.Ended())
+				is.Equal(q.Answer(running[i], rapid.SampledFrom([]int64{0, 1000, pipeline.MaxWaitingBytes}).Draw(rt, "bytes")), !q.Ended())
 				running = slices.Delete(running, i, i+1)
 			},
 			"begin": func(rt *rapid.T) {
@@ -167,7 +167,7 @@
 		}
 		for _, r := range requests {
 			if r.ends > 0 && r.ends == now {
-				q.Answer(r)
+				q.Answer(r, 0)
 			}
 		}
 		for {
