Reject responses whose HTTP status isn't three digits from 100 to 599

http.ReadResponse takes 000, 099 and +20 for 0, 99 and 20. These were skipped as interim responses, so that the request waited for its deadline; 600 to 999 went to the client. Such a response now ends the exchange: the request may have run, whatever its headers state, the connection is closed, the endpoint has failed, and an idempotent request goes on with its next attempt at once. The commands call and ctl reject them, too; ctl took statuses below 200 for a decision, and 600 with a problem document for the statement that nothing was proposed.

--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"sassafrasreach/internal/adapter/httpstatus"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
@@ -88,7 +89,8 @@
 }
 
 // readHead reads the head of the final response and skips interim responses
-// (RFC 9110, section 15.2).
+// (RFC 9110, section 15.2). An invalid status ends the exchange: nothing is known about
+// what such a response means, so the request may have run.
 func (x *exchange) readHead(out *http.Request) (*response, error) {
 	x.conn.limitHead(x.account)
 	for range maxInterim {
@@ -96,6 +98,9 @@
 		if err != nil {
 			return nil, errors.Join(err, x.conn.input.err)
 		}
+		if err := httpstatus.Check(in); err != nil {
+			return nil, err
+		}
 		if in.StatusCode >= http.StatusOK {
 			x.conn.removeLimit()
 			return newResponse(in), nil
--- a/internal/app/gateway/run_end_test.go
+++ b/internal/app/gateway/run_end_test.go
@@ -20,6 +20,7 @@
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/registry"
+	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
 
@@ -157,3 +158,53 @@
 		is.New(t).Equal(runEnd(t, listener.Addr().String(), time.Minute), quarantine.Down)
 	})
 }
+
+// TestInvalidStatus lets an endpoint answer with a status that isn't three digits from 100
+// to 599, and the next one well. It guards against an idempotent request that waits for
+// its deadline or gets that status, a once-only request that runs twice, and an endpoint
+// whose failure isn't recorded.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "600", "999"} {
+		for _, body := range []string{"", "body"} {
+			t.Run(status+body, func(t *testing.T) {
+				is := is.New(t)
+				reply := func(status, body string) string {
+					return scriptedEndpoint(t, func(c *net.TCPConn, id string) {
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Status\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+						_, _ = io.Copy(io.Discard, c)
+					})
+				}
+				addresses := []string{reply(status, body), reply("200", "good")}
+				g, c := startHTTPGateway(t, "")
+				granted := 0
+				c.answer = func(port.SlotRequest) (dispatch.Decision, error) {
+					granted++
+					return dispatch.Decision{Grant: "g", Endpoint: registry.Endpoint{ID: fmt.Sprint(granted % 2), Address: addresses[(granted-1)%2]}}, nil
+				}
+				call := func(path string) port.ClientAnswer {
+					return g.Serve(t.Context(), &port.ClientRequest{
+						Request:   port.Request{ID: "id-1", Method: http.MethodGet, Target: path, Deadline: time.Now().Add(time.Minute)},
+						RouteHost: "shop", Path: path,
+					})
+				}
+				answer := call("/safe/x")
+				is.NoErr(answer.Err)
+				is.Equal(string(answer.Response.Body), "good")
+				is.Equal(granted, 2)
+				once := call("/once/x")
+				is.Equal(verdict.Of(once.Err), verdict.MayHaveRun)
+				is.Equal(granted, 3)
+				for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+					c.mu.Lock()
+					n := len(c.released)
+					c.mu.Unlock()
+					if n == 3 {
+						break
+					}
+				}
+				is.Equal(c.released[0].Outcome, dispatch.Failed)
+				is.Equal(c.released[2].Outcome, dispatch.Failed)
+			})
+		}
+	}
+}
--- a/internal/cli/caller.go
+++ b/internal/cli/caller.go
@@ -11,12 +11,16 @@
 	"strings"
 	"time"
 
+	"sassafrasreach/internal/adapter/httpstatus"
 	"sassafrasreach/internal/port"
 )
 
 // lookupTimeout is the timeout of one look-up at one entry VM.
 const lookupTimeout = time.Second
 
+// callerClient sends requests and look-ups of the command line.
+var callerClient = httpstatus.NewClient(http.DefaultTransport.(*http.Transport))
+
 // errNoEntry means that the look-up succeeded at no entry VM.
 var errNoEntry = errors.New("the look-up failed at every entry VM")
 
@@ -46,7 +50,7 @@
 	if err != nil {
 		return answer, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := callerClient.Do(request)
 	if err != nil {
 		return answer, err
 	}
--- a/internal/cli/ctl/client.go
+++ b/internal/cli/ctl/client.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"sassafrasreach/internal/adapter/httpstatus"
 	"sassafrasreach/internal/adapter/operatorhttp"
 	"sassafrasreach/internal/wait"
 )
@@ -56,7 +57,7 @@
 }
 
 func newClient(control, tokenFile string) (*client, error) {
-	c := &client{http: &http.Client{}}
+	c := &client{http: httpstatus.NewClient(http.DefaultTransport.(*http.Transport))}
 	for _, text := range strings.Split(control, ",") {
 		text = strings.TrimRight(strings.TrimSpace(text), "/")
 		if text == "" {
--- a/internal/cli/ctl/ctl_test.go
+++ b/internal/cli/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -281,3 +282,29 @@
 	}))
 	is.Equal(b.run("audit", "-control", linked), int(ctl.ExitRefused))
 }
+
+// TestInvalidStatus guards against a response with an invalid status that counts as a
+// decision, or as a statement that nothing was proposed: the change may have been accepted.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			odd := b.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				recorder := httptest.NewRecorder()
+				b.handler.ServeHTTP(recorder, r)
+				body := recorder.Body.String()
+				if status >= "600" {
+					body = `{"code":"` + string(operatorhttp.CodeNoQuorum) + `"}`
+				}
+				c, _, err := w.(http.Hijacker).Hijack()
+				is.NoErr(err)
+				defer func() { _ = c.Close() }()
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Status\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+			}))
+			is.Equal(b.run("apply", b.file, "-base", "1", "-control", odd, "-timeout", "250ms"), int(ctl.ExitUnknown))
+			is.True(strings.Contains(b.errs.String(), "may have been accepted"))
+			is.Equal(b.version(), uint64(2))
+		})
+	}
+}
--- a/internal/cli/send.go
+++ b/internal/cli/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sassafrasreach/internal/adapter/callerhttp"
+	"sassafrasreach/internal/adapter/httpstatus"
 	"sassafrasreach/internal/port"
 )
 
@@ -34,7 +35,7 @@
 func send(ctx context.Context, o callOptions, entry port.LookupEntry, place string) reply {
 	replies := make(chan reply, 2)
 	attempt := func(client *http.Client) { replies <- sendOnce(ctx, client, o, entry, place) }
-	go attempt(http.DefaultClient)
+	go attempt(callerClient)
 	if !safe(o) {
 		return <-replies
 	}
@@ -45,7 +46,7 @@
 		return r
 	case <-resendTimer.C:
 	}
-	go attempt(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+	go attempt(httpstatus.NewClient(&http.Transport{DisableKeepAlives: true}))
 	r := <-replies
 	if r.err != nil {
 		r = <-replies
