Return charges of pipelined requests exactly, and skip empty lines behind a POST

Whether a request that is read ahead was charged to the budget was decided twice; if the last response ended in between, the charge stayed until the connection ended. An empty line, which some clients send behind a POST, began the header timeout, so that an idle connection was closed after 10 s; it is skipped now before that, as net/http does.

--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -80,9 +80,10 @@
 	writer   *bufio.Writer
 	// progress holds an element after a response was written.
 	progress chan struct{}
-	// lastMethod is the method of the request that was read last. It belongs to the
-	// reader.
+	// lastMethod is the method of the request that was read last, charged what the budget
+	// was charged for the next one. They belong to the reader.
 	lastMethod string
+	charged    int64
 
 	// mu guards the fields below.
 	mu    sync.Mutex
--- a/internal/adapter/pipelinehttp/pipeline_test.go
+++ b/internal/adapter/pipelinehttp/pipeline_test.go
@@ -310,7 +310,7 @@
 	s.idle.Store(int64(time.Millisecond))
 	idle, begun, running := s.dial(t), s.dial(t), s.dial(t)
 	for _, c := range []client{idle, begun, running} {
-		c.send(get("/safe/1?ms=5"), get("/safe/2"))
+		c.send(get("/safe/1?ms=5"), post("/safe/2", ""), "\r\n") // an empty line isn't a request
 		c.answer()
 		c.answer()
 	}
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -63,10 +63,7 @@
 // client that half-closes it is gone, too.
 func (l *loop) awaitByte() bool {
 	l.source.left = math.MaxInt64
-	if c, ok := l.conn.(interface{ AwaitRequest() }); ok && l.reader.Buffered() == 0 && len(l.source.held) == 0 {
-		c.AwaitRequest()
-	}
-	_, err := l.reader.Peek(1)
+	err := l.peekRequest()
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		l.end(reasonIdle)
@@ -86,6 +83,27 @@
 	return true
 }
 
+// peekRequest waits for the first byte of a request. It skips up to two empty lines, which
+// some clients send behind a POST.
+func (l *loop) peekRequest() error {
+	skippable := 0
+	if l.lastMethod == http.MethodPost {
+		skippable = 4
+	}
+	for ; ; skippable-- {
+		if c, ok := l.conn.(interface{ AwaitRequest() }); ok && l.reader.Buffered() == 0 && len(l.source.held) == 0 {
+			c.AwaitRequest()
+		}
+		b, err := l.reader.Peek(1)
+		if err != nil || skippable == 0 || b[0] != '\r' && b[0] != '\n' {
+			return err
+		}
+		if _, err := l.reader.Discard(1); err != nil {
+			return err
+		}
+	}
+}
+
 // awaitRoom waits until a further request may be read. It returns false when the
 // connection has ended.
 func (l *loop) awaitRoom() bool {
@@ -93,7 +111,11 @@
 		if !l.queue.MayRead(l.handler.service.Stopping()) {
 			return false
 		}
-		return l.queue.Len() == 0 || l.account.Take(readAheadCharge)
+		l.charged = 0
+		if l.queue.Len() > 0 && l.account.Take(readAheadCharge) {
+			l.charged = readAheadCharge
+		}
+		return l.queue.Len() == 0 || l.charged > 0
 	})
 }
 
@@ -150,9 +172,6 @@
 // readOne reads a request and adds it to the queue. It returns false if nothing more is
 // read from the connection.
 func (l *loop) readOne() bool {
-	l.mu.Lock()
-	ahead := l.queue.Len() > 0
-	l.mu.Unlock()
 	l.setReadDeadline(time.Now().Add(l.handler.opts.HeaderTimeout))
 	began := l.consumed()
 	r, err := l.readHead()
@@ -171,8 +190,8 @@
 	}
 	e := &entry{request: r, cancel: func() {}}
 	e.HeadBytes = l.consumed() - began
-	if ahead {
-		e.charged = readAheadCharge
+	if l.charged > 0 {
+		e.charged = l.charged
 		if extra := parsedHeadCost * max(0, e.HeadBytes-freeHeadBytes); l.account.Take(extra) {
 			e.charged += extra
 		}
--- a/internal/adapter/pipelinehttp/request.go
+++ b/internal/adapter/pipelinehttp/request.go
@@ -27,9 +27,6 @@
 // readHead reads the head of a request and checks it as http.Server does.
 func (l *loop) readHead() (*http.Request, error) {
 	l.source.left = l.handler.opts.HeaderBytes + headSlop
-	if l.lastMethod == http.MethodPost {
-		l.skipEmptyLine()
-	}
 	r, err := http.ReadRequest(l.reader)
 	if err != nil && l.source.left <= 0 {
 		return nil, errHeadTooLarge
@@ -40,16 +37,6 @@
 	return r, checkRequest(r)
 }
 
-// skipEmptyLine skips up to two empty lines, which some clients send behind a POST.
-func (l *loop) skipEmptyLine() {
-	for range 4 {
-		if b, err := l.reader.Peek(1); err != nil || b[0] != '\r' && b[0] != '\n' {
-			return
-		}
-		_, _ = l.reader.Discard(1)
-	}
-}
-
 // checkRequest checks what http.ReadRequest leaves to the server.
 func checkRequest(r *http.Request) error {
 	switch {
