--- a/internal/adapter/connlimit/connlimit.go
+++ b/internal/adapter/connlimit/connlimit.go
@@ -221,6 +221,9 @@
 	return true
 }
 
+// NetConn returns the connection of the underlying listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.limiter.mu.Lock()
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -23,6 +23,7 @@
 	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/adapter/logsink"
 	"sassafrasreach/internal/adapter/metrics"
+	"sassafrasreach/internal/adapter/pipelinehttp"
 	"sassafrasreach/internal/adapter/refusals"
 	"sassafrasreach/internal/adapter/traffic"
 	"sassafrasreach/internal/app/controller"
@@ -182,23 +183,24 @@
 		return err
 	}
 	limiter := p.newLimiter(clients, maxConnections, makeRoom)
-	p.serveOn(ctx, clients, limiter.Listener(listener), h, limiter.ConnState, headerBytes)
+	server := p.newServer(h, headerBytes)
+	server.ConnState = limiter.ConnState
+	p.serveOn(ctx, clients, limiter.Listener(listener), server)
 	return nil
 }
 
-// serveOn serves HTTP on a listener. The hook is called when the state of a
-// connection changes; it may be nil. A request's header has maxHeaderBytes at most.
-func (p *vmProcess) serveOn(
-	ctx context.Context, clients string, listener net.Listener, h http.Handler, hook func(net.Conn, http.ConnState), maxHeaderBytes int,
-) *http.Server {
-	server := &http.Server{
-		ConnState: hook,
-		Handler:   h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+// newServer returns an HTTP server. A request's header has maxHeaderBytes at most.
+func (p *vmProcess) newServer(h http.Handler, maxHeaderBytes int) *http.Server {
+	return &http.Server{
+		Handler: h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
 	}
+}
+
+// serveOn serves HTTP on a listener.
+func (p *vmProcess) serveOn(ctx context.Context, clients string, listener net.Listener, server *http.Server) {
 	event.Log(ctx, p.logger, event.Listening, slog.String("for", clients), slog.String("address", listener.Addr().String()))
 	go func() { p.failed <- server.Serve(listener) }()
-	return server
 }
 
 // serveMetrics serves the process's metrics, if a port is set. If it can't listen on
@@ -257,6 +259,15 @@
 	return g, endpoints
 }
 
+// newClients returns the handler of clients that may send further requests before the
+// first one has been answered. connState is called as by http.Server.
+func newClients(p *vmProcess, clients platform.Clients, connState func(net.Conn, http.ConnState)) *pipelinehttp.Handler {
+	return pipelinehttp.New(clients, pipelinehttp.Options{
+		Clock: p.clock, Logger: p.logger, Meter: p.meter, ConnState: connState, Budget: p.memory,
+		HeaderBytes: clientHeaderBytes, HeaderTimeout: clientHeaderTimeout, IdleTimeout: clientIdleTimeout,
+	})
+}
+
 // newController returns a controller with the platform's settings.
 func newController(p *vmProcess, store port.VoterStore, hints port.HintStore) (*controller.Controller, error) {
 	return controller.New(controller.Config{
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -10,6 +10,7 @@
 
 	"sassafrasreach/internal/adapter/idleconns"
 	"sassafrasreach/internal/adapter/intake"
+	"sassafrasreach/internal/adapter/pipelinehttp"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
@@ -46,11 +47,14 @@
 	}
 	bodies := intake.New(p.memory, memory.Bodies, p.clock)
 	limiter := p.newLimiter("clients", p.openConnections(true), bodies.MakeRoom)
-	clients := p.serveOn(ctx, "clients", idle.Listener(limiter.Listener(p.traffic.Listener(listener))),
-		platform.NewBoundedClients(g, p.clock, bodies, p.refusals), func(c net.Conn, s http.ConnState) {
-			limiter.ConnState(c, s)
-			idle.ConnState(c, s)
-		}, clientHeaderBytes)
+	connState := func(c net.Conn, s http.ConnState) {
+		limiter.ConnState(c, s)
+		idle.ConnState(c, s)
+	}
+	pipelines := newClients(p, platform.NewBoundedClients(g, p.clock, bodies, p.refusals), connState)
+	clients := p.newServer(pipelines, clientHeaderBytes)
+	clients.ConnState, clients.ConnContext = connState, pipelines.ConnContext
+	p.serveOn(ctx, "clients", idle.Listener(limiter.Listener(p.traffic.Listener(pipelinehttp.Listener(listener)))), clients)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
 	go wait.Every(ctx, sweepPeriod, bodies.Sweep)
 	if err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g), sideConnections, nil); err != nil {
@@ -59,6 +63,7 @@
 	p.serveMetrics(ctx, func() map[string]int64 {
 		out := g.Gauges()
 		out["connections.clients"] = int64(limiter.Open())
+		out["pipeline.connections"] = pipelines.Connections()
 		return out
 	})
 	go g.Run(ctx)
--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -17,12 +17,15 @@
 	Bodies
 	// Orders are those of operators and endpoints at a controller.
 	Orders
+	// ReadAhead are those of requests that were read while earlier ones of their
+	// connections are unanswered.
+	ReadAhead
 	kinds
 )
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
-	return [kinds]string{"responses", "connections", "bodies", "orders"}[k]
+	return [kinds]string{"responses", "connections", "bodies", "orders", "read-ahead"}[k]
 }
 
 // fairPart divides what is left of a budget: an account that is to be fair holds that part
--- a/internal/core/memory/share.go
+++ b/internal/core/memory/share.go
@@ -12,6 +12,9 @@
 	// responsePercent is the part of a process's memory that responses may hold. They come
 	// and go fast, and the collector lets as much garbage stand beside them.
 	responsePercent = 25
+	// readAheadPercent is the part that requests may hold which were read while earlier
+	// ones are unanswered.
+	readAheadPercent = 3
 	// connectionBytes is what an open connection takes: its goroutine and its buffers.
 	connectionBytes = 24 << 10
 	// connectionShare divides the budget: connections get that part of it at most.
@@ -27,6 +30,7 @@
 	limit := memoryBytes / 100 * budgetPercent
 	b := NewReservedBudget(limit, limit/100*reservedPercent)
 	b.caps[Responses] = memoryBytes / 100 * responsePercent
+	b.caps[ReadAhead] = memoryBytes / 100 * readAheadPercent
 	return b
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -106,6 +106,9 @@
 	SettingsLoaded         = Event{1705, "settings-loaded", slog.LevelInfo, "The settings file was reread and its seeds differ; the attribute lists the seeds now in use."}
 	LeaseEnded             = Event{1708, "lease-ended", slog.LevelWarn, "This gateway refuses requests with keys, because no quorum has confirmed its configuration within the bound on revocations; the attribute gives the age of the last confirmation, -1 for none."}
 	LeaseRenewed           = Event{1709, "lease-renewed", slog.LevelInfo, "This gateway serves requests with keys again, because its configuration was confirmed."}
+	ConnectionTakenOver    = Event{1740, "pipelining-begun", slog.LevelInfo, "A client sent a request behind one that wasn't answered; its connection is read ahead from now on. There is one record a second at most; the attribute omitted counts those left out."}
+	PipelineCut            = Event{1741, "pipelining-cut", slog.LevelInfo, "A connection with pipelined requests ended before all of them were answered; attributes give the reason and the numbers of requests canceled, served and read ahead. There is one record a second at most; the attribute omitted counts those left out."}
+	ServingPanicked        = Event{1742, "serving-panicked", slog.LevelError, "Serving a pipelined request failed unexpectedly; its connection was closed, the process goes on. Report it with the stack in the record."}
 	SettingsFailed         = Event{1706, "settings-failed", slog.LevelError, "The settings file can't be read; the settings in use are kept."}
 )
 
@@ -123,5 +126,5 @@
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
 	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable, QuotaExceeded,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive, LeaseEnded, LeaseRenewed,
-	LinkUseChanged, ClientRefused,
+	LinkUseChanged, ClientRefused, ConnectionTakenOver, PipelineCut, ServingPanicked,
 }
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -25,6 +25,9 @@
 	KeyFault KeyFault
 	// BodyDone is called once the body is no longer used; nil if nothing is held for it.
 	BodyDone func()
+	// IdempotentOnly means that the request must not run unless its route is idempotent,
+	// because earlier requests of its connection are unanswered.
+	IdempotentOnly bool
 }
 
 // Key is the key of a client account. It hides itself from logs and error texts.
@@ -72,6 +75,9 @@
 	// Limits returns the bounds of clients' requests; false before a
 	// configuration is known.
 	Limits() (fleet.Limits, bool)
+	// Idempotent reports whether the route of a host and a path allows that a request
+	// runs more than once; false if there is none.
+	Idempotent(host, path string) bool
 	// Ready reports whether clients may use this gateway.
 	Ready() bool
 	// Stopping reports whether a planned stop has begun.
