Judge a request's account by the configuration that sends it

What the head was judged by stayed set on the request if the configuration lost its accounts while the body arrived: the endpoint still got the account's name, and not the client's headers. It is set anew now. The clock since boot isn't read without a bound on revocations.

Tested: app/gateway with -race, among it TestAccountsRemoved and TestLeaseAfterRestart, which are new; go build for arm64.

--- a/internal/app/gateway/authenticate.go
+++ b/internal/app/gateway/authenticate.go
@@ -54,6 +54,8 @@
 		return refusal(verdict.ReasonNoRoute, nil, 0), true
 	}
 	x.priority, x.regions = x.route.Priority, x.route.Regions
+	// The configuration may be another one than when the head was read.
+	x.request.Identify, x.request.Account = false, ""
 	if !x.table.Config().Authenticate {
 		return port.ClientAnswer{}, false
 	}
@@ -77,7 +79,7 @@
 		x.gateway.ports.Meter.RecordKeyRefused(fault)
 		return refusal(verdict.ReasonUnauthenticated, &keyError{fault}, 0), true
 	}
-	x.request.Identify, x.request.Account, x.weight = true, "", x.table.Weight(x.account)
+	x.request.Identify, x.weight = true, x.table.Weight(x.account)
 	if x.account == nil {
 		return port.ClientAnswer{}, false
 	}
--- a/internal/app/gateway/confirm.go
+++ b/internal/app/gateway/confirm.go
@@ -30,10 +30,13 @@
 	return hold
 }
 
-// confirmed reports whether the lease is valid now. The caller must have read the request
+// confirmed reports whether the lease is valid now, if one is needed. The caller must have read the request
 // before, and load the table after: the table then is the state that the lease confirms, or a
 // later one.
 func (g *Gateway) confirmed() bool {
+	if !g.config.strict() {
+		return false
+	}
 	now := g.ports.Boot.SinceBoot()
 	lease := g.lease.Load()
 	return lease != nil && lease.Valid(now, g.config.RevocationBound)
--- a/internal/app/gateway/confirm_test.go
+++ b/internal/app/gateway/confirm_test.go
@@ -14,6 +14,7 @@
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
@@ -30,6 +31,13 @@
 
 // newLeaseRig returns a rig that watches the given controllers, which all are the same.
 func newLeaseRig(t *testing.T, seeds ...string) *leaseRig {
+	r := newStoppedRig(seeds...)
+	go r.gateway.Run(t.Context())
+	return r
+}
+
+// newStoppedRig returns a rig whose gateway doesn't watch yet.
+func newStoppedRig(seeds ...string) *leaseRig {
 	r := &leaseRig{endpoints: &endpoints{ends: []error{nil}}}
 	r.controller = &fakeController{config: keyedRoutes(), answer: func(port.SlotRequest) (dispatch.Decision, error) {
 		return dispatch.Decision{Grant: "g", Region: "west", Endpoint: registry.Endpoint{ID: "e", Service: "s", Address: "e:1", Slots: 4}}, nil
@@ -42,7 +50,6 @@
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Endpoints: r.endpoints, Meter: metrics.New(),
 		Dial: func(address string) (port.ControllerLink, error) { return watchedLink{r.controller, address}, nil },
 	})
-	go r.gateway.Run(t.Context())
 	return r
 }
 
@@ -161,6 +168,47 @@
 	}
 }
 
+// TestLeaseAfterRestart guards against a gateway that starts and serves keys by a state that a
+// controller without a quorum sends.
+func TestLeaseAfterRestart(t *testing.T) {
+	r := newStoppedRig("c:1")
+	r.answer(func(u port.Update, _ port.WatchCursor) (port.Update, error) {
+		u.Age = 6 * time.Second
+		return u, nil
+	})
+	go r.gateway.Run(t.Context())
+	for !r.gateway.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	r.serves(t, false)
+	r.answer(nil)
+	r.serves(t, true)
+}
+
+// TestAccountsRemoved guards against a request whose headers are changed although the
+// configuration that is in force when it is sent has no accounts.
+func TestAccountsRemoved(t *testing.T) {
+	is := is.New(t)
+	r := newLeaseRig(t, "c:1")
+	r.serves(t, true)
+	x := request("/safe/")
+	x.Key = "ka"
+	_, refused := r.gateway.Refuse(t.Context(), x)
+	is.True(!refused && x.Identify && x.Account == "a")
+	r.answer(func(u port.Update, _ port.WatchCursor) (port.Update, error) {
+		u.Sequence = 2
+		u.State = &fleet.State{Config: keyedRoutes()}
+		u.State.Config.Version, u.State.Config.Authenticate, u.State.Config.Accounts = 2, false, nil
+		return u, nil
+	})
+	for r.gateway.Gauges()["config.version"] != 2 {
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(r.gateway.Serve(t.Context(), x).Err)
+	is.True(!r.endpoints.last.Identify && r.endpoints.last.Account == "")
+}
+
 // TestLeaseOfEitherWatcher guards against a lease that only the nearby controller renews.
 func TestLeaseOfEitherWatcher(t *testing.T) {
 	for _, dead := range []string{"c:1", "c:2"} {
