--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -253,7 +253,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.heardAt = now
-	former := u.State != nil && !u.State.Config.Complete()
+	former := u.State != nil && u.State.Config.Version > 0 && !u.State.Config.Complete()
 	if former {
 		g.formerSent[watcher] = u.Sequence
 	}
