Use urgent recalled endpoints fully until they are drained

Recalled endpoints whose lender lacks slots are now used like others until their drain begins, and the pace counts the requests that run at them.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -65,7 +65,7 @@
 // the slot request is to wait for one, because a run elsewhere is expected to
 // end later or would exceed maxCopies.
 //
-// An object that is warm at a recalled endpoint moves to another endpoint, unless
+// An object that is warm at an avoided endpoint moves to another endpoint, unless
 // that one is in another region and the limit on shifts doesn't allow it yet.
 func (p *Pool) choose(now time.Time, svc *service, req SlotRequest) *server {
 	if s := svc.unusedEndpoint(now, req); s != nil {
@@ -73,7 +73,7 @@
 	}
 	best := p.chooseLasting(now, svc, req)
 	for _, s := range svc.servedBy[req.object()] {
-		if !s.recalled || !eligible(now, s, req) || !svc.keepsWarm(s, req.object()) {
+		if !s.avoided() || !eligible(now, s, req) || !svc.keepsWarm(s, req.object()) {
 			continue
 		}
 		if best == nil {
@@ -88,13 +88,13 @@
 }
 
 // chooseLasting is choose without the endpoints that keep the object warm but are
-// recalled.
+// avoided.
 func (p *Pool) chooseLasting(now time.Time, svc *service, req SlotRequest) *server {
 	object, k := req.object(), svc.kind(req)
 	var bestWarm *server
 	least, copies := math.Inf(1), 0
 	for _, s := range svc.servedBy[object] {
-		if s.recalled || !eligible(now, s, req) || !svc.keepsWarm(s, object) {
+		if s.avoided() || !eligible(now, s, req) || !svc.keepsWarm(s, object) {
 			continue
 		}
 		copies++
@@ -129,9 +129,9 @@
 
 // choosePlacement returns an endpoint for an object that isn't warm there,
 // and the least cost. It tries the regions that the limit on shifts allows,
-// endpoints that aren't recalled first, then the own region.
+// endpoints that aren't avoided first, then the own region.
 func (p *Pool) choosePlacement(now time.Time, svc *service, req SlotRequest) (*server, float64) {
-	s, cost := svc.cheapest(now, req, func(s *server) bool { return !s.recalled && p.mayMove(now, s) })
+	s, cost := svc.cheapest(now, req, func(s *server) bool { return !s.avoided() && p.mayMove(now, s) })
 	if s != nil {
 		return s, cost
 	}
@@ -142,13 +142,13 @@
 	return svc.cheapest(now, req, func(s *server) bool { return s.own })
 }
 
-// firstRecalled returns the first recalled endpoint in the order of their IDs
+// firstRecalled returns the first avoided endpoint in the order of their IDs
 // that has a free slot, so that the others become idle and can be returned; nil if
 // there is none.
 func (svc *service) firstRecalled(now time.Time, req SlotRequest, allowed func(time.Time, *server) bool) *server {
 	var first *server
 	for _, s := range svc.servers {
-		if s.recalled && s.free(now) && eligible(now, s, req) && allowed(now, s) && (first == nil || s.endpoint.ID < first.endpoint.ID) {
+		if s.avoided() && s.free(now) && eligible(now, s, req) && allowed(now, s) && (first == nil || s.endpoint.ID < first.endpoint.ID) {
 			first = s
 		}
 	}
@@ -161,7 +161,7 @@
 	return now.Before(p.shiftSuspendedUntil) || p.shift.Allows(now, s.region)
 }
 
-// rank orders the endpoints by the cost of a new object, recalled ones last, and
+// rank orders the endpoints by the cost of a new object, avoided ones last, and
 // sums up their slots, so that a slot request need not compare all endpoints of a large pool.
 func (svc *service) rank(now time.Time) {
 	k := &kind{cold: svc.slotTime}
@@ -181,9 +181,9 @@
 	svc.meanKept = float64(kept) / float64(max(usable, 1))
 	slices.SortFunc(svc.ranked, func(a, b *server) int {
 		switch {
-		case a.recalled && !b.recalled:
+		case a.avoided() && !b.avoided():
 			return 1
-		case b.recalled && !a.recalled:
+		case b.avoided() && !a.avoided():
 			return -1
 		}
 		return cmp.Or(cmp.Compare(a.rankCost, b.rankCost), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -9,7 +9,7 @@
 
 const (
 	// drainShare and drainShareOfAll are the parts of the running requests of a service,
-	// and of all services, whose borrowed slots a pool stops using per second for a lender
+	// and of all services, from whose endpoints a pool withdraws per second for a lender
 	// that lacks slots. What runs elsewhere or is refused then changes the shares of the
 	// regions, within MaxShift in two windows of two seconds.
 	drainShare      = 0.05
@@ -27,7 +27,7 @@
 	p.refillDrainable(now)
 	for _, s := range p.urgent() {
 		svc := p.service(s.endpoint.Service)
-		if n := float64(s.capacity(svc)); n <= svc.drainable {
+		if n := float64(max(1, s.inFlight)); n <= svc.drainable {
 			svc.drainable -= n
 			s.drainedSince = now
 		}
@@ -82,6 +82,11 @@
 	return n
 }
 
+// avoided reports whether the pool moves requests from a recalled endpoint to others as far
+// as the limit on shifts allows. An urgent one is used like others until it is drained:
+// both regions lack slots.
+func (s *server) avoided() bool { return s.recalled && !s.urgent }
+
 // isDrained reports whether the use of a drained endpoint has ended.
 func (s *server) isDrained(now time.Time) bool {
 	return !s.drainedSince.IsZero() && (s.inFlight == 0 || now.Sub(s.drainedSince) >= maxDrainTime)
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -77,7 +77,7 @@
 	leastUrgent int
 	// lastRecall is the time of the last recall of lent endpoints.
 	lastRecall time.Time
-	// drainable is the number of borrowed slots that may be drained now.
+	// drainable is the number of running requests whose endpoints may be drained now.
 	drainable float64
 }
 
--- a/internal/core/dispatch/queue.go
+++ b/internal/core/dispatch/queue.go
@@ -116,7 +116,7 @@
 		return true
 	case w.preferred == nil:
 		return p.choose(now, svc, w.request) == s
-	case w.request.Affinity != "" || s.recalled || s.region != w.preferred.region:
+	case w.request.Affinity != "" || s.avoided() || s.region != w.preferred.region:
 		return false
 	default:
 		k := svc.kind(w.request)
