Keep the slots of borrowed endpoints in use during round trips

A slot of an endpoint in another region counted as used from its grant to its release: with 55 ms between regions, a run of 0.2 s took 0.31 s of a slot, or 0.42 s with a new connection, and the endpoint's own slots stood empty meanwhile.

The borrower has so many more requests under way as fit into a round trip, at most as many as slots. Endpoints that named a limit are left out.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -172,9 +172,10 @@
 			s.rankCost = math.Inf(1)
 			continue
 		}
+		s.inTransit = svc.inTransit(s)
 		s.rankCost = s.cost(now, svc, k, false)
-		svc.slots += s.capacity(svc)
-		svc.free += max(0, s.capacity(svc)-s.inFlight)
+		svc.slots += s.capacity(svc) + s.inTransit
+		svc.free += max(0, s.capacity(svc)+s.inTransit-s.inFlight)
 		kept += s.kept(svc)
 		usable++
 	}
--- a/internal/core/dispatch/lend_test.go
+++ b/internal/core/dispatch/lend_test.go
@@ -15,10 +15,15 @@
 // regionPool returns the pool of one region in a system where each region has
 // the given number of endpoints with four slots.
 func regionPool(now time.Time, own string, endpoints map[string]int) *dispatch.Pool {
+	return regionPoolAt(now, own, endpoints, 20*time.Millisecond)
+}
+
+// regionPoolAt is regionPool with a round-trip time to the other regions.
+func regionPoolAt(now time.Time, own string, endpoints map[string]int, roundTrip time.Duration) *dispatch.Pool {
 	pool := dispatch.NewPool(own+"/", dispatch.Config{
 		ColdRate: func(string) float64 { return 5 }, Random: func() float64 { return 0 }, Region: own,
 		RegionOf:  func(zone string) string { return zone },
-		RoundTrip: func(string) time.Duration { return 20 * time.Millisecond },
+		RoundTrip: func(string) time.Duration { return roundTrip },
 		MaxShift:  0.15,
 	})
 	for region, n := range endpoints {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -70,6 +70,9 @@
 	// slotTime is the moving average, in seconds, of the time for which a
 	// served request uses its slot.
 	slotTime float64
+	// runTime is the moving average, in seconds, of the run times, without the round
+	// trip to another region.
+	runTime float64
 	// firstServed is the time of the first served request; zero before.
 	firstServed time.Time
 	// leastUrgent is the highest Priority, that of the least urgent slot request,
@@ -374,8 +377,9 @@
 	}
 	g.kind.observe(g.depth >= 0 && g.depth < svc.kept.limit, run)
 	if svc.slotTime == 0 {
-		svc.slotTime, svc.firstServed = slotTime, now
+		svc.slotTime, svc.runTime, svc.firstServed = slotTime, run, now
 	}
+	svc.runTime += smoothing / 2 * (run - svc.runTime)
 	svc.slotTime += smoothing / 2 * (slotTime - svc.slotTime)
 }
 
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -15,6 +15,9 @@
 	// region.
 	roundTrip time.Duration
 	inFlight  int
+	// inTransit is the number of requests that the pool has under way to or from the
+	// endpoint besides those that use its slots.
+	inTransit int
 	// rankCost is the cost of a new object at the endpoint as of the last
 	// tick.
 	rankCost float64
@@ -52,10 +55,13 @@
 }
 
 func (s *server) free(now time.Time) bool {
-	return s.usable(now) && s.inFlight < s.endpoint.Slots && (!s.cold(now) || !now.Before(s.nextColdGrant)) &&
+	return s.usable(now) && s.inFlight < s.slots() && (!s.cold(now) || !now.Before(s.nextColdGrant)) &&
 		s.limiter.wait(now, 1) == 0
 }
 
+// slots returns how many requests the pool has under way to the endpoint at a time.
+func (s *server) slots() int { return s.endpoint.Slots + s.inTransit }
+
 // capacity returns the number of slots that the endpoint can use within its limit.
 func (s *server) capacity(svc *service) int { return s.limiter.slots(s.endpoint.Slots, svc.slotTime) }
 
@@ -81,8 +87,8 @@
 // wait estimates the time in seconds until the endpoint has a free slot.
 func (s *server) wait(now time.Time, svc *service) float64 {
 	wait := 0.0
-	if s.inFlight >= s.endpoint.Slots {
-		wait = float64(s.queuedFor+1) * s.slowness * svc.slotTime / math.Max(1, float64(s.endpoint.Slots))
+	if s.inFlight >= s.slots() {
+		wait = float64(s.queuedFor+1) * s.slowness * svc.slotTime / math.Max(1, float64(s.slots()))
 	}
 	if s.cold(now) && now.Before(s.nextColdGrant) {
 		wait += s.nextColdGrant.Sub(now).Seconds()
@@ -103,10 +109,22 @@
 		run *= 1 + occupancyWeight*kept/math.Max(1, float64(svc.kept.limit)) + balanceWeight*kept/(svc.meanKept+1)
 	}
 	run *= 1 + failureWeight*s.failures
-	run *= 1 + loadWeight*float64(s.inFlight)/math.Max(1, float64(s.endpoint.Slots))
+	run *= 1 + loadWeight*float64(s.inFlight)/math.Max(1, float64(s.slots()))
 	return s.wait(now, svc) + s.roundTrip.Seconds() + run
 }
 
+// inTransit returns how many requests are between the pool and an endpoint of another
+// region while the endpoint uses all its slots. Without them its slots would stand empty
+// for a round trip after each run: the round trip between regions is a third to a half of a
+// run with the object warm.
+func (svc *service) inTransit(s *server) int {
+	if s.roundTrip <= 0 || svc.runTime <= 0 || s.limiter.limited {
+		return 0
+	}
+	n := float64(s.endpoint.Slots) * s.roundTrip.Seconds() / svc.runTime
+	return int(math.Min(math.Round(n), float64(s.endpoint.Slots)))
+}
+
 // observeOutcome updates the statistics by the outcome of a request. took and
 // expected are its actual and expected run times in seconds.
 func (s *server) observeOutcome(now time.Time, outcome Outcome, took, expected float64) {
@@ -123,7 +141,7 @@
 		// An endpoint that refuses while it has free slots isn't full. A
 		// pause would move its warm objects elsewhere, so the refusal only
 		// counts as a failure.
-		if s.inFlight+1 >= s.endpoint.Slots {
+		if s.inFlight+1 >= s.slots() {
 			s.pausedUntil = now.Add(fullPause)
 		} else {
 			s.failures += smoothing * (1 - s.failures)
