Charge large messages of other VMs; keep descriptors for endpoints

A controller charges messages beyond 64 KiB while it handles them, without refusing any. A gateway keeps as many descriptors for endpoints as for clients: two thirds for clients left too few when all of them have a request in flight. Releases say when the answer came.

--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -213,6 +213,7 @@
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
 	use.observe(ctx, response, err)
 	if use.signals, use.answered = signalsOf(response, err); use.answered {
+		use.answeredAt = g.ports.Clock.Now()
 		g.recordSignals(d.Endpoint, use.signals)
 	}
 	if use.outcome == dispatch.Unreachable {
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -41,6 +41,8 @@
 	// signals are what the endpoint said about itself if it answered.
 	signals  registry.Signals
 	answered bool
+	// answeredAt is when the answer, or the beginning of a streamed one, was there.
+	answeredAt time.Time
 	// streamed means that the use ends with the endpoint's part of a streamed response.
 	streamed bool
 }
@@ -60,7 +62,7 @@
 	g.recordEnded(u.slot.Endpoint, u.answered, u.signals)
 	g.release(u.address, port.SlotRelease{
 		Region: x.dispatchRegion, Grant: u.slot.Grant, Outcome: u.outcome, RunEnd: &u.end, Took: g.ports.Clock.Now().Sub(u.began),
-		Answered: u.answered, Signals: u.signals,
+		Answered: u.answered, Signals: u.signals, AnsweredAt: u.answeredAt,
 	})
 }
 
--- a/internal/cli/connections.go
+++ b/internal/cli/connections.go
@@ -33,13 +33,13 @@
 }
 
 // openConnections returns the number of connections that those who aren't trusted may have
-// open at all ports together. Of a gateway's descriptors as many are kept for connections
-// to endpoints as half of them, since each request in flight has one.
+// open at all ports together. A gateway keeps as many for connections to endpoints, since
+// each request in flight has one.
 func (p *vmProcess) openConnections(toEndpoints bool) int {
 	all := p.descriptors()
 	left := all - max(ownDescriptors, all/ownDescriptorsDivisor)
 	if toEndpoints {
-		left = left * 2 / 3
+		left /= 2
 	}
 	return max(1, min(left, p.memory.MaxConnections()))
 }
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	fleet := fleetgrpc.NewServer(c, p.clock, append(grpcpanic.Options(p.logger), p.items.ServerOption())...)
+	fleet := fleetgrpc.NewServer(c, p.clock, append(grpcpanic.Options(p.logger), p.items.ServerOption(), fleetgrpc.MemoryOption(p.memory))...)
 	go func() { p.failed <- fleet.Serve(listener) }()
 	bodies := intake.New(p.memory, memory.Orders, p.clock)
 	control := platform.NewControl(platform.ControlOptions{
--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -17,12 +17,14 @@
 	Bodies
 	// Orders are those of operators and endpoints at a controller.
 	Orders
+	// Messages are those of other VMs, while they are handled.
+	Messages
 	kinds
 )
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
-	return [kinds]string{"responses", "connections", "bodies", "orders"}[k]
+	return [kinds]string{"responses", "connections", "bodies", "orders", "messages"}[k]
 }
 
 // fairPart divides what is left of a budget: an account that is to be fair holds that part
@@ -74,6 +76,14 @@
 	return true
 }
 
+// force takes bytes even if fewer are left.
+func (b *Budget) force(n int64, kind Kind) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held += n
+	b.byKind[kind] += n
+}
+
 func (b *Budget) give(n int64, kind Kind) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -141,6 +151,20 @@
 	return true
 }
 
+// Force adds bytes to the account even if the budget doesn't have them: others get less
+// until they are given back.
+func (a *Account) Force(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.held += n
+	if a.budget != nil {
+		a.budget.force(n, a.kind)
+	}
+}
+
 // Fair reports whether the account may grow to so many bytes and leave the others as much
 // each: what it holds then is at most a part of what is left. So those that came first and
 // give nothing back don't take all.
--- a/internal/core/memory/budget_test.go
+++ b/internal/core/memory/budget_test.go
@@ -46,6 +46,10 @@
 	is.True(!small.Take(1)) // it isn't small any more
 	is.Equal(b.Gauges()["memory.held.bodies"], large.Held()+memory.SmallBytes)
 	is.Equal(b.Gauges()["memory.held.orders"], int64(memory.SmallBytes))
+	message := b.OpenFor(memory.Messages)
+	message.Force(1 << 40)
+	is.True(!b.Open().Take(1))
+	message.Close()
 	large.Close()
 	is.True(small.Take(1))
 }
