End slow bodies, not only silent ones, when others need room

A body that trickled kept its place until its time was over, and others between 16 KiB and its size were refused meanwhile. Now one that takes more than 1 s for 8 KiB makes room. A stop leaves 0.5 s to each body instead of refusing all, and controllers go on taking announcements while they hand over, as before.

--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -30,8 +30,10 @@
 	// it have arrived; a part is at most a quarter of what has arrived before.
 	firstPartBytes, maxPartBytes = 4 << 10, 1 << 20
 	partShare                    = 4
-	// quietFor is the time without a byte after which a body makes room for others.
+	// quietFor is the time for leastBytes after which a body makes room for others.
 	quietFor = time.Second
+	// stopTime is how long a body may take once the process stops.
+	stopTime = 500 * time.Millisecond
 	// roomWait is how long a body waits for the room that another one makes.
 	roomWait = 100 * time.Millisecond
 	roomPoll = 5 * time.Millisecond
@@ -58,7 +60,7 @@
 	mu sync.Mutex
 	// unfinished holds the bodies that are being read. Guarded by mu.
 	unfinished map[*reading]struct{}
-	// stopped is true once unfinished bodies are no longer waited for. Guarded by mu.
+	// stopped is true once bodies have only stopTime. Guarded by mu.
 	stopped bool
 }
 
@@ -115,10 +117,8 @@
 type reading struct {
 	control *http.ResponseController
 	account *memory.Account
-	// until bounds its time.
-	until time.Time
-	// lastByte is when bytes last arrived.
-	lastByte time.Time
+	// began is when it began; until bounds its time.
+	began, until time.Time
 	// windowBegan is when the time for the next leastBytes began, and window counts those
 	// that have arrived.
 	windowBegan time.Time
@@ -143,7 +143,7 @@
 	now := in.clock.Now()
 	x := &reading{
 		control: http.NewResponseController(w), account: in.budget.OpenFor(in.kind),
-		until: now.Add(maxBodyTime), lastByte: now, windowBegan: now,
+		began: now, until: now.Add(maxBodyTime), windowBegan: now,
 	}
 	if !deadline.IsZero() && deadline.Before(x.until) {
 		x.until = deadline
@@ -166,9 +166,7 @@
 func (in *Intake) readAll(x *reading, r *http.Request, maxBytes int64) (*Body, error) {
 	body := &Body{account: x.account}
 	total := int64(0)
-	if err := in.begin(x); err != nil {
-		return nil, err
-	}
+	in.begin(x)
 	for {
 		part, err := in.newPart(x, total, r.ContentLength)
 		if err != nil {
@@ -201,26 +199,18 @@
 }
 
 // begin makes a body known to Sweep.
-func (in *Intake) begin(x *reading) error {
+func (in *Intake) begin(x *reading) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.stopped {
-		return ErrStopping
-	}
 	in.unfinished[x] = struct{}{}
-	return nil
 }
 
 // arrived records that bytes have arrived.
 func (in *Intake) arrived(x *reading, n int) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if n == 0 {
-		return
-	}
-	x.lastByte = in.clock.Now()
 	if x.window += int64(n); x.window >= leastBytes {
-		x.window, x.windowBegan = 0, x.lastByte
+		x.window, x.windowBegan = 0, in.clock.Now()
 	}
 }
 
@@ -229,9 +219,18 @@
 func (in *Intake) Sweep() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.sweep()
+}
+
+// sweep is Sweep. Must hold mu.
+func (in *Intake) sweep() {
 	now := in.clock.Now()
 	for x := range in.unfinished {
-		if x.ended == nil && (now.After(x.until) || now.Sub(x.windowBegan) >= leastWindow) {
+		switch {
+		case x.ended != nil:
+		case in.stopped && now.Sub(x.began) >= stopTime:
+			in.end(x, ErrStopping)
+		case now.After(x.until) || now.Sub(x.windowBegan) >= leastWindow:
 			in.end(x, ErrSlow)
 		}
 	}
@@ -259,7 +258,7 @@
 	return nil, ErrMemory
 }
 
-// makeRoom ends the largest other body that stands still, if it is larger than x.
+// makeRoom ends the largest other body that is quiet, if it is larger than x.
 func (in *Intake) makeRoom(x *reading) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -276,8 +275,9 @@
 	return largest != nil
 }
 
-// quiet reports whether a body stands still. Must hold mu.
-func (in *Intake) quiet(x *reading) bool { return in.clock.Now().Sub(x.lastByte) >= quietFor }
+// quiet reports whether a body stands still, or arrives too slowly to keep its place while
+// others need it. Must hold mu.
+func (in *Intake) quiet(x *reading) bool { return in.clock.Now().Sub(x.windowBegan) >= quietFor }
 
 // end lets the reading of a body fail. Must hold mu.
 func (in *Intake) end(x *reading, why error) {
@@ -285,14 +285,14 @@
 	_ = x.control.SetReadDeadline(time.Unix(1, 0))
 }
 
-// MakeRoom ends the unfinished body that has stood still for longest, so that its
-// connection is closed. It returns false if none stands still.
+// MakeRoom ends the unfinished body that has been quiet for longest, so that its
+// connection is closed. It returns false if there is none.
 func (in *Intake) MakeRoom() bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	var oldest *reading
 	for o := range in.unfinished {
-		if o.ended == nil && in.quiet(o) && (oldest == nil || o.lastByte.Before(oldest.lastByte)) {
+		if o.ended == nil && in.quiet(o) && (oldest == nil || o.windowBegan.Before(oldest.windowBegan)) {
 			oldest = o
 		}
 	}
@@ -302,17 +302,13 @@
 	return oldest != nil
 }
 
-// Stop ends all unfinished bodies, and those that come later, so that they don't delay the
-// end of the process.
+// Stop ends the bodies that take longer than stopTime, also those that come later, so that
+// they don't delay the end of the process.
 func (in *Intake) Stop() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.stopped = true
-	for o := range in.unfinished {
-		if o.ended == nil {
-			in.end(o, ErrStopping)
-		}
-	}
+	in.sweep()
 }
 
 // ignoredBodyTime is how long the server may read a body that its handler doesn't read,
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -70,7 +70,6 @@
 		return err
 	}
 	c.Stop()
-	bodies.Stop()
 	time.Sleep(handOverPeriod)
 	for left := maxHandOverPeriod - handOverPeriod; left > 0 && !c.HandedOver(); left -= handOverCheckPeriod {
 		time.Sleep(handOverCheckPeriod)
