Let unfinished heads make room for new connections

Some twenty unfinished heads of 250 KB, which count sixteen times, could hold the whole budget for 10 s, and new connections were refused meanwhile. Connections with their heads get half of the budget at most, and a new connection takes the place of one that sends no request also when the budget is full.

Tested by connlimit.TestUnfinishedHeads (fails without the second part).

--- a/internal/adapter/connlimit/connlimit.go
+++ b/internal/adapter/connlimit/connlimit.go
@@ -115,24 +115,29 @@
 	c := &conn{Conn: raw, limiter: l, account: l.opts.Budget.OpenFor(memory.Connections), since: l.opts.Clock.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	victim := (*conn)(nil)
-	if len(l.open) >= l.opts.Max {
-		if victim = l.leastUseful(); victim == nil && (len(l.open) >= l.opts.Max+closingSlack || !l.opts.MakeRoom()) {
-			return nil
-		}
-	}
-	if victim != nil {
-		l.remove(victim)
-		l.opts.Refused(reasonIdle, victim.RemoteAddr().String())
-		_ = victim.Conn.Close()
+	if len(l.open) >= l.opts.Max && !l.closeLeastUseful() && (len(l.open) >= l.opts.Max+closingSlack || !l.opts.MakeRoom()) {
+		return nil
 	}
-	if !c.account.TakeConnection() {
+	if !c.account.TakeConnection() && (!l.closeLeastUseful() || !c.account.TakeConnection()) {
 		return nil
 	}
 	l.open[c] = struct{}{}
 	return c
 }
 
+// closeLeastUseful closes the connection that leastUseful returns; false if there is none.
+// Must hold mu.
+func (l *Limiter) closeLeastUseful() bool {
+	victim := l.leastUseful()
+	if victim == nil {
+		return false
+	}
+	l.remove(victim)
+	l.opts.Refused(reasonIdle, victim.RemoteAddr().String())
+	_ = victim.Conn.Close()
+	return true
+}
+
 // leastUseful returns the connection to close for another one: the oldest that never sent
 // a request, else the one that has been idle for longest; nil if there is none. Must hold
 // mu.
--- a/internal/adapter/connlimit/connlimit_test.go
+++ b/internal/adapter/connlimit/connlimit_test.go
@@ -140,3 +140,20 @@
 	}
 	is.True(s.get(s.dial(t)))
 }
+
+// TestUnfinishedHeads guards against heads that never end and take all memory together:
+// they make room for a new connection.
+func TestUnfinishedHeads(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	const head = "GET / HTTP/1.1\r\nHost: x\r\nx: "
+	for range 2 { // each takes nearly half of the budget
+		_, err := io.WriteString(s.dial(t), head+strings.Repeat("y", 72000-len(head)))
+		is.NoErr(err)
+	}
+	for s.budget.Held() < 2<<20-10<<10 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(600 * time.Millisecond) // more than new connections have for their requests
+	is.True(s.get(s.dial(t)))
+}
--- a/internal/core/memory/share.go
+++ b/internal/core/memory/share.go
@@ -14,7 +14,8 @@
 	responsePercent = 25
 	// connectionBytes is what an open connection takes: its goroutine and its buffers.
 	connectionBytes = 24 << 10
-	// connectionShare divides the budget: connections get that part of it at most.
+	// connectionShare divides the budget: connections, with the heads that are read from
+	// them, get that part of it at most.
 	connectionShare = 2
 )
 
@@ -26,6 +27,7 @@
 	}
 	limit := memoryBytes / 100 * budgetPercent
 	b := NewReservedBudget(limit, limit/100*reservedPercent)
+	b.caps[Connections] = limit / connectionShare
 	b.caps[Responses] = memoryBytes / 100 * responsePercent
 	return b
 }
