--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	fleet := fleetgrpc.NewServer(c, p.clock, append(grpcpanic.Options(p.logger), p.items.ServerOption())...)
+	fleet := fleetgrpc.NewServer(c, p.clock, append(grpcpanic.Options(p.logger), p.items.ServerOption(), fleetgrpc.MemoryOption(p.memory))...)
 	go func() { p.failed <- fleet.Serve(listener) }()
 	bodies := intake.New(p.memory, memory.Orders, p.clock)
 	control := platform.NewControl(platform.ControlOptions{
@@ -70,7 +70,6 @@
 		return err
 	}
 	c.Stop()
-	bodies.Stop()
 	time.Sleep(handOverPeriod)
 	for left := maxHandOverPeriod - handOverPeriod; left > 0 && !c.HandedOver(); left -= handOverCheckPeriod {
 		time.Sleep(handOverCheckPeriod)
--- a/internal/core/memory/share.go
+++ b/internal/core/memory/share.go
@@ -17,7 +17,8 @@
 	readAheadPercent = 3
 	// connectionBytes is what an open connection takes: its goroutine and its buffers.
 	connectionBytes = 24 << 10
-	// connectionShare divides the budget: connections get that part of it at most.
+	// connectionShare divides the budget: connections, with the heads that are read from
+	// them, get that part of it at most.
 	connectionShare = 2
 )
 
@@ -29,6 +30,7 @@
 	}
 	limit := memoryBytes / 100 * budgetPercent
 	b := NewReservedBudget(limit, limit/100*reservedPercent)
+	b.caps[Connections] = limit / connectionShare
 	b.caps[Responses] = memoryBytes / 100 * responsePercent
 	b.caps[ReadAhead] = memoryBytes / 100 * readAheadPercent
 	return b
