--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 unit:
 	GO=$(GO) ./scripts/unit.sh
 	$(GO) test -race -parallel 6 -timeout 20m ./internal/systemtest
+	$(GO) test -count=1 -v -timeout 10m -run '^TestUntrusted' ./platform
 	$(GO) test -count=1 -v -timeout 10m -run '^TestFleetSoak' ./platform
 
 generate:
