--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -193,6 +193,7 @@
 	}
 	c.voter = v
 	c.loadEpoch()
+	c.loadQuotas()
 	if ports.Hints == nil {
 		c.ports.Hints = noHints{}
 	}
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -76,7 +76,7 @@
 func (c *Controller) updateDispatch(now time.Time, r *region, hasMajority bool) {
 	heldByOther := r.holder != c.config.Address && now.Before(r.until)
 	heldByOther = heldByOther || now.Sub(c.ranSince) < lease.Term && !c.heardMajority()
-	c.updateQuotaLease(now, r, hasMajority)
+	c.updateQuotaLease(r, hasMajority)
 	dispatches := hasMajority || !heldByOther && c.shouldDispatch(now, r)
 	if dispatches && r.pool == nil {
 		r.pool = dispatch.NewPool(fmt.Sprintf("%s/%d/", r.name, now.UnixNano()), c.newDispatchConfig(r.name))
--- a/internal/app/controller/propose.go
+++ b/internal/app/controller/propose.go
@@ -64,7 +64,7 @@
 		c.completeConfig(state, chosen.Value.Sequence)
 		c.state = state
 		c.refillPools()
-		c.applyQuotas()
+		c.applyQuotas(state)
 		event.Log(context.Background(), c.ports.Logger, event.StateLearned,
 			slog.Uint64("sequence", chosen.Value.Sequence), slog.Uint64("version", state.Config.Version),
 			slog.Any("evacuated", state.Evacuated), slog.Uint64("epoch", epoch.Number))
--- a/internal/app/controller/quotas.go
+++ b/internal/app/controller/quotas.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -61,10 +62,23 @@
 // atBoot converts a time since the boot.
 func atBoot(since time.Duration) time.Time { return time.Unix(0, 0).Add(since) }
 
-// applyQuotas takes the quotas from the newest state. Must hold mu.
-func (c *Controller) applyQuotas() {
+// loadQuotas takes the quotas from the value that this controller's disk accepted last, until
+// the newest state is learned: a controller that has just started would otherwise dispatch
+// without quotas.
+func (c *Controller) loadQuotas() {
+	value := c.voter.savedState().Accepted.Value
+	if value == nil {
+		return
+	}
+	if state, err := fleet.Decode(value.State); err == nil {
+		c.applyQuotas(state)
+	}
+}
+
+// applyQuotas takes the quotas from a state. Must hold mu.
+func (c *Controller) applyQuotas(state *fleet.State) {
 	var limits []quota.Limit
-	for _, a := range c.state.Config.Accounts {
+	for _, a := range state.Config.Accounts {
 		if a.RatePerSecond > 0 && a.RatePerSecond <= maxRate {
 			limits = append(limits, quota.Limit{Account: a.Name, Rate: a.RatePerSecond, Burst: min(a.Burst, maxRate)})
 		}
@@ -75,7 +89,7 @@
 // updateQuotaLease tells the book until when this controller holds the lease of a region.
 // Only new votes extend it: the time until then, which is measured by another clock, is
 // right only shortly after they came. Must hold mu.
-func (c *Controller) updateQuotaLease(now time.Time, r *region, hasMajority bool) {
+func (c *Controller) updateQuotaLease(r *region, hasMajority bool) {
 	until := time.Time{}
 	if hasMajority {
 		until = r.candidate.Until(c.voterAddresses())
@@ -89,7 +103,7 @@
 		c.quotas.book.SetLease(boot, r.name, boot)
 		return
 	}
-	c.quotas.book.SetLease(boot, r.name, boot.Add(until.Sub(now)))
+	c.quotas.book.SetLease(boot, r.name, boot.Add(until.Sub(c.ports.Clock.Now())))
 }
 
 // waiter is a slot request that waits for its decision, with the token that it took.
@@ -194,7 +208,9 @@
 		if p == nil {
 			continue
 		}
-		m := port.ExchangeRequest{From: c.self(now), EpochNumber: c.epoch.Number}
+		// The peer knows all else about this controller.
+		from := port.Controller{Address: c.config.Address, Incarnation: c.incarnation, LastSeen: now, Stopping: c.stopping}
+		m := port.ExchangeRequest{From: from, EpochNumber: c.epoch.Number}
 		if c.addQuotas(now, p, &m) {
 			go c.sendQuotas(ctx, p, m)
 		}
@@ -232,7 +248,7 @@
 		}
 		c.quotas.logged[u.Account] = u.Refused
 		event.Log(context.Background(), c.ports.Logger, event.QuotaExceeded, slog.String("account", u.Account),
-			slog.Int64("refused", u.Refused-before), slog.Int64("taken", u.Taken), slog.Int64("floor", u.Floor), slog.Bool("owner", u.Owner))
+			slog.Int64("refused", u.Refused-before), slog.Int64("taken", u.Taken), slog.Int64("floor", u.Floor), slog.String("owner", u.Owner), slog.Bool("owned", u.Owned))
 	}
 }
 
--- a/internal/core/quota/book.go
+++ b/internal/core/quota/book.go
@@ -289,9 +289,10 @@
 type Usage struct {
 	Account string
 	Counts
-	// Owner says whether this controller owns the bucket; Level is the number of tokens
-	// in it, or else in stock.
-	Owner bool
+	// Owner is the region that owns the bucket, and Owned says whether this controller
+	// dispatches it; Level is the number of tokens in the bucket, or else in stock.
+	Owner string
+	Owned bool
 	Level int
 }
 
@@ -299,8 +300,10 @@
 func (b *Book) Usage(now time.Time, n int) (most []Usage, all Counts) {
 	for _, a := range b.ordered {
 		all.Taken, all.Floor, all.Refused = all.Taken+a.counts.Taken, all.Floor+a.counts.Floor, all.Refused+a.counts.Refused
-		u := Usage{Account: a.limit.Account, Counts: a.counts, Owner: b.owns(now, a.owner), Level: a.stock.available(now)}
-		if u.Owner {
+		u := Usage{
+			Account: a.limit.Account, Counts: a.counts, Owner: b.regions[a.owner], Owned: b.owns(now, a.owner), Level: a.stock.available(now),
+		}
+		if u.Owned {
 			u.Level = int(math.Floor(a.bucket.level))
 		}
 		most = append(most, u)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -89,7 +89,7 @@
 	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once, or once for each receiver that rejects it."}
 	ConfigCompleted       = Event{1622, "config-completed", slog.LevelInfo, "A configuration that a former release had decoded, without the client accounts, was decoded again from its source."}
 	ConfigUndecodable     = Event{1623, "config-undecodable", slog.LevelError, "A configuration that a former release had decoded can't be decoded by this one. It is in force as the former release decoded it, without client accounts; gateways that need these refuse all requests. Send a corrected configuration."}
-	QuotaExceeded         = Event{1630, "quota-exceeded", slog.LevelInfo, "A client account had requests refused for its quota; attributes count those since the last record of it, and those since the start that got a token, also of the region's floor. The accounts with the most refusals are logged every 10 s."}
+	QuotaExceeded         = Event{1630, "quota-exceeded", slog.LevelInfo, "A client account had requests refused for its quota; attributes count those since the last record of it, and those since the start that got a token, also of the region's floor, and name the region that owns the account's tokens. The accounts with the most refusals are logged every 10 s."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
