--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -193,7 +193,6 @@
 	}
 	c.voter = v
 	c.loadEpoch()
-	c.loadQuotas()
 	if ports.Hints == nil {
 		c.ports.Hints = noHints{}
 	}
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -315,6 +315,9 @@
 	if r == nil || r.pool == nil {
 		return dispatch.Decision{}, nil, fmt.Errorf("%w: %q", port.ErrNotDispatcher, req.Region)
 	}
+	if !c.knowsQuotas(req) {
+		return dispatch.Decision{}, nil, fmt.Errorf("%w: %q, since the quota of account %q isn't known yet", port.ErrNotDispatcher, req.Region, req.Account)
+	}
 	c.learnSuspicions(now, req)
 	token, refusal, ok := c.takeToken(req)
 	if !ok {
--- a/internal/app/controller/quotas.go
+++ b/internal/app/controller/quotas.go
@@ -62,19 +62,6 @@
 // atBoot converts a time since the boot.
 func atBoot(since time.Duration) time.Time { return time.Unix(0, 0).Add(since) }
 
-// loadQuotas takes the quotas from the value that this controller's disk accepted last, until
-// the newest state is learned: a controller that has just started would otherwise dispatch
-// without quotas.
-func (c *Controller) loadQuotas() {
-	value := c.voter.savedState().Accepted.Value
-	if value == nil {
-		return
-	}
-	if state, err := fleet.Decode(value.State); err == nil {
-		c.applyQuotas(state)
-	}
-}
-
 // applyQuotas takes the quotas from a state. Must hold mu.
 func (c *Controller) applyQuotas(state *fleet.State) {
 	var limits []quota.Limit
@@ -112,6 +99,12 @@
 	token    quota.Token
 }
 
+// knowsQuotas reports whether this controller can tell the quota of a slot request's account:
+// one that has just started hasn't learned the newest state. Must hold mu.
+func (c *Controller) knowsQuotas(req port.SlotRequest) bool {
+	return req.Account == "" || c.chosen.Value != nil
+}
+
 // takeToken takes a token for a slot request, unless it is for a further attempt. It returns
 // false with the refusal if the account is beyond its quota. Must hold mu.
 func (c *Controller) takeToken(req port.SlotRequest) (quota.Token, dispatch.Decision, bool) {
