--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -76,7 +76,7 @@
 func (c *Controller) updateDispatch(now time.Time, r *region, hasMajority bool) {
 	heldByOther := r.holder != c.config.Address && now.Before(r.until)
 	heldByOther = heldByOther || now.Sub(c.ranSince) < lease.Term && !c.heardMajority()
-	c.updateQuotaLease(now, r, hasMajority)
+	c.updateQuotaLease(r, hasMajority)
 	dispatches := hasMajority || !heldByOther && c.shouldDispatch(now, r)
 	if dispatches && r.pool == nil {
 		r.pool = dispatch.NewPool(fmt.Sprintf("%s/%d/", r.name, now.UnixNano()), c.newDispatchConfig(r.name))
@@ -315,6 +315,9 @@
 	if r == nil || r.pool == nil {
 		return dispatch.Decision{}, nil, fmt.Errorf("%w: %q", port.ErrNotDispatcher, req.Region)
 	}
+	if !c.knowsQuotas(req) {
+		return dispatch.Decision{}, nil, fmt.Errorf("%w: %q, since the quota of account %q isn't known yet", port.ErrNotDispatcher, req.Region, req.Account)
+	}
 	c.learnSuspicions(now, req)
 	token, refusal, ok := c.takeToken(req)
 	if !ok {
