End a connection, not the process, when serving a pipelined request panics

net/http recovers from panics of handlers; the loop did so for running and writing, but not for receiving and for the look-up of the route. The look-up of the first request moves to the reader, and a request that is answered without running is no longer written by the reader, which must notice when the client leaves.

TestPanic and TestUnreadResponses; the package passes with -race three times.

--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -104,7 +104,6 @@
 	}
 	l.ctx, l.cancel = context.WithCancel(c.context.Context)
 	l.first = &entry{exchange: x, request: r, cancel: func() {}}
-	l.first.Concurrent = h.service.MayRunConcurrently(r)
 	l.first.writer = newResponse(l, l.first)
 	l.queue.AddRunning(l.first)
 	l.served = 1
@@ -132,6 +131,15 @@
 	h.opts.ConnState(l.conn, http.StateClosed)
 }
 
+// endAfterPanic is deferred by goroutines that call the service. As with net/http, a panic
+// ends the connection and not the process.
+func (l *loop) endAfterPanic() {
+	if v := recover(); v != nil {
+		l.recordPanic(v)
+		l.end(reasonPanic)
+	}
+}
+
 func (l *loop) hijack(w http.ResponseWriter) error {
 	nc, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -170,7 +178,9 @@
 	}
 	l.start()
 	l.mu.Unlock()
-	l.writeReady()
+	if answered {
+		go l.writeReady() // the reader must not wait for a client that doesn't read
+	}
 	return true
 }
 
@@ -183,12 +193,7 @@
 
 // serve runs a request.
 func (l *loop) serve(e *entry) {
-	defer func() {
-		if v := recover(); v != nil {
-			l.recordPanic(v)
-			l.end(reasonPanic)
-		}
-	}()
+	defer l.endAfterPanic()
 	e.exchange.Run(e.request.Context(), e.Ahead())
 	l.finish(e)
 }
--- a/internal/adapter/pipelinehttp/pipeline_test.go
+++ b/internal/adapter/pipelinehttp/pipeline_test.go
@@ -159,6 +159,23 @@
 	}
 }
 
+// TestPanic guards against a panic that ends the process, or leaves the connection open.
+func TestPanic(t *testing.T) {
+	for _, where := range []string{"run", "receive"} {
+		s := newRig(t, nil)
+		c := s.dial(t)
+		c.send(get("/safe/first?wait=1"), get("/safe/2?panic="+where))
+		_, err := c.reader.ReadByte()
+		s.True(err != nil)
+		s.eventually(time.Second, func() bool { return slices.Contains(s.ids(&s.canceled), "first") && s.handler.Connections() == 0 })
+		first := s.dial(t)
+		first.send(get("/safe/first?ms=50&panic=run"), get("/safe/2"))
+		_, err = first.reader.ReadByte()
+		s.True(err != nil)
+		s.eventually(time.Second, func() bool { return s.handler.Connections() == 0 })
+	}
+}
+
 // TestClientLeaves guards against requests that go on running for a client that has closed
 // or half-closed its connection, also if more than is read ahead was sent before that, and
 // against goroutines that stay.
@@ -226,6 +243,18 @@
 	}
 }
 
+// TestUnreadResponses guards against a client that leaves without having read its
+// responses and isn't noticed, because nothing more can be written to it.
+func TestUnreadResponses(t *testing.T) {
+	s := newRig(t, nil)
+	c := s.dial(t)
+	c.send(get("/safe/first?bytes=20000000"), get("/safe/2?wait=1"))
+	s.eventually(time.Second, s.has(&s.written, "first"))
+	s.NoErr(c.CloseWrite())
+	s.eventually(500*time.Millisecond, s.has(&s.canceled, "2"))
+	s.eventually(time.Second, func() bool { return s.handler.Connections() == 0 })
+}
+
 // TestSlowHead guards against a head that is sent slowly and holds the connection for
 // longer than the header timeout, or cuts off a request ahead of it, whichever ends first.
 func TestSlowHead(t *testing.T) {
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -51,6 +51,11 @@
 
 // read reads requests until the connection has ended.
 func (l *loop) read() {
+	defer l.endAfterPanic()
+	concurrent := l.handler.service.MayRunConcurrently(l.first.request)
+	l.mu.Lock()
+	l.first.Concurrent = concurrent
+	l.mu.Unlock()
 	for l.awaitByte() && l.awaitRoom() {
 		if !l.readOne() {
 			l.awaitEnd()
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -29,7 +29,7 @@
 // service runs requests as their targets say: /safe/ID may run concurrently, all others
 // may not. The query gives ms, how long a run takes; wait=1, that it waits for release;
 // close=1, that the response closes the connection; abort=1, that it breaks off; short=1,
-// that it ends early; and bytes, the size of its body, which otherwise is the method, the ID and the request body.
+// that it ends early; panic=run or panic=receive, that serving it panics; and bytes, the size of its body, which otherwise is the method, the ID and the request body.
 type service struct {
 	stopping atomic.Bool
 	release  chan struct{}
@@ -59,6 +59,9 @@
 }
 
 func (s *service) Receive(w http.ResponseWriter, r *http.Request, _ time.Time) (pipelinehttp.Exchange, bool) {
+	if r.FormValue("panic") == "receive" {
+		panic("receive")
+	}
 	x := &exchange{service: s, r: r, id: r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]}
 	x.body, x.err = io.ReadAll(http.MaxBytesReader(w, r.Body, 1000))
 	return x, x.err == nil
@@ -75,6 +78,9 @@
 	}
 	x.unfinished[x.id] = safe
 	x.mu.Unlock()
+	if x.r.FormValue("panic") == "run" {
+		panic("run")
+	}
 	ms, _ := strconv.Atoi(x.r.FormValue("ms"))
 	wait := time.After(time.Duration(ms) * time.Millisecond)
 	var release chan struct{}
