Pace large responses below the capacity of the link

Change: what is written to a client beyond 8 KiB since its last request goes out in pieces of 4 KiB, at 85% of the stated link for all connections together.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -10,6 +10,7 @@
 
 	"sassafrasreach/internal/adapter/idleconns"
 	"sassafrasreach/internal/adapter/intake"
+	"sassafrasreach/internal/adapter/pacedconn"
 	"sassafrasreach/internal/adapter/pipelinehttp"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/core/memory"
@@ -54,7 +55,7 @@
 	pipelines := newClients(p, platform.NewBoundedClients(g, p.clock, bodies, p.refusals), connState)
 	clients := p.newServer(pipelines, clientHeaderBytes)
 	clients.ConnState, clients.ConnContext = connState, pipelines.ConnContext
-	p.serveOn(ctx, "clients", idle.Listener(limiter.Listener(p.traffic.Listener(pipelinehttp.Listener(listener)))), clients)
+	p.serveOn(ctx, "clients", idle.Listener(limiter.Listener(p.traffic.Listener(pacedconn.Listener(pipelinehttp.Listener(listener), p.settings.LinkBitsPerSecond, p.clock)))), clients)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
 	go wait.Every(ctx, sweepPeriod, bodies.Sweep)
 	if err := p.serve(ctx, "readiness", p.settings.ReadyListen, platform.NewReadiness(g), sideConnections, nil); err != nil {
