Keep large responses within the gateway's failure domain

The dispatcher chose endpoints without regard to failure domains, so that half of the bytes of downloads crossed the links between them.

--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -319,7 +319,7 @@
 func (c codec) releaseToProto(r port.SlotRelease) *fleetv1.Released {
 	m := &fleetv1.Released{
 		Region: r.Region, Grant: r.Grant, Outcome: string(r.Outcome), TookMs: r.Took.Milliseconds(),
-		Answered: r.Answered, Signals: signalsToProto(r.Signals),
+		Answered: r.Answered, Signals: signalsToProto(r.Signals), ResponseBytes: r.ResponseBytes,
 	}
 	if r.RunEnd != nil {
 		m.Run = r.RunEnd.String()
@@ -333,7 +333,7 @@
 func (c codec) releaseFromProto(m *fleetv1.Released) port.SlotRelease {
 	r := port.SlotRelease{
 		Region: m.GetRegion(), Grant: m.GetGrant(), Outcome: dispatch.Outcome(m.GetOutcome()), Took: millis(m.GetTookMs()),
-		Answered: m.GetAnswered(), Signals: signalsFromProto(m.GetSignals()),
+		Answered: m.GetAnswered(), Signals: signalsFromProto(m.GetSignals()), ResponseBytes: m.GetResponseBytes(),
 	}
 	if end, known := quarantine.ParseEnd(m.GetRun()); known {
 		r.RunEnd = &end
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -421,6 +421,7 @@
 			if s.RunEnd != nil {
 				r.pool.RecordRunEnd(s.Grant, *s.RunEnd)
 			}
+			r.pool.RecordResponse(s.Grant, s.ResponseBytes)
 			c.deliver(r, r.pool.Release(now, s.Grant, s.Outcome, s.Took))
 		}
 	}
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"sassafrasreach/internal/core/dispatch"
@@ -43,6 +44,8 @@
 	answered bool
 	// answeredAt is when the answer, or the beginning of a streamed one, was there.
 	answeredAt time.Time
+	// responseBytes is the size of the response's body; 0 if it isn't known.
+	responseBytes int64
 	// streamed means that the use ends with the endpoint's part of a streamed response.
 	streamed bool
 }
@@ -50,6 +53,22 @@
 // observe classifies the result of the call.
 func (u *slotUse) observe(ctx context.Context, response *port.Response, err error) {
 	u.outcome, u.end = outcomeOf(ctx, response, err), runEndOf(response, err)
+	if err == nil {
+		u.responseBytes = bodySize(response)
+	}
+}
+
+// bodySize returns the size in bytes of a response's body; 0 if it is streamed and its
+// size wasn't declared.
+func bodySize(response *port.Response) int64 {
+	if response.Rest == nil {
+		return int64(len(response.Body))
+	}
+	declared, err := strconv.ParseInt(response.Header.Get("Content-Length"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return declared
 }
 
 // endUse records the end of the use of a slot and releases it.
@@ -62,7 +81,7 @@
 	g.recordEnded(u.slot.Endpoint, u.answered, u.signals)
 	g.release(u.address, port.SlotRelease{
 		Region: x.dispatchRegion, Grant: u.slot.Grant, Outcome: u.outcome, RunEnd: &u.end, Took: g.ports.Clock.Now().Sub(u.began),
-		Answered: u.answered, Signals: u.signals, AnsweredAt: u.answeredAt,
+		Answered: u.answered, Signals: u.signals, AnsweredAt: u.answeredAt, ResponseBytes: u.responseBytes,
 	})
 }
 
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -71,6 +71,9 @@
 	if s := svc.unusedEndpoint(now, req); s != nil {
 		return s
 	}
+	if s := p.chooseLocal(now, svc, req); s != nil {
+		return s
+	}
 	best := p.chooseLasting(now, svc, req)
 	for _, s := range svc.servedBy[req.object()] {
 		if !s.avoided() || !eligible(now, s, req) || !svc.keepsWarm(s, req.object()) {
--- a/internal/core/dispatch/warm.go
+++ b/internal/core/dispatch/warm.go
@@ -108,6 +108,9 @@
 	// include the round trip to another region. cold starts as the target of
 	// the kind's first slot request; warm is zero before the first warm run.
 	cold, warm float64
+	// responseBytes is the moving average of the size of the responses; 0 before the
+	// first one.
+	responseBytes float64
 }
 
 // expected returns the expected run time in seconds at an endpoint of average
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -245,6 +245,8 @@
 	// AnsweredAt is when the endpoint answered, on this VM's clock; zero if it didn't or
 	// a former release doesn't say.
 	AnsweredAt time.Time
+	// ResponseBytes is the size of the response's body; 0 if it isn't known.
+	ResponseBytes int64
 }
 
 // ControllerLink is a gateway's client of one controller.
