Use the load that endpoints report

Endpoints state in Server-Load how many requests run and wait and how long work takes on their machine. A dispatcher knew only a smoothed slowness from run times, and nothing of requests that it hadn't granted.

Gateways decode the header, ignoring a malformed or implausible one as a whole, and send it with the slot's release and the age of the answer. The dispatcher multiplies the expected run time by the reported pace, whose weight falls with its age, expects a wait where requests wait or others use the endpoint, and converts run times to the mean pace before it learns from them. It uses an endpoint's reports only while run times confirm them; the slots remain the bound.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -256,6 +256,7 @@
 			out["dispatch.slots."+key], out["dispatch.busy."+key] = int64(use.Slots), int64(use.Busy)
 			out["dispatch.waiting."+key], out["dispatch.lent."+key] = int64(use.Waiting), int64(use.Lent)
 			out["dispatch.borrowed."+key], out["dispatch.kept_objects."+key] = int64(use.Borrowed), int64(use.KeptObjects)
+			reportGauges(out, key, use.Reports)
 		}
 	}
 	return out
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -397,7 +397,7 @@
 	for _, s := range released {
 		if r := c.regions[s.Region]; r != nil && r.pool != nil {
 			if s.Answered {
-				c.observeSignals(now, r, s.Grant, s.Signals)
+				c.observeSignals(now, r, s)
 			}
 			if s.RunEnd != nil {
 				r.pool.RecordRunEnd(s.Grant, *s.RunEnd)
@@ -428,6 +428,7 @@
 		c.updateDispatch(now, r, c.holds(now, r))
 		if r.pool != nil {
 			c.deliver(r, r.pool.Tick(now))
+			c.logTrust(r)
 		}
 	}
 }
--- a/internal/app/controller/limits.go
+++ b/internal/app/controller/limits.go
@@ -6,14 +6,16 @@
 	"time"
 
 	"sassafrasreach/internal/core/dispatch"
-	"sassafrasreach/internal/core/registry"
 	"sassafrasreach/internal/event"
+	"sassafrasreach/internal/port"
 )
 
 // observeSignals records what an endpoint said about itself in its answer to a request
 // that r dispatched. A changed limit is sent to the other controllers, since one of
 // them may grant the endpoint's slots next. Must hold mu.
-func (c *Controller) observeSignals(now time.Time, r *region, grant string, signals registry.Signals) {
+func (c *Controller) observeSignals(now time.Time, r *region, s port.SlotRelease) {
+	grant, signals := s.Grant, s.Signals
+	r.pool.ObserveLoad(now, grant, signals.Load, s.AnsweredAt)
 	limit, changed := r.pool.Observe(now, grant, signals)
 	if signals.Leaving {
 		c.recordLeaving(now, limit.Endpoint, limit.StartedMillis)
@@ -63,3 +65,18 @@
 	}
 	return out
 }
+
+// logTrust logs which endpoints' reports are no longer used, or are again. Must hold mu.
+func (c *Controller) logTrust(r *region) {
+	for _, change := range r.pool.TakeTrustChanges() {
+		event.Log(context.Background(), c.ports.Logger, event.ReportsMistrusted, slog.String("region", r.name),
+			slog.String("endpoint", change.Endpoint), slog.Bool("mistrusted", change.Mistrusted))
+	}
+}
+
+// reportGauges sets the gauges of the loads that a service's endpoints reported.
+func reportGauges(out map[string]int64, key string, r dispatch.Reports) {
+	out["dispatch.reports_recent."+key], out["dispatch.reports_slow."+key] = int64(r.Recent), int64(r.Slow)
+	out["dispatch.reports_mistrusted."+key] = int64(r.Mistrusted)
+	out["dispatch.reported_waiting."+key], out["dispatch.reported_unknown."+key] = int64(r.Waiting), int64(r.Unknown)
+}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -179,6 +179,7 @@
 	outcome, end := dispatch.Unsent, quarantine.NotStarted
 	var signals registry.Signals
 	answered := false
+	var answeredAt time.Time
 	defer func() {
 		if x.alone {
 			g.returnAlone(d.Endpoint, outcome)
@@ -187,7 +188,7 @@
 		g.recordEnded(d.Endpoint, answered, signals)
 		g.release(address, port.SlotRelease{
 			Region: x.dispatchRegion, Grant: d.Grant, Outcome: outcome, RunEnd: &end, Took: g.ports.Clock.Now().Sub(began),
-			Answered: answered, Signals: signals,
+			Answered: answered, Signals: signals, AnsweredAt: answeredAt,
 		})
 	}()
 	if !x.alone {
@@ -206,6 +207,7 @@
 	response, err := g.ports.Endpoints.Call(ctx, x.target(d.Endpoint), &x.request.Request, nil)
 	outcome, end = outcomeOf(ctx, response, err), runEndOf(response, err)
 	if signals, answered = signalsOf(response, err); answered {
+		answeredAt = g.ports.Clock.Now()
 		g.recordSignals(d.Endpoint, signals)
 	}
 	if outcome == dispatch.Unreachable {
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -60,7 +60,8 @@
 
 // choose returns the endpoint of the least cost for a slot request, or nil if
 // there is none. An unused endpoint is preferred without comparison, and so is
-// one that keeps the object warm if it is healthy and has a free slot, or if
+// one that keeps the object warm if it is healthy, has a free slot and doesn't report that
+// others use it, or if
 // maxCopies endpoints keep the object. The endpoint may have no free slot: then
 // the slot request is to wait for one, because a run elsewhere is expected to
 // end later or would exceed maxCopies.
@@ -102,7 +103,7 @@
 			bestWarm, least = s, cost
 		}
 	}
-	if bestWarm != nil && (copies >= maxCopies || bestWarm.free(now) && bestWarm.healthy()) {
+	if bestWarm != nil && (copies >= maxCopies || bestWarm.free(now) && bestWarm.healthy() && !bestWarm.busyWithOthers(now)) {
 		return bestWarm
 	}
 	other, cost := p.choosePlacement(now, svc, req)
@@ -173,8 +174,9 @@
 			continue
 		}
 		s.rankCost = s.cost(now, svc, k, false)
-		svc.slots += s.capacity(svc)
-		svc.free += max(0, s.capacity(svc)-s.inFlight)
+		capacity := max(0, s.capacity(svc)-int(s.unknownWork(now)))
+		svc.slots += capacity
+		svc.free += max(0, capacity-s.inFlight)
 		kept += s.kept(svc)
 		usable++
 	}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -36,7 +36,8 @@
 	// heard is when a load of each region was last received.
 	heard map[string]time.Time
 	// resumedAt is when the pool took over loans; zero if it didn't.
-	resumedAt time.Time
+	resumedAt    time.Time
+	trustChanges []TrustChange
 }
 
 // service is the state of one service in a pool.
@@ -62,6 +63,7 @@
 	retries      retries
 	kept         *keptMeter
 	load         loadMeter
+	speeds       meanSpeeds
 	// slotTime is the moving average, in seconds, of the time for which a
 	// served request uses its slot.
 	slotTime float64
@@ -90,6 +92,7 @@
 	// runEnd is how the run ended, if runEnded is set.
 	runEnd   quarantine.End
 	runEnded bool
+	report   runReport
 }
 
 // NewPool returns an empty pool. The IDs of its grants begin with prefix.
@@ -275,6 +278,7 @@
 	if depth, known := s.memory.depth(object); known {
 		g.depth = depth
 	}
+	g.report = s.beginReport(now, svc)
 	s.inFlight++
 	s.granted++
 	s.lastGrant = now
@@ -325,6 +329,10 @@
 	s, svc := g.server, g.service
 	warm := g.depth >= 0 && g.depth < svc.kept.limit
 	run := max(0, (took - s.roundTrip).Seconds())
+	if outcome == Served {
+		run = s.reported.meanRunTime(g.report, run, s.slowness*g.kind.expected(warm))
+		p.noteTrust(now, s)
+	}
 	s.observeOutcome(now, outcome, run, g.kind.expected(warm))
 	if outcome == Served {
 		svc.observeRun(now, g, run, took.Seconds())
@@ -338,8 +346,8 @@
 	return p.grantQueuedAt(now, svc, s)
 }
 
-// observeRun records a served request: run is the run time, and slotTime the
-// time for which it used its slot, both in seconds.
+// observeRun records a served request: run is the run time at the endpoint's mean
+// pace, and slotTime the time for which it used its slot, both in seconds.
 func (svc *service) observeRun(now time.Time, g grant, run, slotTime float64) {
 	if g.depth >= 0 {
 		if warm, known := g.kind.ranWarm(run); known {
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -41,11 +41,12 @@
 	// limitObserved is the time of the last answer.
 	limitObserved time.Time
 	limiter       limiter
+	reported      reportedLoad
 	loanState
 }
 
 func newServer(e registry.Endpoint) *server {
-	return &server{endpoint: e, slowness: 1, memory: newMemory(), namedLimit: noLimit}
+	return &server{endpoint: e, slowness: 1, memory: newMemory(), namedLimit: noLimit, reported: newReportedLoad()}
 }
 
 func (s *server) free(now time.Time) bool {
@@ -78,8 +79,9 @@
 // wait estimates the time in seconds until the endpoint has a free slot.
 func (s *server) wait(now time.Time, svc *service) float64 {
 	wait := 0.0
-	if s.inFlight >= s.endpoint.Slots {
-		wait = float64(s.queuedFor+1) * s.slowness * svc.slotTime / math.Max(1, float64(s.endpoint.Slots))
+	if ahead := s.ahead(now); ahead > 0 {
+		slotTime := s.slowness * s.reported.slowdown(now) * svc.slotTime
+		wait = (float64(s.queuedFor) + ahead) * slotTime / math.Max(1, float64(s.endpoint.Slots))
 	}
 	if s.cold(now) && now.Before(s.nextColdGrant) {
 		wait += s.nextColdGrant.Sub(now).Seconds()
@@ -91,10 +93,10 @@
 func (s *server) kept(svc *service) int { return min(len(s.memory.lastUse), svc.kept.limit) }
 
 // cost estimates the time in seconds until the request is answered: the wait
-// for a slot, the round trip, and the run with penalties for failures, load
-// and objects that would be evicted.
+// for a slot, the round trip, and the run at the reported pace, with penalties for
+// failures, load and objects that would be evicted.
 func (s *server) cost(now time.Time, svc *service, k *kind, warm bool) float64 {
-	run := s.slowness * k.expected(warm)
+	run := s.slowness * s.reported.slowdown(now) * k.expected(warm)
 	if !warm {
 		kept := float64(s.kept(svc))
 		run *= 1 + occupancyWeight*kept/math.Max(1, float64(svc.kept.limit)) + balanceWeight*kept/(svc.meanKept+1)
--- a/internal/core/dispatch/use.go
+++ b/internal/core/dispatch/use.go
@@ -12,6 +12,7 @@
 	// KeptObjects is the estimated number of objects that an endpoint keeps
 	// warm.
 	KeptObjects int
+	Reports     Reports
 }
 
 // Use returns the pool's use, by service name.
@@ -21,6 +22,7 @@
 		u := Use{Waiting: len(svc.queue), KeptObjects: svc.kept.limit}
 		for _, s := range svc.servers {
 			u.Busy += s.inFlight
+			u.Reports.add(now, s)
 			switch {
 			case s.usable(now) && !s.own:
 				u.Borrowed++
--- a/internal/core/dispatch/warm_test.go
+++ b/internal/core/dispatch/warm_test.go
@@ -23,6 +23,15 @@
 	// burst multiplies the request rate for 3 s in the middle; 0 for no
 	// burst.
 	burst float64
+	seed  uint64
+	// phases slow the endpoints' machines down; nil for none. A run's work is spread
+	// over spread times its mean in both directions.
+	phases phases
+	spread float64
+	// At the release of a run the pool gets what report returns for its endpoint at a
+	// time that is reportAge earlier; nil for no reports.
+	reportAge time.Duration
+	report    func(endpoint string, at time.Time, running int) registry.Load
 }
 
 // completion is the end of a run.
@@ -30,6 +39,8 @@
 	at      time.Time
 	grant   string
 	runTime time.Duration
+	// endpoint is the endpoint's ID.
+	endpoint string
 }
 
 type completionHeap []completion
@@ -91,7 +102,7 @@
 // runOn applies the workload to a policy, starting at the time now. Each
 // policy gets the same sequence of random numbers.
 func (s workload) runOn(now time.Time, pool policy, affinity bool) results {
-	random := rand.New(rand.NewPCG(1, 2))
+	random := rand.New(rand.NewPCG(1, 2+s.seed))
 	began, end := now, now.Add(s.duration)
 	memories := make(map[string]*memory)
 	for i := range s.endpoints {
@@ -99,7 +110,7 @@
 	}
 	var out results
 	var runs completionHeap
-	objects, requested := make(map[string]string), make(map[string]time.Time)
+	objects, requested, spread := make(map[string]string), make(map[string]time.Time), make(map[string]float64)
 	start := func(d dispatch.Decision) {
 		if d.Grant == "" {
 			out.refused++
@@ -109,7 +120,9 @@
 		if memories[d.Endpoint.ID].serve(objects[d.Request.ID]) {
 			runTime = s.warm
 		}
-		heap.Push(&runs, completion{now.Add(runTime), d.Grant, runTime})
+		work := float64(runTime) * (1 + s.spread*(2*spread[d.Request.ID]-1))
+		runTime = s.phases.duration(d.Endpoint.ID, now, time.Duration(work))
+		heap.Push(&runs, completion{now.Add(runTime), d.Grant, runTime, d.Endpoint.ID})
 		if now.Add(runTime).Sub(requested[d.Request.ID]) <= s.target {
 			out.inTarget++
 		} else {
@@ -125,6 +138,11 @@
 		for len(runs) > 0 && !runs[0].at.After(now) {
 			h := heap.Pop(&runs).(completion)
 			now = h.at
+			if s.report != nil {
+				answered := h.at.Add(-s.reportAge)
+				load := s.report(h.endpoint, answered, running(runs, h.endpoint, answered))
+				pool.(*dispatch.Pool).ObserveLoad(h.at, h.grant, load, answered)
+			}
 			for _, d := range pool.Release(h.at, h.grant, dispatch.Served, h.runTime) {
 				start(d)
 			}
@@ -141,6 +159,9 @@
 		out.requested++
 		id, object := fmt.Sprint(out.requested), fmt.Sprint(random.IntN(s.objects))
 		objects[id], requested[id] = object, now
+		if s.spread > 0 {
+			spread[id] = random.Float64()
+		}
 		request := dispatch.SlotRequest{ID: id, Service: "s", Kind: "k", Target: s.target, Deadline: now.Add(4 * time.Second)}
 		if affinity {
 			request.Affinity = object
