Count new connections to endpoints by cause

More than half of the requests open a new connection, and nothing showed why. Each request now counts once: its connection is reused, or new for one of the causes of docs/OPERATIONS.md. A closed connection explains a later one, so the causes of a pool are kept for a minute after its last request.

Tested: endpointhttp.TestOrigins, with -race; the package's other tests.

--- a/internal/adapter/endpointhttp/body.go
+++ b/internal/adapter/endpointhttp/body.go
@@ -125,7 +125,7 @@
 // is closed instead of reused.
 func (r *bodyStream) Close() error {
 	if r.err == nil {
-		r.fail(errors.New("response body closed before its end"))
+		r.fail(errClosedEarly)
 	}
 	return nil
 }
--- a/internal/adapter/endpointhttp/caller.go
+++ b/internal/adapter/endpointhttp/caller.go
@@ -89,7 +89,9 @@
 // connect returns an idle connection that was last alive within maxAge and may
 // carry a request with the ID, or a new one.
 func (c *Caller) connect(ctx context.Context, p *pool, maxAge time.Duration, id string) (*conn, error) {
-	if idle := p.reuse(c.opts.Clock.Now(), maxAge, id); idle != nil {
+	idle, origin := p.reuse(c.opts.Clock.Now(), maxAge, id)
+	if idle != nil {
+		c.opts.OnConnection(Reused)
 		return idle, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
@@ -98,6 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.opts.OnConnection(origin)
 	return newConn(raw, c.opts.Clock.Now()), nil
 }
 
@@ -138,11 +141,12 @@
 // Sweep closes the connections that have been idle for IdleTimeout. It should be
 // called about once a second.
 func (c *Caller) Sweep() {
-	oldest := c.opts.Clock.Now().Add(-c.opts.IdleTimeout)
+	now := c.opts.Clock.Now()
+	oldest, unusedSince := now.Add(-c.opts.IdleTimeout), now.Add(-poolRetention)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, p := range c.pools {
-		if p.sweep(oldest) {
+		if p.sweep(oldest, unusedSince) {
 			delete(c.pools, key)
 		}
 	}
--- a/internal/adapter/endpointhttp/errors.go
+++ b/internal/adapter/endpointhttp/errors.go
@@ -29,6 +29,7 @@
 	ErrMemory = errors.New("no memory is left for the response")
 
 	errHeaderTooLarge = errors.New("response header exceeds the limit")
+	errClosedEarly    = errors.New("response body closed before its end")
 	errBadTarget      = errors.New("invalid request target")
 )
 
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -165,7 +165,7 @@
 	x.account.Close()
 	x.conn.refused[x.id] = true
 	if err != nil || n > maxShedBytes || len(x.conn.refused) > maxRefusedIDs || x.conn.SetReadDeadline(time.Time{}) != nil {
-		x.drop()
+		x.drop(Untrusted)
 	} else {
 		x.finish(in)
 	}
@@ -177,26 +177,37 @@
 // finish ends an exchange after a complete response. The connection is kept for
 // reuse unless in.close is set, unread bytes follow the response, or ctx has ended.
 func (x *exchange) finish(in *response) {
-	x.end(!in.close && x.conn.reader.Buffered() == 0, x.caller.opts.Clock.Now())
+	switch {
+	case in.close:
+		x.drop(EndpointClosed)
+	case x.conn.reader.Buffered() > 0:
+		x.drop(Untrusted)
+	default:
+		x.keep(x.caller.opts.Clock.Now())
+	}
 }
 
 // releaseUnsent ends an exchange of which nothing was written. The connection
 // returns to the pool with its previous lastAlive.
-func (x *exchange) releaseUnsent() { x.end(true, x.conn.lastAlive) }
-
-// drop ends the exchange and closes its connection.
-func (x *exchange) drop() { x.end(false, time.Time{}) }
+func (x *exchange) releaseUnsent() { x.keep(x.conn.lastAlive) }
 
-// end ends the exchange. With keep, the connection returns to the pool with the
-// given lastAlive, unless ctx has ended.
-func (x *exchange) end(keep bool, lastAlive time.Time) {
-	watched := x.stopWatch()
+// drop ends the exchange and closes its connection for a cause.
+func (x *exchange) drop(cause Origin) {
+	x.stopWatch()
 	x.cancel()
-	if keep && watched {
-		x.pool.put(x.conn, lastAlive)
-	} else {
-		_ = x.conn.Close()
+	x.pool.discard(x.conn, cause)
+	x.pool.release()
+}
+
+// keep ends the exchange. The connection returns to the pool with the given lastAlive,
+// unless ctx has ended.
+func (x *exchange) keep(lastAlive time.Time) {
+	if !x.stopWatch() {
+		x.drop(causeOf(x.ctx, "", nil))
+		return
 	}
+	x.cancel()
+	x.pool.put(x.conn, lastAlive)
 	x.pool.release()
 }
 
@@ -221,6 +232,6 @@
 		x.pool.markUnresponsive(x.caller.opts.Clock.Now())
 	}
 	x.account.Close()
-	x.drop()
+	x.drop(causeOf(x.ctx, reason, err))
 	return failure
 }
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -28,14 +28,17 @@
 	defaultIdleTimeout     = 10 * time.Second
 	defaultUserTimeout     = 2 * time.Second
 	defaultConnections     = 16
-	maxHeaderBytes         = 256 << 10
-	maxShedBytes           = 4 << 10
-	maxRefusedIDs          = 64
-	maxInterim             = 5
-	earlyResponseWait      = 50 * time.Millisecond
-	shedBodyWait           = 50 * time.Millisecond
-	writeBufferBytes       = 16 << 10
-	readBufferBytes        = 4 << 10
+	// poolRetention is how long the causes of closed connections to an endpoint are kept
+	// after its last request.
+	poolRetention     = time.Minute
+	maxHeaderBytes    = 256 << 10
+	maxShedBytes      = 4 << 10
+	maxRefusedIDs     = 64
+	maxInterim        = 5
+	earlyResponseWait = 50 * time.Millisecond
+	shedBodyWait      = 50 * time.Millisecond
+	writeBufferBytes  = 16 << 10
+	readBufferBytes   = 4 << 10
 )
 
 // DialFunc opens a connection; net.Dialer.DialContext is one.
@@ -62,6 +65,9 @@
 	MaxHeldBytes int64
 	// Clock measures how long connections are idle.
 	Clock port.Clock
+	// OnConnection is called with the origin of the connection of each request. It must
+	// not block.
+	OnConnection func(Origin)
 	// HeaderConvention is the header convention of the endpoints. An empty
 	// IDHeader selects the one of endpoints that announce themselves to entry VMs.
 	HeaderConvention HeaderConvention
@@ -82,6 +88,9 @@
 	if o.Clock == nil {
 		o.Clock = port.ClockFunc(time.Now)
 	}
+	if o.OnConnection == nil {
+		o.OnConnection = func(Origin) {}
+	}
 	if o.Dial == nil {
 		o.Dial = newDialer(o.UserTimeout).DialContext
 	}
--- a/internal/adapter/endpointhttp/pool.go
+++ b/internal/adapter/endpointhttp/pool.go
@@ -27,6 +27,10 @@
 	// unresponsiveAt is when a call to the endpoint last exceeded its deadline.
 	// Connections whose lastAlive isn't later are not reused. Guarded by mu.
 	unresponsiveAt time.Time
+	// closedBefore holds the connections that were closed and not replaced, and usedAt
+	// is when one was last requested. Guarded by mu.
+	closedBefore origins
+	usedAt       time.Time
 }
 
 func newPool(to port.Endpoint) *pool {
@@ -53,35 +57,69 @@
 // reuse returns an idle connection that was last alive within maxAge and on which
 // the endpoint didn't refuse a request with the ID. It checks the most recently
 // returned connections first, closes those that aren't usable, and stops at the
-// first one that is too old. If it finds none, it returns nil and
-// ensures that a new connection keeps the pool within its limit. The caller must
+// first one that is too old. If it finds none, it returns nil and why a new one is
+// needed, and ensures that a new one keeps the pool within its limit. The caller must
 // have called acquire.
-func (p *pool) reuse(now time.Time, maxAge time.Duration, id string) *conn {
+func (p *pool) reuse(now time.Time, maxAge time.Duration, id string) (*conn, Origin) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.usedAt = now
+	skipped := Origin("")
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
 		if now.Sub(c.lastAlive) > maxAge {
+			skipped = OnceOnlyIdle // Sweep closes those that are too old for any request
 			break
 		}
 		if c.refused[id] {
+			skipped = NotAgain
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		if c.lastAlive.After(p.unresponsiveAt) && openWithoutInput(c.Conn) {
-			return c
+			return c, Reused
 		}
-		_ = c.Close()
+		p.closeOne(c, p.causeOfUnusable(c))
 	}
 	p.makeRoom()
-	return nil
+	if skipped != "" {
+		return nil, skipped
+	}
+	if cause, ok := p.closedBefore.take(); ok {
+		return nil, cause
+	}
+	if len(p.inUse) > 1 { // one is the caller's
+		return nil, AllInUse
+	}
+	return nil, First
+}
+
+// causeOfUnusable returns why an idle connection isn't usable.
+func (p *pool) causeOfUnusable(c *conn) Origin {
+	if c.lastAlive.After(p.unresponsiveAt) {
+		return EndpointClosed
+	}
+	return DeadlinePassed
+}
+
+// closeOne closes a connection and records why. The caller must hold mu.
+func (p *pool) closeOne(c *conn, cause Origin) {
+	_ = c.Close()
+	p.closedBefore.add(cause)
+}
+
+// discard closes a connection that was in use and records why.
+func (p *pool) discard(c *conn, cause Origin) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeOne(c, cause)
 }
 
 // makeRoom closes the idle connection that was returned first if the connections
 // idle and in use exceed the limit. The caller must hold mu.
 func (p *pool) makeRoom() {
 	if len(p.idle) > 0 && len(p.idle)+len(p.inUse) > p.limit {
-		_ = p.idle[0].Close()
+		p.closeOne(p.idle[0], OverLimit)
 		p.idle = p.idle[1:]
 	}
 }
@@ -103,7 +141,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unresponsiveAt = now
-	p.closeIdle(now)
+	p.closeIdle(now, DeadlinePassed)
 }
 
 // close closes the idle connections; from then on, put closes connections too.
@@ -111,28 +149,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	p.closeIdle(now)
+	p.closeIdle(now, Idle)
 }
 
 // sweep closes the idle connections whose lastAlive isn't after oldest, and reports
-// whether the pool is unused.
-func (p *pool) sweep(oldest time.Time) bool {
+// whether the pool wasn't used since unusedSince.
+func (p *pool) sweep(oldest, unusedSince time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeIdle(oldest)
-	return len(p.idle) == 0 && len(p.inUse) == 0
+	p.closeIdle(oldest, Idle)
+	return len(p.idle) == 0 && len(p.inUse) == 0 && p.usedAt.Before(unusedSince)
 }
 
-// closeIdle closes the idle connections whose lastAlive isn't after the given time.
-// The caller must hold mu.
-func (p *pool) closeIdle(after time.Time) {
+// closeIdle closes the idle connections whose lastAlive isn't after the given time, for
+// the given cause. The caller must hold mu.
+func (p *pool) closeIdle(after time.Time, cause Origin) {
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		if c.lastAlive.After(after) {
 			kept = append(kept, c)
 			continue
 		}
-		_ = c.Close()
+		p.closeOne(c, cause)
 	}
 	clear(p.idle[len(kept):])
 	p.idle = kept
--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -101,6 +101,10 @@
 	}
 }
 
+// RecordConnection counts a request's connection to an endpoint by its origin, a name of
+// lower-case letters and hyphens.
+func (m *Meter) RecordConnection(origin string) { m.count("connection." + origin) }
+
 // RecordDecision implements port.FleetMeter.
 func (m *Meter) RecordDecision(service, reason string) {
 	if reason == "" {
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -221,6 +221,7 @@
 	endpoints := endpointhttp.New(endpointhttp.Options{
 		Clock: p.clock, HeaderConvention: platform.HeaderConvention(), IdleTimeout: endpointIdleTimeout,
 		MaxHeldBytes: p.settings.MemoryBytes / responseMemoryDivisor,
+		OnConnection: func(origin endpointhttp.Origin) { p.meter.RecordConnection(string(origin)) },
 	})
 	g := gateway.New(gateway.Config{
 		Name: p.settings.Name, Address: p.settings.ClientListen,
