Learn how many requests an endpoint runs before it slows down

An endpoint that slows down long before all its slots are in use got as many requests as it has slots. The dispatcher now fits run times, relative to the expected ones and to the service's mean, to the requests in flight at the endpoint, and keeps to the concurrency with the best throughput. A flat line, chance, and changes of all endpoints together lead to no limit. 'controller -learn-limits none|half|all' selects the endpoints.

--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -58,6 +58,9 @@
 	// region in which they run from one window of two seconds to the next; 0
 	// sets no bound.
 	MaxShift float64
+	// LearnLimits selects the endpoints whose concurrency is limited by what the
+	// dispatcher learns from run times.
+	LearnLimits dispatch.LimitScope
 	// ToleratedLosses is the number of controllers' disks that may be lost at the same
 	// time without losing the register; 0 if it isn't known.
 	ToleratedLosses int
@@ -257,6 +260,7 @@
 			out["dispatch.waiting."+key], out["dispatch.lent."+key] = int64(use.Waiting), int64(use.Lent)
 			out["dispatch.borrowed."+key], out["dispatch.kept_objects."+key] = int64(use.Borrowed), int64(use.KeptObjects)
 			reportGauges(out, key, use.Reports)
+			limitGauges(out, key, use.Limits)
 		}
 	}
 	return out
@@ -308,7 +312,7 @@
 	retries := c.config.Retries
 	retries.Extra /= float64(len(c.regions))
 	return dispatch.Config{
-		Retries: retries, Region: region, RoundTrip: c.roundTrip, MaxShift: c.config.MaxShift,
+		Retries: retries, Region: region, RoundTrip: c.roundTrip, MaxShift: c.config.MaxShift, LearnLimits: c.config.LearnLimits,
 		Runs:     c.suspicions,
 		RegionOf: func(zone string) string { return c.config.Zones[zone] },
 		ColdRate: func(service string) float64 {
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -428,7 +428,7 @@
 		c.updateDispatch(now, r, c.holds(now, r))
 		if r.pool != nil {
 			c.deliver(r, r.pool.Tick(now))
-			c.logTrust(r)
+			c.logLearned(r)
 		}
 	}
 }
--- a/internal/app/controller/limits.go
+++ b/internal/app/controller/limits.go
@@ -66,12 +66,17 @@
 	return out
 }
 
-// logTrust logs which endpoints' reports are no longer used, or are again. Must hold mu.
-func (c *Controller) logTrust(r *region) {
+// logLearned logs which endpoints' reports are no longer used, or are again, and which
+// learned limits became low, or are no longer. Must hold mu.
+func (c *Controller) logLearned(r *region) {
 	for _, change := range r.pool.TakeTrustChanges() {
 		event.Log(context.Background(), c.ports.Logger, event.ReportsMistrusted, slog.String("region", r.name),
 			slog.String("endpoint", change.Endpoint), slog.Bool("mistrusted", change.Mistrusted))
 	}
+	for _, change := range r.pool.TakeLimitChanges() {
+		event.Log(context.Background(), c.ports.Logger, event.ConcurrencyLimited, slog.String("region", r.name),
+			slog.String("endpoint", change.Endpoint), slog.Int("limit", change.Limit), slog.Int("slots", change.Slots))
+	}
 }
 
 // reportGauges sets the gauges of the loads that a service's endpoints reported.
@@ -80,3 +85,10 @@
 	out["dispatch.reports_mistrusted."+key] = int64(r.Mistrusted)
 	out["dispatch.reported_waiting."+key], out["dispatch.reported_unknown."+key] = int64(r.Waiting), int64(r.Unknown)
 }
+
+// limitGauges sets the gauges of the learned limits of a service's endpoints.
+func limitGauges(out map[string]int64, key string, l dispatch.Limits) {
+	out["dispatch.limits_learning."+key], out["dispatch.limits_lowered."+key] = int64(l.Learning), int64(l.Lowered)
+	out["dispatch.slots_withheld."+key] = int64(l.Withheld)
+	out["dispatch.run_percent_plain."+key], out["dispatch.run_percent_learning."+key] = int64(l.PlainPercent), int64(l.LearningPercent)
+}
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"flag"
+	"fmt"
 	"io"
 	"log/slog"
 	"time"
@@ -10,6 +12,7 @@
 	"sassafrasreach/internal/adapter/disk"
 	"sassafrasreach/internal/adapter/fleetgrpc"
 	"sassafrasreach/internal/adapter/grpcpanic"
+	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/platform"
 )
@@ -27,7 +30,23 @@
 
 // runController runs a controller until SIGTERM or SIGINT.
 func runController(_ context.Context, args []string, stdout, stderr io.Writer) int {
-	return withVM("controller", args, stdout, stderr, serveController)
+	learnLimits := dispatch.LimitAll
+	define := func(flags *flag.FlagSet) {
+		flags.Func("learn-limits", "endpoints whose concurrency is limited by what their run times show: none, half or all (default all)",
+			func(text string) error { return setScope(&learnLimits, text) })
+	}
+	return withVM("controller", args, stdout, stderr, define, func(ctx context.Context, p *vmProcess) error {
+		p.learnLimits = learnLimits
+		return serveController(ctx, p)
+	})
+}
+
+// setScope sets a scope to the value of a flag.
+func setScope(scope *dispatch.LimitScope, text string) error {
+	if *scope = dispatch.LimitScope(text); !scope.Valid() {
+		return fmt.Errorf("%q is none of none, half and all", text)
+	}
+	return nil
 }
 
 func serveController(ctx context.Context, p *vmProcess) error {
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"io"
 	"log/slog"
 	"net"
@@ -22,6 +23,7 @@
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
@@ -71,17 +73,22 @@
 	// metricsPort is the port at which metrics are served; 0 disables them.
 	metricsPort int
 	// items is the codec of the messages between gateways and controllers.
-	items  *fleetgrpc.ItemFilter
-	failed chan error
+	items *fleetgrpc.ItemFilter
+	// learnLimits is the flag of a controller.
+	learnLimits dispatch.LimitScope
+	failed      chan error
 }
 
 // withVM parses the arguments, loads the settings of a controller or gateway and
-// calls run. It returns the exit code.
-func withVM(name string, args []string, stdout, stderr io.Writer, run func(ctx context.Context, p *vmProcess) error) int {
+// calls run. define defines further flags. It returns the exit code.
+func withVM(
+	name string, args []string, stdout, stderr io.Writer, define func(*flag.FlagSet), run func(ctx context.Context, p *vmProcess) error,
+) int {
 	flags := newFlags(name, "[-settings FILE]", stderr)
 	path := flags.String("settings", platform.SettingsPath(), "settings file that the platform wrote for this process")
 	fleetListen := flags.String("fleet-listen", "", "IP:port to listen on for other VMs, if it differs from the address that they connect to")
 	metricsPort := flags.Int("metrics", 0, "port to serve metrics on, at the path /metrics; 0 disables it")
+	define(flags)
 	check := flags.Bool("check", false, "check the settings and exit")
 	if code, done := parse(flags, args); done {
 		return code
@@ -238,6 +245,7 @@
 	return controller.New(controller.Config{
 		Name: p.settings.Name, Address: p.settings.FleetAddress, Zone: p.settings.Zone, Region: p.settings.Region,
 		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Bootstrap: p.settings.Bootstrap, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
+		LearnLimits:     p.learnLimits,
 		ToleratedLosses: p.settings.ToleratedLosses,
 	}, controller.Ports{
 		Clock: p.clock, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter,
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"io"
 	"log/slog"
 	"time"
@@ -27,7 +28,7 @@
 
 // runGateway runs a gateway until its planned stop is complete.
 func runGateway(_ context.Context, args []string, stdout, stderr io.Writer) int {
-	return withVM("gateway", args, stdout, stderr, serveGateway)
+	return withVM("gateway", args, stdout, stderr, func(*flag.FlagSet) {}, serveGateway)
 }
 
 func serveGateway(ctx context.Context, p *vmProcess) error {
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		s.rankCost = s.cost(now, svc, k, false)
-		capacity := max(0, s.capacity(svc)-int(s.unknownWork(now)))
+		capacity := max(0, min(s.capacity(svc), s.slots(now))-int(s.unknownWork(now)))
 		svc.slots += capacity
 		svc.free += max(0, capacity-s.inFlight)
 		kept += s.kept(svc)
--- /dev/null
+++ b/internal/core/dispatch/concurrency_test.go
@@ -0,0 +1,75 @@
+package dispatch_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/dispatch"
+)
+
+// TestLearnedLimits guards against limits that don't keep endpoints from slowing down, and
+// against limits of endpoints that are sound or whose speed doesn't depend on what they
+// run. Each load is served with and without learned limits; gain is the least difference of
+// the shares in target.
+func TestLearnedLimits(t *testing.T) {
+	third := func(endpoint string) bool { return endpoint[len(endpoint)-1]%3 == 0 }
+	// beyondHalf slows an endpoint with 6 slots down beyond 3 requests.
+	beyondHalf := func(running int) float64 { return max(1, math.Pow(float64(running)/3, 2)) }
+	began := time.Unix(1_800_000_000, 0)
+	loads := []struct {
+		name      string
+		perSecond float64
+		slowdown  func(endpoint string, at time.Time, running int) float64
+		phases    bool
+		gain      float64
+	}{
+		{"sound endpoints under overload", 840, nil, false, -0.001},
+		{"phases of machines that don't report them", 432, nil, true, -0.003},
+		{"one endpoint four times slower", 384, func(e string, _ time.Time, _ int) float64 {
+			if e == "e3" {
+				return 4
+			}
+			return 1
+		}, false, -0.003},
+		{"a third slows down beyond half of its slots", 432, func(e string, _ time.Time, n int) float64 {
+			if third(e) {
+				return beyondHalf(n)
+			}
+			return 1
+		}, false, 0.015},
+		{"all slow down beyond half of their slots", 288, func(_ string, _ time.Time, n int) float64 { return beyondHalf(n) }, false, 0.3},
+		{"a third changes its speed three times a second", 384, func(e string, at time.Time, _ int) float64 {
+			if third(e) && int(at.Sub(began)/(150*time.Millisecond))%2 == 0 {
+				return 3
+			}
+			return 1
+		}, false, 0},
+		{"all objects are cold after 20 s", 336, func(_ string, at time.Time, _ int) float64 {
+			if since := at.Sub(began); since > 20*time.Second && since < 23*time.Second {
+				return 3.3
+			}
+			return 1
+		}, false, -0.003},
+	}
+	for _, load := range loads {
+		t.Run(load.name, func(t *testing.T) {
+			s := workload{
+				endpoints: 24, slots: 6, capacity: 20, objects: 130, perSecond: load.perSecond, duration: 40 * time.Second, spread: 0.7,
+				cold: 680 * time.Millisecond, warm: 204 * time.Millisecond, target: 600 * time.Millisecond, slowdown: load.slowdown,
+			}
+			if load.phases {
+				s.phases = newPhases(began, s.endpoints, s.duration)
+			}
+			var shares []float64
+			for _, s.limits = range []dispatch.LimitScope{dispatch.LimitNone, dispatch.LimitHalf, dispatch.LimitAll} {
+				out := s.run(true)
+				shares = append(shares, float64(out.inTarget)/float64(out.requested))
+			}
+			t.Logf("in target with limits of none, half and all: %.4f", shares)
+			is.New(t).True(shares[2]-shares[0] >= load.gain)
+		})
+	}
+}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -38,6 +38,7 @@
 	// resumedAt is when the pool took over loans; zero if it didn't.
 	resumedAt    time.Time
 	trustChanges []TrustChange
+	limitChanges []LimitChange
 }
 
 // service is the state of one service in a pool.
@@ -64,6 +65,7 @@
 	kept         *keptMeter
 	load         loadMeter
 	speeds       meanSpeeds
+	curve        curveMeans
 	// slotTime is the moving average, in seconds, of the time for which a
 	// served request uses its slot.
 	slotTime float64
@@ -93,6 +95,8 @@
 	runEnd   quarantine.End
 	runEnded bool
 	report   runReport
+	// inFlight counts the endpoint's requests in flight when it was granted, with it.
+	inFlight int
 }
 
 // NewPool returns an empty pool. The IDs of its grants begin with prefix.
@@ -123,6 +127,7 @@
 		return
 	}
 	s := newServer(e)
+	s.concurrency.enabled = p.config.LearnLimits.includes(e.ID)
 	s.region = p.config.RegionOf(e.Zone)
 	if s.own = s.region == p.config.Region; !s.own {
 		s.roundTrip = p.config.RoundTrip(s.region)
@@ -280,6 +285,7 @@
 	}
 	g.report = s.beginReport(now, svc)
 	s.inFlight++
+	g.inFlight = s.inFlight
 	s.granted++
 	s.lastGrant = now
 	s.limiter.take(now)
@@ -332,6 +338,7 @@
 	if outcome == Served {
 		run = s.reported.meanRunTime(g.report, run, s.slowness*g.kind.expected(warm))
 		p.noteTrust(now, s)
+		p.observeConcurrency(now, svc, s, g.inFlight, run, g.kind.expected(warm))
 	}
 	s.observeOutcome(now, outcome, run, g.kind.expected(warm))
 	if outcome == Served {
--- a/internal/core/dispatch/reported.go
+++ b/internal/core/dispatch/reported.go
@@ -264,14 +264,14 @@
 // busyWithOthers reports whether the endpoint is expected to have no free slot although
 // the pool's own requests leave some.
 func (s *server) busyWithOthers(now time.Time) bool {
-	return float64(s.inFlight)+s.unknownWork(now) >= float64(s.endpoint.Slots)
+	return float64(s.inFlight)+s.unknownWork(now) >= float64(s.slots(now))
 }
 
 // ahead returns the number of requests that have to end before the endpoint can run one
 // more. Below 1 it is the expectation that a slot is in use.
 func (s *server) ahead(now time.Time) float64 {
 	if !s.reported.countMisfit.small() {
-		return float64(max(0, s.inFlight+1-s.endpoint.Slots))
+		return float64(max(0, s.inFlight+1-s.slots(now)))
 	}
 	return s.reportedAhead(now)
 }
@@ -279,7 +279,7 @@
 // reportedAhead is ahead if the reports are true.
 func (s *server) reportedAhead(now time.Time) float64 {
 	weight := s.reported.weight(now)
-	ahead := float64(s.inFlight+1-s.endpoint.Slots) + weight*s.reported.unknown
+	ahead := float64(s.inFlight+1-s.slots(now)) + weight*s.reported.unknown
 	return max(0, ahead, weight*s.reported.waiting)
 }
 
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -42,6 +42,7 @@
 	limitObserved time.Time
 	limiter       limiter
 	reported      reportedLoad
+	concurrency   concurrencyLimit
 	loanState
 }
 
@@ -50,11 +51,15 @@
 }
 
 func (s *server) free(now time.Time) bool {
-	return s.usable(now) && s.inFlight < s.endpoint.Slots && (!s.cold(now) || !now.Before(s.nextColdGrant)) &&
+	return s.usable(now) && s.inFlight < s.slots(now) && (!s.cold(now) || !now.Before(s.nextColdGrant)) &&
 		s.limiter.wait(now, 1) == 0
 }
 
-// capacity returns the number of slots that the endpoint can use within its limit.
+// slots returns how many of the endpoint's slots the pool uses at a time.
+func (s *server) slots(now time.Time) int { return s.concurrency.slots(now, s.endpoint.Slots) }
+
+// capacity returns the number of slots that the endpoint can use within the limit that it
+// named. Loans count these, since a learned limit changes too often.
 func (s *server) capacity(svc *service) int { return s.limiter.slots(s.endpoint.Slots, svc.slotTime) }
 
 func (s *server) usable(now time.Time) bool {
@@ -81,7 +86,7 @@
 	wait := 0.0
 	if ahead := s.ahead(now); ahead > 0 {
 		slotTime := s.slowness * s.reported.slowdown(now) * svc.slotTime
-		wait = (float64(s.queuedFor) + ahead) * slotTime / math.Max(1, float64(s.endpoint.Slots))
+		wait = (float64(s.queuedFor) + ahead) * slotTime / math.Max(1, float64(s.slots(now)))
 	}
 	if s.cold(now) && now.Before(s.nextColdGrant) {
 		wait += s.nextColdGrant.Sub(now).Seconds()
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -119,6 +119,9 @@
 	// which they run from one window of two seconds to the next; 0 sets no
 	// limit.
 	MaxShift float64
+	// LearnLimits selects the endpoints whose concurrency is limited by what the pool
+	// learns from run times; empty is LimitNone.
+	LearnLimits LimitScope
 }
 
 const (
--- a/internal/core/dispatch/use.go
+++ b/internal/core/dispatch/use.go
@@ -13,6 +13,7 @@
 	// warm.
 	KeptObjects int
 	Reports     Reports
+	Limits      Limits
 }
 
 // Use returns the pool's use, by service name.
@@ -23,6 +24,7 @@
 		for _, s := range svc.servers {
 			u.Busy += s.inFlight
 			u.Reports.add(now, s)
+			u.Limits.add(now, s)
 			switch {
 			case s.usable(now) && !s.own:
 				u.Borrowed++
@@ -33,6 +35,7 @@
 				u.Lent++
 			}
 		}
+		u.Limits.setMeans(svc.curve)
 		out[name] = u
 	}
 	return out
--- a/internal/core/dispatch/warm_test.go
+++ b/internal/core/dispatch/warm_test.go
@@ -27,7 +27,11 @@
 	// phases slow the endpoints' machines down; nil for none. A run's work is spread
 	// over spread times its mean in both directions.
 	phases phases
-	spread float64
+	// slowdown returns the factor on the run time of an endpoint with a number of requests,
+	// the new one included; nil for 1.
+	slowdown func(endpoint string, at time.Time, running int) float64
+	limits   dispatch.LimitScope
+	spread   float64
 	// At the release of a run the pool gets what report returns for its endpoint at a
 	// time that is reportAge earlier; nil for no reports.
 	reportAge time.Duration
@@ -91,7 +95,7 @@
 	now := time.Unix(1_800_000_000, 0)
 	pool := dispatch.NewPool("t/", dispatch.Config{
 		ColdRate: func(string) float64 { return 0 }, RegionOf: func(string) string { return "" },
-		Random: func() float64 { return 0.5 },
+		Random: func() float64 { return 0.5 }, LearnLimits: s.limits,
 	})
 	for i := range s.endpoints {
 		pool.Update(now, registry.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Slots: s.slots, StartedMillis: 1, LastSeen: now})
@@ -121,6 +125,9 @@
 			runTime = s.warm
 		}
 		work := float64(runTime) * (1 + s.spread*(2*spread[d.Request.ID]-1))
+		if s.slowdown != nil {
+			work *= s.slowdown(d.Endpoint.ID, now, running(runs, d.Endpoint.ID, now)+1)
+		}
 		runTime = s.phases.duration(d.Endpoint.ID, now, time.Duration(work))
 		heap.Push(&runs, completion{now.Add(runTime), d.Grant, runTime, d.Endpoint.ID})
 		if now.Add(runTime).Sub(requested[d.Request.ID]) <= s.target {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -88,6 +88,7 @@
 	ExchangeRejected      = Event{1620, "exchange-rejected", slog.LevelWarn, "An exchange with another controller can't be encoded, or the other one fails to handle it; its changes are sent apart, and those that are rejected alone are dropped, with a record for each."}
 	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once, or once for each receiver that rejects it."}
 	ReportsMistrusted     = Event{1640, "reports-mistrusted", slog.LevelWarn, "The loads that an endpoint reports contradict its run times and are no longer used, or they are used again; an attribute says which. At most once in 30 s and endpoint."}
+	ConcurrencyLimited    = Event{1641, "concurrency-limited", slog.LevelInfo, "The limit that a dispatcher learned for an endpoint fell to three quarters of its slots or below, or rose above; attributes give both. At most once in 30 s and endpoint."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
@@ -115,6 +116,6 @@
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
-	AnnouncementRejected, ExchangeRejected, ItemDropped, ReportsMistrusted,
+	AnnouncementRejected, ExchangeRejected, ItemDropped, ReportsMistrusted, ConcurrencyLimited,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive,
 }
