Prefer endpoints to which the gateway has an idle connection

Among endpoints that keep an object warm, a new connection now counts 5 ms and a round trip, as far as the dispatcher's grants show which connections are idle. It adds a note on the connections to endpoints.

Tested: dispatch.TestFreshConnectionPreferred.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		copies++
-		if cost := s.cost(now, svc, k, true); cost < least {
+		if cost := s.cost(now, svc, k, true) + s.connectionCost(now, req.Gateway); cost < least {
 			bestWarm, least = s, cost
 		}
 	}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -97,6 +97,7 @@
 	report   runReport
 	// inFlight counts the endpoint's requests in flight when it was granted, with it.
 	inFlight int
+	gateway  string
 }
 
 // NewPool returns an empty pool. The IDs of its grants begin with prefix.
@@ -285,7 +286,8 @@
 	}
 	g.report = s.beginReport(now, svc)
 	s.inFlight++
-	g.inFlight = s.inFlight
+	g.inFlight, g.gateway = s.inFlight, req.Gateway
+	s.connections.take(now, req.Gateway)
 	s.granted++
 	s.lastGrant = now
 	s.limiter.take(now)
@@ -333,6 +335,7 @@
 	}
 	p.endRun(now, id, g, outcome)
 	s, svc := g.server, g.service
+	s.endConnection(now, g.gateway, outcome)
 	warm := g.depth >= 0 && g.depth < svc.kept.limit
 	run := max(0, (took - s.roundTrip).Seconds())
 	if outcome == Served {
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -43,11 +43,12 @@
 	limiter       limiter
 	reported      reportedLoad
 	concurrency   concurrencyLimit
+	connections   connections
 	loanState
 }
 
 func newServer(e registry.Endpoint) *server {
-	return &server{endpoint: e, slowness: 1, memory: newMemory(), namedLimit: noLimit, reported: newReportedLoad()}
+	return &server{endpoint: e, slowness: 1, memory: newMemory(), namedLimit: noLimit, reported: newReportedLoad(), connections: make(connections)}
 }
 
 func (s *server) free(now time.Time) bool {
