--- a/internal/core/dispatch/concurrency.go
+++ b/internal/core/dispatch/concurrency.go
@@ -11,11 +11,13 @@
 type LimitScope string
 
 const (
-	// LimitNone and LimitAll stand for no endpoint and for all, LimitHalf for the half that
-	// a hash of their IDs selects, to compare both halves in one run.
+	// LimitNone selects no endpoint.
 	LimitNone LimitScope = "none"
+	// LimitHalf selects half of them by a hash of their IDs, to compare both halves in one
+	// run.
 	LimitHalf LimitScope = "half"
-	LimitAll  LimitScope = "all"
+	// LimitAll selects all.
+	LimitAll LimitScope = "all"
 )
 
 // Valid reports whether the scope is one of the three.
--- a/internal/core/dispatch/reported.go
+++ b/internal/core/dispatch/reported.go
@@ -153,7 +153,7 @@
 // slowdown returns the factor on the expected time of a run that begins now, relative to
 // one at the endpoint's mean speed.
 func (r *reportedLoad) slowdown(now time.Time) float64 {
-	if !r.speedMisfit.small() {
+	if r.at.IsZero() || !r.speedMisfit.small() {
 		return 1
 	}
 	mean := r.meanSpeed()
--- a/internal/core/dispatch/reported_test.go
+++ b/internal/core/dispatch/reported_test.go
@@ -95,7 +95,7 @@
 		"random": func(string, time.Time, int) registry.Load {
 			return registry.Load{Known: true, Running: random.IntN(100), Waiting: random.IntN(100), Slots: 1, Pace: 0.1 + 10*random.Float64()}
 		},
-		"opposite": func(endpoint string, at time.Time, running int) registry.Load {
+		"opposite": func(endpoint string, at time.Time, _ int) registry.Load {
 			l := truth(endpoint, at, 0)
 			l.Pace = slowFactor / l.Pace
 			return l
