--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -28,8 +29,6 @@
 	defaultIdleTimeout     = 10 * time.Second
 	defaultUserTimeout     = 2 * time.Second
 	defaultConnections     = 16
-	// defaultMaxIdleConnections is the default of MaxIdleConnections.
-	defaultMaxIdleConnections = 1024
 	// poolRetention is how long the causes of closed connections to an endpoint are kept
 	// after its last request.
 	poolRetention     = time.Minute
@@ -59,7 +58,8 @@
 	// MaxStatedIdle bounds the time that an endpoint states in Keep-Alive, which then
 	// replaces IdleTimeout; 0 means that the statement isn't used.
 	MaxStatedIdle time.Duration
-	// MaxIdleConnections bounds the idle connections to all endpoints together.
+	// MaxIdleConnections bounds the idle connections to all endpoints together; 0 sets no
+	// bound.
 	MaxIdleConnections int64
 	// ResendReset means that a request that may run twice is sent again, once, on a new
 	// connection if its reused connection is reset before any byte of a response. A call
@@ -90,7 +90,7 @@
 	setDefault(&o.DialTimeout, defaultDialTimeout)
 	setDefault(&o.OnceOnlyMaxIdle, defaultOnceOnlyMaxIdle)
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.MaxIdleConnections, defaultMaxIdleConnections)
+	setDefault(&o.MaxIdleConnections, math.MaxInt64)
 	setDefault(&o.UserTimeout, defaultUserTimeout)
 	setDefault(&o.MaxBufferedBytes, DefaultMaxBufferedBytes)
 	setDefault(&o.MaxHeldBytes, DefaultMaxHeldBytes)
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -249,6 +249,23 @@
 	is.Equal(c.released[0].Outcome, dispatch.Failed)
 }
 
+// TestReleasedLoad guards against a load that an endpoint reports and its dispatcher doesn't
+// get, or gets without the time of the answer, which tells its age.
+func TestReleasedLoad(t *testing.T) {
+	is := is.New(t)
+	c := &fakeController{}
+	load := registry.Load{Known: true, Running: 3, Waiting: 1, Slots: 4, Pace: 2.5}
+	began := time.Now()
+	is.NoErr(serve(t, c, &endpoints{ends: []error{nil}, signals: registry.Signals{Load: load}}, "/once/").Err)
+	answered := time.Now()
+	time.Sleep(50 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	is.Equal(len(c.released), 1)
+	is.Equal(c.released[0].Signals.Load, load)
+	is.True(c.released[0].AnsweredAt.After(began) && c.released[0].AnsweredAt.Before(answered))
+}
+
 // TestNoSlot guards against a request without a slot that is sent all the
 // same, or whose answer lacks the verdict that it didn't run or a retry delay.
 func TestNoSlot(t *testing.T) {
