--- a/internal/adapter/endpointhttp/conn.go
+++ b/internal/adapter/endpointhttp/conn.go
@@ -14,6 +14,7 @@
 // conn is a connection to an endpoint. It is used by one call at a time.
 type conn struct {
 	net.Conn
+	// reader and writer are nil while the connection is idle.
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// input limits the size of a response head.
@@ -23,6 +24,10 @@
 	// lastAlive is when the connection last delivered a complete response, or when
 	// it was opened.
 	lastAlive time.Time
+	// used is true once the connection carried a request. maxIdle is how long after
+	// lastAlive it may be reused.
+	used    bool
+	maxIdle time.Duration
 	// refused holds the IDs of the requests that the endpoint refused on the
 	// connection. None of them is sent on it again: its refusal may come once more,
 	// and would be taken for the answer.
@@ -31,11 +36,10 @@
 	traffic *traffic.Counter
 }
 
-func newConn(raw net.Conn, now time.Time, counter *traffic.Counter) *conn {
-	c := &conn{Conn: raw, lastAlive: now, refused: make(map[string]bool), traffic: counter}
+func newConn(raw net.Conn, now time.Time, maxIdle time.Duration, counter *traffic.Counter) *conn {
+	c := &conn{Conn: raw, lastAlive: now, maxIdle: maxIdle, refused: make(map[string]bool), traffic: counter}
 	c.input = &boundedReader{source: raw, traffic: counter}
-	c.reader = bufio.NewReaderSize(c.input, readBufferBytes)
-	c.writer = bufio.NewWriterSize(countingWriter{c}, writeBufferBytes)
+	c.attachBuffers()
 	return c
 }
 
@@ -54,6 +58,8 @@
 type boundedReader struct {
 	source io.Reader
 	left   int64
+	// received counts the bytes of the current response.
+	received int64
 	// free is what may be read before account is charged for the parsed form; account
 	// is nil outside of a head.
 	free    int64
@@ -74,6 +80,7 @@
 	n, err := r.source.Read(p)
 	r.traffic.Add(0, n)
 	r.left -= int64(n)
+	r.received += int64(n)
 	r.err = err
 	if r.account == nil {
 		return n, err
--- a/internal/adapter/endpointhttp/exchange.go
+++ b/internal/adapter/endpointhttp/exchange.go
@@ -29,6 +29,9 @@
 	// stopWatch stops watching ctx; it returns false if ctx ended first, and the
 	// connection's deadline may then have been set to the past.
 	stopWatch func() bool
+	// resetBeforeResponse is set if the exchange failed because its reused connection was
+	// closed or reset before any byte of a response.
+	resetBeforeResponse bool
 }
 
 func (c *Caller) newExchange(ctx context.Context, cancel context.CancelFunc, p *pool, cn *conn, req *port.Request, id string) *exchange {
@@ -68,7 +71,7 @@
 
 // write sends the request. It sends nothing if ctx has already ended.
 func (x *exchange) write(out *http.Request) error {
-	x.conn.written = 0
+	x.conn.written, x.conn.input.received = 0, 0
 	if err := x.ctx.Err(); err != nil {
 		return err
 	}
@@ -171,7 +174,7 @@
 	x.account.Close()
 	x.conn.refused[x.id] = true
 	if err != nil || n > maxShedBytes || len(x.conn.refused) > maxRefusedIDs || x.conn.SetReadDeadline(time.Time{}) != nil {
-		x.drop()
+		x.drop(Untrusted)
 	} else {
 		x.finish(in)
 	}
@@ -183,26 +186,40 @@
 // finish ends an exchange after a complete response. The connection is kept for
 // reuse unless in.close is set, unread bytes follow the response, or ctx has ended.
 func (x *exchange) finish(in *response) {
-	x.end(!in.close && x.conn.reader.Buffered() == 0, x.caller.opts.Clock.Now())
+	switch {
+	case in.close:
+		x.drop(EndpointClosed)
+	case x.conn.reader.Buffered() > 0:
+		x.drop(Untrusted)
+	default:
+		if stated, ok := statedIdle(in.header); ok && x.caller.opts.MaxStatedIdle > 0 {
+			x.conn.maxIdle = min(stated, x.caller.opts.MaxStatedIdle)
+		}
+		x.keep(x.caller.opts.Clock.Now())
+	}
 }
 
 // releaseUnsent ends an exchange of which nothing was written. The connection
 // returns to the pool with its previous lastAlive.
-func (x *exchange) releaseUnsent() { x.end(true, x.conn.lastAlive) }
+func (x *exchange) releaseUnsent() { x.keep(x.conn.lastAlive) }
 
-// drop ends the exchange and closes its connection.
-func (x *exchange) drop() { x.end(false, time.Time{}) }
-
-// end ends the exchange. With keep, the connection returns to the pool with the
-// given lastAlive, unless ctx has ended.
-func (x *exchange) end(keep bool, lastAlive time.Time) {
-	watched := x.stopWatch()
+// drop ends the exchange and closes its connection for a cause.
+func (x *exchange) drop(cause Origin) {
+	x.stopWatch()
 	x.cancel()
-	if keep && watched {
-		x.pool.put(x.conn, lastAlive)
-	} else {
-		_ = x.conn.Close()
+	x.pool.discard(x.conn, cause)
+	x.pool.release()
+}
+
+// keep ends the exchange. The connection returns to the pool with the given lastAlive,
+// unless ctx has ended.
+func (x *exchange) keep(lastAlive time.Time) {
+	if !x.stopWatch() {
+		x.drop(causeOf(x.ctx, "", nil))
+		return
 	}
+	x.cancel()
+	x.pool.put(x.conn, lastAlive)
 	x.pool.release()
 }
 
@@ -226,7 +243,8 @@
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		x.pool.markUnresponsive(x.caller.opts.Clock.Now())
 	}
+	x.resetBeforeResponse = x.conn.used && x.conn.input.received == 0 && ConnectionReset(err)
 	x.account.Close()
-	x.drop()
+	x.drop(causeOf(x.ctx, reason, err))
 	return failure
 }
--- a/internal/adapter/endpointhttp/options.go
+++ b/internal/adapter/endpointhttp/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -33,14 +34,17 @@
 	defaultIdleTimeout     = 10 * time.Second
 	defaultUserTimeout     = 2 * time.Second
 	defaultConnections     = 16
-	maxHeaderBytes         = 256 << 10
-	maxShedBytes           = 4 << 10
-	maxRefusedIDs          = 64
-	maxInterim             = 5
-	earlyResponseWait      = 50 * time.Millisecond
-	shedBodyWait           = 50 * time.Millisecond
-	writeBufferBytes       = 16 << 10
-	readBufferBytes        = 4 << 10
+	// poolRetention is how long the causes of closed connections to an endpoint are kept
+	// after its last request.
+	poolRetention     = time.Minute
+	maxHeaderBytes    = 256 << 10
+	maxShedBytes      = 4 << 10
+	maxRefusedIDs     = 64
+	maxInterim        = 5
+	earlyResponseWait = 50 * time.Millisecond
+	shedBodyWait      = 50 * time.Millisecond
+	writeBufferBytes  = 16 << 10
+	readBufferBytes   = 4 << 10
 )
 
 // DialFunc opens a connection; net.Dialer.DialContext is one.
@@ -56,6 +60,16 @@
 	// IdleTimeout is how long after its last response a connection may be reused
 	// for any other request. Sweep closes connections that are idle for longer.
 	IdleTimeout time.Duration
+	// MaxStatedIdle bounds the time that an endpoint states in Keep-Alive, which then
+	// replaces IdleTimeout; 0 means that the statement isn't used.
+	MaxStatedIdle time.Duration
+	// MaxIdleConnections bounds the idle connections to all endpoints together; 0 sets no
+	// bound.
+	MaxIdleConnections int64
+	// ResendReset means that a request that may run twice is sent again, once, on a new
+	// connection if its reused connection is reset before any byte of a response. A call
+	// then writes its request at most twice.
+	ResendReset bool
 	// UserTimeout limits how long sent data may stay unacknowledged, on kernels
 	// with TCP_USER_TIMEOUT (RFC 5482).
 	UserTimeout time.Duration
@@ -74,6 +88,9 @@
 	Traffic *traffic.Counter
 	// Clock measures how long connections are idle.
 	Clock port.Clock
+	// OnConnection is called with the origin of the connection of each request. It must
+	// not block.
+	OnConnection func(Origin)
 	// HeaderConvention is the header convention of the endpoints. An empty
 	// IDHeader selects the one of endpoints that announce themselves to entry VMs.
 	HeaderConvention HeaderConvention
@@ -85,6 +102,7 @@
 	setDefault(&o.DialTimeout, defaultDialTimeout)
 	setDefault(&o.OnceOnlyMaxIdle, defaultOnceOnlyMaxIdle)
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	setDefault(&o.MaxIdleConnections, math.MaxInt64)
 	setDefault(&o.UserTimeout, defaultUserTimeout)
 	setDefault(&o.MaxBufferedBytes, DefaultMaxBufferedBytes)
 	setDefault(&o.StreamBufferBytes, DefaultStreamBufferBytes)
@@ -95,6 +113,9 @@
 	if o.Clock == nil {
 		o.Clock = port.ClockFunc(time.Now)
 	}
+	if o.OnConnection == nil {
+		o.OnConnection = func(Origin) {}
+	}
 	if o.Dial == nil {
 		o.Dial = newDialer(o.UserTimeout).DialContext
 	}
--- a/internal/adapter/endpointhttp/stream.go
+++ b/internal/adapter/endpointhttp/stream.go
@@ -220,7 +220,7 @@
 		return s.x.fail(verdict.ReasonBadAnswer, err)
 	}
 	s.x.account.Close()
-	s.x.drop()
+	s.x.drop(ClientLeft)
 	return verdict.NewError(verdict.MayHaveRun, verdict.ReasonCanceled, fmt.Errorf("%w: %w", ErrSlowReader, err))
 }
 
@@ -234,7 +234,7 @@
 	}
 	switch {
 	case s.closed:
-		return 0, errClosed
+		return 0, errClosedEarly
 	case s.err != nil:
 		return 0, s.err
 	case s.unread == 0:
@@ -259,8 +259,6 @@
 	return n, nil
 }
 
-var errClosed = errors.New("response body closed before its end")
-
 // Close implements io.Closer. If the endpoint's part isn't complete, its connection is
 // closed.
 func (s *stream) Close() error {
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"flag"
+	"fmt"
 	"io"
 	"log/slog"
 	"time"
@@ -11,6 +13,7 @@
 	"sassafrasreach/internal/adapter/fleetgrpc"
 	"sassafrasreach/internal/adapter/grpcpanic"
 	"sassafrasreach/internal/adapter/intake"
+	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/wait"
@@ -30,7 +33,23 @@
 
 // runController runs a controller until SIGTERM or SIGINT.
 func runController(_ context.Context, args []string, stdout, stderr io.Writer) int {
-	return withVM("controller", args, stdout, stderr, serveController)
+	learnLimits := dispatch.LimitAll
+	define := func(flags *flag.FlagSet) {
+		flags.Func("learn-limits", "endpoints whose concurrency is limited by what their run times show: none, half or all (default all)",
+			func(text string) error { return setScope(&learnLimits, text) })
+	}
+	return withVM("controller", args, stdout, stderr, define, func(ctx context.Context, p *vmProcess) error {
+		p.learnLimits = learnLimits
+		return serveController(ctx, p)
+	})
+}
+
+// setScope sets a scope to the value of a flag.
+func setScope(scope *dispatch.LimitScope, text string) error {
+	if *scope = dispatch.LimitScope(text); !scope.Valid() {
+		return fmt.Errorf("%q is none of none, half and all", text)
+	}
+	return nil
 }
 
 func serveController(ctx context.Context, p *vmProcess) error {
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"io"
 	"log/slog"
 	"maps"
@@ -28,6 +29,7 @@
 	"sassafrasreach/internal/adapter/traffic"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -49,9 +51,15 @@
 	// operators send a few hundred bytes.
 	headerBytes = 16 << 10
 	// endpointIdleTimeout is how long after its last response a connection to an
-	// endpoint may be used for an idempotent request. Endpoints close idle
-	// connections some seconds later.
+	// endpoint may be used for an idempotent request, unless the endpoint states how
+	// long. Endpoints close idle connections some seconds later.
 	endpointIdleTimeout = 4 * time.Second
+	// endpointMaxStatedIdle bounds the time that an endpoint states.
+	endpointMaxStatedIdle = 30 * time.Second
+	// endpointMaxIdle bounds the idle connections to endpoints: a gateway with 10 requests
+	// a second to 260 endpoints has 90 with a limit of 9 s, and the smallest one 2,870
+	// descriptors for everything.
+	endpointMaxIdle = 512
 	// heapMemoryPercent is the part of the process's memory near which the collector
 	// works harder; the rest is for what isn't on the heap.
 	heapMemoryPercent = 75
@@ -84,16 +92,21 @@
 	// clients that were refused.
 	memory   *memory.Budget
 	refusals *refusals.Recorder
-	failed   chan error
+	// learnLimits is the flag of a controller.
+	learnLimits dispatch.LimitScope
+	failed      chan error
 }
 
 // withVM parses the arguments, loads the settings of a controller or gateway and
-// calls run. It returns the exit code.
-func withVM(name string, args []string, stdout, stderr io.Writer, run func(ctx context.Context, p *vmProcess) error) int {
+// calls run. define defines further flags. It returns the exit code.
+func withVM(
+	name string, args []string, stdout, stderr io.Writer, define func(*flag.FlagSet), run func(ctx context.Context, p *vmProcess) error,
+) int {
 	flags := newFlags(name, "[-settings FILE]", stderr)
 	path := flags.String("settings", platform.SettingsPath(), "settings file that the platform wrote for this process")
 	fleetListen := flags.String("fleet-listen", "", "IP:port to listen on for other VMs, if it differs from the address that they connect to")
 	metricsPort := flags.Int("metrics", 0, "port to serve metrics on, at the path /metrics; 0 disables it")
+	define(flags)
 	check := flags.Bool("check", false, "check the settings and exit")
 	if code, done := parse(flags, args); done {
 		return code
@@ -246,6 +259,8 @@
 	endpoints := endpointhttp.New(endpointhttp.Options{
 		Clock: p.clock, HeaderConvention: platform.HeaderConvention(), IdleTimeout: endpointIdleTimeout,
 		Memory: p.memory, Traffic: p.traffic,
+		MaxStatedIdle: endpointMaxStatedIdle, MaxIdleConnections: endpointMaxIdle, ResendReset: true,
+		OnConnection: func(origin endpointhttp.Origin) { p.meter.RecordConnection(string(origin)) },
 	})
 	g := gateway.New(gateway.Config{
 		Name: p.settings.Name, Address: p.settings.ClientListen,
@@ -273,6 +288,7 @@
 	return controller.New(controller.Config{
 		Name: p.settings.Name, Address: p.settings.FleetAddress, Zone: p.settings.Zone, Region: p.settings.Region,
 		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Bootstrap: p.settings.Bootstrap, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
+		LearnLimits:     p.learnLimits,
 		ToleratedLosses: p.settings.ToleratedLosses, Quotas: p.settings.Quotas, RevocationBound: p.settings.RevocationBound,
 	}, controller.Ports{
 		Clock: p.clock, Boot: p.boot, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter, Decoder: platform.ConfigDecoder{},
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -39,6 +39,8 @@
 	resumedAt time.Time
 	// drainsRefilled is when the slots that may be drained were last added up.
 	drainsRefilled time.Time
+	trustChanges   []TrustChange
+	limitChanges   []LimitChange
 }
 
 // service is the state of one service in a pool.
@@ -67,6 +69,8 @@
 	kept                        *keptMeter
 	load                        loadMeter
 	reservation                 reservation
+	speeds                      meanSpeeds
+	curve                       curveMeans
 	// slotTime is the moving average, in seconds, of the time for which a
 	// served request uses its slot.
 	slotTime float64
@@ -102,6 +106,10 @@
 	// runEnd is how the run ended, if runEnded is set.
 	runEnd   quarantine.End
 	runEnded bool
+	report   runReport
+	// inFlight counts the endpoint's requests in flight when it was granted, with it.
+	inFlight int
+	gateway  string
 }
 
 // NewPool returns an empty pool. The IDs of its grants begin with prefix.
@@ -132,6 +140,7 @@
 		return
 	}
 	s := newServer(e)
+	s.concurrency.enabled = p.config.LearnLimits.includes(e.ID)
 	s.region = p.config.RegionOf(e.Zone)
 	if s.own = s.region == p.config.Region; !s.own {
 		s.roundTrip = p.config.RoundTrip(s.region)
@@ -295,8 +304,11 @@
 	if depth, known := s.memory.depth(object); known {
 		g.depth = depth
 	}
+	g.report = s.beginReport(now, svc)
 	s.inFlight++
 	s.bodies.add(req.BodyBytes)
+	g.inFlight, g.gateway = s.inFlight, req.Gateway
+	s.connections.take(now, req.Gateway)
 	s.granted++
 	s.lastGrant = now
 	s.limiter.take(now)
@@ -352,8 +364,14 @@
 	}
 	p.endRun(now, id, g, outcome)
 	s, svc := g.server, g.service
+	s.endConnection(now, g.gateway, outcome)
 	warm := g.depth >= 0 && g.depth < svc.kept.limit
 	run := max(0, (took - s.roundTrip).Seconds())
+	if outcome == Served {
+		run = s.reported.meanRunTime(g.report, run, s.slowness*g.kind.expected(warm))
+		p.noteTrust(now, s)
+		p.observeConcurrency(now, svc, s, g.inFlight, run, g.kind.expected(warm))
+	}
 	s.observeOutcome(now, outcome, run, g.kind.expected(warm))
 	if outcome == Served {
 		svc.observeRun(now, g, run, took.Seconds())
@@ -367,8 +385,8 @@
 	return p.grantQueuedAt(now, svc, s)
 }
 
-// observeRun records a served request: run is the run time, and slotTime the
-// time for which it used its slot, both in seconds.
+// observeRun records a served request: run is the run time at the endpoint's mean
+// pace, and slotTime the time for which it used its slot, both in seconds.
 func (svc *service) observeRun(now time.Time, g grant, run, slotTime float64) {
 	if g.depth >= 0 {
 		if warm, known := g.kind.ranWarm(run); known {
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -45,24 +45,31 @@
 	limitObserved time.Time
 	limiter       limiter
 	// reserved is set while the endpoint is kept for restricted requests.
-	reserved bool
-	bodies   bodyMeter
+	reserved    bool
+	bodies      bodyMeter
+	reported    reportedLoad
+	concurrency concurrencyLimit
+	connections connections
 	loanState
 }
 
 func newServer(e registry.Endpoint) *server {
-	return &server{endpoint: e, slowness: 1, memory: newMemory(), namedLimit: noLimit}
+	return &server{endpoint: e, slowness: 1, memory: newMemory(), namedLimit: noLimit, reported: newReportedLoad(), connections: make(connections)}
 }
 
 func (s *server) free(now time.Time) bool {
-	return s.usable(now) && s.inFlight < s.slots() && (!s.cold(now) || !now.Before(s.nextColdGrant)) &&
+	return s.usable(now) && s.inFlight < s.slots(now) && (!s.cold(now) || !now.Before(s.nextColdGrant)) &&
 		s.limiter.wait(now, 1) == 0
 }
 
 // slots returns how many requests the pool has under way to the endpoint at a time.
-func (s *server) slots() int { return s.endpoint.Slots + s.inTransit }
+func (s *server) slots(now time.Time) int { return s.learnedSlots(now) + s.inTransit }
 
-// capacity returns the number of slots that the endpoint can use within its limit.
+// learnedSlots returns how many of the endpoint's slots the pool uses at a time.
+func (s *server) learnedSlots(now time.Time) int { return s.concurrency.slots(now, s.endpoint.Slots) }
+
+// capacity returns the number of slots that the endpoint can use within the limit that it
+// named. Loans count these, since a learned limit changes too often.
 func (s *server) capacity(svc *service) int { return s.limiter.slots(s.endpoint.Slots, svc.slotTime) }
 
 func (s *server) usable(now time.Time) bool {
@@ -87,8 +94,9 @@
 // wait estimates the time in seconds until the endpoint has a free slot.
 func (s *server) wait(now time.Time, svc *service) float64 {
 	wait := 0.0
-	if s.inFlight >= s.slots() {
-		wait = float64(s.queuedFor+1) * s.slowness * svc.slotTime / math.Max(1, float64(s.slots()))
+	if ahead := s.ahead(now); ahead > 0 {
+		slotTime := s.slowness * s.reported.slowdown(now) * svc.slotTime
+		wait = (float64(s.queuedFor) + ahead) * slotTime / math.Max(1, float64(s.slots(now)))
 	}
 	if s.cold(now) && now.Before(s.nextColdGrant) {
 		wait += s.nextColdGrant.Sub(now).Seconds()
@@ -100,16 +108,16 @@
 func (s *server) kept(svc *service) int { return min(len(s.memory.lastUse), svc.kept.limit) }
 
 // cost estimates the time in seconds until the request is answered: the wait
-// for a slot, the round trip, and the run with penalties for failures, load
-// and objects that would be evicted.
+// for a slot, the round trip, and the run at the reported pace, with penalties for
+// failures, load and objects that would be evicted.
 func (s *server) cost(now time.Time, svc *service, k *kind, warm bool) float64 {
-	run := s.slowness * k.expected(warm)
+	run := s.slowness * s.paceFactor(now, svc, warm) * k.expected(warm)
 	if !warm {
 		kept := float64(s.kept(svc))
 		run *= 1 + occupancyWeight*kept/math.Max(1, float64(svc.kept.limit)) + balanceWeight*kept/(svc.meanKept+1)
 	}
 	run *= 1 + failureWeight*s.failures
-	run *= 1 + loadWeight*float64(s.inFlight)/math.Max(1, float64(s.slots()))
+	run *= 1 + loadWeight*float64(s.inFlight)/math.Max(1, float64(s.slots(now)))
 	return s.wait(now, svc) + s.roundTrip.Seconds() + run
 }
 
@@ -141,7 +149,7 @@
 		// An endpoint that refuses while it has free slots isn't full. A
 		// pause would move its warm objects elsewhere, so the refusal only
 		// counts as a failure.
-		if s.inFlight+1 >= s.slots() {
+		if s.inFlight+1 >= s.slots(now) {
 			s.pausedUntil = now.Add(fullPause)
 		} else {
 			s.failures += smoothing * (1 - s.failures)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -90,6 +90,8 @@
 	ConfigCompleted       = Event{1622, "config-completed", slog.LevelInfo, "A configuration that a former release had decoded, without the client accounts, was decoded again from its source."}
 	ConfigUndecodable     = Event{1623, "config-undecodable", slog.LevelError, "A configuration that a former release had decoded can't be decoded by this one. It is in force as the former release decoded it, without client accounts; gateways that need these refuse all requests. Send a corrected configuration."}
 	QuotaExceeded         = Event{1630, "quota-exceeded", slog.LevelInfo, "A client account had requests refused for its quota; attributes count those since the last record of it, and those since the start that got a token, also of the region's floor, and name the region that owns the account's tokens. The accounts with the most refusals are logged every 10 s."}
+	ReportsMistrusted     = Event{1640, "reports-mistrusted", slog.LevelWarn, "The loads that an endpoint reports contradict its run times and are no longer used, or they are used again; an attribute says which. At most once in 30 s and endpoint."}
+	ConcurrencyLimited    = Event{1641, "concurrency-limited", slog.LevelInfo, "The limit that a dispatcher learned for an endpoint fell to three quarters of its slots or below, or rose above; attributes give both. At most once in 30 s and endpoint."}
 	StoreFailed           = Event{1613, "store-failed", slog.LevelError, "A write to the data folder failed; the vote was not given and the folder is reopened."}
 )
 
@@ -125,6 +127,7 @@
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
 	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable, QuotaExceeded,
+	ReportsMistrusted, ConcurrencyLimited,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive, LeaseEnded, LeaseRenewed,
 	LinkUseChanged, ClientRefused, ConnectionTakenOver, PipelineCut, ServingPanicked,
 }
