--- a/internal/core/dispatch/queue.go
+++ b/internal/core/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -20,11 +21,9 @@
 // position returns where a slot request with the virtual start time is placed in the queue:
 // behind those of a more urgent priority, and those of its own that start no later.
 func (svc *service) position(priority int, start float64) int {
-	at, _ := slices.BinarySearchFunc(svc.queue, start, func(w queuedRequest, start float64) int {
-		if w.request.Priority < priority || w.request.Priority == priority && w.start <= start {
-			return -1
-		}
-		return 1
+	at := sort.Search(len(svc.queue), func(i int) bool {
+		w := &svc.queue[i]
+		return w.request.Priority > priority || w.request.Priority == priority && w.start > start
 	})
 	return at
 }
