Serve accounts whose owner is of a former release

A dispatcher of a former release issues no tokens, so during an upgrade the accounts that it owns would have had the floors alone in the other regions, and requests below their quotas refused. Its answer has no word about quotas, by which it is recognized; a rejection is now an empty one. Until it is upgraded, such accounts have their whole quota at each dispatcher of this release. RetryAfter is rounded up to the millisecond in which it is sent.

--- a/internal/adapter/fleetgrpc/convert_test.go
+++ b/internal/adapter/fleetgrpc/convert_test.go
@@ -52,7 +52,8 @@
 	got = c.exchangeFromProto(m)
 	is.Equal(got.Quota.Items[0], quota.Item{Account: 1, Wanted: 3})
 	is.Equal(got.QuotaReturns[0], quota.Return{Account: 3})
-	reply := port.ExchangeReply{QuotaGrants: quota.Grants{Sequence: 7, Tokens: []int{0, 800}}}
-	is.Equal(c.exchangeReplyFromProto(c.exchangeReplyToProto(reply)).QuotaGrants, reply.QuotaGrants)
-	is.Equal(c.exchangeReplyFromProto(c.exchangeReplyToProto(port.ExchangeReply{})).QuotaGrants, quota.Grants{})
+	for _, grants := range []*quota.Grants{{Sequence: 7, Tokens: []int{0, 800}}, {}, nil} {
+		reply := c.exchangeReplyToProto(port.ExchangeReply{QuotaGrants: grants})
+		is.Equal(c.exchangeReplyFromProto(reply).QuotaGrants, grants)
+	}
 }
--- a/internal/adapter/fleetgrpc/quota.go
+++ b/internal/adapter/fleetgrpc/quota.go
@@ -61,13 +61,16 @@
 	return out
 }
 
-func quotaGrantsToProto(g quota.Grants) *fleetv1.QuotaGrants {
-	if g.Sequence == 0 {
+func quotaGrantsToProto(g *quota.Grants) *fleetv1.QuotaGrants {
+	if g == nil {
 		return nil
 	}
 	return &fleetv1.QuotaGrants{Sequence: g.Sequence, Tokens: convertAll(g.Tokens, count)}
 }
 
-func quotaGrantsFromProto(m *fleetv1.QuotaGrants) quota.Grants {
-	return quota.Grants{Sequence: m.GetSequence(), Tokens: convertAll(m.GetTokens(), fromCount)}
+func quotaGrantsFromProto(m *fleetv1.QuotaGrants) *quota.Grants {
+	if m == nil {
+		return nil
+	}
+	return &quota.Grants{Sequence: m.GetSequence(), Tokens: convertAll(m.GetTokens(), fromCount)}
 }
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -446,7 +446,8 @@
 		}
 	}
 	if m.Quota != nil {
-		reply.QuotaGrants = c.quotas.book.Grant(c.bootTime(), ownerID(m.From), *m.Quota, m.QuotaReturns)
+		grants := c.quotas.book.Grant(c.bootTime(), ownerID(m.From), *m.Quota, m.QuotaReturns)
+		reply.QuotaGrants = &grants
 	}
 	switch {
 	case m.FullSync:
--- a/internal/app/controller/quotas.go
+++ b/internal/app/controller/quotas.go
@@ -112,6 +112,7 @@
 		return quota.Token{}, dispatch.Decision{}, true
 	}
 	token, after, ok := c.quotas.book.Take(c.bootTime(), req.Region, req.Account)
+	after = (after + time.Millisecond - 1).Truncate(time.Millisecond) // it is sent in milliseconds
 	if len(c.quotas.book.Urgent()) > 0 {
 		c.wakeAsking()
 	}
@@ -175,11 +176,15 @@
 
 // recordGrants records a peer's reply to a request for tokens that was sent at sentAt, in
 // boot time. One of a peer that isn't the owner any more is dropped. Must hold mu.
-func (c *Controller) recordGrants(sentAt time.Time, p *peer, request *quota.Request, grants quota.Grants) {
+func (c *Controller) recordGrants(sentAt time.Time, p *peer, request *quota.Request, grants *quota.Grants) {
 	book := c.quotas.book
 	held := book.Set(c.regionsHeldBy(c.ports.Clock.Now(), p.Address))
-	if request != nil && request.Owners&^held == 0 {
-		book.Receive(c.bootTime(), sentAt, ownerID(p.Controller), *request, grants)
+	switch {
+	case request == nil || request.Owners&^held != 0:
+	case grants == nil:
+		book.ReceiveNothing(c.bootTime(), *request)
+	default:
+		book.Receive(c.bootTime(), sentAt, ownerID(p.Controller), *request, *grants)
 	}
 }
 
--- a/internal/core/quota/book.go
+++ b/internal/core/quota/book.go
@@ -39,6 +39,9 @@
 	introduced string
 	// asked is when the owner was last asked.
 	asked time.Time
+	// former is until when the owner counts as a controller of a former release, which knows
+	// of no quotas.
+	former time.Time
 }
 
 // receipt is the sequence of the last request of a holder and when it came.
@@ -68,6 +71,8 @@
 	debtAt time.Time
 	bucket bucket
 	stock  stock
+	// local is the bucket that is used while the owner is of a former release.
+	local  floor
 	counts Counts
 }
 
@@ -186,6 +191,7 @@
 	fromBucket source = iota + 1
 	fromStock
 	fromFloor
+	fromLocal
 )
 
 // Token is the right to run one request of an account. Its holder calls Spend once the
@@ -218,6 +224,10 @@
 		if b.takeOwned(now, a) {
 			return Token{account: a, source: fromBucket, since: a.bucket.since}, 0, true
 		}
+	} else if firm && now.Before(b.leases[a.owner].former) {
+		if a.takeLocal(now) {
+			return Token{account: a, source: fromLocal}, 0, true
+		}
 	} else if firm {
 		taken := a.stock.take(now)
 		b.noteLow(now, a)
@@ -243,6 +253,8 @@
 func (b *Book) retryAfter(now time.Time, a *account) time.Duration {
 	income := a.stock.income
 	switch {
+	case now.Before(b.leases[a.owner].former):
+		income = a.limit.Rate
 	case !b.owns(now, a.owner) && !a.stock.exhausted(now):
 		return replyTime
 	case b.owns(now, a.owner):
@@ -282,6 +294,8 @@
 		a.bucket.level = min(a.bucket.level+1, a.capacity)
 	case t.source == fromStock && now.Before(a.stock.expires):
 		a.stock.held++
+	case t.source == fromLocal:
+		a.local.level++
 	}
 }
 
--- a/internal/core/quota/count_test.go
+++ b/internal/core/quota/count_test.go
@@ -153,6 +153,23 @@
 	is.Equal(p.own(1000), 3)
 }
 
+// TestFormerOwner guards against an account that is refused below its quota since its owner is
+// of a former release, which issues no tokens, and against one that then has no quota.
+func TestFormerOwner(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	got := 0
+	for range 100 {
+		r, _, _ := p.holder.Request(p.now, "owner", []string{p.ownerRegion})
+		p.holder.ReceiveNothing(p.now, r)
+		got += p.hold(100)
+		p.now = p.now.Add(100 * time.Millisecond)
+	}
+	is.True(got > 450 && got <= 500)
+	p.exchange(0) // the owner was upgraded
+	is.True(p.hold(1000) <= 40)
+}
+
 // TestGate guards against a gateway that asks for each request of an account far beyond its
 // quota, that holds one back which is just beyond it, or that runs more without a dispatcher
 // than it was granted in a second.
--- a/internal/core/quota/holder.go
+++ b/internal/core/quota/holder.go
@@ -156,7 +156,7 @@
 	}
 	for i := range b.leases {
 		if r.Owners&(1<<i) != 0 {
-			b.leases[i].introduced = owner
+			b.leases[i].introduced, b.leases[i].former = owner, time.Time{}
 		}
 	}
 	for i, item := range r.Items {
@@ -172,6 +172,30 @@
 	}
 }
 
+// ReceiveNothing records that the receiver of a request answered without a word about it. It
+// is of a former release, whose dispatchers take no tokens. Until it is upgraded, accounts that
+// it owns have their whole quota in each region: they would be refused below it otherwise.
+func (b *Book) ReceiveNothing(now time.Time, r Request) {
+	for i := range b.leases {
+		if r.Owners&(1<<i) != 0 {
+			b.leases[i].former = now.Add(Term)
+		}
+	}
+}
+
+// takeLocal takes a token from a bucket of this controller alone.
+func (a *account) takeLocal(now time.Time) bool {
+	if passed := now.Sub(a.local.at); passed > 0 && !a.local.at.IsZero() {
+		a.local.level += a.limit.Rate * passed.Seconds()
+	}
+	a.local.at, a.local.level = now, min(a.local.level, a.capacity)
+	if a.local.level < 1 {
+		return false
+	}
+	a.local.level--
+	return true
+}
+
 func (b *Book) receive(now, sentAt time.Time, a *account, item Item, n int) {
 	s := &a.stock
 	s.available(now)
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -146,8 +146,8 @@
 	// Report is the version of the report that the receiver now has of the sender;
 	// 0 if it has none.
 	Report uint64
-	// QuotaGrants answers ExchangeRequest.Quota.
-	QuotaGrants quota.Grants
+	// QuotaGrants answers ExchangeRequest.Quota; nil from a former release.
+	QuotaGrants *quota.Grants
 }
 
 // OrderReply is the answer to an order.
