--- a/internal/app/controller/quotas.go
+++ b/internal/app/controller/quotas.go
@@ -111,9 +111,10 @@
 	if req.Retry || req.Account == "" {
 		return quota.Token{}, dispatch.Decision{}, true
 	}
+	wasUrgent := c.quotas.book.IsUrgent()
 	token, after, ok := c.quotas.book.Take(c.bootTime(), req.Region, req.Account)
 	after = (after + time.Millisecond - 1).Truncate(time.Millisecond) // it is sent in milliseconds
-	if len(c.quotas.book.Urgent()) > 0 {
+	if !wasUrgent && c.quotas.book.IsUrgent() {
 		c.wakeAsking()
 	}
 	if !ok {
@@ -191,7 +192,7 @@
 // endAsking ends the wait for a peer's reply to a request for tokens. Must hold mu.
 func (c *Controller) endAsking(p *peer) {
 	p.asking = false
-	if len(c.quotas.book.Urgent()) > 0 {
+	if c.quotas.book.IsUrgent() {
 		c.wakeAsking()
 	}
 }
--- a/internal/core/quota/holder.go
+++ b/internal/core/quota/holder.go
@@ -58,11 +58,11 @@
 	}
 }
 
+// IsUrgent reports whether Urgent returns a region.
+func (b *Book) IsUrgent() bool { return b.urgent != 0 }
+
 // Urgent returns the regions whose owners are to be asked at once.
 func (b *Book) Urgent() []string {
-	if b.urgent == 0 {
-		return nil
-	}
 	var out []string
 	for i, name := range b.regions {
 		if b.urgent&(1<<i) != 0 {
--- a/internal/core/quota/simulation_test.go
+++ b/internal/core/quota/simulation_test.go
@@ -203,7 +203,7 @@
 func (s *simulation) request(i, region int, account string) {
 	n := s.nodes[i]
 	token, _, ok := n.book.Take(s.now, regions[region], account)
-	if len(n.book.Urgent()) > 0 {
+	if n.book.IsUrgent() {
 		s.exchange(i, true)
 	}
 	if !ok {
