Hold back only accounts far beyond their quota at gateways

A small account's first refused request has a RetryAfter of some hundred milliseconds, for which the gateway refused further ones. Now the quota must have ten requests in that time.

--- a/internal/app/gateway/quotas.go
+++ b/internal/app/gateway/quotas.go
@@ -5,6 +5,7 @@
 
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fleet"
+	"sassafrasreach/internal/core/quota"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -43,12 +44,12 @@
 	return o == dispatch.Unreachable || o == dispatch.Refused || o == dispatch.Unsent
 }
 
-// quotaAccounts returns the names of the accounts that have a quota.
-func quotaAccounts(accounts []fleet.Account) []string {
-	var out []string
+// quotaLimits returns the quotas of the accounts that have one.
+func quotaLimits(accounts []fleet.Account) []quota.Limit {
+	var out []quota.Limit
 	for _, a := range accounts {
 		if a.RatePerSecond > 0 {
-			out = append(out, a.Name)
+			out = append(out, quota.Limit{Account: a.Name, Rate: a.RatePerSecond, Burst: a.Burst})
 		}
 	}
 	return out
--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -262,7 +262,7 @@
 		g.keyed = g.keyed || u.State.Config.Authenticate
 		if u.State.Config.Version > 0 {
 			g.table.Store(fleet.NewKeyedTable(&u.State.Config, g.keySecret))
-			g.quotas.SetAccounts(quotaAccounts(u.State.Config.Accounts))
+			g.quotas.SetLimits(quotaLimits(u.State.Config.Accounts))
 		}
 		event.Log(context.Background(), g.ports.Logger, event.ConfigApplied,
 			slog.Uint64("sequence", u.Sequence), slog.Uint64("version", u.State.Config.Version),
--- a/internal/core/quota/gate.go
+++ b/internal/core/quota/gate.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// farBeyond is the RetryAfter of a dispatcher's refusal from which on an account counts
-	// as far beyond its quota: many refused requests wait for the next tokens.
-	farBeyond = 200 * time.Millisecond
+	// farBeyond and farBeyondRequests are the RetryAfter of a dispatcher's refusal, and the
+	// requests of the quota in that time, from which on an account counts as far beyond its
+	// quota: as many refused requests wait for the next tokens. The first refused request of
+	// a small account has a long RetryAfter, too.
+	farBeyond         = 200 * time.Millisecond
+	farBeyondRequests = 10
 	// holdShare is the part of that time for which a gateway refuses the account itself, and
 	// maxHold its bound: with the next slot request it learns of a quota that has changed.
 	holdShare = 0.5
@@ -27,6 +30,7 @@
 
 // gateAccount is the state of one account.
 type gateAccount struct {
+	rate float64
 	// heldUntil is until when the gateway refuses the account itself, and dueAt when the
 	// account can be served again.
 	heldUntil, dueAt time.Time
@@ -44,23 +48,24 @@
 // NewGate returns a gate that knows of no account.
 func NewGate() *Gate { return &Gate{accounts: make(map[string]*gateAccount)} }
 
-// SetAccounts replaces the names of the accounts that have a quota.
-func (g *Gate) SetAccounts(names []string) {
+// SetLimits replaces the quotas.
+func (g *Gate) SetLimits(limits []Limit) {
 	before := g.accounts
-	g.accounts = make(map[string]*gateAccount, len(names))
-	for _, name := range names {
-		a := before[name]
+	g.accounts = make(map[string]*gateAccount, len(limits))
+	for _, l := range limits {
+		a := before[l.Account]
 		if a == nil {
 			a = &gateAccount{}
 		}
-		g.accounts[name] = a
+		a.rate = l.Rate
+		g.accounts[l.Account] = a
 	}
 }
 
 // Refused records a dispatcher's refusal for the quota.
 func (g *Gate) Refused(now time.Time, name string, retryAfter time.Duration) {
 	a := g.accounts[name]
-	if a == nil || retryAfter < farBeyond {
+	if a == nil || retryAfter < farBeyond || retryAfter.Seconds()*a.rate < farBeyondRequests {
 		return
 	}
 	a.heldUntil = now.Add(min(time.Duration(holdShare*float64(retryAfter)), maxHold))
