--- a/internal/core/quota/book.go
+++ b/internal/core/quota/book.go
@@ -220,20 +220,8 @@
 		at = len(b.regions)
 	}
 	a.counts.Taken++
-	if b.owns(now, a.owner) {
-		if b.takeOwned(now, a) {
-			return Token{account: a, source: fromBucket, since: a.bucket.since}, 0, true
-		}
-	} else if firm && now.Before(b.leases[a.owner].former) {
-		if a.takeLocal(now) {
-			return Token{account: a, source: fromLocal}, 0, true
-		}
-	} else if firm {
-		taken := a.stock.take(now)
-		b.noteLow(now, a)
-		if taken {
-			return Token{account: a, source: fromStock}, 0, true
-		}
+	if token, taken := b.takeIssued(now, a, firm); taken {
+		return token, 0, true
 	}
 	f := &a.floors[at]
 	f.refill(now, a.floorSize, b.bounds.Window)
@@ -247,6 +235,24 @@
 	return Token{}, b.retryAfter(now, a), false
 }
 
+// takeIssued takes a token of the bucket, or one that the owner issued. firm says whether this
+// controller holds the lease of the region that dispatches the request.
+func (b *Book) takeIssued(now time.Time, a *account, firm bool) (Token, bool) {
+	switch {
+	case b.owns(now, a.owner):
+		taken := b.takeOwned(now, a)
+		return Token{account: a, source: fromBucket, since: a.bucket.since}, taken
+	case !firm:
+		return Token{}, false
+	case now.Before(b.leases[a.owner].former):
+		return Token{account: a, source: fromLocal}, a.takeLocal(now)
+	default:
+		taken := a.stock.take(now)
+		b.noteLow(now, a)
+		return Token{account: a, source: fromStock}, taken
+	}
+}
+
 // retryAfter returns when a refused request can get a token. The tokens before are those
 // of the requests that were refused shortly before. While the owner has been asked and may
 // have tokens, that is after its reply.
