--- a/internal/app/controller/quotas.go
+++ b/internal/app/controller/quotas.go
@@ -111,8 +111,10 @@
 	if req.Retry || req.Account == "" {
 		return quota.Token{}, dispatch.Decision{}, true
 	}
+	wasUrgent := c.quotas.book.IsUrgent()
 	token, after, ok := c.quotas.book.Take(c.bootTime(), req.Region, req.Account)
-	if len(c.quotas.book.Urgent()) > 0 {
+	after = (after + time.Millisecond - 1).Truncate(time.Millisecond) // it is sent in milliseconds
+	if !wasUrgent && c.quotas.book.IsUrgent() {
 		c.wakeAsking()
 	}
 	if !ok {
@@ -175,18 +177,22 @@
 
 // recordGrants records a peer's reply to a request for tokens that was sent at sentAt, in
 // boot time. One of a peer that isn't the owner any more is dropped. Must hold mu.
-func (c *Controller) recordGrants(sentAt time.Time, p *peer, request *quota.Request, grants quota.Grants) {
+func (c *Controller) recordGrants(sentAt time.Time, p *peer, request *quota.Request, grants *quota.Grants) {
 	book := c.quotas.book
 	held := book.Set(c.regionsHeldBy(c.ports.Clock.Now(), p.Address))
-	if request != nil && request.Owners&^held == 0 {
-		book.Receive(c.bootTime(), sentAt, ownerID(p.Controller), *request, grants)
+	switch {
+	case request == nil || request.Owners&^held != 0:
+	case grants == nil:
+		book.ReceiveNothing(c.bootTime(), *request)
+	default:
+		book.Receive(c.bootTime(), sentAt, ownerID(p.Controller), *request, *grants)
 	}
 }
 
 // endAsking ends the wait for a peer's reply to a request for tokens. Must hold mu.
 func (c *Controller) endAsking(p *peer) {
 	p.asking = false
-	if len(c.quotas.book.Urgent()) > 0 {
+	if c.quotas.book.IsUrgent() {
 		c.wakeAsking()
 	}
 }
--- a/internal/core/quota/book.go
+++ b/internal/core/quota/book.go
@@ -39,6 +39,9 @@
 	introduced string
 	// asked is when the owner was last asked.
 	asked time.Time
+	// former is until when the owner counts as a controller of a former release, which knows
+	// of no quotas.
+	former time.Time
 }
 
 // receipt is the sequence of the last request of a holder and when it came.
@@ -68,6 +71,8 @@
 	debtAt time.Time
 	bucket bucket
 	stock  stock
+	// local is the bucket that is used while the owner is of a former release.
+	local  floor
 	counts Counts
 }
 
@@ -186,6 +191,7 @@
 	fromBucket source = iota + 1
 	fromStock
 	fromFloor
+	fromLocal
 )
 
 // Token is the right to run one request of an account. Its holder calls Spend once the
@@ -214,16 +220,8 @@
 		at = len(b.regions)
 	}
 	a.counts.Taken++
-	if b.owns(now, a.owner) {
-		if b.takeOwned(now, a) {
-			return Token{account: a, source: fromBucket, since: a.bucket.since}, 0, true
-		}
-	} else if firm {
-		taken := a.stock.take(now)
-		b.noteLow(now, a)
-		if taken {
-			return Token{account: a, source: fromStock}, 0, true
-		}
+	if token, taken := b.takeIssued(now, a, firm); taken {
+		return token, 0, true
 	}
 	f := &a.floors[at]
 	f.refill(now, a.floorSize, b.bounds.Window)
@@ -237,12 +235,32 @@
 	return Token{}, b.retryAfter(now, a), false
 }
 
+// takeIssued takes a token of the bucket, or one that the owner issued. firm says whether this
+// controller holds the lease of the region that dispatches the request.
+func (b *Book) takeIssued(now time.Time, a *account, firm bool) (Token, bool) {
+	switch {
+	case b.owns(now, a.owner):
+		taken := b.takeOwned(now, a)
+		return Token{account: a, source: fromBucket, since: a.bucket.since}, taken
+	case !firm:
+		return Token{}, false
+	case now.Before(b.leases[a.owner].former):
+		return Token{account: a, source: fromLocal}, a.takeLocal(now)
+	default:
+		taken := a.stock.take(now)
+		b.noteLow(now, a)
+		return Token{account: a, source: fromStock}, taken
+	}
+}
+
 // retryAfter returns when a refused request can get a token. The tokens before are those
 // of the requests that were refused shortly before. While the owner has been asked and may
 // have tokens, that is after its reply.
 func (b *Book) retryAfter(now time.Time, a *account) time.Duration {
 	income := a.stock.income
 	switch {
+	case now.Before(b.leases[a.owner].former):
+		income = a.limit.Rate
 	case !b.owns(now, a.owner) && !a.stock.exhausted(now):
 		return replyTime
 	case b.owns(now, a.owner):
@@ -282,6 +300,8 @@
 		a.bucket.level = min(a.bucket.level+1, a.capacity)
 	case t.source == fromStock && now.Before(a.stock.expires):
 		a.stock.held++
+	case t.source == fromLocal:
+		a.local.level++
 	}
 }
 
