Count messages on busy links when slots are granted

A dispatcher regards a slot as in use from its grant to its release.

Change: the slots that are granted beyond those of a borrowed endpoint, for the time of the round trip, now also cover the time of messages between the dispatcher and the gateways, and are granted for all endpoints. The mean time of a slot is that from its grant to its release.

--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -72,11 +72,14 @@
 	speeds                      meanSpeeds
 	curve                       curveMeans
 	// slotTime is the moving average, in seconds, of the time for which a
-	// served request uses its slot.
+	// served request uses its slot, from its grant to its release.
 	slotTime float64
 	// runTime is the moving average, in seconds, of the run times, without the round
 	// trip to another region.
 	runTime float64
+	// messageTime is the moving average, in seconds, of the time that a grant takes to the
+	// gateway and a release to the pool together.
+	messageTime float64
 	// firstServed is the time of the first served request; zero before.
 	firstServed time.Time
 	// leastUrgent is the highest Priority, that of the least urgent slot request,
@@ -374,7 +377,7 @@
 	}
 	s.observeOutcome(now, outcome, run, g.kind.expected(warm))
 	if outcome == Served {
-		svc.observeRun(now, g, run, took.Seconds())
+		svc.observeRun(now, g, run, took)
 	}
 	if outcome == Broken || outcome == Unreachable {
 		if now.Sub(p.lastBreak) < maxBreakInterval {
@@ -385,9 +388,11 @@
 	return p.grantQueuedAt(now, svc, s)
 }
 
-// observeRun records a served request: run is the run time at the endpoint's mean
-// pace, and slotTime the time for which it used its slot, both in seconds.
-func (svc *service) observeRun(now time.Time, g grant, run, slotTime float64) {
+// observeRun records a served request: run is the run time in seconds at the endpoint's
+// mean pace, and took the time between the gateway's receipt of the grant and the end.
+func (svc *service) observeRun(now time.Time, g grant, run float64, took time.Duration) {
+	slotTime := now.Sub(g.report.granted)
+	messages := max(0, min(slotTime-took, maxMessageTime)).Seconds()
 	if g.depth >= 0 {
 		if warm, known := g.kind.ranWarm(run); known {
 			svc.kept.observe(g.depth, warm)
@@ -395,10 +400,11 @@
 	}
 	g.kind.observe(g.depth >= 0 && g.depth < svc.kept.limit, run)
 	if svc.slotTime == 0 {
-		svc.slotTime, svc.runTime, svc.firstServed = slotTime, run, now
+		svc.slotTime, svc.runTime, svc.messageTime, svc.firstServed = slotTime.Seconds(), run, messages, now
 	}
 	svc.runTime += smoothing / 2 * (run - svc.runTime)
-	svc.slotTime += smoothing / 2 * (slotTime - svc.slotTime)
+	svc.messageTime += smoothing / 2 * (messages - svc.messageTime)
+	svc.slotTime += smoothing / 2 * (slotTime.Seconds() - svc.slotTime)
 }
 
 // Tick removes expired grants, reconsiders queued slot requests, and returns
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -121,15 +121,16 @@
 	return s.wait(now, svc) + s.roundTrip.Seconds() + run
 }
 
-// inTransit returns how many requests are between the pool and an endpoint of another
-// region while the endpoint uses all its slots. Without them its slots would stand empty
-// for a round trip after each run: the round trip between regions is a third to a half of a
-// run with the object warm.
+// inTransit returns how many grants and releases are on their way, and how many requests and
+// responses of other regions, while the endpoint uses all its slots. Without them its slots
+// would stand empty for that time after each run: the round trip between regions is a third
+// to a half of a run with the object warm, and the messages of gateways whose links are busy
+// take as long.
 func (svc *service) inTransit(s *server) int {
-	if s.roundTrip <= 0 || svc.runTime <= 0 || s.limiter.limited {
+	if svc.runTime <= 0 || s.limiter.limited {
 		return 0
 	}
-	n := float64(s.endpoint.Slots) * s.roundTrip.Seconds() / svc.runTime
+	n := float64(s.endpoint.Slots) * (s.roundTrip.Seconds() + svc.messageTime) / svc.runTime
 	return int(math.Min(math.Round(n), float64(s.endpoint.Slots)))
 }
 
--- a/internal/core/dispatch/transit_test.go
+++ b/internal/core/dispatch/transit_test.go
@@ -29,12 +29,18 @@
 	return last
 }
 
-// TestBorrowedEndpointsUnderOverload guards against borrowed endpoints whose slots stand
-// empty for a round trip after each run while requests are refused: a region without
-// endpoints of its own gets more requests than those that it borrows can serve.
-func TestBorrowedEndpointsUnderOverload(t *testing.T) {
+// TestSlotsInTransit guards against endpoints whose slots stand empty after each run, for as
+// long as messages are on their way, while requests are refused.
+func TestSlotsInTransit(t *testing.T) {
+	t.Run("borrowed endpoints", func(t *testing.T) { testSlotsInTransit(t, "few", 55*time.Millisecond, 0) })
+	t.Run("gateways with busy links", func(t *testing.T) { testSlotsInTransit(t, "big", 0, 55*time.Millisecond) })
+}
+
+// testSlotsInTransit sends more requests from a region than the endpoints of region big can
+// serve. Requests take the time oneWay to an endpoint, and grants and releases the time
+// message.
+func testSlotsInTransit(t *testing.T, region string, oneWay, message time.Duration) {
 	const (
-		oneWay    = 55 * time.Millisecond
 		run       = 200 * time.Millisecond
 		endpoints = 4
 		slots     = 4
@@ -43,8 +49,8 @@
 	)
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	pool := regionPoolAt(now, "few", map[string]int{"big": endpoints}, 2*oneWay)
-	loan := dispatch.Loan{Lender: "big", Borrower: "few"}
+	pool := regionPoolAt(now, region, map[string]int{"big": endpoints}, 2*oneWay)
+	loan := dispatch.Loan{Lender: "big", Borrower: region}
 	for i := range endpoints {
 		loan.Endpoints = append(loan.Endpoints, fmt.Sprint("big", i))
 	}
@@ -56,7 +62,7 @@
 	granted := func(all ...dispatch.Decision) {
 		for _, d := range all {
 			if d.Grant != "" {
-				after(oneWay, func() { start(d) })
+				after(message+oneWay, func() { start(d) })
 			}
 		}
 	}
@@ -74,8 +80,9 @@
 					waiting[id] = waiting[id][1:]
 					next()
 				}
-				after(oneWay, func() {
-					granted(pool.Release(now, d.Grant, dispatch.Served, now.Sub(sent)+oneWay)...)
+				took := now.Sub(sent) + oneWay
+				after(oneWay+message, func() {
+					granted(pool.Release(now, d.Grant, dispatch.Served, took)...)
 				})
 			})
 		}
@@ -95,7 +102,7 @@
 			e.do()
 			now = clock
 		}
-		if n%30 == 0 {
+		if n%30 == 0 && loan.Lender != loan.Borrower {
 			pool.Borrow(now, loan)
 			pool.SuspendShiftLimit(now) // nothing can run in the own region
 		}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -215,6 +215,9 @@
 	// retryAfterDivisor bounds Decision.RetryAfter to a part of the time left
 	// before the deadline: clients honor up to a third of it.
 	retryAfterDivisor = 3
+	// maxMessageTime bounds the time that the messages for one run count: those of frozen
+	// gateways take seconds.
+	maxMessageTime = time.Second
 	// minRetryAfter is the shortest Decision.RetryAfter.
 	minRetryAfter = 50 * time.Millisecond
 )
