Test clients that don't behave at each port of each role

Gateways and controllers had them but for several bodies behind one another on a connection, and for the ports whose requests have no bodies; entries and control VMs had none.

Crowd and bounds are fixed here, before the product changes. internal/systemtest: 40 bodies of 16 MiB, 100 documents of 4 MiB, 300 connections that send little, 12 requests behind one another on each of 40 connections; the bounds are the limits in the settings files, 256 MB and 256 descriptors. platform: 40 connections with 12 bodies of 4 MiB each, 136 MB as before. They check that each process lives, stays within the bounds and answers an ordinary request while the clients are still connected; a single body of the largest size in calm; and that a planned stop ends by itself beside unfinished bodies. They run one at a time, after all others.

The failing ones are listed in KNOWN-RED.txt; scripts/untrusted.sh passes over exactly these and prints them.

--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,8 @@
 # tests, so that the two don't compete for the machine.
 unit:
 	GO=$(GO) ./scripts/unit.sh
-	$(GO) test -race -parallel 6 -timeout 20m ./internal/systemtest
-	$(GO) test -count=1 -v -timeout 10m -run '^TestUntrusted' ./platform
+	$(GO) test -race -parallel 6 -timeout 20m -skip '^TestUntrusted' ./internal/systemtest
+	GO=$(GO) ./scripts/untrusted.sh
 	$(GO) test -count=1 -v -timeout 10m -run '^TestFleetSoak' ./platform
 
 generate:
--- a/internal/systemtest/endpoint_test.go
+++ b/internal/systemtest/endpoint_test.go
@@ -234,7 +234,7 @@
 	if err != nil {
 		return
 	}
-	text := string(body) + r.URL.RequestURI()
+	text := digestOf(body) + r.URL.RequestURI()
 	e.runs.add(text)
 	e.runs.recordMove(r.Header.Get("X-Caller-Place"), e.place)
 	e.mu.Lock()
@@ -250,4 +250,23 @@
 	}
 	time.Sleep(work)
 	_, _ = fmt.Fprint(w, text)
+	if strings.HasPrefix(r.URL.Path, largeAnswerPath) {
+		_, _ = w.Write(make([]byte, largeAnswerBytes))
+	}
+}
+
+const (
+	// repeatedBodyBytes is the size of a body up to which the answer repeats it.
+	repeatedBodyBytes = 64 << 10
+	// largeAnswerPath begins the paths of requests whose answers have largeAnswerBytes more.
+	largeAnswerPath  = "/large"
+	largeAnswerBytes = 1_000_000
+)
+
+// digestOf returns what the answer to a request repeats of its body.
+func digestOf(body []byte) string {
+	if len(body) > repeatedBodyBytes {
+		return fmt.Sprintf("%d bytes ", len(body))
+	}
+	return string(body)
 }
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -42,6 +43,8 @@
 	work          time.Duration
 	rules         []document.Rule
 	links         []document.Link
+	maxBodyBytes  int64  // of requests and of answers; 0 means 64 KiB
+	limits        string // further lines of all settings files
 }
 
 // twoRegions is the layout of most tests: two places in one region and one in
@@ -85,6 +88,8 @@
 
 	mu        sync.Mutex
 	lastEntry map[string]string // by place: the entry that last answered a look-up
+
+	keyPrefix string // of the keys of untrusted clients
 }
 
 const controls = 3
@@ -204,8 +209,8 @@
 		Deadline:          document.Duration(2 * time.Second),
 		RequestBytes:      1 << 10,
 		AnswerBytes:       1 << 10,
-		MaxBodyBytes:      64 << 10,
-		MaxAnswerBytes:    64 << 10,
+		MaxBodyBytes:      cmp.Or(s.layout.maxBodyBytes, 64<<10),
+		MaxAnswerBytes:    cmp.Or(s.layout.maxBodyBytes, 64<<10),
 		Places:            places,
 		Workers:           s.layout.endpoints * len(places),
 		Slots:             s.layout.slots,
@@ -237,8 +242,8 @@
 	}
 	s.mesh.expose(s.ip(kindFrontControl, n)+":19090", ip+":19090", "", name)
 	path := s.write(name+".yaml", fmt.Sprintf("name: %s\ndata_dir: %s\npeer_listen: %s:19090\n"+
-		"operator_listen: %s:18090\nbootstrap_token_sha256: %s\nmembers:\n%s",
-		name, s.dataDir(n), ip, ip, tokenHash, members.String()))
+		"operator_listen: %s:18090\nbootstrap_token_sha256: %s\nmembers:\n%s%s",
+		name, s.dataDir(n), ip, ip, tokenHash, members.String(), s.layout.limits))
 	s.controls = append(s.controls, newProcess(s.t, name, "control", "-settings", path))
 }
 
@@ -258,8 +263,8 @@
 		seeds = append(seeds, place.Entries[0].Peer)
 	}
 	path := s.write(entry.Name+".yaml", fmt.Sprintf("name: %s\nplace: %s\ncaller_listen: %s:18080\n"+
-		"peer_listen: %s:19080\ncontrol: [%q, %q, %q]\nseeds: [%s]\ndrain_limit: 20s\n",
-		entry.Name, s.doc.Places[i].Name, ip, ip, control[0], control[1], control[2], quoted(seeds)))
+		"peer_listen: %s:19080\ncontrol: [%q, %q, %q]\nseeds: [%s]\ndrain_limit: 20s\n%s",
+		entry.Name, s.doc.Places[i].Name, ip, ip, control[0], control[1], control[2], quoted(seeds), s.layout.limits))
 	s.entries[entry.Name] = newProcess(s.t, entry.Name, "entry", "-settings", path)
 }
 
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 GO=${GO:-go}
-red=$(sed -n 's/^\(internal[a-z\/]*\) \(Test[A-Za-z0-9]*\):.*/\1 \2/p' KNOWN-RED.txt)
+red=$(sed -n 's/^\(internal[a-z\/]*\) \(Test[A-Za-z0-9]*\):.*/\1 \2/p' KNOWN-RED.txt | grep -v ' TestUntrusted' || true)
 packages=$($GO list ./... | grep -v /systemtest$)
 for package in $(cut -d' ' -f1 <<<"$red" | sort -u); do
   packages=$(grep -v "/$package\$" <<<"$packages")
