Drop the first request of a pipelined connection once it is answered

What callers saw: 40 connections that send once-only requests with bodies of 4 MiB behind one another, without reading, took a gateway beyond the memory of its machine (platform.TestUntrustedPipelinedBodies: 168 MB of 136; 178 to 190 MB in four runs of others). The platform kills such a process.

Cause: a connection that is taken over from net/http keeps its first request for as long as it is open (loop.first), with its body and its answer. The memory of the body was given back to the budget when its answer was known, so that others took it again: a body of 4 MiB and an answer of up to 1 MiB on each connection that nobody counted. Reading ahead has no part in it: a request with a body is read only once all before it are answered.

--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -70,7 +70,6 @@
 	// ctx is the parent of the contexts of all requests but the first.
 	ctx    context.Context
 	cancel context.CancelFunc
-	first  *entry
 	// serverReader is that of net/http; nil before the connection was handed over.
 	serverReader *bufio.Reader
 	// hijacked is closed once net/http has handed over the connection.
@@ -88,6 +87,9 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	queue pipeline.Queue[*entry]
+	// first is the request that net/http read; nil once its response was written, since the
+	// connection may stay open for long and its body and answer are large.
+	first *entry
 	// reading means that a part of a request was read that isn't in the queue.
 	reading bool
 	// ended says why the connection ended; empty before.
@@ -234,6 +236,9 @@
 		l.write(e)
 		l.mu.Lock()
 		e.cancel()
+		if e == l.first {
+			l.first = nil
+		}
 		if !l.queue.EndWrite() {
 			return
 		}
--- a/internal/adapter/pipelinehttp/pipeline_test.go
+++ b/internal/adapter/pipelinehttp/pipeline_test.go
@@ -367,3 +367,30 @@
 	c.ended()
 	s.eventually(time.Second, s.has(&s.canceled, "2", "first"))
 }
+
+// TestAnsweredRequestIsDropped guards against a connection that keeps the first of its
+// requests, with its body and its answer, for as long as it is open.
+func TestAnsweredRequestIsDropped(t *testing.T) {
+	s := newRig(t, nil)
+	dropped := make(chan struct{})
+	s.received = func(x *exchange) {
+		if x.id == "1" {
+			runtime.AddCleanup(x, func(int) { close(dropped) }, 0)
+		}
+	}
+	c := s.dial(t)
+	c.send(post("/once/1?ms=50", "body"), post("/once/2", "body"))
+	c.answered("POST 1 body", false)
+	c.answered("POST 2 body", false)
+	s.eventually(10*time.Second, func() bool {
+		runtime.GC()
+		select {
+		case <-dropped:
+			return true
+		default:
+			return false
+		}
+	})
+	c.send(post("/once/3", "body"))
+	c.answered("POST 3 body", false)
+}
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -52,10 +52,7 @@
 // read reads requests until the connection has ended.
 func (l *loop) read() {
 	defer l.endAfterPanic()
-	concurrent := l.handler.service.MayRunConcurrently(l.first.request)
-	l.mu.Lock()
-	l.first.Concurrent = concurrent
-	l.mu.Unlock()
+	l.classifyFirst()
 	for l.awaitByte() && l.awaitRoom() {
 		if !l.readOne() {
 			l.awaitEnd()
@@ -64,6 +61,21 @@
 	}
 }
 
+// classifyFirst notes whether further requests may run beside the first one, unless that is
+// complete.
+func (l *loop) classifyFirst() {
+	l.mu.Lock()
+	first := l.first
+	l.mu.Unlock()
+	if first == nil {
+		return
+	}
+	concurrent := l.handler.service.MayRunConcurrently(first.request)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first.Concurrent = concurrent
+}
+
 // awaitByte waits for the next request. It returns false when the connection has ended; a
 // client that half-closes it is gone, too.
 func (l *loop) awaitByte() bool {
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -33,6 +33,8 @@
 type service struct {
 	stopping atomic.Bool
 	release  chan struct{}
+	// received is called with each request; it may be nil.
+	received func(x *exchange)
 
 	mu sync.Mutex
 	// started, canceled, written and dropped hold the IDs of the requests.
@@ -63,6 +65,9 @@
 		panic("receive")
 	}
 	x := &exchange{service: s, r: r, id: r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]}
+	if s.received != nil {
+		s.received(x)
+	}
 	x.body, x.err = io.ReadAll(http.MaxBytesReader(w, r.Body, 1000))
 	return x, x.err == nil
 }
