Find the connection to close without a look at all of them

A crowd that opens connections as fast as it can makes each accept look at all open ones, with the lock that every read of a connection needs: 83 µs for 6,000 connections (BenchmarkFlood), so that 12,000 connections a second keep a core busy with this alone and hold up everybody else's reads.

Change: connections that wait are kept in two lists, those that never sent a request and idle ones, each longest first. The order in which they are closed stays the same.

Measured: 0.65 µs. The tests of the order pass unchanged.

--- a/internal/adapter/connlimit/connlimit.go
+++ b/internal/adapter/connlimit/connlimit.go
@@ -4,6 +4,7 @@
 package connlimit
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"net/http"
@@ -57,18 +58,21 @@
 	opts Options
 
 	mu sync.Mutex
-	// open holds the open connections. Guarded by mu.
-	open map[*conn]struct{}
+	// open counts the open connections. Guarded by mu.
+	open int
+	// unserved holds those that never sent a whole request, and idle those that wait for
+	// their next one, each longest first. Guarded by mu.
+	unserved, idle *list.List
 }
 
 // New returns a Limiter.
-func New(opts Options) *Limiter { return &Limiter{opts: opts, open: make(map[*conn]struct{})} }
+func New(opts Options) *Limiter { return &Limiter{opts: opts, unserved: list.New(), idle: list.New()} }
 
 // Open returns the number of open connections.
 func (l *Limiter) Open() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.open)
+	return l.open
 }
 
 // Listener returns the listener that the server must use.
@@ -101,10 +105,12 @@
 	limiter *Limiter
 	account *memory.Account
 
-	// active means that the head of a request was read and its response isn't complete;
-	// served, that there was a complete response.
-	active, served bool
-	// since is when the connection was accepted or became idle.
+	// waiting is the list that holds the connection, and element its place there; nil while
+	// the head of a request was read and its response isn't complete, and once it is closed.
+	waiting *list.List
+	element *list.Element
+	closed  bool
+	// since is when the connection was accepted.
 	since time.Time
 	// headBytes is what was read of the next head, and headCharge what was taken for it.
 	headBytes, headCharge int64
@@ -115,16 +121,28 @@
 	c := &conn{Conn: raw, limiter: l, account: l.opts.Budget.OpenFor(memory.Connections), since: l.opts.Clock.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.open) >= l.opts.Max && !l.closeLeastUseful() && (len(l.open) >= l.opts.Max+closingSlack || !l.opts.MakeRoom()) {
+	if l.open >= l.opts.Max && !l.closeLeastUseful() && (l.open >= l.opts.Max+closingSlack || !l.opts.MakeRoom()) {
 		return nil
 	}
 	if !c.account.TakeConnection() && (!l.closeLeastUseful() || !c.account.TakeConnection()) {
 		return nil
 	}
-	l.open[c] = struct{}{}
+	l.open++
+	c.wait(l.unserved)
 	return c
 }
 
+// wait moves the connection to the end of a list, or to none. The caller must hold the mu of
+// the Limiter.
+func (c *conn) wait(in *list.List) {
+	if c.waiting != nil {
+		c.waiting.Remove(c.element)
+	}
+	if c.waiting = in; in != nil {
+		c.element = in.PushBack(c)
+	}
+}
+
 // closeLeastUseful closes the connection that leastUseful returns; false if there is none.
 // Must hold mu.
 func (l *Limiter) closeLeastUseful() bool {
@@ -142,22 +160,25 @@
 // a request, else the one that has been idle for longest; nil if there is none. Must hold
 // mu.
 func (l *Limiter) leastUseful() *conn {
-	now := l.opts.Clock.Now()
-	var least *conn
-	for c := range l.open {
-		if c.active || !c.served && now.Sub(c.since) < headGrace {
-			continue
-		}
-		if least == nil || !c.served && least.served || c.served == least.served && c.since.Before(least.since) {
-			least = c
+	if first := l.unserved.Front(); first != nil {
+		if c := first.Value.(*conn); l.opts.Clock.Now().Sub(c.since) >= headGrace {
+			return c
 		}
 	}
-	return least
+	if first := l.idle.Front(); first != nil {
+		return first.Value.(*conn)
+	}
+	return nil
 }
 
 // remove gives back what a connection holds. Must hold mu.
 func (l *Limiter) remove(c *conn) {
-	delete(l.open, c)
+	if c.closed {
+		return
+	}
+	c.closed = true
+	l.open--
+	c.wait(nil)
 	c.account.Close()
 }
 
@@ -169,14 +190,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch to {
-	case http.StateActive:
-		c.active = true
-	case http.StateIdle:
-		c.active, c.served, c.since = false, true, l.opts.Clock.Now()
+	switch {
+	case c.closed:
+	case to == http.StateActive:
+		c.wait(nil)
+	case to == http.StateIdle:
+		c.wait(l.idle)
 		c.account.Return(c.headCharge)
 		c.headBytes, c.headCharge = 0, 0
-	default:
 	}
 }
 
@@ -210,8 +231,8 @@
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.active {
-		return true
+	if c.waiting == nil {
+		return true // a body
 	}
 	before := max(c.headBytes, freeHeadBytes)
 	c.headBytes += n
--- a/internal/adapter/connlimit/connlimit_test.go
+++ b/internal/adapter/connlimit/connlimit_test.go
@@ -157,3 +157,32 @@
 	time.Sleep(600 * time.Millisecond) // more than new connections have for their requests
 	is.True(s.get(s.dial(t)))
 }
+
+// silentListener accepts connections that nobody uses.
+type silentListener struct{ net.Listener }
+
+func (silentListener) Accept() (net.Conn, error) {
+	c, _ := net.Pipe()
+	return c, nil
+}
+
+// BenchmarkFlood measures accepting a connection while as many as permitted are open and
+// send nothing.
+func BenchmarkFlood(b *testing.B) {
+	const open = 6000
+	now := time.Now()
+	limiter := connlimit.New(connlimit.Options{
+		Max: open, Budget: memory.NewBudget(1 << 30), Clock: port.ClockFunc(func() time.Time {
+			now = now.Add(time.Second)
+			return now
+		}),
+		MakeRoom: func() bool { return false }, Refused: func(string, string) {},
+	})
+	listener := limiter.Listener(silentListener{})
+	for range open {
+		_, _ = listener.Accept()
+	}
+	for b.Loop() {
+		_, _ = listener.Accept()
+	}
+}
