Read the memory and the descriptors of entry and control VMs from their settings

Entries and control VMs have no setting for what a process may use, so nothing bounds what they hold for clients. The parts that do so for gateways and controllers are prepared for all roles here, without an effect on entries and control VMs yet:

- memory_bytes (512 MiB) and max_descriptors (65,536) in both settings files, metrics_listen at control VMs; checked, and in the reference page, whose test compares the bounds.
- cli.guard: the budget, the runtime's memory limit and the bounds on connections that vmProcess had.
- adapter/delivery and adapter/grpcmemory: moved from platform and fleetgrpc.
- intake.Classify and CloseAfter, so that an interface writes refusals of its own; Body.Retain and Account.Retain for attempts that outlive their request; port.Request.BodyParts.

--- a/platform/stream.go
+++ b/internal/adapter/delivery/delivery.go
@@ -1,4 +1,5 @@
-package platform
+// Package delivery writes the bodies of responses to clients that may not read them.
+package delivery
 
 import (
 	"errors"
@@ -11,21 +12,21 @@
 )
 
 const (
-	// clientPatience is how long a client may take to read clientPieceBytes of a
-	// response. One that takes longer is cut off.
-	clientPatience   = 5 * time.Second
-	clientPieceBytes = 8 << 10
+	// Patience is how long a client may take to read pieceBytes of a response. One that
+	// takes longer is cut off.
+	Patience   = 5 * time.Second
+	pieceBytes = 8 << 10
 	// unboundedWriteBytes is the size of a body up to which no time is set: the server
 	// buffers it.
 	unboundedWriteBytes = 4 << 10
 )
 
-// errClient means that a response couldn't be written to its client.
-var errClient = errors.New("the client doesn't take the response")
+// ErrClient means that a response couldn't be written to its client.
+var ErrClient = errors.New("the client doesn't take the response")
 
-// writeBody writes the body of a response: what has arrived, and then the rest as it
+// WriteBody writes the body of a response: what has arrived, and then the rest as it
 // arrives. It fails if the rest is truncated or the client doesn't read.
-func writeBody(w http.ResponseWriter, response *port.Response) error {
+func WriteBody(w http.ResponseWriter, response *port.Response) error {
 	client := slowWriter{w, http.NewResponseController(w)}
 	if response.Rest == nil {
 		return client.write(response.Body)
@@ -34,7 +35,7 @@
 	if err := client.write(response.Body); err != nil {
 		return err
 	}
-	piece := make([]byte, clientPieceBytes)
+	piece := make([]byte, pieceBytes)
 	for {
 		if err := client.flush(); err != nil {
 			return err
@@ -53,7 +54,7 @@
 }
 
 // slowWriter writes to a client and gives up if the client doesn't read for
-// clientPatience. The limit remains set for what the server still has in its buffers.
+// Patience. The limit remains set for what the server still has in its buffers.
 type slowWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
@@ -61,13 +62,13 @@
 
 func (w slowWriter) write(body []byte) error {
 	for len(body) > 0 {
-		piece := body[:min(len(body), clientPieceBytes)]
+		piece := body[:min(len(body), pieceBytes)]
 		body = body[len(piece):]
 		if len(body)+len(piece) > unboundedWriteBytes {
 			w.extend()
 		}
 		if _, err := w.Write(piece); err != nil {
-			return fmt.Errorf("%w: %w", errClient, err)
+			return fmt.Errorf("%w: %w", ErrClient, err)
 		}
 	}
 	return nil
@@ -77,11 +78,11 @@
 func (w slowWriter) flush() error {
 	w.extend()
 	if err := w.control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return fmt.Errorf("%w: %w", errClient, err)
+		return fmt.Errorf("%w: %w", ErrClient, err)
 	}
 	return nil
 }
 
-// extend gives the client clientPatience from now. A writer without deadlines, as in
+// extend gives the client Patience from now. A writer without deadlines, as in
 // tests, has none.
-func (w slowWriter) extend() { _ = w.control.SetWriteDeadline(time.Now().Add(clientPatience)) }
+func (w slowWriter) extend() { _ = w.control.SetWriteDeadline(time.Now().Add(Patience)) }
--- a/internal/adapter/fleetgrpc/memory.go
+++ b/internal/adapter/grpcmemory/grpcmemory.go
@@ -1,4 +1,6 @@
-package fleetgrpc
+// Package grpcmemory charges the messages that a gRPC server handles to the memory of its
+// process.
+package grpcmemory
 
 import (
 	"context"
@@ -17,10 +19,10 @@
 	decodedCost = 2
 )
 
-// MemoryOption makes a server charge the messages of other VMs to a budget while they are
+// Option makes a server charge the messages of other VMs to a budget while they are
 // handled. They are never refused: the system depends on them, and only its own processes
 // send them. Those that aren't trusted get less meanwhile.
-func MemoryOption(budget *memory.Budget) grpc.ServerOption {
+func Option(budget *memory.Budget) grpc.ServerOption {
 	return grpc.ChainUnaryInterceptor(func(ctx context.Context, m any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
 		message, ok := m.(proto.Message)
 		if !ok {
--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -64,6 +65,14 @@
 	stopped bool
 }
 
+// Largest returns the bytes that a single body, with what is made of it, can take at most.
+func (in *Intake) Largest() int64 {
+	if in == nil || in.budget == nil {
+		return math.MaxInt64
+	}
+	return in.budget.Largest()
+}
+
 // New returns an Intake that charges bodies to a budget.
 func New(budget *memory.Budget, kind memory.Kind, clock port.Clock) *Intake {
 	return &Intake{budget: budget, kind: kind, clock: clock, unfinished: make(map[*reading]struct{})}
@@ -107,7 +116,22 @@
 	return whole, nil
 }
 
-// Done gives its memory back; the bytes must not be used any more.
+// Reserve charges what is made of the body, until Done. It fails if the budget doesn't have
+// that.
+func (b *Body) Reserve(bytes int64) error {
+	if !b.account.Take(bytes) {
+		return ErrMemory
+	}
+	return nil
+}
+
+// Retain keeps its memory charged until release is called, if that is later than Done.
+func (b *Body) Retain() (release func()) {
+	b.account.Retain()
+	return b.account.Close
+}
+
+// Done gives its memory back, unless it is retained; the bytes must not be used any more.
 func (b *Body) Done() {
 	b.account.Close()
 	b.Parts = nil
@@ -338,32 +362,46 @@
 // was no memory. Clients honor up to a third of their remaining time.
 const retryAfter = "0.500"
 
-// Refuse answers a request whose body couldn't be read, with a text. The request hasn't
-// run. Its connection is closed after the response, since the rest of the body isn't read.
-// It returns the reason for metrics, empty if the client's connection broke.
-func Refuse(w http.ResponseWriter, err error, text string) (reason string) {
+// Classify returns the status of the response to a body that couldn't be read, and the
+// reason for metrics, which is empty if the client's connection broke.
+func Classify(err error) (status int, reason string) {
 	var broken net.Error
-	status := http.StatusBadRequest
-	reason = "malformed"
 	switch {
 	case errors.Is(err, ErrTooLarge):
-		status, reason = http.StatusRequestEntityTooLarge, "too-large"
+		return http.StatusRequestEntityTooLarge, "too-large"
 	case errors.Is(err, ErrSlow):
-		status, reason = http.StatusRequestTimeout, "slow"
+		return http.StatusRequestTimeout, "slow"
 	case errors.Is(err, ErrMemory), errors.Is(err, ErrStopping):
-		status, reason = http.StatusServiceUnavailable, "memory"
-		w.Header().Set("Retry-After", retryAfter)
+		return http.StatusServiceUnavailable, "memory"
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
-		reason = "" // the client left
+		return http.StatusBadRequest, "" // the client left
+	default:
+		return http.StatusBadRequest, "malformed"
 	}
+}
+
+// Refuse answers a request whose body couldn't be read, with a text. The request hasn't
+// run. It returns the reason of Classify.
+func Refuse(w http.ResponseWriter, err error, text string) (reason string) {
+	status, reason := Classify(err)
+	CloseAfter(w, func() {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", retryAfter)
+		}
+		if text != "" {
+			w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, text)
+	})
+	return reason
+}
+
+// CloseAfter closes the connection after a response, since the rest of the request's body
+// isn't read. The server would read it, for as long as it takes.
+func CloseAfter(w http.ResponseWriter, respond func()) {
 	w.Header().Set("Connection", "close")
-	if text != "" {
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(status)
-	_, _ = io.WriteString(w, text)
-	// The server would read the rest of the body, for as long as it takes.
+	respond()
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
-	return reason
 }
--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -37,7 +37,7 @@
 // LoadControl reads and checks the settings of a control VM. The error is an
 // *Error with the first problem.
 func LoadControl(path string) (Control, error) {
-	c := Control{LogLevel: DefaultLogLevel}
+	c := Control{LogLevel: DefaultLogLevel, MemoryBytes: DefaultMemoryBytes, MaxDescriptors: DefaultMaxDescriptors}
 	if err := load(path, &c, c.Validate); err != nil {
 		return Control{}, err
 	}
@@ -47,7 +47,10 @@
 // LoadEntry reads and checks the settings of an entry VM. The error is an *Error
 // with the first problem.
 func LoadEntry(path string) (Entry, error) {
-	e := Entry{LogLevel: DefaultLogLevel, DrainLimit: Duration(DefaultDrainLimit)}
+	e := Entry{
+		LogLevel: DefaultLogLevel, DrainLimit: Duration(DefaultDrainLimit),
+		MemoryBytes: DefaultMemoryBytes, MaxDescriptors: DefaultMaxDescriptors,
+	}
 	if err := load(path, &e, e.Validate); err != nil {
 		return Entry{}, err
 	}
--- a/internal/adapter/settings/reference_test.go
+++ b/internal/adapter/settings/reference_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"reflect"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -34,6 +35,16 @@
 		settings.DefaultDrainLimit, settings.MinDrainLimit, settings.MaxDrainLimit), strings.Join(settings.LogLevels(), ", ")} {
 		is.True(strings.Contains(entryRows, want)) // want
 	}
+	for _, rows := range []string{controlRows, entryRows} {
+		for name, bounds := range map[string][3]int64{
+			"memory_bytes":    {settings.DefaultMemoryBytes, settings.MinMemoryBytes, settings.MaxMemoryBytes},
+			"max_descriptors": {settings.DefaultMaxDescriptors, settings.MinMaxDescriptors, settings.MaxMaxDescriptors},
+		} {
+			row := fmt.Sprintf("| `%s` | integer | ", name)
+			is.True(strings.Contains(rows, row))                                                               // name
+			is.True(strings.Contains(rows, fmt.Sprintf("| %d | %d to %d |", bounds[0], bounds[1], bounds[2]))) // bounds
+		}
+	}
 }
 
 // field is a settings field as the reference page must show it.
@@ -53,6 +64,8 @@
 			out = append(out, field{at, "list of texts", ""})
 		case settings.Duration:
 			out = append(out, field{at, "duration", value.Std().String()})
+		case int64:
+			out = append(out, field{at, "integer", strconv.FormatInt(value, 10)})
 		case string:
 			out = append(out, field{at, "text", value})
 		default:
--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -24,6 +24,13 @@
 	BootstrapTokenSHA256 string `yaml:"bootstrap_token_sha256"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level"`
+	// MetricsListen is the IP:port on which metrics are served (HTTP); empty means
+	// none.
+	MetricsListen string `yaml:"metrics_listen"`
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64 `yaml:"memory_bytes"`
+	// MaxDescriptors is the number of file descriptors that the process may open.
+	MaxDescriptors int64 `yaml:"max_descriptors"`
 }
 
 // Member names one control VM and its address.
@@ -56,6 +63,10 @@
 	// MetricsListen is the IP:port on which metrics are served (HTTP); empty means
 	// none.
 	MetricsListen string `yaml:"metrics_listen"`
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64 `yaml:"memory_bytes"`
+	// MaxDescriptors is the number of file descriptors that the process may open.
+	MaxDescriptors int64 `yaml:"max_descriptors"`
 }
 
 // Duration is a time.Duration that is written as text, such as "30s".
@@ -70,6 +81,18 @@
 	// MinDrainLimit and MaxDrainLimit bound Entry.DrainLimit.
 	MinDrainLimit = time.Second
 	MaxDrainLimit = time.Hour
+	// DefaultMemoryBytes is the default of both MemoryBytes fields. A request body of
+	// document.MaxBodyBytesBound fits into it, also when it is forwarded.
+	DefaultMemoryBytes = 512 << 20
+	// MinMemoryBytes and MaxMemoryBytes bound both MemoryBytes fields.
+	MinMemoryBytes = 128 << 20
+	MaxMemoryBytes = 1 << 40
+	// DefaultMaxDescriptors is the default of both MaxDescriptors fields. The process's own
+	// limit takes precedence if it is less.
+	DefaultMaxDescriptors = 1 << 16
+	// MinMaxDescriptors and MaxMaxDescriptors bound both MaxDescriptors fields.
+	MinMaxDescriptors = 256
+	MaxMaxDescriptors = 1 << 20
 	// MaxFileBytes bounds the length of a settings file, in bytes.
 	MaxFileBytes = 1 << 20
 )
--- a/internal/adapter/settings/validate.go
+++ b/internal/adapter/settings/validate.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// resources checks the bounds of the process's memory and descriptors.
+func (ps *problems) resources(memoryBytes, descriptors int64) {
+	ps.between("memory_bytes", memoryBytes, MinMemoryBytes, MaxMemoryBytes)
+	ps.between("max_descriptors", descriptors, MinMaxDescriptors, MaxMaxDescriptors)
+}
+
+func (ps *problems) between(field string, value, least, most int64) {
+	if value < least || value > most {
+		ps.add(field, "%d is out of range; it must be between %d and %d", value, least, most)
+	}
+}
+
 // distinct reports listen addresses that are equal. Empty ones are not compared.
 func (ps *problems) distinct(fields []string, values []string) {
 	for i, value := range values {
@@ -94,7 +106,10 @@
 		ps.add("bootstrap_token_sha256", "the value must be the lower-case hex SHA-256 of a token that isn't empty")
 	}
 	ps.logLevel(c.LogLevel)
-	ps.distinct([]string{"peer_listen", "operator_listen"}, []string{c.PeerListen, c.OperatorListen})
+	ps.metrics(c.MetricsListen)
+	ps.resources(c.MemoryBytes, c.MaxDescriptors)
+	ps.distinct([]string{"peer_listen", "operator_listen", "metrics_listen"},
+		[]string{c.PeerListen, c.OperatorListen, c.MetricsListen})
 	return ps
 }
 
@@ -140,6 +155,7 @@
 	}
 	ps.logLevel(e.LogLevel)
 	ps.metrics(e.MetricsListen)
+	ps.resources(e.MemoryBytes, e.MaxDescriptors)
 	ps.distinct([]string{"caller_listen", "peer_listen", "metrics_listen"},
 		[]string{e.CallerListen, e.PeerListen, e.MetricsListen})
 	return ps
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -120,8 +120,7 @@
 	x.service, x.dispatchRegion = x.route.Pick(rand.Float64()), x.chooseDispatchRegion()
 	x.request.Service = x.service
 	x.request.OnceOnly = !x.route.Idempotent
-	x.fingerprint = fingerprint.OfAccount(x.request.Account, x.request.RouteHost, x.request.Method, x.request.Target,
-		slices.Insert(slices.Clone(x.request.BodyRest), 0, x.request.Body)...)
+	x.fingerprint = fingerprint.OfAccount(x.request.Account, x.request.RouteHost, x.request.Method, x.request.Target, x.request.BodyParts()...)
 	limit := x.began.Add(x.route.Timeout)
 	if d := x.request.Deadline; !d.IsZero() && d.Add(-answerMargin).Before(limit) {
 		limit = d.Add(-answerMargin)
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -11,6 +11,7 @@
 
 	"sassafrasreach/internal/adapter/disk"
 	"sassafrasreach/internal/adapter/fleetgrpc"
+	"sassafrasreach/internal/adapter/grpcmemory"
 	"sassafrasreach/internal/adapter/grpcpanic"
 	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/core/dispatch"
@@ -67,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	fleet := fleetgrpc.NewServer(c, p.clock, append(grpcpanic.Options(p.logger), p.items.ServerOption(), fleetgrpc.MemoryOption(p.memory))...)
+	fleet := fleetgrpc.NewServer(c, p.clock, append(grpcpanic.Options(p.logger), p.items.ServerOption(), grpcmemory.Option(p.memory))...)
 	go func() { p.failed <- fleet.Serve(listener) }()
 	bodies := intake.New(p.memory, memory.Orders, p.clock)
 	control := platform.NewControl(platform.ControlOptions{
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"slices"
 	"strconv"
 	"syscall"
@@ -25,12 +24,10 @@
 	"sassafrasreach/internal/adapter/logsink"
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/adapter/pipelinehttp"
-	"sassafrasreach/internal/adapter/refusals"
 	"sassafrasreach/internal/adapter/traffic"
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/app/gateway"
 	"sassafrasreach/internal/core/dispatch"
-	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
@@ -60,9 +57,6 @@
 	// a second to 260 endpoints has 90 with a limit of 9 s, and the smallest one 2,870
 	// descriptors for everything.
 	endpointMaxIdle = 512
-	// heapMemoryPercent is the part of the process's memory near which the collector
-	// works harder; the rest is for what isn't on the heap.
-	heapMemoryPercent = 75
 	// settingsPeriod is the time between two reloads of the settings file.
 	settingsPeriod = 2 * time.Second
 	// droppedPeriod is the time between two reports of dropped log records.
@@ -71,11 +65,11 @@
 
 // vmProcess holds what the processes of controllers and gateways have in common.
 type vmProcess struct {
+	guard
 	path     string
 	settings platform.Settings
 	sink     *logsink.Sink
 	logger   *slog.Logger
-	clock    port.Clock
 	// boot goes on while the VM is suspended.
 	boot  port.BootClock
 	meter *metrics.Meter
@@ -88,10 +82,6 @@
 	items *fleetgrpc.ItemFilter
 	// traffic counts the bytes of clients' and endpoints' connections.
 	traffic *traffic.Counter
-	// memory is charged with what is held for clients and endpoints; refusals records the
-	// clients that were refused.
-	memory   *memory.Budget
-	refusals *refusals.Recorder
 	// learnLimits is the flag of a controller.
 	learnLimits dispatch.LimitScope
 	failed      chan error
@@ -118,9 +108,6 @@
 	if *check {
 		return exitOK
 	}
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(settings.MemoryBytes / 100 * heapMemoryPercent)
-	}
 	boot, err := bootclock.New()
 	if err != nil {
 		return fail(stderr, exitFailure, err)
@@ -129,10 +116,9 @@
 	defer sink.Flush()
 	p := &vmProcess{
 		path: *path, settings: settings, sink: sink, logger: newLogger(sink, "info", name, settings.Name),
-		clock: port.ClockFunc(time.Now), boot: boot, meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4), traffic: &traffic.Counter{},
-		memory: memory.ForProcess(settings.MemoryBytes),
+		boot: boot, meter: metrics.New(), metricsPort: *metricsPort, fleetListen: *fleetListen, failed: make(chan error, 4), traffic: &traffic.Counter{},
 	}
-	p.refusals = refusals.New(p.logger, p.meter, p.clock)
+	p.guard = newGuard(settings.MemoryBytes, int64(settings.Descriptors), p.logger, p.meter, port.ClockFunc(time.Now))
 	p.items = fleetgrpc.NewItemFilter(p.logger, p.meter)
 	event.Log(context.Background(), p.logger, event.Started, slog.String("zone", settings.Zone),
 		slog.String("region", settings.Region), slog.Any("seeds", settings.Seeds), slog.Bool("founding", settings.Bootstrap))
--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -134,6 +134,9 @@
 	mu     sync.Mutex
 	held   int64
 	closed bool
+	// retained counts the calls of Close that are still to come before the one that
+	// closes the account.
+	retained int
 }
 
 // Open returns an empty account for a response.
@@ -189,10 +192,23 @@
 	a.give(min(n, a.held))
 }
 
-// Close gives back all bytes of the account; nothing can be taken any more.
+// Retain keeps the account open beyond the next call of Close: each call needs one more of
+// these.
+func (a *Account) Retain() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.retained++
+}
+
+// Close gives back all bytes of the account, unless it is retained; nothing can be taken any
+// more then.
 func (a *Account) Close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.retained > 0 {
+		a.retained--
+		return
+	}
 	a.closed = true
 	a.give(a.held)
 }
--- a/internal/core/memory/budget_test.go
+++ b/internal/core/memory/budget_test.go
@@ -71,3 +71,18 @@
 		}
 	}
 }
+
+// TestRetain guards against bytes that are given back while an attempt that outlives its
+// request still uses them, and against bytes that never are.
+func TestRetain(t *testing.T) {
+	is := is.New(t)
+	b := memory.NewBudget(10)
+	a := b.Open()
+	is.True(a.Take(6))
+	a.Retain()
+	a.Close()
+	is.Equal(b.Held(), int64(6))
+	a.Close()
+	a.Close()
+	is.Equal(b.Held(), int64(0))
+}
--- a/internal/core/memory/share.go
+++ b/internal/core/memory/share.go
@@ -36,6 +36,9 @@
 	return b
 }
 
+// Largest returns the bytes that a single large body or order can hold at most.
+func (b *Budget) Largest() int64 { return b.limit - b.reserved }
+
 // TakeConnection takes what an open connection needs.
 func (a *Account) TakeConnection() bool { return a.Take(connectionBytes) }
 
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -33,6 +33,9 @@
 	// BodyRest holds what follows Body of a large body, which isn't held in one piece,
 	// since that would take twice its memory while it arrives.
 	BodyRest [][]byte
+	// Retain keeps the memory of the body charged until release is called, for an attempt
+	// that outlives the call that it was passed to; nil if nothing is charged.
+	Retain func() (release func())
 	// OnceOnly means that the request must not run twice.
 	OnceOnly bool
 	// Key is the once-only key; empty for idempotent requests.
@@ -64,6 +67,19 @@
 	return n
 }
 
+// RetainBody calls Retain, if there is one.
+func (r *Request) RetainBody() (release func()) {
+	if r.Retain == nil {
+		return func() {}
+	}
+	return r.Retain()
+}
+
+// BodyParts returns the pieces of the body.
+func (r *Request) BodyParts() [][]byte {
+	return append([][]byte{r.Body}, r.BodyRest...)
+}
+
 // Response is an endpoint's answer. It exists only when the request ran.
 type Response struct {
 	// Status is the HTTP status.
