Bound what an entry holds for its callers

What callers saw: an entry ended when clients sent it many bodies of permitted size. A planned stop waited for such bodies beyond the drain limit.

Cause: bodies were read whole with io.ReadAll, whatever others held, and nothing bounded connections, answers, and the copies that forwarding makes. A once-only attempt goes on when its caller has left, with a body that nobody counts.

Change: entries use what gateways have. A forwarded request is charged before it is sent, and at its receiver before its message is read: the size goes ahead in the metadata. An attempt that outlives its request retains the account. Metrics: memory.*, refused.callers.*, connections.callers.

--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -2,21 +2,27 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
+	"sassafrasreach/internal/adapter/intake"
+	"sassafrasreach/internal/adapter/refusals"
 	"sassafrasreach/internal/core/strictjson"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
 
-// maxAnnouncementBytes limits the body of an announcement.
-const maxAnnouncementBytes = 16 << 10
+const (
+	// maxAnnouncementBytes limits the body of an announcement.
+	maxAnnouncementBytes = 16 << 10
+	// retryAfterSeconds is the Retry-After of a response to a request for whose body there
+	// was no memory.
+	retryAfterSeconds = "1"
+)
 
 // Options configure the handler.
 type Options struct {
@@ -26,6 +32,10 @@
 	Name string
 	// Clock is used to compute deadlines.
 	Clock port.Clock
+	// Bodies reads the bodies of requests, and Refusals records those refused; both may be
+	// nil.
+	Bodies   *intake.Intake
+	Refusals *refusals.Recorder
 	// Metrics serves GET /v1/metrics; nil omits the route.
 	Metrics http.Handler
 	// Stopping reports whether a graceful shutdown has begun. From then on, each
@@ -34,15 +44,18 @@
 }
 
 type handler struct {
-	entry port.Entry
-	name  string
-	clock port.Clock
+	entry    port.Entry
+	name     string
+	clock    port.Clock
+	bodies   *intake.Intake
+	refusals *refusals.Recorder
 }
 
 // New returns the handler of all routes of the package.
 func New(opts Options) http.Handler {
-	h := &handler{entry: opts.Entry, name: opts.Name, clock: opts.Clock}
+	h := &handler{entry: opts.Entry, name: opts.Name, clock: opts.Clock, bodies: opts.Bodies, refusals: opts.Refusals}
 	r := chi.NewRouter()
+	r.Use(resetWriteDeadline, intake.IgnoreBodies) // but for those that intake.Expect precedes
 	h.healthRoutes(r, opts.Metrics)
 	r.Get("/v1/lookup", h.lookup)
 	r.Put("/v1/endpoints/{id}", h.announce)
@@ -59,6 +72,7 @@
 func NewHealth(entry port.Entry, metrics http.Handler) http.Handler {
 	h := &handler{entry: entry}
 	r := chi.NewRouter()
+	r.Use(intake.IgnoreBodies)
 	h.healthRoutes(r, metrics)
 	return r
 }
@@ -112,9 +126,16 @@
 
 func (h *handler) announce(w http.ResponseWriter, r *http.Request) {
 	var a port.Announcement
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	intake.Expect(w)
+	body, err := h.bodies.Read(w, r, maxAnnouncementBytes, time.Time{})
+	if err != nil {
+		h.refuseBody(w, r, time.Time{}, err)
+		return
+	}
+	defer body.Done()
+	text, err := body.Join(0)
 	if err == nil {
-		err = strictjson.DecodeKnown(body, &a)
+		err = strictjson.DecodeKnown(text, &a)
 	}
 	if err != nil {
 		writeProblem(w, badRequest(err))
@@ -157,9 +178,11 @@
 	_, _ = w.Write(body)
 }
 
-// isTooLarge reports whether err is the error of http.MaxBytesReader for a body
-// over its limit.
-func isTooLarge(err error) bool {
-	var tooLarge *http.MaxBytesError
-	return errors.As(err, &tooLarge)
+// resetWriteDeadline removes the deadline that the last response on the connection may have
+// left.
+func resetWriteDeadline(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		next.ServeHTTP(w, r)
+	})
 }
--- a/internal/adapter/callerhttp/problem.go
+++ b/internal/adapter/callerhttp/problem.go
@@ -37,6 +37,8 @@
 		return http.StatusConflict
 	case verdict.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case verdict.ReasonSlowBody:
+		return http.StatusRequestTimeout
 	case verdict.ReasonQuarantined:
 		return http.StatusUnprocessableEntity
 	case verdict.ReasonDial, verdict.ReasonConnection, verdict.ReasonBadAnswer, verdict.ReasonPeer:
--- a/internal/adapter/callerhttp/serve.go
+++ b/internal/adapter/callerhttp/serve.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
+	"sassafrasreach/internal/adapter/delivery"
+	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/core/claims"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
@@ -28,19 +31,34 @@
 // serve handles a request for an endpoint.
 func (h *handler) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderEntry, h.name)
-	req, err := h.parseRequest(w, r)
+	req, terms, err := h.parseHead(r)
 	if err != nil {
 		writeProblem(w, rejectionError(r, err))
 		return
 	}
+	intake.Expect(w)
+	body, err := h.bodies.Read(w, r, terms.MaxBodyBytes, req.Deadline)
+	if err != nil {
+		h.refuseBody(w, r, req.Deadline, err)
+		return
+	}
+	defer body.Done()
+	if len(body.Parts) > 0 {
+		req.Body, req.BodyRest = body.Parts[0], body.Parts[1:]
+	}
+	req.Retain = body.Retain
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
 	response, err := h.entry.Serve(ctx, req)
 	if err != nil {
+		body.Done()
 		writeProblem(w, err)
 		return
 	}
-	writeResponse(w, r.Method, response)
+	if response.Rest == nil {
+		body.Done() // a streamed response keeps its request
+	}
+	h.writeResponse(w, r, response)
 }
 
 // rejectionError returns the error of a request that is rejected before
@@ -53,24 +71,20 @@
 	return verdict.NewError(verdict.MayHaveRun, verdict.ReasonOf(err), err)
 }
 
-// parseRequest validates the caller's HTTP request and converts it.
-func (h *handler) parseRequest(w http.ResponseWriter, r *http.Request) (*port.Request, error) {
+// parseHead validates the caller's HTTP request but its body, and converts it.
+func (h *handler) parseHead(r *http.Request) (*port.Request, port.ServiceTerms, error) {
 	service := chi.URLParam(r, "service")
 	terms, err := h.entry.Terms(service, r.Method)
 	if err != nil {
-		return nil, err
+		return nil, terms, err
 	}
 	deadline, err := h.deadline(r, terms)
 	if err != nil {
-		return nil, err
+		return nil, terms, err
 	}
 	origin, err := h.entry.OriginOf(r.Header.Get(HeaderPlace), clientAddr(r))
 	if err != nil {
-		return nil, err
-	}
-	body, err := readBody(w, r, terms.MaxBodyBytes)
-	if err != nil {
-		return nil, err
+		return nil, terms, err
 	}
 	key := r.Header.Get(HeaderKey)
 	return &port.Request{
@@ -80,12 +94,11 @@
 		Method:         r.Method,
 		Target:         target(r, service),
 		Header:         endToEnd(r.Header),
-		Body:           body,
 		OnceOnly:       terms.OnceOnly || key != "",
 		Key:            key,
 		Deadline:       deadline,
 		MaxAnswerBytes: terms.MaxAnswerBytes,
-	}, nil
+	}, terms, nil
 }
 
 // deadline returns the deadline from HeaderTimeout, or from the service's default
@@ -111,15 +124,35 @@
 	return now.Add(time.Duration(millis) * time.Millisecond), nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if isTooLarge(err) {
-		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonTooLarge, err)
-	}
-	if err != nil {
-		return nil, badRequest(fmt.Errorf("read request body: %w", err))
+// refuseBody answers a request whose body couldn't be read.
+func (h *handler) refuseBody(w http.ResponseWriter, r *http.Request, deadline time.Time, err error) {
+	status, reason := intake.Classify(err)
+	h.refusals.Record("callers", reason, r.RemoteAddr)
+	err = verdict.NewError(verdict.NotRun, h.bodyReason(deadline, err), fmt.Errorf("read request body: %w", err))
+	intake.CloseAfter(w, func() {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", retryAfterSeconds)
+		}
+		writeProblem(w, rejectionError(r, err))
+	})
+}
+
+// bodyReason returns the reason of a request whose body couldn't be read.
+func (h *handler) bodyReason(deadline time.Time, err error) verdict.Reason {
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		return verdict.ReasonTooLarge
+	case errors.Is(err, intake.ErrSlow) && !deadline.IsZero() && !h.clock.Now().Before(deadline):
+		return verdict.ReasonDeadline
+	case errors.Is(err, intake.ErrSlow):
+		return verdict.ReasonSlowBody
+	case errors.Is(err, intake.ErrMemory):
+		return verdict.ReasonMemory
+	case errors.Is(err, intake.ErrStopping):
+		return verdict.ReasonStopping
+	default:
+		return verdict.ReasonBadRequest
 	}
-	return body, nil
 }
 
 // requestID returns the caller's request ID, or another one if it is missing, too long or
@@ -164,29 +197,24 @@
 	return out
 }
 
-// writeResponse sends the endpoint's response. If a streamed body fails, the
-// connection is aborted, so that a truncated response can't look complete.
-func writeResponse(w http.ResponseWriter, method string, response *port.Response) {
+// writeResponse sends the endpoint's response. If a streamed body fails or the caller
+// doesn't read, the connection is aborted, so that a truncated response can't look complete.
+func (h *handler) writeResponse(w http.ResponseWriter, r *http.Request, response *port.Response) {
 	defer response.Done()
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
 	}
 	header.Set(HeaderVerdict, verdict.Ran.String())
-	if response.Rest == nil {
-		if method != http.MethodHead {
-			header.Set("Content-Length", strconv.Itoa(len(response.Body)))
-		}
-		w.WriteHeader(response.Status)
-		_, _ = w.Write(response.Body)
-		return
+	if response.Rest == nil && r.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	}
-	defer func() { _ = response.Rest.Close() }()
 	w.WriteHeader(response.Status)
-	if _, err := w.Write(response.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	err := delivery.WriteBody(w, response)
+	if errors.Is(err, delivery.ErrClient) && errors.Is(err, os.ErrDeadlineExceeded) {
+		h.refusals.Record("callers", "slow-reader", r.RemoteAddr)
 	}
-	if _, err := io.Copy(w, response.Rest); err != nil {
+	if err != nil && response.Rest != nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/adapter/peergrpc/body.go
+++ b/internal/adapter/peergrpc/body.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	peerv1 "sassafrasreach/api/peer/v1"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 )
 
@@ -93,6 +95,32 @@
 	}
 }
 
+// readUpTo reads the body up to limit bytes, which are charged to an account.
+func (b *bodyReader) readUpTo(limit int, account *memory.Account) ([]byte, error) {
+	var chunks [][]byte
+	size := 0
+	for size < limit {
+		if err := b.fill(); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			return nil, err
+		}
+		chunk := b.buf[:min(len(b.buf), limit-size)]
+		if !account.Take(int64(len(chunk))) {
+			return nil, noAnswerMemory()
+		}
+		chunks, size, b.buf = append(chunks, chunk), size+len(chunk), b.buf[len(chunk):]
+	}
+	if len(chunks) <= 1 {
+		return slices.Concat(chunks...), nil
+	}
+	if !account.Take(int64(size)) {
+		return nil, noAnswerMemory()
+	}
+	defer account.Return(int64(size)) // the chunks
+	return slices.Concat(chunks...), nil
+}
+
 // Close implements io.Closer. It cancels the call.
 func (b *bodyReader) Close() error {
 	b.end()
--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -13,22 +14,25 @@
 	peerv1 "sassafrasreach/api/peer/v1"
 	"sassafrasreach/internal/core/claims"
 	"sassafrasreach/internal/core/membership"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
 
 // Client calls other entry VMs. It implements port.PeerClient.
 type Client struct {
-	conns *conns
-	clock port.Clock
+	conns  *conns
+	clock  port.Clock
+	budget *memory.Budget
 }
 
 var _ port.PeerClient = (*Client)(nil)
 
 // NewClient returns a client without open connections. It dials from the IP
-// address local; if that is nil, the operating system chooses the address.
-func NewClient(clock port.Clock, local net.IP) *Client {
-	return &Client{conns: newConns(clock, local), clock: clock}
+// address local; if that is nil, the operating system chooses the address. The bodies
+// that it sends and receives are charged to the budget; nil means no bound.
+func NewClient(clock port.Clock, local net.IP, budget *memory.Budget) *Client {
+	return &Client{conns: newConns(clock, local), clock: clock, budget: budget}
 }
 
 // Close closes every connection.
@@ -125,6 +129,20 @@
 // Forward sends a request to the peer. Every error is a *verdict.Error. When the
 // response's Rest is not nil, the caller must close it.
 func (c *Client) Forward(ctx context.Context, address string, f port.Forward) (*port.Response, error) {
+	encoded, answer := c.budget.OpenFor(memory.Bodies), c.budget.Open()
+	defer encoded.Close()
+	if !encoded.Take(encodedBytes(f.Request)) {
+		return nil, noMemory(f.Hop)
+	}
+	response, err := c.forward(ctx, address, f, answer)
+	if err != nil {
+		answer.Close()
+	}
+	return response, err
+}
+
+// forward sends a request. The response is charged to the account.
+func (c *Client) forward(ctx context.Context, address string, f port.Forward, answer *memory.Account) (*port.Response, error) {
 	required := requireRecent
 	if f.NewConnection {
 		required = requireNew
@@ -134,7 +152,7 @@
 		return nil, verdict.NewError(verdict.NotRun, verdict.ReasonPeer,
 			fmt.Errorf("%w: %s: %w", port.ErrPeerUnreachable, address, err))
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(withBodySize(ctx, f))
 	end := func() {
 		cancel()
 		conn.release()
@@ -145,7 +163,7 @@
 		end()
 		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonPeer, err)
 	}
-	response, err := c.receive(stream, end)
+	response, err := c.receive(stream, end, answer)
 	if err != nil {
 		c.conns.dropOnFailure(address, conn, err)
 		end()
@@ -159,17 +177,21 @@
 // complete by then, receive calls end; otherwise the response's Rest reads the
 // remaining body and calls end when it is closed. On an error, the caller must
 // call end.
-func (c *Client) receive(stream forwardStream, end func()) (*port.Response, error) {
+func (c *Client) receive(stream forwardStream, end func(), account *memory.Account) (*port.Response, error) {
 	head, err := receiveHead(stream)
 	if err != nil {
 		return nil, err
 	}
-	response := &port.Response{Status: int(head.GetStatus()), Header: headerFromProto(head.GetHeader())}
 	body := &bodyReader{stream: stream, end: end}
-	response.Body, err = io.ReadAll(io.LimitReader(body, bufferedBodyBytes))
+	buffered, err := body.readUpTo(bufferedBodyBytes, account)
 	if err != nil {
 		return nil, err
 	}
+	response := &port.Response{
+		Status: int(head.GetStatus()), Header: headerFromProto(head.GetHeader()), Body: buffered, Release: account.Close,
+	}
+	// A response that is dropped without Release gives its memory back, too.
+	runtime.AddCleanup(response, (*memory.Account).Close, account)
 	if !body.complete {
 		if err := body.fill(); err != nil && !errors.Is(err, io.EOF) {
 			return nil, err
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	peerv1 "sassafrasreach/api/peer/v1"
@@ -146,7 +147,7 @@
 		Method:          req.Method,
 		Target:          []byte(req.Target),
 		Header:          headerToProto(req.Header),
-		Body:            req.Body,
+		Body:            joinedBody(req),
 		OnceOnly:        req.OnceOnly,
 		Key:             req.Key,
 		RemainingMicros: uint64(max(0, req.Deadline.Sub(now).Microseconds())),
@@ -154,6 +155,23 @@
 	}
 }
 
+// joinedBody returns the body in one piece.
+func joinedBody(req *port.Request) []byte {
+	if len(req.BodyRest) == 0 {
+		return req.Body
+	}
+	return slices.Concat(req.BodyParts()...)
+}
+
+// encodedBytes returns the size of the copies of a body that forwarding it makes.
+func encodedBytes(req *port.Request) int64 {
+	size := req.BodyBytes()
+	if len(req.BodyRest) > 0 {
+		return 2 * size // joined, and encoded
+	}
+	return size
+}
+
 func forwardFromProto(r *peerv1.ForwardRequest, now time.Time) port.Forward {
 	remaining := time.Duration(r.GetRemainingMicros()) * time.Microsecond
 	return port.Forward{
--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(link.Close)
-	client := peergrpc.NewClient(clock, nil)
+	client := peergrpc.NewClient(clock, nil, nil)
 	t.Cleanup(client.Close)
 	return link, client
 }
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -84,7 +84,9 @@
 // a message with its verdict. An end marker follows the body, so that the client
 // can detect a truncated response.
 func (s *Server) Forward(r *peerv1.ForwardRequest, stream grpc.ServerStreamingServer[peerv1.ForwardResponse]) error {
-	response, err := s.handler.HandleForward(stream.Context(), forwardFromProto(r, s.clock.Now()))
+	f := forwardFromProto(r, s.clock.Now())
+	f.Request.Retain = retainer(stream.Context())
+	response, err := s.handler.HandleForward(stream.Context(), f)
 	if err != nil {
 		return stream.Send(failureToProto(err))
 	}
--- a/internal/app/entry/body.go
+++ b/internal/app/entry/body.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
-	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"sync"
+
+	"sassafrasreach/internal/core/memory"
 )
 
 // closer wraps a body and calls after once, when the body is first closed.
@@ -51,12 +53,34 @@
 	}
 }
 
-// appendAll returns head followed by all of rest.
-func appendAll(head []byte, rest io.Reader) ([]byte, error) {
-	var buffer bytes.Buffer
-	buffer.Write(head)
-	if _, err := buffer.ReadFrom(rest); err != nil {
-		return nil, err
+// errAnswerMemory means that there is no memory for an answer.
+var errAnswerMemory = errors.New("no memory is left for the answer")
+
+// answerPieceBytes is the size of the pieces in which an answer is read.
+const answerPieceBytes = 64 << 10
+
+// appendAll returns head followed by all of rest. The bytes are charged to an account.
+func appendAll(head []byte, rest io.Reader, account *memory.Account) ([]byte, error) {
+	pieces, size, charged := [][]byte{head}, int64(len(head)), int64(0)
+	for complete := false; !complete; {
+		if !account.Take(answerPieceBytes) {
+			return nil, errAnswerMemory
+		}
+		charged += answerPieceBytes
+		piece, filled := make([]byte, answerPieceBytes), 0
+		for !complete && filled < len(piece) {
+			n, err := rest.Read(piece[filled:])
+			filled += n
+			if err != nil && err != io.EOF { //nolint:errorlint // one that wraps io.EOF is that of a truncated answer
+				return nil, err
+			}
+			complete = err != nil
+		}
+		pieces, size = append(pieces, piece[:filled]), size+int64(filled)
+	}
+	if !account.Take(size) {
+		return nil, errAnswerMemory
 	}
-	return buffer.Bytes(), nil
+	defer account.Return(charged) // the pieces
+	return slices.Concat(pieces...), nil
 }
--- a/internal/app/entry/crossing.go
+++ b/internal/app/entry/crossing.go
@@ -53,7 +53,7 @@
 	from, to := regions[req.Origin].name, regions[choice.Place].name
 	if from != to {
 		charge.Link = &budget.LinkID{From: from, To: to}
-		charge.Bytes = int64(len(req.Body)) + headerBytes
+		charge.Bytes = req.BodyBytes() + headerBytes
 		charge.AnswerBytes = req.MaxAnswerBytes + headerBytes
 	}
 	return charge
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"sassafrasreach/internal/app/workers"
 	"sassafrasreach/internal/core/claims"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/port"
 )
 
@@ -49,6 +50,8 @@
 	Control   port.ControlClient
 	Endpoints port.EndpointCaller
 	Meter     port.Meter
+	// Memory is charged with answers that are read whole; nil means no bound.
+	Memory *memory.Budget
 }
 
 // Entry is the process of an entry VM. It implements port.Entry and
@@ -62,6 +65,7 @@
 	control   port.ControlClient
 	endpoints port.EndpointCaller
 	meter     port.Meter
+	memory    *memory.Budget
 
 	snapshot    atomic.Pointer[snapshot]
 	pull        puller
@@ -103,6 +107,7 @@
 		control:        ports.Control,
 		endpoints:      ports.Endpoints,
 		meter:          ports.Meter,
+		memory:         ports.Memory,
 		members:        newMembers(config),
 		groups:         newGroups(),
 		ledger:         newLedger(config, now),
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime"
 	"time"
 
 	"sassafrasreach/internal/core/claims"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -61,9 +63,11 @@
 	}
 	answer := make(chan port.Answer, 1)
 	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+	release := req.RetainBody()
 	go func() {
 		defer cancel()
-		response, err := readFully(e.routeOnceOnly(detached, req))
+		defer release()
+		response, err := e.readFully(e.routeOnceOnly(detached, req))
 		e.claims.finish(e.clock.Now(), key, outcomeOf(response, err))
 		answer <- port.Answer{Response: response, Err: err}
 	}()
@@ -160,16 +164,30 @@
 
 // readFully reads the rest of a streamed answer, so that the whole outcome can
 // be stored.
-func readFully(response *port.Response, err error) (*port.Response, error) {
+func (e *Entry) readFully(response *port.Response, err error) (*port.Response, error) {
 	if err != nil || response.Rest == nil {
 		return response, err
 	}
+	defer response.Done()
 	defer func() { _ = response.Rest.Close() }()
-	body, readErr := appendAll(response.Body, response.Rest)
-	if readErr != nil {
-		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonBadAnswer, readErr)
+	account := e.memory.Open()
+	body, err := appendAll(response.Body, response.Rest, account)
+	if err != nil {
+		account.Close()
+		return nil, verdict.NewError(verdict.MayHaveRun, answerReason(err), err)
+	}
+	whole := &port.Response{Status: response.Status, Header: response.Header, Body: body, Release: account.Close}
+	// One whose caller has left is dropped without Release.
+	runtime.AddCleanup(whole, (*memory.Account).Close, account)
+	return whole, nil
+}
+
+// answerReason returns the reason of an answer that couldn't be read.
+func answerReason(err error) verdict.Reason {
+	if errors.Is(err, errAnswerMemory) {
+		return verdict.ReasonMemory
 	}
-	return &port.Response{Status: response.Status, Header: response.Header, Body: body}, nil
+	return verdict.ReasonBadAnswer
 }
 
 func outcomeOf(response *port.Response, err error) claims.Outcome {
--- a/internal/app/entry/once_test.go
+++ b/internal/app/entry/once_test.go
@@ -1,14 +1,20 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
 )
@@ -193,3 +199,67 @@
 		is.Equal(tc.calls.ran(), 1)
 	})
 }
+
+// TestAbandonedBody guards against the body of a once-only request that nobody counts: its
+// caller has left, and the attempt goes on.
+func TestAbandonedBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tc := startTestCluster(t)
+		tc.calls.call = func(int, port.Endpoint) port.Answer {
+			time.Sleep(time.Second)
+			return port.Answer{}
+		}
+		e := tc.entry("a1")
+		req := tc.once(e)
+		var held atomic.Int32
+		req.Retain = func() func() {
+			held.Add(1)
+			return func() { held.Add(-1) }
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, err := e.Serve(ctx, req)
+		is.Equal(verdict.Of(err), verdict.MayHaveRun)
+		is.Equal(held.Load(), int32(1))
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(held.Load(), int32(0))
+	})
+}
+
+// TestReadWhole guards against an answer that is taken for complete though it was truncated
+// or didn't fit into the memory, and against memory that isn't given back.
+func TestReadWhole(t *testing.T) {
+	const size = 200_000
+	for _, c := range []struct {
+		name   string
+		end    error
+		budget int64
+		reason verdict.Reason
+	}{
+		{"complete", io.EOF, 4 * size, ""},
+		{"truncated", io.ErrUnexpectedEOF, 4 * size, verdict.ReasonBadAnswer},
+		{"broken", fmt.Errorf("broken: %w", io.EOF), 4 * size, verdict.ReasonBadAnswer},
+		{"no memory", io.EOF, size / 2, verdict.ReasonMemory},
+		{"no memory for the whole", io.EOF, size * 3 / 2, verdict.ReasonMemory},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			budget := memory.NewBudget(c.budget)
+			e := &Entry{memory: budget}
+			rest := io.NopCloser(io.MultiReader(iotest.OneByteReader(bytes.NewReader(make([]byte, size))), iotest.ErrReader(c.end)))
+			response, err := e.readFully(&port.Response{Body: []byte("begin"), Rest: rest}, nil)
+			if c.reason != "" {
+				is.Equal(verdict.Of(err), verdict.MayHaveRun)
+				is.Equal(verdict.ReasonOf(err), c.reason)
+				is.Equal(budget.Held(), int64(0))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(len(response.Body), len("begin")+size)
+			is.Equal(budget.Held(), int64(len(response.Body)))
+			response.Done()
+			is.Equal(budget.Held(), int64(0))
+		})
+	}
+}
--- a/internal/app/entry/own.go
+++ b/internal/app/entry/own.go
@@ -141,6 +141,7 @@
 // discard closes the answer of an attempt whose result is not used.
 func discard(a *attempt) {
 	answer := <-a.answer
+	answer.Response.Done()
 	if answer.Err == nil && answer.Response.Rest != nil {
 		_ = answer.Response.Rest.Close()
 	}
--- a/internal/app/entry/suspects.go
+++ b/internal/app/entry/suspects.go
@@ -38,7 +38,7 @@
 }
 
 func fingerprintOf(req *port.Request) fingerprint.Fingerprint {
-	return fingerprint.Of(req.Service, req.Method, req.Target, req.Body)
+	return fingerprint.Of(req.Service, req.Method, req.Target, req.BodyParts()...)
 }
 
 // startRun requests admission of a run and records the run if it is admitted.
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -17,12 +17,16 @@
 	"google.golang.org/grpc"
 
 	"sassafrasreach/internal/adapter/callerhttp"
+	"sassafrasreach/internal/adapter/connlimit"
 	"sassafrasreach/internal/adapter/endpointhttp"
+	"sassafrasreach/internal/adapter/grpcmemory"
 	"sassafrasreach/internal/adapter/grpcpanic"
+	"sassafrasreach/internal/adapter/intake"
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/adapter/peergrpc"
 	"sassafrasreach/internal/adapter/settings"
 	"sassafrasreach/internal/app/entry"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
@@ -61,7 +65,11 @@
 
 // entryProcess is the process of an entry VM: the entry and its servers.
 type entryProcess struct {
-	entry     *entry.Entry
+	guard
+	entry *entry.Entry
+	// bodies reads the bodies of callers' requests, and limiter bounds their connections.
+	bodies    *intake.Intake
+	limiter   *connlimit.Limiter
 	callers   *http.Server
 	peers     *grpc.Server
 	metrics   *http.Server
@@ -82,6 +90,7 @@
 	defer cancel()
 	go p.entry.Run(running)
 	go wait.Every(running, sweepPeriod, p.endpoints.Sweep)
+	go wait.Every(running, sweepPeriod, p.bodies.Sweep)
 	select {
 	case err := <-p.failed:
 		return err
@@ -99,8 +108,15 @@
 	incarnation := uint64(time.Now().UnixNano())
 	local := localIP(config.PeerListen)
 	meter := metrics.New()
-	endpoints := endpointhttp.New(endpointhttp.Options{Clock: clock})
-	e := entry.New(entry.Config{
+	p := &entryProcess{
+		guard:  newGuard(config.MemoryBytes, config.MaxDescriptors, logger, meter, clock),
+		logger: logger,
+		failed: make(chan error, 3),
+	}
+	p.bodies = intake.New(p.memory, memory.Bodies, clock)
+	p.limiter = p.newLimiter("callers", p.openConnections(true), p.bodies.MakeRoom)
+	p.endpoints = endpointhttp.New(endpointhttp.Options{Clock: clock, Memory: p.memory})
+	p.entry = entry.New(entry.Config{
 		Name:        config.Name,
 		Place:       config.Place,
 		Incarnation: incarnation,
@@ -109,37 +125,36 @@
 	}, entry.Ports{
 		Clock:     clock,
 		Logger:    logger,
-		Peers:     peergrpc.NewClient(clock, local),
+		Peers:     peergrpc.NewClient(clock, local, p.memory),
 		Control:   peergrpc.NewControlClient(clock, local),
-		Endpoints: endpoints,
+		Endpoints: p.endpoints,
 		Meter:     meter,
+		Memory:    p.memory,
 	})
-	handler := callerhttp.New(callerhttp.Options{
-		Entry:    e,
-		Name:     config.Name,
-		Clock:    clock,
-		Metrics:  meter.Handler(nil),
-		Stopping: e.Stopping,
-	})
-	p := &entryProcess{
-		entry:     e,
-		endpoints: endpoints,
-		logger:    logger,
-		failed:    make(chan error, 3),
-		metrics:   &http.Server{Handler: callerhttp.NewHealth(e, meter.Handler(nil)), ReadHeaderTimeout: callerHeaderTimeout},
-		peers:     grpc.NewServer(slices.Concat(peergrpc.ServerOptions(), grpcpanic.Options(logger))...),
-		callers: &http.Server{
-			Handler:           handler,
-			IdleTimeout:       callerIdleTimeout,
-			ReadHeaderTimeout: callerHeaderTimeout,
-			ReadTimeout:       callerReadTimeout,
-		},
-	}
-	peergrpc.Register(p.peers, e, clock)
+	p.peers = grpc.NewServer(slices.Concat(peergrpc.ServerOptions(), grpcpanic.Options(logger), []grpc.ServerOption{
+		grpcmemory.Option(p.memory), peergrpc.MemoryOption(p.memory),
+	})...)
+	peergrpc.Register(p.peers, p.entry, clock)
+	p.newServers(config.Name, meter)
 	event.Log(context.Background(), logger, event.Started, slog.Uint64("incarnation", incarnation))
 	return p
 }
 
+// newServers sets up the servers of callers and of metrics.
+func (p *entryProcess) newServers(name string, meter *metrics.Meter) {
+	gauges := meter.Handler(p.gauges("callers", p.limiter))
+	p.callers = &http.Server{
+		Handler: callerhttp.New(callerhttp.Options{
+			Entry: p.entry, Name: name, Clock: p.clock, Bodies: p.bodies, Refusals: p.refusals, Metrics: gauges, Stopping: p.entry.Stopping,
+		}),
+		ConnState:         p.limiter.ConnState,
+		IdleTimeout:       callerIdleTimeout,
+		ReadHeaderTimeout: callerHeaderTimeout,
+		ReadTimeout:       callerReadTimeout,
+	}
+	p.metrics = &http.Server{Handler: callerhttp.NewHealth(p.entry, gauges), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
+}
+
 // localIP returns the IP address of the listener for peers, by which other VMs know
 // this VM. It is nil when the VM listens on all addresses.
 func localIP(address string) net.IP {
@@ -168,7 +183,7 @@
 		return err
 	}
 	go func() { p.report(p.peers.Serve(peers)) }()
-	go func() { p.report(p.callers.Serve(callers)) }()
+	go func() { p.report(p.callers.Serve(p.limiter.Listener(callers))) }()
 	event.Log(ctx, p.logger, event.Listening, slog.String("for", "peers"), slog.String("address", config.PeerListen))
 	event.Log(ctx, p.logger, event.Listening, slog.String("for", "callers"), slog.String("address", config.CallerListen))
 	return nil
@@ -184,7 +199,7 @@
 	if err != nil {
 		return err
 	}
-	go func() { p.report(p.metrics.Serve(listener)) }()
+	go func() { p.report(p.metrics.Serve(p.sideListener("metrics", listener, p.metrics))) }()
 	event.Log(ctx, p.logger, event.Listening, slog.String("for", "metrics"), slog.String("address", address))
 	return nil
 }
@@ -214,6 +229,7 @@
 	}()
 	cut := p.entry.Drain(ctx)
 	if cut == 0 {
+		p.bodies.Stop()
 		_ = p.callers.Shutdown(ctx)
 		stopGracefully(ctx, p.peers)
 	}
--- a/internal/cli/guard.go
+++ b/internal/cli/guard.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"net"
+	"net/http"
 	"runtime/debug"
 	"syscall"
 
@@ -86,3 +88,19 @@
 		Refused: func(reason, address string) { g.refusals.Record(clients, reason, address) },
 	})
 }
+
+// sideListener bounds the connections at a port that only monitoring uses.
+func (g *guard) sideListener(clients string, listener net.Listener, server *http.Server) net.Listener {
+	limiter := g.newLimiter(clients, sideConnections, nil)
+	server.ConnState = limiter.ConnState
+	return limiter.Listener(listener)
+}
+
+// gauges returns the gauges of the memory and of the connections at a port.
+func (g *guard) gauges(clients string, limiter *connlimit.Limiter) func() map[string]int64 {
+	return func() map[string]int64 {
+		out := g.memory.Gauges()
+		out["connections."+clients] = int64(limiter.Open())
+		return out
+	}
+}
--- a/internal/core/verdict/reason.go
+++ b/internal/core/verdict/reason.go
@@ -34,6 +34,10 @@
 	ReasonClaimsFull Reason = "claims-full"
 	// ReasonTooLarge means that the request's body is larger than the service allows.
 	ReasonTooLarge Reason = "body-too-large"
+	// ReasonSlowBody means that the request's body arrived too slowly.
+	ReasonSlowBody Reason = "body-too-slow"
+	// ReasonMemory means that an entry VM has no memory left for the request's body.
+	ReasonMemory Reason = "no-memory"
 	// ReasonOverload means that the request can't get a slot or a connection in
 	// time, or that the queue for slots is full.
 	ReasonOverload Reason = "overload"
