Bound what a control VM holds for its operators

One document of 4 MiB with many small elements takes nearly 1 GB while it is read.

Cause: bodies were read whole with io.ReadAll or ParseForm, whatever others held; nothing bounded connections, and a body that nobody reads held its connection without a time limit.

Change: control VMs use what controllers have. Bodies of documents, drains and forms come through adapter/intake; connections are bounded. Before a document is read, what that takes is estimated from the marks that may begin a node (document.ParseBytes) and charged: 413 if it can't fit into this VM, 503 with Retry-After if it doesn't fit now; a body that is too slow gets 408. Each says that this attempt changed nothing. An entry charges the document that it applies, without refusing it. A planned stop ends unfinished bodies after 0.5 s. Metrics at metrics_listen: memory.*, refused.operators.*, connections.operators.

A planned stop of an entry and a control VM beside unfinished bodies ends by itself (TestUntrustedStop).

--- a/internal/adapter/console/console.go
+++ b/internal/adapter/console/console.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"sassafrasreach/internal/adapter/intake"
+	"sassafrasreach/internal/adapter/refusals"
 	"sassafrasreach/internal/core/document"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
@@ -49,21 +51,28 @@
 //go:embed templates
 var files embed.FS
 
+// Options are the dependencies of the console.
+type Options struct {
+	Clock  port.Clock
+	Logger *slog.Logger
+	// Bodies reads forms, and Refusals records those refused; both may be nil.
+	Bodies   *intake.Intake
+	Refusals *refusals.Recorder
+}
+
 // server serves the console's pages.
 type server struct {
+	Options
 	backend  Backend
-	clock    port.Clock
-	logger   *slog.Logger
 	sessions *sessions
 	pages    *template.Template
 }
 
 // New returns the console's handler, to be mounted at Path.
-func New(backend Backend, clock port.Clock, logger *slog.Logger) http.Handler {
+func New(backend Backend, opts Options) http.Handler {
 	s := &server{
+		Options:  opts,
 		backend:  backend,
-		clock:    clock,
-		logger:   logger,
 		sessions: newSessions(),
 		pages:    template.Must(template.ParseFS(files, "templates/*.html")),
 	}
@@ -100,6 +109,6 @@
 	w.Header().Set("Content-Type", "text/html; charset=utf-8")
 	w.WriteHeader(status)
 	if err := s.pages.ExecuteTemplate(w, page, data); err != nil {
-		event.Log(context.Background(), s.logger, event.ConsolePartial, slog.Any("page", page), slog.Any("error", err))
+		event.Log(context.Background(), s.Logger, event.ConsolePartial, slog.Any("page", page), slog.Any("error", err))
 	}
 }
--- a/internal/adapter/console/signin.go
+++ b/internal/adapter/console/signin.go
@@ -23,13 +23,17 @@
 }
 
 func (s *server) signIn(w http.ResponseWriter, r *http.Request) {
-	r.Body = http.MaxBytesReader(w, r.Body, maxSignInBytes)
-	token := r.PostFormValue("token")
+	done, ok := s.readForm(w, r, maxSignInBytes)
+	if !ok {
+		return
+	}
+	defer done()
+	token := r.PostForm.Get("token")
 	if _, err := s.backend.Open(r.Context(), token); err != nil {
 		s.renderError(w, err)
 		return
 	}
-	id := s.sessions.open(token, s.clock.Now())
+	id := s.sessions.open(token, s.Clock.Now())
 	http.SetCookie(w, s.cookie(r, id, int(sessionLifetime.Seconds())))
 	http.Redirect(w, r, Path+"/", http.StatusSeeOther)
 }
@@ -62,7 +66,7 @@
 	if err != nil {
 		return session{}, false
 	}
-	return s.sessions.get(c.Value, s.clock.Now())
+	return s.sessions.get(c.Value, s.Clock.Now())
 }
 
 // signedIn calls next for forms that were rendered for the request's session.
@@ -73,11 +77,11 @@
 			s.render(w, http.StatusUnauthorized, "signin", signInPage{Message: "Sign in first: you have no session, or it has ended."})
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxFormBytes)
-		if err := r.ParseForm(); err != nil {
-			s.render(w, http.StatusBadRequest, "message", message("The server cannot read the form: "+err.Error()))
+		done, ok := s.readForm(w, r, maxFormBytes)
+		if !ok {
 			return
 		}
+		defer done()
 		if !found.accepts(r.PostForm.Get("form_token")) {
 			s.render(w, http.StatusForbidden, "message", message("This form belongs to another session. Open the document again."))
 			return
@@ -94,7 +98,7 @@
 	case errors.Is(err, port.ErrNoQuorum):
 		s.render(w, http.StatusServiceUnavailable, "message", message("Too few control VMs responded, so nothing was changed. Try another control VM, or try again later."))
 	default:
-		event.Log(context.Background(), s.logger, event.ConsoleFailed, slog.Any("error", err))
+		event.Log(context.Background(), s.Logger, event.ConsoleFailed, slog.Any("error", err))
 		s.render(w, http.StatusInternalServerError, "message", message(err.Error()))
 	}
 }
--- a/internal/adapter/operatorhttp/change.go
+++ b/internal/adapter/operatorhttp/change.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -39,11 +38,11 @@
 		writeProblem(w, outcomeProblem(conflictOutcome(r.Header.Get(HeaderChangeID), s.config)))
 		return
 	}
-	text, problem := readBody(w, r)
-	if problem != nil {
-		writeProblem(w, problem)
+	text, done, ok := h.readDocument(w, r)
+	if !ok {
 		return
 	}
+	defer done()
 	h.submit(w, r, port.Change{
 		ID:          r.Header.Get(HeaderChangeID),
 		Operator:    s.operator,
@@ -143,11 +142,11 @@
 }
 
 func (h *handler) validate(w http.ResponseWriter, r *http.Request, _ session) {
-	text, problem := readBody(w, r)
-	if problem != nil {
-		writeProblem(w, problem)
+	text, done, ok := h.readDocument(w, r)
+	if !ok {
 		return
 	}
+	defer done()
 	if faults := document.FaultsOf(text); len(faults) > 0 {
 		writeProblem(w, invalidProblem(faults))
 		return
@@ -161,11 +160,11 @@
 }
 
 func (h *handler) diff(w http.ResponseWriter, r *http.Request, s session) {
-	text, problem := readBody(w, r)
-	if problem != nil {
-		writeProblem(w, problem)
+	text, done, ok := h.readDocument(w, r)
+	if !ok {
 		return
 	}
+	defer done()
 	after, err := document.Parse(text)
 	if err != nil {
 		writeProblem(w, invalidProblem(document.FaultsOf(text)))
@@ -178,20 +177,6 @@
 	writeJSON(w, Comparison{Version: s.config.Version, Differences: differences})
 }
 
-// readBody reads the text of a document from the request body.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, document.MaxTextBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, newProblem(http.StatusRequestEntityTooLarge, CodeTooLarge,
-			fmt.Sprintf("the body exceeds the maximum of %d bytes for a document", document.MaxTextBytes))
-	}
-	if err != nil {
-		return nil, newProblem(http.StatusBadRequest, CodeBadRequest, "cannot read the request body: "+err.Error())
-	}
-	return text, nil
-}
-
 func changeIDProblem() *Problem {
 	return newProblem(http.StatusBadRequest, CodeBadRequest,
 		fmt.Sprintf("the header %s must be an ID of 1 to %d visible ASCII characters", HeaderChangeID, MaxChangeIDBytes))
--- a/internal/adapter/operatorhttp/drain.go
+++ b/internal/adapter/operatorhttp/drain.go
@@ -1,7 +1,6 @@
 package operatorhttp
 
 import (
-	"io"
 	"net/http"
 	"slices"
 
@@ -15,11 +14,12 @@
 
 func (h *handler) addDrain(w http.ResponseWriter, r *http.Request, s session) {
 	var request DrainRequest
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDrainBytes))
-	if err == nil {
-		err = strictjson.DecodeKnown(body, &request)
+	text, done, ok := h.readBody(w, r, maxDrainBytes, func([]byte) int64 { return 0 })
+	if !ok {
+		return
 	}
-	if err != nil {
+	defer done()
+	if err := strictjson.DecodeKnown(text, &request); err != nil {
 		writeProblem(w, newProblem(http.StatusBadRequest, CodeBadRequest, "the body is not a valid drain: "+err.Error()))
 		return
 	}
--- a/internal/adapter/operatorhttp/handler.go
+++ b/internal/adapter/operatorhttp/handler.go
@@ -10,6 +10,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"sassafrasreach/internal/adapter/console"
+	"sassafrasreach/internal/adapter/intake"
+	"sassafrasreach/internal/adapter/refusals"
 	"sassafrasreach/internal/port"
 )
 
@@ -28,6 +30,10 @@
 	Clock port.Clock
 	// Logger receives the log records; nil means slog.Default.
 	Logger *slog.Logger
+	// Bodies reads the bodies of requests, and Refusals records those refused; both may be
+	// nil.
+	Bodies   *intake.Intake
+	Refusals *refusals.Recorder
 	// Timeout bounds the work on one request; 0 means DefaultTimeout.
 	Timeout time.Duration
 	// RecordRefused adds a change with faults to the audit trail, since the
@@ -55,7 +61,7 @@
 	}
 	h := &handler{Options: options}
 	r := chi.NewRouter()
-	r.Use(h.withTimeout)
+	r.Use(intake.IgnoreBodies, h.withTimeout) // but for bodies that Bodies reads
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		writeProblem(w, newProblem(http.StatusNotFound, CodeNotFound, "the path "+r.URL.Path+" does not exist; docs/reference/operators-http.md lists all paths"))
 	})
@@ -73,7 +79,9 @@
 	r.Post("/v1/drains", h.authenticated(h.addDrain))
 	r.Delete("/v1/drains", h.authenticated(h.removeDrain))
 	r.Delete("/v1/quarantine/{fingerprint}", h.authenticated(h.liftQuarantine))
-	r.Mount(console.Path, console.New(consoleBackend{h}, h.Clock, h.Logger))
+	r.Mount(console.Path, console.New(consoleBackend{h}, console.Options{
+		Clock: h.Clock, Logger: h.Logger, Bodies: h.Bodies, Refusals: h.Refusals,
+	}))
 	return r
 }
 
--- a/internal/adapter/operatorhttp/problem.go
+++ b/internal/adapter/operatorhttp/problem.go
@@ -20,8 +20,14 @@
 	CodeNotFound Code = "not-found"
 	// CodeMethod is a method that the path doesn't support.
 	CodeMethod Code = "method-not-allowed"
-	// CodeTooLarge is a body of more than document.MaxTextBytes.
+	// CodeTooLarge is a body of more than document.MaxTextBytes, or a document that takes
+	// more memory than this VM may use.
 	CodeTooLarge Code = "body-too-large"
+	// CodeSlow is a body that arrived too slowly; this attempt changed nothing.
+	CodeSlow Code = "body-too-slow"
+	// CodeMemory is a body for which this VM has no memory now; this attempt changed
+	// nothing.
+	CodeMemory Code = "no-memory"
 	// CodeInvalid is a document with faults; nothing was changed.
 	CodeInvalid Code = "invalid"
 	// CodeConflict means that the change's base isn't the version in the register,
--- a/internal/app/entry/pull.go
+++ b/internal/app/entry/pull.go
@@ -9,6 +9,7 @@
 
 	"sassafrasreach/internal/core/document"
 	"sassafrasreach/internal/core/membership"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
@@ -141,7 +142,7 @@
 	if config.Version <= e.version() {
 		return false
 	}
-	s, err := checkedSnapshot(config)
+	s, err := e.checkedSnapshot(config)
 	if err != nil {
 		event.Log(ctx, e.logger, event.DocumentRefused,
 			slog.Uint64("version", config.Version), slog.String("error", err.Error()))
@@ -170,7 +171,12 @@
 	return true
 }
 
-func checkedSnapshot(config port.Config) (*snapshot, error) {
+// checkedSnapshot parses a document. The memory for it is taken whatever others hold, since
+// the document must be applied.
+func (e *Entry) checkedSnapshot(config port.Config) (*snapshot, error) {
+	account := e.memory.OpenFor(memory.Messages)
+	defer account.Close()
+	account.Force(document.ParseBytes(config.Document))
 	if document.Digest(config.Document) != config.Digest {
 		return nil, errDigest
 	}
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -11,17 +11,24 @@
 	"syscall"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"google.golang.org/grpc"
 
+	"sassafrasreach/internal/adapter/connlimit"
+	"sassafrasreach/internal/adapter/grpcmemory"
 	"sassafrasreach/internal/adapter/grpcpanic"
+	"sassafrasreach/internal/adapter/intake"
+	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/adapter/operatorhttp"
 	"sassafrasreach/internal/adapter/peergrpc"
 	"sassafrasreach/internal/adapter/registergrpc"
 	"sassafrasreach/internal/adapter/settings"
 	"sassafrasreach/internal/app/control"
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 // controlStopLimit is the time for requests in flight to end when a control VM
@@ -46,30 +53,18 @@
 	if err != nil {
 		return err
 	}
-	peers := grpc.NewServer(slices.Concat(peergrpc.ServerOptions(), registergrpc.ServerOptions(), grpcpanic.Options(logger))...)
-	node.Register(peers)
-	operators := &http.Server{
-		Handler: operatorhttp.New(operatorhttp.Options{
-			Store:                node,
-			RecordRefused:        recordRefused(node),
-			BootstrapTokenSHA256: config.BootstrapTokenSHA256,
-			Clock:                port.ClockFunc(time.Now),
-			Logger:               logger,
-		}),
-		IdleTimeout:       callerIdleTimeout,
-		ReadHeaderTimeout: callerHeaderTimeout,
-	}
-	failed := make(chan error, 3)
-	if err := listenControl(ctx, config, peers, operators, failed); err != nil {
+	p := newControlProcess(config, node, logger)
+	if err := p.listen(ctx, config); err != nil {
 		return err
 	}
-	go func() { failed <- node.Run(ctx) }()
+	go func() { p.failed <- node.Run(ctx) }()
+	go wait.Every(ctx, sweepPeriod, p.bodies.Sweep)
 	event.Log(ctx, logger, event.Started)
 	select {
-	case err = <-failed:
+	case err = <-p.failed:
 	case <-ctx.Done():
 	}
-	stopControl(ctx, peers, operators)
+	p.stop(ctx)
 	event.Log(ctx, logger, event.Stopped)
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -77,6 +72,51 @@
 	return err
 }
 
+// controlProcess is the process of a control VM: its servers.
+type controlProcess struct {
+	guard
+	meter *metrics.Meter
+	// bodies reads the bodies of operators' requests, and limiter bounds their connections.
+	bodies    *intake.Intake
+	limiter   *connlimit.Limiter
+	peers     *grpc.Server
+	operators *http.Server
+	metrics   *http.Server
+	failed    chan error
+}
+
+func newControlProcess(config settings.Control, node *control.Node, logger *slog.Logger) *controlProcess {
+	clock, meter := port.ClockFunc(time.Now), metrics.New()
+	p := &controlProcess{
+		guard: newGuard(config.MemoryBytes, config.MaxDescriptors, logger, meter, clock),
+		meter: meter, failed: make(chan error, 4),
+	}
+	p.bodies = intake.New(p.memory, memory.Orders, clock)
+	p.limiter = p.newLimiter("operators", p.openConnections(false), p.bodies.MakeRoom)
+	p.peers = grpc.NewServer(slices.Concat(peergrpc.ServerOptions(), registergrpc.ServerOptions(), grpcpanic.Options(logger),
+		[]grpc.ServerOption{grpcmemory.Option(p.memory)})...)
+	node.Register(p.peers)
+	p.operators = &http.Server{
+		Handler: operatorhttp.New(operatorhttp.Options{
+			Store:                node,
+			RecordRefused:        recordRefused(node),
+			BootstrapTokenSHA256: config.BootstrapTokenSHA256,
+			Clock:                clock,
+			Logger:               logger,
+			Bodies:               p.bodies,
+			Refusals:             p.refusals,
+		}),
+		ConnState:         p.limiter.ConnState,
+		IdleTimeout:       callerIdleTimeout,
+		ReadHeaderTimeout: callerHeaderTimeout,
+	}
+	routes := chi.NewRouter()
+	routes.Use(intake.IgnoreBodies)
+	routes.Method(http.MethodGet, "/v1/metrics", meter.Handler(p.gauges("operators", p.limiter)))
+	p.metrics = &http.Server{Handler: routes, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	return p
+}
+
 func newNode(config settings.Control, logger *slog.Logger) (*control.Node, error) {
 	members := make([]control.Peer, len(config.Members))
 	for i, member := range config.Members {
@@ -108,7 +148,9 @@
 	return err
 }
 
-func listenControl(ctx context.Context, config settings.Control, peers *grpc.Server, operators *http.Server, failed chan<- error) error {
+// listen opens the listeners for peers, operators and, if configured, metrics, and serves on
+// them.
+func (p *controlProcess) listen(ctx context.Context, config settings.Control) error {
 	peerListener, err := listenFor(ctx, "peers", config.PeerListen)
 	if err != nil {
 		return err
@@ -118,17 +160,28 @@
 		_ = peerListener.Close()
 		return err
 	}
-	go func() { failed <- peers.Serve(peerListener) }()
-	go func() { failed <- operators.Serve(operatorListener) }()
+	if config.MetricsListen != "" {
+		metricsListener, err := listenFor(ctx, "metrics", config.MetricsListen)
+		if err != nil {
+			_ = peerListener.Close()
+			_ = operatorListener.Close()
+			return err
+		}
+		go func() { p.failed <- p.metrics.Serve(p.sideListener("metrics", metricsListener, p.metrics)) }()
+	}
+	go func() { p.failed <- p.peers.Serve(peerListener) }()
+	go func() { p.failed <- p.operators.Serve(p.limiter.Listener(operatorListener)) }()
 	return nil
 }
 
-// stopControl closes the listeners and stops the servers once the requests in
-// flight have ended, or after controlStopLimit.
-func stopControl(ctx context.Context, peers *grpc.Server, operators *http.Server) {
+// stop closes the listeners and stops the servers once the requests in flight have
+// ended, or after controlStopLimit.
+func (p *controlProcess) stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlStopLimit)
 	defer cancel()
-	_ = operators.Shutdown(ctx)
-	stopGracefully(ctx, peers)
-	peers.Stop()
+	p.bodies.Stop()
+	_ = p.operators.Shutdown(ctx)
+	_ = p.metrics.Close()
+	stopGracefully(ctx, p.peers)
+	p.peers.Stop()
 }
