Forward bodies of every permitted size

Cause: a message between entries had 16 MiB at most.

Change: it has as much as the largest body and 2 MiB for the head. The receiver charges a body before it reads the message, so that the bound isn't what protects its memory.

--- a/internal/adapter/peergrpc/conn.go
+++ b/internal/adapter/peergrpc/conn.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"sassafrasreach/internal/core/document"
 	"sassafrasreach/internal/port"
 )
 
@@ -26,8 +27,9 @@
 	// ping isn't acknowledged within keepaliveTimeout.
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 2 * time.Second
-	// maxMessageBytes bounds one message in either direction.
-	maxMessageBytes = 16 << 20
+	// maxMessageBytes bounds one message in either direction. The largest ones are forwarded
+	// requests, of which a head has a megabyte at most.
+	maxMessageBytes = document.MaxBodyBytesBound + 2<<20
 	// dialTimeout bounds the wait for a connection to become ready.
 	dialTimeout = 500 * time.Millisecond
 )
--- a/internal/adapter/peergrpc/memory_test.go
+++ b/internal/adapter/peergrpc/memory_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"sassafrasreach/internal/adapter/peergrpc"
+	"sassafrasreach/internal/core/document"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/verdict"
 	"sassafrasreach/internal/port"
@@ -76,6 +77,29 @@
 	}
 }
 
+// TestForwardLargestBody guards against a permitted body that isn't forwarded whole, in one
+// piece and in several.
+func TestForwardLargestBody(t *testing.T) {
+	is := is.New(t)
+	var got []byte
+	p := &fakePeer{forward: func(_ context.Context, f port.Forward) (*port.Response, error) {
+		got = f.Request.Body
+		return &port.Response{Status: http.StatusOK}, nil
+	}}
+	address, client := startBounded(t, p, nil, nil)
+	body := bytes.Repeat([]byte("0123456789abcdef"), document.MaxBodyBytesBound/16)
+	for _, cut := range []int{len(body), 1000} {
+		req := request(true)
+		req.Body = body[:cut]
+		for rest := body[cut:]; len(rest) > 0; rest = rest[min(len(rest), 1<<20):] {
+			req.BodyRest = append(req.BodyRest, rest[:min(len(rest), 1<<20)])
+		}
+		_, err := client.Forward(t.Context(), address, port.Forward{Hop: port.HopOwner, Request: req})
+		is.NoErr(err)
+		is.True(bytes.Equal(got, body))
+	}
+}
+
 // TestReceivedBodyIsRetained guards against a received body that isn't counted while an
 // attempt uses it that outlives the call.
 func TestReceivedBodyIsRetained(t *testing.T) {
