Send answers between entries in messages that fit gRPC's buffers

What callers saw: entries went beyond their memory when 300 callers asked for answers of 1 MB and didn't read them: 398 and 431 MB of 256 on (systemtest.TestUntrustedUnreadAnswers), and 268 MB beside other load with all answers charged.

Cause, from a heap profile of the owner at its peak: 146 of 210 MB were gRPC's buffers for encoded messages. It keeps buffers of 32 KiB and then of 1 MiB; a chunk of 64 KiB with its framing took one of 1 MiB, two for each call whose reader is slow. Besides, the receiving side of a call takes in up to 16 MiB that its handler hasn't read, as the default window grows with the link.

Change: chunks fit into 32 KiB with their framing. A body larger than that is charged as the buffer that it takes. The window of a call is 256 KiB, and its receiver charges a chunk before the request is sent and the rest of the window once more arrives. Claims take a sixteenth of the process's memory at most, 32 MiB as before from 512 MiB on.

An answer of 1 MB over a path of 100 ms now takes up to 0.4 s by the window.

--- a/internal/adapter/peergrpc/body.go
+++ b/internal/adapter/peergrpc/body.go
@@ -16,8 +16,9 @@
 	// bufferedBodyBytes bounds the part of a response body that is buffered before
 	// the rest is streamed.
 	bufferedBodyBytes = 1 << 20
-	// chunkBytes bounds the part of a body that one message carries.
-	chunkBytes = 64 << 10
+	// chunkBytes bounds the part of a body that one message carries. The message, with its
+	// framing, fits into pooledBytes.
+	chunkBytes = pooledBytes - 256
 )
 
 // errUnexpectedPart means that the peer sent a message part out of order.
@@ -95,10 +96,12 @@
 	}
 }
 
-// readUpTo reads the body up to limit bytes, which are charged to an account.
+// readUpTo reads the body up to limit bytes. They are charged to an account, which holds
+// chunkBytes already for what gRPC receives ahead. That is raised to the window of the stream
+// once more than a chunk arrives, and returned once the body is complete.
 func (b *bodyReader) readUpTo(limit int, account *memory.Account) ([]byte, error) {
 	var chunks [][]byte
-	size := 0
+	size, ahead := 0, int64(chunkBytes)
 	for size < limit {
 		if err := b.fill(); errors.Is(err, io.EOF) {
 			break
@@ -106,11 +109,19 @@
 			return nil, err
 		}
 		chunk := b.buf[:min(len(b.buf), limit-size)]
-		if !account.Take(int64(len(chunk))) {
+		more := int64(len(chunk))
+		if len(chunk) >= chunkBytes && ahead < streamWindowBytes {
+			more += streamWindowBytes - ahead
+			ahead = streamWindowBytes
+		}
+		if !account.Take(more) {
 			return nil, noAnswerMemory()
 		}
 		chunks, size, b.buf = append(chunks, chunk), size+len(chunk), b.buf[len(chunk):]
 	}
+	if b.complete {
+		account.Return(ahead)
+	}
 	if len(chunks) <= 1 {
 		return slices.Concat(chunks...), nil
 	}
--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -131,7 +131,7 @@
 func (c *Client) Forward(ctx context.Context, address string, f port.Forward) (*port.Response, error) {
 	encoded, answer := c.budget.OpenFor(memory.Bodies), c.budget.Open()
 	defer encoded.Close()
-	if !encoded.Take(encodedBytes(f.Request)) {
+	if !encoded.Take(encodedBytes(f.Request)) || !answer.Take(chunkBytes) {
 		return nil, noMemory(f.Hop)
 	}
 	response, err := c.forward(ctx, address, f, answer)
--- a/internal/adapter/peergrpc/conn.go
+++ b/internal/adapter/peergrpc/conn.go
@@ -30,6 +30,9 @@
 	// maxMessageBytes bounds one message in either direction. The largest ones are forwarded
 	// requests, of which a head has a megabyte at most.
 	maxMessageBytes = document.MaxBodyBytesBound + 2<<20
+	// streamWindowBytes is how much of a call's data a VM receives before its handler reads
+	// them. The default of gRPC grows with the link up to 16 MiB for each call.
+	streamWindowBytes = 256 << 10
 	// dialTimeout bounds the wait for a connection to become ready.
 	dialTimeout = 500 * time.Millisecond
 )
@@ -196,6 +199,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(0),
+		grpc.WithStaticStreamWindowSize(streamWindowBytes),
 		grpc.WithContextDialer(s.dialFrom),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
 			Time:                keepaliveTime,
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -167,9 +167,9 @@
 func encodedBytes(req *port.Request) int64 {
 	size := req.BodyBytes()
 	if len(req.BodyRest) > 0 {
-		return 2 * size // joined, and encoded
+		return size + bufferBytes(size) // joined, and encoded
 	}
-	return size
+	return bufferBytes(size)
 }
 
 func forwardFromProto(r *peerv1.ForwardRequest, now time.Time) port.Forward {
--- a/internal/adapter/peergrpc/memory.go
+++ b/internal/adapter/peergrpc/memory.go
@@ -19,11 +19,20 @@
 	// neither.
 	bodyBytesKey = "sassafrasreach-body-bytes"
 	hopKey       = "sassafrasreach-hop"
-	// receivedCopies is how many times the size of a body is taken while its message is
-	// decoded.
-	receivedCopies = 2
+	// pooledBytes and nextPooledBytes are sizes of the buffers that gRPC keeps for encoded
+	// messages: one that is larger than the first takes the second, and one beyond that its
+	// size.
+	pooledBytes, nextPooledBytes = 32 << 10, 1 << 20
 )
 
+// bufferBytes returns the size of the buffer for an encoded message with a body.
+func bufferBytes(body int64) int64 {
+	if body <= chunkBytes {
+		return body
+	}
+	return max(body, nextPooledBytes)
+}
+
 var (
 	errNoMemory       = errors.New("no memory is left for the body of the request")
 	errNoAnswerMemory = errors.New("no memory is left for the answer")
@@ -80,7 +89,7 @@
 		}
 		account := budget.OpenFor(memory.Bodies)
 		defer account.Close()
-		if size > maxMessageBytes || !account.Take(size*receivedCopies) {
+		if size > maxMessageBytes || !account.Take(size+bufferBytes(size)) {
 			return s.SendMsg(failureToProto(noMemory(hop)))
 		}
 		return next(server, &chargedStream{ServerStream: s, account: account, size: size})
@@ -104,7 +113,7 @@
 // RecvMsg implements grpc.ServerStream. Only the decoded message is left after it.
 func (s *chargedStream) RecvMsg(m any) error {
 	err := s.ServerStream.RecvMsg(m)
-	s.account.Return(s.size * (receivedCopies - 1))
+	s.account.Return(bufferBytes(s.size))
 	return err
 }
 
--- a/internal/app/entry/claimtable.go
+++ b/internal/app/entry/claimtable.go
@@ -17,8 +17,18 @@
 	// of one entry.
 	maxClaims     = 50_000
 	maxClaimBytes = 32 << 20
+	// claimMemoryDivisor gives the part of the process's memory that claims may take.
+	claimMemoryDivisor = 16
 )
 
+// claimBytes returns the bound on the memory of the claims.
+func claimBytes(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		return maxClaimBytes
+	}
+	return min(maxClaimBytes, memoryBytes/claimMemoryDivisor)
+}
+
 // claimTable guards the claims of this incarnation and wakes resends that wait
 // for the outcome of the attempt in flight.
 type claimTable struct {
@@ -29,10 +39,12 @@
 	waiting map[string]chan struct{} // closed when the attempt ends
 }
 
-func newClaimTable(self claims.Coordinator) *claimTable {
+// newClaimTable returns an empty table. memoryBytes is the memory of the process, 0 if it
+// isn't known.
+func newClaimTable(self claims.Coordinator, memoryBytes int64) *claimTable {
 	config := claims.Config{
 		MaxEntries: maxClaims,
-		MaxBytes:   maxClaimBytes,
+		MaxBytes:   claimBytes(memoryBytes),
 		Retention:  claimRetention,
 		ClockSkew:  claimClockSkew,
 	}
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -40,6 +40,8 @@
 	// Seeds lists IP:port addresses of other entries. The first document is
 	// fetched from them if no control quorum answers.
 	Seeds []string
+	// MemoryBytes is the memory that the process may use; 0 if it isn't known.
+	MemoryBytes int64
 }
 
 // Ports holds the adapters that an entry uses.
@@ -111,7 +113,7 @@
 		members:        newMembers(config),
 		groups:         newGroups(),
 		ledger:         newLedger(config, now),
-		claims:         newClaimTable(self),
+		claims:         newClaimTable(self, config.MemoryBytes),
 		suspects:       newSuspects(),
 		broadcaster:    newBroadcaster(),
 		attempts:       newAttempts(),
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -122,6 +122,7 @@
 		Incarnation: incarnation,
 		Control:     config.Control,
 		Seeds:       config.Seeds,
+		MemoryBytes: config.MemoryBytes,
 	}, entry.Ports{
 		Clock:     clock,
 		Logger:    logger,
