Collect garbage before a process outgrows its memory

Cause: the memory limit of the runtime is a soft one. Above it the collector takes half of the processor time at most, and large buffers that come and go, gRPC's for messages beyond 1 MiB among them, outgrow it when processor time is short.

Change: adapter/heaprelief. Before more is taken for clients, about once for each 256 KiB, the memory in use is compared with 78% of the process's memory; beyond it garbage is collected, and all that take memory meanwhile wait. Metric: memory.relieved.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -212,7 +212,7 @@
 	routes := chi.NewRouter()
 	routes.Method(http.MethodGet, "/metrics", p.meter.Handler(func() map[string]int64 {
 		out := gauges()
-		maps.Copy(out, p.memory.Gauges())
+		maps.Copy(out, p.memoryGauges())
 		return out
 	}))
 	address := net.JoinHostPort(p.settings.IP.String(), strconv.Itoa(p.metricsPort))
--- a/internal/cli/guard.go
+++ b/internal/cli/guard.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"sassafrasreach/internal/adapter/connlimit"
+	"sassafrasreach/internal/adapter/heaprelief"
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/adapter/refusals"
 	"sassafrasreach/internal/core/memory"
@@ -18,6 +19,9 @@
 	// heapMemoryPercent is the part of the process's memory near which the collector
 	// works harder; the rest is for what isn't on the heap.
 	heapMemoryPercent = 75
+	// reliefMemoryPercent is the part of the process's memory beyond which garbage is
+	// collected before more is taken for clients.
+	reliefMemoryPercent = 78
 	// sideConnections bounds the connections at a port that only the platform or the
 	// operator's monitoring uses: for readiness checks and metrics.
 	sideConnections = 32
@@ -32,7 +36,8 @@
 
 // guard bounds the memory and the connections of a process, whatever its clients do.
 type guard struct {
-	clock port.Clock
+	clock     port.Clock
+	collector *heaprelief.Collector
 	// memory is charged with what is held for clients and endpoints; refusals records the
 	// clients that were refused.
 	memory   *memory.Budget
@@ -44,11 +49,15 @@
 // newGuard returns a guard and sets the memory limit of the runtime. memoryBytes and
 // maxDescriptors are 0 if the settings don't have them.
 func newGuard(memoryBytes, maxDescriptors int64, logger *slog.Logger, meter *metrics.Meter, clock port.Clock) guard {
+	budget := memory.ForProcess(memoryBytes)
+	var collector *heaprelief.Collector
 	if memoryBytes > 0 {
 		debug.SetMemoryLimit(memoryBytes / 100 * heapMemoryPercent)
+		collector = heaprelief.New(memoryBytes / 100 * reliefMemoryPercent)
+		budget.SetRelief(collector.Relieve)
 	}
 	return guard{
-		clock: clock, memory: memory.ForProcess(memoryBytes), refusals: refusals.New(logger, meter, clock), maxDescriptors: maxDescriptors,
+		clock: clock, collector: collector, memory: budget, refusals: refusals.New(logger, meter, clock), maxDescriptors: maxDescriptors,
 	}
 }
 
@@ -96,10 +105,19 @@
 	return limiter.Listener(listener)
 }
 
+// memoryGauges returns the gauges of the memory.
+func (g *guard) memoryGauges() map[string]int64 {
+	out := g.memory.Gauges()
+	if g.collector != nil {
+		out["memory.relieved"] = g.collector.Runs()
+	}
+	return out
+}
+
 // gauges returns the gauges of the memory and of the connections at a port.
 func (g *guard) gauges(clients string, limiter *connlimit.Limiter) func() map[string]int64 {
 	return func() map[string]int64 {
-		out := g.memory.Gauges()
+		out := g.memoryGauges()
 		out["connections."+clients] = int64(limiter.Open())
 		return out
 	}
--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -2,7 +2,10 @@
 // VMs together, where each of them alone is within its own limit.
 package memory
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // Kind says what bytes are held for.
 type Kind uint8
@@ -38,6 +41,9 @@
 // budget.
 const SmallBytes = 16 << 10
 
+// reliefBytes is how many bytes are taken between two calls of the relief.
+const reliefBytes = 256 << 10
+
 // Budget is a number of bytes that accounts share. A part of it is reserved for small
 // bodies and orders, for responses and for connections: large bodies and orders get only
 // the rest. It is safe for concurrent use; a nil Budget has no bound.
@@ -48,6 +54,10 @@
 	caps    [kinds]int64
 	byKind  [kinds]int64
 	refused [kinds]int64
+	// relief is called for each reliefBytes that are taken; nil if there is none.
+	relief func()
+	// unrelieved counts the bytes that were taken since.
+	unrelieved atomic.Int64
 }
 
 // NewBudget returns a budget of so many bytes without a reserved part.
@@ -58,6 +68,20 @@
 	return &Budget{limit: limit, reserved: reserved}
 }
 
+// SetRelief sets a function that is called, with no lock held, before bytes are taken, about
+// once for each 256 KiB. It may wait until the process has memory for them. It must be set
+// before the budget is used.
+func (b *Budget) SetRelief(relief func()) { b.relief = relief }
+
+// relieve calls the relief if it is due before n more bytes are taken.
+func (b *Budget) relieve(n int64) {
+	if b == nil || b.relief == nil || b.unrelieved.Add(n) < reliefBytes {
+		return
+	}
+	b.unrelieved.Store(0)
+	b.relief()
+}
+
 // take takes bytes for an account that holds as many of its kind already. It returns
 // false, and takes nothing, if fewer are left.
 func (b *Budget) take(n, holds int64, kind Kind) bool {
@@ -148,6 +172,7 @@
 // Take adds bytes to the account. It returns false, and adds nothing, if the budget
 // doesn't have them or the account is closed.
 func (a *Account) Take(n int64) bool {
+	a.budget.relieve(n)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed || a.budget != nil && !a.budget.take(n, a.held, a.kind) {
