Tell operators that nothing was changed when a control VM had no memory

ctl goes on to the next control VM after a 503, but took no-memory for an attempt that may have been accepted, and ended with "the change may have been accepted" if no other decided.

Cause: only no-quorum was known to have proposed nothing.

Measured: ctl.TestControlVMWithoutMemory, failed before.

--- a/internal/cli/ctl/client.go
+++ b/internal/cli/ctl/client.go
@@ -187,11 +187,11 @@
 
 // mayHaveBeenAccepted reports whether a change may have been accepted although the
 // attempt failed. It can't when no connection was made or when the VM responded
-// with CodeNoQuorum, after which nothing was proposed.
+// with CodeNoQuorum or CodeMemory, after which nothing was proposed.
 func mayHaveBeenAccepted(err error) bool {
 	var p *operatorhttp.Problem
 	if errors.As(err, &p) {
-		return p.Code != operatorhttp.CodeNoQuorum
+		return p.Code != operatorhttp.CodeNoQuorum && p.Code != operatorhttp.CodeMemory
 	}
 	var op *net.OpError
 	return !errors.As(err, &op) || op.Op != "dial"
--- a/internal/cli/ctl/ctl_test.go
+++ b/internal/cli/ctl/ctl_test.go
@@ -308,3 +308,19 @@
 		})
 	}
 }
+
+// TestControlVMWithoutMemory guards against a change that is given up, or whose outcome is
+// said to be unknown, because one control VM has no memory for it.
+func TestControlVMWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	full := b.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"code":"` + string(operatorhttp.CodeMemory) + `"}`))
+	}))
+	is.Equal(b.run("apply", b.file, "-base", "1", "-control", full, "-timeout", "250ms"), int(ctl.ExitUnknown))
+	is.True(strings.Contains(b.errs.String(), "nothing was changed"))
+	is.Equal(b.version(), uint64(1))
+	is.Equal(b.run("apply", b.file, "-base", "1", "-control", full+","+b.serve(b.handler), "-timeout", "250ms"), int(ctl.ExitOK))
+	is.Equal(b.version(), uint64(2))
+}
