--- a/internal/systemtest/untrusted_test.go
+++ b/internal/systemtest/untrusted_test.go
@@ -255,18 +255,49 @@
 func TestUntrustedSingleLargeBody(t *testing.T) {
 	s := startUntrusted(t, untrustedLayout())
 	s.checkLargeBodies(untrustedBodyBytes)
+	s.applyLargestDocument()
+	s.checkUntrusted(untrustedCallers)
+	s.checkUntrusted(untrustedOperators)
+}
+
+// TestUntrustedTokens guards against a control VM that reads the document anew for each token
+// that isn't an operator's: clients send such tokens in many requests at once, behind one
+// another and without reading, while the largest document is in force.
+func TestUntrustedTokens(t *testing.T) {
+	s := startUntrusted(t, untrustedLayout())
+	s.applyLargestDocument()
+	var clients sync.WaitGroup
+	for client := range untrustedConnections {
+		c := s.dialUntrusted(s.untrustedControl(client))
+		clients.Go(func() {
+			for i := range untrustedPipelined {
+				line := "GET /v1/document"
+				if i%2 == 1 {
+					line = "GET /v1/status"
+				}
+				if _, err := fmt.Fprintf(c, "%s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer u%d-%d\r\n\r\n", line, client, i); err != nil {
+					return
+				}
+			}
+		})
+	}
+	clients.Wait()
+	s.checkUntrusted(untrustedOperators)
+}
+
+// applyLargestDocument applies the document in force with comments up to the largest size.
+func (s *system) applyLargestDocument() {
+	s.t.Helper()
 	text, err := document.Marshal(s.doc)
 	if err != nil {
-		t.Fatal(err)
+		s.t.Fatal(err)
 	}
 	padding := strings.Repeat("#"+strings.Repeat("x", 62)+"\n", document.MaxTextBytes/64+1)
 	text = append(text, padding[:document.MaxTextBytes-len(text)]...)
 	path := s.write("large.yaml", string(text))
 	if code, out := s.ctl("apply", "-timeout", "10s", "-base", strconv.FormatUint(s.status().Version, 10), path); code != 0 {
-		t.Errorf("a document of %d bytes was not accepted: %d %s", len(text), code, out)
+		s.t.Errorf("a document of %d bytes was not accepted: %d %s", len(text), code, out)
 	}
-	s.checkUntrusted(untrustedCallers)
-	s.checkUntrusted(untrustedOperators)
 }
 
 // TestUntrustedLargestBody guards against a body of the largest size that a document can
