Share the senders of the tests of clients that don't behave

The tests of platform and systemtest sent the same bodies by copies of the same functions. They are in internal/testcrowd now, with the readers of a process's memory and descriptors. Crowds and bounds are unchanged, and so is what is sent, but that systemtest writes a pipelined head and its body one after the other.

--- a/internal/systemtest/untrusted_test.go
+++ b/internal/systemtest/untrusted_test.go
@@ -1,14 +1,12 @@
 package systemtest
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +15,7 @@
 	"time"
 
 	"sassafrasreach/internal/core/document"
+	"sassafrasreach/internal/testcrowd"
 )
 
 // The tests named TestUntrusted... start a system for each case and send one port of it
@@ -116,18 +115,7 @@
 // their end.
 func TestUntrustedLargeBodies(t *testing.T) {
 	runUntrusted(t, untrustedPorts, 0, func(c net.Conn, s *system, p untrustedPort, client int) error {
-		if _, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", p.head(s, client), p.maxBytes); err != nil {
-			return err
-		}
-		body := bytes.Repeat([]byte{' '}, p.maxBytes)
-		if client%4 > 0 {
-			body = body[:len(body)-1]
-		}
-		if client%2 == 0 {
-			_, err := c.Write(body)
-			return err
-		}
-		return writePieces(c, body, len(body)/64, nil)
+		return testcrowd.SendLarge(c, p.head(s, client), p.maxBytes, client)
 	})
 }
 
@@ -136,21 +124,7 @@
 // the last chunk.
 func TestUntrustedChunkedBodies(t *testing.T) {
 	runUntrusted(t, untrustedPorts, 0, func(c net.Conn, s *system, p untrustedPort, client int) error {
-		if _, err := io.WriteString(c, p.head(s, client)+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
-			return err
-		}
-		chunk := func(piece []byte) []byte { return fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece) }
-		small := bytes.Repeat([]byte{' '}, p.maxBytes/32)
-		large := bytes.Repeat([]byte{' '}, p.maxBytes-len(small))
-		if err := writePieces(c, large, len(large)/16, chunk); err != nil {
-			return err
-		}
-		tail := bytes.Repeat(chunk([]byte{' '}), len(small))
-		if client%4 == 0 {
-			tail = append(tail, "0\r\n\r\n"...)
-		}
-		_, err := c.Write(tail)
-		return err
+		return testcrowd.SendChunked(c, p.head(s, client), p.maxBytes, client)
 	})
 }
 
@@ -159,17 +133,7 @@
 // quarters of what is permitted or send all.
 func TestUntrustedOversizedBodies(t *testing.T) {
 	runUntrusted(t, untrustedPorts, 0, func(c net.Conn, s *system, p untrustedPort, client int) error {
-		framing, size := "Content-Length: 1073741824\r\n\r\n", p.maxBytes*3/4
-		if client%2 == 0 {
-			framing = "Transfer-Encoding: chunked\r\n\r\n40000000\r\n"
-		}
-		if client%4 > 1 {
-			size = p.maxBytes * 3 / 2
-		}
-		if _, err := io.WriteString(c, p.head(s, client)+framing); err != nil {
-			return err
-		}
-		return writePieces(c, bytes.Repeat([]byte{' '}, size), size/8, nil)
+		return testcrowd.SendOversized(c, p.head(s, client), p.maxBytes, client)
 	})
 }
 
@@ -180,20 +144,13 @@
 	runUntrusted(t, untrustedPorts, untrustedUploads, sendPipelined)
 }
 
-// sendPipelined sends requests with bodies, of which the last one of most clients stops a
-// byte short of its end.
+// sendPipelined sends requests with bodies behind one another.
 func sendPipelined(c net.Conn, s *system, p untrustedPort, client int) error {
-	size := min(p.maxBytes, untrustedPipelinedBytes)
-	body := bytes.Repeat([]byte{' '}, size)
-	for i := range untrustedPipelined {
-		if client%4 > 0 && i == untrustedPipelined-1 {
-			body = body[:size-1]
-		}
-		if _, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", p.head(s, client+i*untrustedUploads), size, body); err != nil {
-			return err
-		}
+	heads := make([]string, untrustedPipelined)
+	for i := range heads {
+		heads[i] = p.head(s, client+i*untrustedUploads)
 	}
-	return nil
+	return testcrowd.SendPipelined(c, heads, min(p.maxBytes, untrustedPipelinedBytes), client)
 }
 
 // TestUntrustedAbandonedRequests guards against bodies that a process holds uncounted after
@@ -370,19 +327,6 @@
 	}
 }
 
-// writePieces writes a body in pieces, each changed by encode unless that is nil.
-func writePieces(c net.Conn, body []byte, size int, encode func([]byte) []byte) error {
-	for piece := range slices.Chunk(body, size) {
-		if encode != nil {
-			piece = encode(piece)
-		}
-		if _, err := c.Write(piece); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // untrustedLayout is a layout with the limits.
 func untrustedLayout() layout {
 	l := twoRegions()
@@ -529,32 +473,21 @@
 // peakMemory returns the largest resident memory of a process so far, in bytes.
 func (p *process) peakMemory() int64 {
 	p.t.Helper()
-	file, err := os.Open(fmt.Sprintf("/proc/%d/status", p.pid()))
+	peak, err := testcrowd.PeakMemory(p.pid())
 	if err != nil {
-		p.t.Fatalf("%s has ended: %v", p.name, err)
-	}
-	defer func() { _ = file.Close() }()
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		if rest, ok := strings.CutPrefix(lines.Text(), "VmHWM:"); ok {
-			kB, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 10, 64)
-			if err != nil {
-				p.t.Fatal(err)
-			}
-			return kB << 10
-		}
+		p.t.Fatalf("%s: %v", p.name, err)
 	}
-	p.t.Fatalf("%s has ended", p.name)
-	return 0
+	return peak
 }
 
 // openDescriptors returns the number of open descriptors of a process.
 func (p *process) openDescriptors() int {
 	p.t.Helper()
-	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.pid()))
+	open, err := testcrowd.OpenDescriptors(p.pid())
 	if err != nil {
-		p.t.Fatalf("%s has ended: %v", p.name, err)
+		p.t.Fatalf("%s: %v", p.name, err)
 	}
-	return len(open)
+	return open
 }
 
 func (p *process) pid() int {
