Keep a retained body charged when its request ends

A body whose attempt outlives its request is retained until the attempt ends. callerhttp calls Body.Done twice, once deferred, and the second call took the place of the attempt's: once-only requests whose callers had left held bodies that nobody counted, up to their deadline. Found by reading the diff; TestUntrustedAbandonedRequests stayed within its bound all the same.

Change: Done has an effect once.

Measured: callerhttp.TestRetainedBody, failed before.

--- a/internal/adapter/callerhttp/handler_test.go
+++ b/internal/adapter/callerhttp/handler_test.go
@@ -29,6 +29,9 @@
 	response *port.Response
 	err      error
 	stopping bool
+	// retain means that Serve retains the body until release is called.
+	retain  bool
+	release func()
 }
 
 func (f *fakeEntry) Lookup(q port.LookupQuery) (port.LookupAnswer, error) {
@@ -59,6 +62,9 @@
 
 func (f *fakeEntry) Serve(ctx context.Context, req *port.Request) (*port.Response, error) {
 	f.served = req
+	if f.retain {
+		f.release = req.RetainBody()
+	}
 	deadline, _ := ctx.Deadline()
 	f.left = time.Until(deadline)
 	if req.OnceOnly && req.Key == "" {
--- a/internal/adapter/callerhttp/refusal_test.go
+++ b/internal/adapter/callerhttp/refusal_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,3 +138,23 @@
 		time.Sleep(1100 * time.Millisecond) // longer than an ignored body may take
 	}
 }
+
+// TestRetainedBody guards against a body that isn't counted while an attempt uses it that
+// outlives its request.
+func TestRetainedBody(t *testing.T) {
+	for name, err := range map[string]error{"failure": verdict.NewError(verdict.MayHaveRun, verdict.ReasonCanceled, nil), "answer": nil} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			budget := memory.NewBudget(1 << 20)
+			f := &fakeEntry{response: &port.Response{Status: 200}, err: err, retain: true}
+			address, _ := startBounded(t, f, budget)
+			response, err := http.Post("http://"+address+"/s/desk/x", "", strings.NewReader("12345678"))
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			time.Sleep(50 * time.Millisecond) // the handler returns after its response
+			is.True(budget.Held() > 0)
+			f.release()
+			is.Equal(budget.Held(), int64(0))
+		})
+	}
+}
--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -83,6 +83,7 @@
 	// Parts are its bytes; none is empty.
 	Parts   [][]byte
 	account *memory.Account
+	done    bool
 }
 
 // Size returns the number of its bytes.
@@ -131,8 +132,13 @@
 	return b.account.Close
 }
 
-// Done gives its memory back, unless it is retained; the bytes must not be used any more.
+// Done gives its memory back, unless it is retained; the bytes must not be used any more. It
+// may be called again.
 func (b *Body) Done() {
+	if b.done {
+		return
+	}
+	b.done = true
 	b.account.Close()
 	b.Parts = nil
 }
