--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -58,7 +58,9 @@
 		return err
 	}
 	go func() { p.failed <- node.Run(ctx) }()
-	go wait.Every(ctx, sweepPeriod, p.bodies.Sweep)
+	sweeping, endSweeping := context.WithCancel(context.WithoutCancel(ctx)) // also while it stops
+	defer endSweeping()
+	go wait.Every(sweeping, sweepPeriod, p.bodies.Sweep)
 	event.Log(ctx, logger, event.Started)
 	select {
 	case err = <-p.failed:
@@ -75,7 +77,6 @@
 // controlProcess is the process of a control VM: its servers.
 type controlProcess struct {
 	guard
-	meter *metrics.Meter
 	// bodies reads the bodies of operators' requests, and limiter bounds their connections.
 	bodies    *intake.Intake
 	limiter   *connlimit.Limiter
@@ -88,8 +89,8 @@
 func newControlProcess(config settings.Control, node *control.Node, logger *slog.Logger) *controlProcess {
 	clock, meter := port.ClockFunc(time.Now), metrics.New()
 	p := &controlProcess{
-		guard: newGuard(config.MemoryBytes, config.MaxDescriptors, logger, meter, clock),
-		meter: meter, failed: make(chan error, 4),
+		guard:  newGuard(config.MemoryBytes, config.MaxDescriptors, logger, meter, clock),
+		failed: make(chan error, 4),
 	}
 	p.bodies = intake.New(p.memory, memory.Orders, clock)
 	p.limiter = p.newLimiter("operators", p.openConnections(false), p.bodies.MakeRoom)
