Send unfinished bodies in the soak of the own interface

Clients leave bodies unfinished at entries and control VMs while these are killed, frozen, cut off and stopped as planned.

--- a/internal/systemtest/soak_test.go
+++ b/internal/systemtest/soak_test.go
@@ -1,10 +1,13 @@
 package systemtest
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -180,6 +183,26 @@
 	})
 }
 
+// sendUnfinished sends entries and control VMs requests whose bodies stop before their end,
+// and leaves the connections open for a while, until ctx ends.
+func (s *system) sendUnfinished(ctx context.Context, random *rand.Rand) {
+	const size = 60_000 // within the bound of the service
+	for ctx.Err() == nil {
+		address, head := s.controlURL(1 + random.IntN(controls))[len("http://"):], "POST /v1/validate HTTP/1.1\r\nAuthorization: Bearer "+token
+		if random.IntN(2) == 0 {
+			place := random.IntN(len(s.doc.Places))
+			entry := 1 + random.IntN(len(s.doc.Places[place].Entries))
+			address, head = s.ip(kindEntry+place, entry)+":18080", "GET /s/"+service+"/unfinished HTTP/1.1"
+		}
+		if c, err := net.DialTimeout("tcp", address, time.Second); err == nil { // else it is down
+			_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+			_, _ = fmt.Fprintf(c, "%s\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", head, size, strings.Repeat(" ", random.IntN(size)))
+			time.AfterFunc(time.Duration(random.IntN(int(3*time.Second))), func() { _ = c.Close() })
+		}
+		time.Sleep(time.Duration(random.IntN(int(50 * time.Millisecond))))
+	}
+}
+
 // soak injects faults under load for the given time, and then checks the
 // outcomes that callers received and the caps of all rules. inject is called
 // with n counting from 0 and returns the name of the fault.
@@ -189,11 +212,14 @@
 	for _, place := range s.doc.Places {
 		loads = append(loads, s.startLoad(place.Name))
 	}
+	unfinished, stopUnfinished := context.WithCancel(t.Context())
+	go s.sendUnfinished(unfinished, rand.New(rand.NewPCG(soakSeed, 2)))
 	begun := time.Now()
 	for n := 0; time.Since(begun) < length; n++ {
 		at := time.Since(begun)
 		t.Logf("%5.1f s: %s", at.Seconds(), inject(s, n))
 	}
+	stopUnfinished()
 	s.mesh.heal()
 	var records []record
 	for _, l := range loads {
