Say when to come back after a refusal for memory on the way

A body for which the first entry had no room got Retry-After, one for which the owner or the way there had none didn't, though docs/callers.md says so for no-memory.

Measured: callerhttp.TestRetryAfter, failed before.

--- a/internal/adapter/callerhttp/problem.go
+++ b/internal/adapter/callerhttp/problem.go
@@ -66,6 +66,9 @@
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Set(HeaderVerdict, problem.Verdict)
+	if reason == verdict.ReasonMemory {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
 	w.WriteHeader(problem.Status)
 	_, _ = w.Write(body)
 }
--- a/internal/adapter/callerhttp/refusal_test.go
+++ b/internal/adapter/callerhttp/refusal_test.go
@@ -158,3 +158,13 @@
 		})
 	}
 }
+
+// TestRetryAfter guards against a refusal for memory that doesn't say when to come back,
+// wherever on the way of the request it was.
+func TestRetryAfter(t *testing.T) {
+	is := is.New(t)
+	f := &fakeEntry{err: verdict.NewError(verdict.NotRun, verdict.ReasonMemory, nil)}
+	response, _ := do(t, newServer(t, f), testRequest{"GET", "/s/desk/x", "", nil})
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("Retry-After"), "1")
+}
