Name what a document that is too costly would take

The detail of a 413 said that the body exceeds the largest size, also for a short document whose reading takes more memory than the VM may use. It now names what it takes and what is permitted.

Measured: the tests of operatorhttp and ctl pass.

--- a/internal/adapter/operatorhttp/body.go
+++ b/internal/adapter/operatorhttp/body.go
@@ -23,18 +23,18 @@
 	intake.Expect(w)
 	body, err := h.Bodies.Read(w, r, maxBytes, time.Time{})
 	if err != nil {
-		h.refuseBody(w, r, maxBytes, err)
+		h.refuseBody(w, r, err)
 		return nil, nil, false
 	}
 	text, err = body.Join(0)
 	if need := parseBytes(text); err == nil && need > h.Bodies.Largest() {
-		err = fmt.Errorf("%w: reading it takes about %d bytes of memory, and this VM may use %d for it", intake.ErrTooLarge, need, h.Bodies.Largest())
+		err = fmt.Errorf("%w: reading it takes about %d bytes of memory, %d are permitted by memory_bytes of this VM", intake.ErrTooLarge, need, h.Bodies.Largest())
 	} else if err == nil {
 		err = body.Reserve(need)
 	}
 	if err != nil {
 		body.Done()
-		h.refuseBody(w, r, maxBytes, err)
+		h.refuseBody(w, r, err)
 		return nil, nil, false
 	}
 	return text, body.Done, true
@@ -46,13 +46,13 @@
 
 // refuseBody answers a request whose body couldn't be read. This attempt has changed
 // nothing.
-func (h *handler) refuseBody(w http.ResponseWriter, r *http.Request, maxBytes int64, err error) {
+func (h *handler) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	status, reason := intake.Classify(err)
 	h.Refusals.Record("operators", reason, r.RemoteAddr)
 	code, detail := CodeBadRequest, "cannot read the request body: "+err.Error()
 	switch {
 	case errors.Is(err, intake.ErrTooLarge):
-		code, detail = CodeTooLarge, fmt.Sprintf("the body exceeds the maximum of %d bytes: %v", maxBytes, err)
+		code, detail = CodeTooLarge, err.Error()
 	case errors.Is(err, intake.ErrSlow):
 		code = CodeSlow
 	case status == http.StatusServiceUnavailable:
