Log which requests get no whole response, who ended their connection, and why

Each request whose connection ends before its whole response now has a record request-cut with who ended it (client, gateway), why, and after how long, on plain and on pipelined connections, and a counter requests.cut.BY.WHY; a head that was read in part and a connection that is closed with unread input, which resets it, are recorded too. Panics are logged with their stack on plain connections as well.

--- a/internal/adapter/logsink/sink.go
+++ b/internal/adapter/logsink/sink.go
@@ -8,6 +8,7 @@
 package logsink
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,9 @@
 	// flushPeriod delays each write so that it contains several records, because
 	// each write costs a system call.
 	flushPeriod = 100 * time.Millisecond
+	// writeBytes bounds each write, if a record is no longer: a pipe takes more than PIPE_BUF
+	// bytes in parts, between which the records of other processes may come.
+	writeBytes = 4 << 10
 	// bytesPerSecond is the rate and the burst of the token bucket. It limits the
 	// volume under load to about 150 records a second.
 	bytesPerSecond = 64 << 10
@@ -86,12 +90,29 @@
 	batch := s.buffer
 	s.buffer = nil
 	s.mu.Unlock()
-	if len(batch) > 0 {
+	for len(batch) > 0 {
+		n := wholeRecords(batch)
 		// A failure of the log output itself can't be logged.
-		_, _ = s.out.Write(batch)
+		_, _ = s.out.Write(batch[:n])
+		batch = batch[n:]
 	}
 }
 
+// wholeRecords returns the size of the records at the beginning of a batch that fit into one
+// write, of the first one at least. Each record ends with its only line feed.
+func wholeRecords(batch []byte) int {
+	if len(batch) <= writeBytes {
+		return len(batch)
+	}
+	if end := bytes.LastIndexByte(batch[:writeBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(batch, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(batch)
+}
+
 func (s *Sink) run() {
 	for range s.wake {
 		time.Sleep(flushPeriod)
--- a/internal/adapter/logsink/sink_test.go
+++ b/internal/adapter/logsink/sink_test.go
@@ -54,3 +54,41 @@
 	s.Flush()
 	is.Equal(s.Dropped(), int64(0))
 }
+
+// writes records the sizes of writes and whether each ended with a record.
+type writes struct {
+	sizes []int
+	torn  int
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.sizes = append(w.sizes, len(p))
+	if p[len(p)-1] != '\n' {
+		w.torn++
+	}
+	return len(p), nil
+}
+
+// TestRecordsOfSeveralProcesses guards against writes that a pipe takes in parts, so that
+// records of other processes come between.
+func TestRecordsOfSeveralProcesses(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	var out writes
+	s := &Sink{out: &out, tokens: bytesPerSecond, refilledAt: now, now: func() time.Time { return now }, wake: make(chan struct{}, 1)}
+	total := 0
+	for i := range 40 {
+		n, _ := s.Write(append(bytes.Repeat([]byte("x"), 37*i), '\n'))
+		total += n
+	}
+	longest, _ := s.Write(append(bytes.Repeat([]byte("x"), 2*writeBytes), '\n'))
+	_, _ = s.Write([]byte("x\n"))
+	s.Flush()
+	is.Equal(out.torn, 0)
+	sum := 0
+	for _, n := range out.sizes {
+		is.True(n <= writeBytes || n == longest)
+		sum += n
+	}
+	is.Equal(sum, total+longest+2)
+}
--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -162,6 +162,9 @@
 	}
 }
 
+// RecordCut implements port.PipelineMeter.
+func (m *Meter) RecordCut(by, why string) { m.count("requests.cut." + by + "." + why) }
+
 func outcome(accepted bool) string {
 	if accepted {
 		return "accepted"
--- a/internal/adapter/pipelinehttp/conn.go
+++ b/internal/adapter/pipelinehttp/conn.go
@@ -94,6 +94,7 @@
 	request  *http.Request
 	exchange Exchange
 	loop     *loop
+	journey  journey
 }
 
 // Read implements net.Conn.
@@ -102,6 +103,11 @@
 	if n > 0 {
 		c.record(p[:n], len(p) == 1)
 	}
+	if err != nil {
+		c.mu.Lock()
+		c.journey.readFailed(err)
+		c.mu.Unlock()
+	}
 	return n, err
 }
 
@@ -116,6 +122,9 @@
 	}
 	c.behind = background
 	if !background {
+		if c.journey.phase == responded {
+			c.journey.phase = between // net/http reads on once the response was sent
+		}
 		c.scan.add(read)
 	}
 	if background && c.state == watched {
--- a/internal/adapter/pipelinehttp/handler.go
+++ b/internal/adapter/pipelinehttp/handler.go
@@ -41,7 +41,7 @@
 	Drop()
 }
 
-// Options sets up a Handler. All fields but Budget are needed.
+// Options sets up a Handler. All fields but RequestID and Budget are needed.
 type Options struct {
 	Clock  port.Clock
 	Logger *slog.Logger
@@ -53,6 +53,8 @@
 	HeaderBytes   int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	// RequestID returns the ID of a request for logs. It may be nil.
+	RequestID func(*http.Request) string
 	// Budget bounds the memory of all requests that are read ahead; nil means no bound.
 	Budget *memory.Budget
 }
@@ -83,7 +85,15 @@
 	// The last response on the connection may have left a limit.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	c, _ := r.Context().Value(connKey{}).(*conn)
-	x, accepted := h.service.Receive(w, r, h.opts.Clock.Now())
+	at := h.opts.Clock.Now()
+	c.beginServing(h, r, at)
+	defer func() {
+		if v := recover(); v != nil {
+			h.recordPanic(v)
+			panic(http.ErrAbortHandler) // net/http closes the connection
+		}
+	}()
+	x, accepted := h.service.Receive(w, r, at)
 	switch {
 	case !accepted:
 		c.unwatch()
@@ -95,6 +105,7 @@
 	default:
 		h.serveWatched(c, w, r, x)
 	}
+	c.setPhase(responded)
 }
 
 // isFinal reports whether the connection isn't used for requests behind this one, or,
--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -52,9 +51,11 @@
 type entry struct {
 	pipeline.Progress
 	exchange Exchange
-	request  *http.Request
-	writer   *response
-	cancel   context.CancelFunc
+	// at is when its head had been read.
+	at      time.Time
+	request *http.Request
+	writer  *response
+	cancel  context.CancelFunc
 	// charged is what the budget was charged for it.
 	charged int64
 }
@@ -105,7 +106,7 @@
 		hijacked: make(chan struct{}), progress: make(chan struct{}, 1), lastMethod: r.Method,
 	}
 	l.ctx, l.cancel = context.WithCancel(c.context.Context)
-	l.first = &entry{exchange: x, request: r, cancel: func() {}}
+	l.first = &entry{exchange: x, request: r, at: c.journey.at, cancel: func() {}}
 	l.first.writer = newResponse(l, l.first)
 	l.queue.AddRunning(l.first)
 	l.served = 1
@@ -137,7 +138,7 @@
 // ends the connection and not the process.
 func (l *loop) endAfterPanic() {
 	if v := recover(); v != nil {
-		l.recordPanic(v)
+		l.handler.recordPanic(v)
 		l.end(reasonPanic)
 	}
 }
@@ -201,15 +202,6 @@
 	l.finish(e)
 }
 
-// recordPanic logs a panic that isn't http.ErrAbortHandler.
-func (l *loop) recordPanic(v any) {
-	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
-		return
-	}
-	event.Log(context.Background(), l.handler.opts.Logger, event.ServingPanicked,
-		slog.Any("panic", v), slog.String("stack", string(debug.Stack())))
-}
-
 // finish notes that a request has its answer and writes what is ready.
 func (l *loop) finish(e *entry) {
 	l.mu.Lock()
@@ -270,6 +262,7 @@
 func (l *loop) write(e *entry) {
 	switch err := l.writeWhole(e); {
 	case err != nil:
+		l.recordCut(e, reasonBroken)
 		l.end(reasonBroken)
 	case e.writer.closes:
 		l.end(reasonClosed)
@@ -280,7 +273,7 @@
 func (l *loop) writeWhole(e *entry) (err error) {
 	defer func() {
 		if v := recover(); v != nil {
-			l.recordPanic(v)
+			l.handler.recordPanic(v)
 			err = http.ErrAbortHandler
 		}
 	}()
@@ -324,6 +317,7 @@
 	l.mu.Unlock()
 	l.cancel()
 	for _, e := range unanswered {
+		l.recordCut(e, why)
 		if e.Answered() {
 			e.exchange.Drop()
 		}
@@ -342,6 +336,21 @@
 	}
 }
 
+// recordCut records a request that doesn't get its whole response.
+func (l *loop) recordCut(e *entry, why endReason) {
+	l.inner.mu.Lock()
+	j := l.inner.journey
+	l.inner.mu.Unlock()
+	by := byGateway
+	if why == reasonClientLeft || j.peerErr != nil {
+		by = byClient
+	}
+	l.handler.recordCut(cut{
+		request: l.handler.requestID(e.request), client: l.conn.RemoteAddr(), by: by, why: string(why), at: e.at,
+		ahead: e.Ahead(), started: e.Started(), err: errors.Join(j.peerErr, j.writeErr),
+	})
+}
+
 // cancelFirst cancels the context of the first request, if that is still being run, after
 // the connection was closed. net/http cancels it when a read of its own fails. A context
 // of this package would cost each connection some allocations.
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -205,7 +205,7 @@
 		l.end(reasonClientLeft)
 		return false
 	}
-	e := &entry{request: r, cancel: func() {}}
+	e := &entry{request: r, at: at, cancel: func() {}}
 	e.HeadBytes = l.consumed() - began
 	if l.charged > 0 {
 		e.charged = l.charged
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -22,6 +22,7 @@
 	"sassafrasreach/internal/adapter/metrics"
 	"sassafrasreach/internal/adapter/pipelinehttp"
 	"sassafrasreach/internal/core/memory"
+	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/testseed"
 )
@@ -151,6 +152,10 @@
 	server   *http.Server
 	listener net.Listener
 	idle     atomic.Int64 // limit of idle connections in nanoseconds
+	// cuts holds "ID by why" of each request that was recorded as cut off.
+	cuts []string
+	// panics counts the records of panics.
+	panics int
 }
 
 const (
@@ -165,10 +170,11 @@
 	s.reaper = idleconns.New(port.ClockFunc(time.Now), func() idleconns.Limits {
 		return idleconns.Limits{Idle: time.Duration(s.idle.Load())}
 	})
-	logger := slog.New(slog.DiscardHandler)
+	logger := slog.New(records{s})
 	s.handler = pipelinehttp.New(s.service, pipelinehttp.Options{
 		Clock: port.ClockFunc(time.Now), Logger: logger, Meter: metrics.New(), ConnState: s.reaper.ConnState, Budget: budget,
 		HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: time.Minute,
+		RequestID: func(r *http.Request) string { return r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:] },
 	})
 	s.server = &http.Server{
 		Handler: s.handler, ConnState: s.reaper.ConnState, ConnContext: s.handler.ConnContext,
@@ -187,6 +193,30 @@
 	return s
 }
 
+// records is a slog.Handler that keeps what the rig checks.
+type records struct{ *rig }
+
+func (records) Enabled(_ context.Context, level slog.Level) bool { return level >= slog.LevelInfo }
+func (h records) WithAttrs([]slog.Attr) slog.Handler             { return h }
+func (h records) WithGroup(string) slog.Handler                  { return h }
+
+func (h records) Handle(_ context.Context, r slog.Record) error {
+	attrs := make(map[string]string)
+	r.Attrs(func(a slog.Attr) bool {
+		attrs[a.Key] = a.Value.String()
+		return true
+	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch r.Message {
+	case event.RequestCut.Name:
+		h.cuts = append(h.cuts, attrs["request"]+" "+attrs["by"]+" "+attrs["why"])
+	case event.ServingPanicked.Name:
+		h.panics++
+	}
+	return nil
+}
+
 type client struct {
 	*is.I
 	*net.TCPConn
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -265,6 +265,7 @@
 func newClients(p *vmProcess, clients platform.Clients, connState func(net.Conn, http.ConnState)) *pipelinehttp.Handler {
 	return pipelinehttp.New(clients, pipelinehttp.Options{
 		Clock: p.clock, Logger: p.logger, Meter: p.meter, ConnState: connState, Budget: p.memory,
+		RequestID:   platform.RequestID,
 		HeaderBytes: clientHeaderBytes, HeaderTimeout: clientHeaderTimeout, IdleTimeout: clientIdleTimeout,
 	})
 }
--- a/internal/core/pipeline/queue.go
+++ b/internal/core/pipeline/queue.go
@@ -41,6 +41,9 @@
 // Ahead reports whether the request was started while earlier ones were unanswered.
 func (p *Progress) Ahead() bool { return p.ahead }
 
+// Started reports whether the request was started, also if it is answered by now.
+func (p *Progress) Started() bool { return p.state != waiting }
+
 // Answered reports whether the request has its answer.
 func (p *Progress) Answered() bool { return p.state == answered }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -110,7 +110,8 @@
 	LeaseRenewed           = Event{1709, "lease-renewed", slog.LevelInfo, "This gateway serves requests with keys again, because its configuration was confirmed."}
 	ConnectionTakenOver    = Event{1740, "pipelining-begun", slog.LevelInfo, "A client sent a request behind one that wasn't answered; its connection is read ahead from now on. There is one record a second at most; the attribute omitted counts those left out."}
 	PipelineCut            = Event{1741, "pipelining-cut", slog.LevelInfo, "A connection with pipelined requests ended before all of them were answered; attributes give the reason and the numbers of requests canceled, served and read ahead. There is one record a second at most; the attribute omitted counts those left out."}
-	ServingPanicked        = Event{1742, "serving-panicked", slog.LevelError, "Serving a pipelined request failed unexpectedly; its connection was closed, the process goes on. Report it with the stack in the record."}
+	RequestCut             = Event{1743, "request-cut", slog.LevelInfo, "A client's connection ended before a request on it had its whole response; attributes give the request, who ended the connection, why, the time since the head was read, the bytes written since then, and, of pipelined requests, whether it was read ahead and started. A request that wasn't served has no ID; attribute received counts the bytes read of it."}
+	ServingPanicked        = Event{1742, "serving-panicked", slog.LevelError, "Serving a request failed unexpectedly; its connection was closed, the process goes on. Report it with the stack in the record."}
 	SettingsFailed         = Event{1706, "settings-failed", slog.LevelError, "The settings file can't be read; the settings in use are kept."}
 )
 
@@ -129,5 +130,5 @@
 	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable, QuotaExceeded,
 	ReportsMistrusted, ConcurrencyLimited,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive, LeaseEnded, LeaseRenewed,
-	LinkUseChanged, ClientRefused, ConnectionTakenOver, PipelineCut, ServingPanicked,
+	LinkUseChanged, ClientRefused, ConnectionTakenOver, PipelineCut, ServingPanicked, RequestCut,
 }
--- a/internal/port/meter.go
+++ b/internal/port/meter.go
@@ -34,6 +34,9 @@
 	// RecordPipelineEnd records the end of a connection that was read ahead, and how many
 	// requests were canceled by it.
 	RecordPipelineEnd(canceled int)
+	// RecordCut records a request that didn't get its whole response before its connection
+	// ended, who ended that, and why.
+	RecordCut(by, why string)
 }
 
 // FleetMeter records the metrics of gateways and controllers.
