--- a/internal/app/gateway/watch.go
+++ b/internal/app/gateway/watch.go
@@ -283,7 +283,9 @@
 		event.Log(context.Background(), g.ports.Logger, event.ConfigApplied,
 			slog.Uint64("sequence", u.Sequence), slog.Uint64("version", u.State.Config.Version),
 			slog.Int64("confirmed_ms_ago", now.Sub(u.Confirmed).Milliseconds()),
-			slog.Bool("former_release", former), slog.Int("accounts", len(u.State.Config.Accounts)))
+			slog.Bool("former_release", former), slog.Int("accounts", len(u.State.Config.Accounts)),
+			slog.Int("routes", len(u.State.Config.Routes)), slog.Int64("idle_timeout_ms", u.State.Config.Limits.IdleTimeout.Milliseconds()),
+			slog.Int64("took_ms", g.ports.Clock.Now().Sub(now).Milliseconds()))
 	}
 	for _, l := range u.Dispatchers {
 		until := now.Add(l.Remaining)
