Never close a connection as idle on which a request has arrived

Between the read from the kernel and the lock that notes it lay a second, smaller window.

Change: closing is left to the reader. Package sockinput asks the kernel, also behind wrapped connections; it takes over what pipelinehttp had for itself.

--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -1,6 +1,7 @@
 // Package idleconns closes idle connections of an HTTP server. Unlike the timeouts
-// of http.Server, its limits may change while the server runs, and unlike
-// http.Server.Shutdown it never closes a connection whose next request was read.
+// of http.Server, its limits may change while the server runs, and unlike those and
+// http.Server.Shutdown it never closes a connection on which a next request has arrived,
+// whether that was read or not: a process that gets little processor time may read it late.
 //
 // A connection is idle while no request is being received or handled on it.
 package idleconns
@@ -10,9 +11,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"sassafrasreach/internal/adapter/sockinput"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
 )
@@ -73,9 +76,11 @@
 	return &conn{Conn: c}, nil
 }
 
-// conn is a connection that is closed as idle only if nothing of a next request
-// was read from it. http.Server reports that state only after the request's head
-// was read.
+// conn is a connection that is closed as idle only if nothing of a next request has
+// arrived. http.Server reports that state only after the request's head was read.
+//
+// The reader closes it: closeIdle only ends its read. So what the reader has just read, or
+// what the kernel holds, counts, however long ago it arrived.
 type conn struct {
 	net.Conn
 
@@ -83,6 +88,11 @@
 	// received is true once a byte was read since the last response; closed once
 	// the connection was closed as idle. Guarded by mu.
 	received, closed bool
+	// ending means that closeIdle has ended the read, which may not have returned yet.
+	// Guarded by mu.
+	ending bool
+	// deadline is that of reads as the owner of the connection has set it. Guarded by mu.
+	deadline time.Time
 }
 
 // NetConn returns the connection of the server's own listener.
@@ -90,14 +100,55 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	for {
+		n, err := c.Conn.Read(p)
+		if again, closed := c.afterRead(n, err); closed {
+			return 0, net.ErrClosed
+		} else if !again {
+			return n, err
+		}
+	}
+}
+
+// afterRead handles the result of a read. again means that closeIdle has ended it although
+// bytes have arrived; closed, that the connection was closed as idle.
+func (c *conn) afterRead(n int, err error) (again, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return 0, net.ErrClosed // what arrived meanwhile is not handled
+		return false, true
 	}
 	c.received = c.received || n > 0
-	return n, err
+	if !c.ending {
+		return false, false
+	}
+	c.ending = false
+	_ = c.Conn.SetReadDeadline(c.deadline)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, false
+	}
+	if c.received || sockinput.Pending(c.Conn) {
+		return true, false
+	}
+	c.closed = true
+	_ = c.Close()
+	return false, true
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline, c.ending = t, false
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline, c.ending = t, false
+	return c.Conn.SetDeadline(t)
 }
 
 // CloseWrite closes the sending side, if the connection can do that. The server uses it so
@@ -117,13 +168,14 @@
 	c.received = false
 }
 
-// closeIdle closes the connection unless something of a next request was read.
+// closeIdle lets the reader close the connection unless something of a next request has
+// arrived. If nobody reads at the moment, or its owner sets another deadline, a later call does.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.received && !c.closed {
-		c.closed = true
-		_ = c.Close()
+		c.ending = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
--- a/internal/adapter/idleconns/idleconns_test.go
+++ b/internal/adapter/idleconns/idleconns_test.go
@@ -20,8 +20,14 @@
 
 // startServer starts a server whose idle connections r closes.
 func startServer(r *idleconns.Reaper, h http.Handler) *httptest.Server {
+	return startServerOn(r, &stall{}, h)
+}
+
+// startServerOn is startServer with connections that the test can stall.
+func startServerOn(r *idleconns.Reaper, s *stall, h http.Handler) *httptest.Server {
 	server := httptest.NewUnstartedServer(h)
-	server.Listener = r.Listener(server.Listener)
+	s.Listener = server.Listener
+	server.Listener = r.Listener(s)
 	server.Config.ConnState = r.ConnState
 	server.Start()
 	return server
--- a/internal/adapter/pipelinehttp/conn.go
+++ b/internal/adapter/pipelinehttp/conn.go
@@ -97,6 +97,9 @@
 	journey  journey
 }
 
+// NetConn returns the connection of the underlying listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/adapter/pipelinehttp/cut.go
+++ b/internal/adapter/pipelinehttp/cut.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"time"
 
+	"sassafrasreach/internal/adapter/sockinput"
 	"sassafrasreach/internal/event"
 )
 
@@ -111,7 +112,7 @@
 	c.mu.Unlock()
 	if first && mine && h != nil {
 		by, why := j.cause(received)
-		if why == "" && j.peerErr == nil && hasInput(c.Conn) {
+		if why == "" && j.peerErr == nil && sockinput.Pending(c.Conn) {
 			by, why = byGateway, cutUnread
 		}
 		if why == cutUnserved {
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -10,6 +10,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"sassafrasreach/internal/adapter/sockinput"
 )
 
 // headSlop is how many bytes beyond the limit of a head may be read, as in net/http.
@@ -171,7 +173,7 @@
 	case <-l.progress:
 	case <-l.ctx.Done():
 	case <-timer.C:
-		if peerClosed(l.inner.Conn) {
+		if sockinput.PeerClosed(l.inner.Conn) {
 			l.end(reasonClientLeft)
 		}
 	}
