Don't close a connection for another one while its request lies unread

The kernel is asked before: a connection with unread input is passed over, one with a part of a head comes after those without. At most 16 are looked at.

The stalled connections of the tests moved to internal/teststall.

--- a/internal/adapter/connlimit/connlimit.go
+++ b/internal/adapter/connlimit/connlimit.go
@@ -1,6 +1,7 @@
 // Package connlimit bounds the open connections of an HTTP server and the memory of the
 // heads that are read from them. When there is no room for another connection, it closes
-// one that sends no requests: first those that never sent one, then those that are idle.
+// one that sends no requests: first those that never sent one, then those that are idle. It
+// doesn't close one whose next request has arrived, read or not.
 package connlimit
 
 import (
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"sassafrasreach/internal/adapter/sockinput"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/port"
 )
@@ -22,6 +24,8 @@
 	// closingSlack is how many connections may be open beyond the limit while others are
 	// being closed for them.
 	closingSlack = 16
+	// maxLooked bounds the connections that are looked at to find one that can be closed.
+	maxLooked = 16
 	// freeHeadBytes is the part of a head that isn't charged, and parsedHeadCost what a
 	// byte beyond it may take once it is parsed: a head of short lines takes far more
 	// memory than it has bytes.
@@ -160,15 +164,36 @@
 // a request, else the one that has been idle for longest; nil if there is none. Must hold
 // mu.
 func (l *Limiter) leastUseful() *conn {
-	if first := l.unserved.Front(); first != nil {
-		if c := first.Value.(*conn); l.opts.Clock.Now().Sub(c.since) >= headGrace {
+	due := l.opts.Clock.Now().Add(-headGrace)
+	if c := firstWithoutInput(l.unserved, func(c *conn) bool { return !c.since.After(due) }); c != nil {
+		return c
+	}
+	return firstWithoutInput(l.idle, func(*conn) bool { return true })
+}
+
+// firstWithoutInput returns the first connection of a list from which nothing has arrived since
+// its last response, else the first one with a part of a head; nil if there is none among the
+// first maxLooked that are due. A connection with unread input isn't closed: what lies there
+// may be a whole request, which would be lost.
+func firstWithoutInput(in *list.List, due func(*conn) bool) *conn {
+	var begun *conn
+	looked := 0
+	for e := in.Front(); e != nil && looked < maxLooked; e = e.Next() {
+		c := e.Value.(*conn)
+		if !due(c) {
+			break
+		}
+		looked++
+		switch {
+		case c.headBytes > 0 && begun != nil:
+		case sockinput.Pending(c.Conn):
+		case c.headBytes > 0:
+			begun = c
+		default:
 			return c
 		}
 	}
-	if first := l.idle.Front(); first != nil {
-		return first.Value.(*conn)
-	}
-	return nil
+	return begun
 }
 
 // remove gives back what a connection holds. Must hold mu.
--- a/internal/adapter/connlimit/connlimit_test.go
+++ b/internal/adapter/connlimit/connlimit_test.go
@@ -16,6 +16,7 @@
 	"sassafrasreach/internal/adapter/connlimit"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/teststall"
 )
 
 // server is a server with a bound of four connections.
@@ -28,6 +29,11 @@
 }
 
 func startServer(t *testing.T, handler http.HandlerFunc) *server {
+	return startServerOn(t, &teststall.Listener{}, handler)
+}
+
+// startServerOn is startServer with connections that the test can stall.
+func startServerOn(t *testing.T, l *teststall.Listener, handler http.HandlerFunc) *server {
 	s := &server{budget: memory.NewBudget(2 << 20)}
 	limiter := connlimit.New(connlimit.Options{
 		Max: 4, Budget: s.budget, Clock: port.ClockFunc(time.Now), MakeRoom: func() bool { return false },
@@ -38,7 +44,8 @@
 		},
 	})
 	inner := httptest.NewUnstartedServer(handler)
-	inner.Listener = limiter.Listener(inner.Listener)
+	l.Listener = inner.Listener
+	inner.Listener = limiter.Listener(l)
 	inner.Config.ConnState = limiter.ConnState
 	inner.Config.MaxHeaderBytes = 1 << 20
 	inner.Start()
@@ -87,6 +94,42 @@
 	is.Equal(s.reasons, []string{"idle-connection", "idle-connection", "idle-connection", "idle-connection"})
 }
 
+// TestArrivedRequest guards against a connection that is closed for another one although its
+// request has arrived, and the process only hasn't read it: the first on the connection, or a
+// further one.
+func TestArrivedRequest(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		t.Run(fmt.Sprint("first ", first), func(t *testing.T) {
+			is := is.New(t)
+			l := &teststall.Listener{}
+			requests := 0
+			s := startServerOn(t, l, func(http.ResponseWriter, *http.Request) {
+				if requests++; requests == 1 && !first {
+					l.AwaitRead()
+					l.Before.Lock()
+				}
+			})
+			used := s.dial(t)
+			if first {
+				l.Before.Lock()
+			} else {
+				is.True(s.get(used))
+			}
+			_, err := io.WriteString(used, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+			is.NoErr(err)
+			time.Sleep(600 * time.Millisecond) // more than a new connection has for its request
+			for range 4 {
+				s.dial(t)
+			}
+			time.Sleep(50 * time.Millisecond)
+			l.Before.Unlock()
+			is.NoErr(used.SetReadDeadline(time.Now().Add(10 * time.Second)))
+			n, err := used.Read(make([]byte, 1000))
+			is.True(n > 0 && err == nil)
+		})
+	}
+}
+
 // TestBusyConnections guards against a connection that is closed while its request is
 // handled: those that come then are refused.
 func TestBusyConnections(t *testing.T) {
