Look for an arrived request when the idle timeout of a pipelined connection ends

Same class, on connections that were taken over: Go's poller returns the error of a deadline that has passed even if data is there, so a process that stood still until the deadline closed the connection with its next request unread. The kernel is asked first.

--- a/internal/adapter/pipelinehttp/pipeline_test.go
+++ b/internal/adapter/pipelinehttp/pipeline_test.go
@@ -354,6 +354,26 @@
 	running.answered("GET 4 ", false)
 }
 
+// TestArrivedRequest guards against a connection that is closed by its idle timeout although its
+// next request has arrived, and the process only hasn't read it.
+func TestArrivedRequest(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	s := newIdleRig(t, nil, idleTimeout)
+	s.received = func(x *exchange) {
+		if x.id == "2" {
+			s.reads.Before.Lock() // the read of the next request stands still
+		}
+	}
+	c := s.dial(t)
+	c.send(get("/safe/1?ms=20"), get("/safe/2"))
+	c.answered("GET 1 ", false)
+	c.answered("GET 2 ", false)
+	c.send(get("/safe/3"))
+	time.Sleep(2 * idleTimeout)
+	s.reads.Before.Unlock()
+	c.answered("GET 3 ", false)
+}
+
 // TestForcedStop guards against connections that were taken over and outlast the end of a
 // planned stop.
 func TestForcedStop(t *testing.T) {
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -83,6 +83,9 @@
 func (l *loop) awaitByte() bool {
 	l.source.left = math.MaxInt64
 	err := l.peekRequest()
+	for errors.Is(err, os.ErrDeadlineExceeded) && l.hasArrived() {
+		err = l.peekRequest()
+	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		l.end(reasonIdle)
@@ -102,6 +105,18 @@
 	return true
 }
 
+// hasArrived reports whether a request has arrived that wasn't read before the idle timeout, and
+// lets it be read.
+func (l *loop) hasArrived() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queue.Ended() || !sockinput.Pending(l.inner.Conn) {
+		return false
+	}
+	_ = l.conn.SetReadDeadline(time.Time{})
+	return true
+}
+
 // peekRequest waits for the first byte of a request. It skips up to two empty lines, which
 // some clients send behind a POST.
 func (l *loop) peekRequest() error {
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -25,6 +25,7 @@
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/testseed"
+	"sassafrasreach/internal/teststall"
 )
 
 // service runs requests as their targets say: /safe/ID may run concurrently, all others
@@ -151,6 +152,7 @@
 	reaper   *idleconns.Reaper
 	server   *http.Server
 	listener net.Listener
+	reads    teststall.Listener
 	idle     atomic.Int64 // limit of idle connections in nanoseconds
 	// cuts holds "ID by why" of each request that was recorded as cut off.
 	cuts []string
@@ -165,7 +167,10 @@
 
 func TestMain(m *testing.M) { testseed.Main(m, testseed.Settings{Seed: 1740, Checks: 60}) }
 
-func newRig(t testing.TB, budget *memory.Budget) *rig {
+func newRig(t testing.TB, budget *memory.Budget) *rig { return newIdleRig(t, budget, time.Minute) }
+
+// newIdleRig is newRig with an idle timeout of the connections that were taken over.
+func newIdleRig(t testing.TB, budget *memory.Budget, idleTimeout time.Duration) *rig {
 	s := &rig{I: is.New(t.(is.T)), service: &service{release: make(chan struct{}), unfinished: make(map[string]bool)}}
 	s.reaper = idleconns.New(port.ClockFunc(time.Now), func() idleconns.Limits {
 		return idleconns.Limits{Idle: time.Duration(s.idle.Load())}
@@ -173,7 +178,7 @@
 	logger := slog.New(records{s})
 	s.handler = pipelinehttp.New(s.service, pipelinehttp.Options{
 		Clock: port.ClockFunc(time.Now), Logger: logger, Meter: metrics.New(), ConnState: s.reaper.ConnState, Budget: budget,
-		HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: time.Minute,
+		HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		RequestID: func(r *http.Request) string { return r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:] },
 	})
 	s.server = &http.Server{
@@ -183,7 +188,8 @@
 	var err error
 	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
 	s.NoErr(err)
-	go func() { _ = s.server.Serve(s.reaper.Listener(pipelinehttp.Listener(s.listener))) }()
+	s.reads.Listener = s.listener
+	go func() { _ = s.server.Serve(s.reaper.Listener(pipelinehttp.Listener(&s.reads))) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/internal/teststall/teststall.go
+++ b/internal/teststall/teststall.go
@@ -53,6 +53,9 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side.
+func (c *conn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
 // wait waits while a test holds the lock.
 func wait(l *sync.RWMutex) {
 	l.RLock()
