Tell clients how long they may keep a connection, and keep it longer

Cause: a gateway closed connections 15 to 16 s after their last response, as the configuration says, but never told its clients. Each such request races with the close: one that is on its way behind a configuration on a link of 2 Mbit/s, or that a process without processor time hasn't read, is lost. A configuration with a shorter timeout closed connections at once whose clients knew the longer one.

Change: responses that keep the connection state idleTimeoutS as Keep-Alive: timeout=, the gateway keeps it 2 s longer than was stated, and the limit that was in force at the last response holds. http.Server's own idle timeout no longer acts on these connections: it doesn't look at their input.

--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -51,10 +51,11 @@
 	open int
 }
 
-// idleState holds the time since when a connection has been idle, and whether a
-// response has been sent on it.
+// idleState holds the time since when a connection has been idle, how long it may be,
+// where zero means no limit, and whether a response has been sent on it.
 type idleState struct {
 	since     time.Time
+	limit     time.Duration
 	responded bool
 }
 
@@ -93,6 +94,10 @@
 	ending bool
 	// deadline is that of reads as the owner of the connection has set it. Guarded by mu.
 	deadline time.Time
+
+	// activeLimit is the limit for idle connections when the last request was received.
+	// Guarded by the mu of the Reaper.
+	activeLimit time.Duration
 }
 
 // NetConn returns the connection of the server's own listener.
@@ -193,12 +198,15 @@
 	switch to {
 	case http.StateNew:
 		r.open++
-		r.idle[c] = idleState{since: r.clock.Now()}
+		r.idle[c] = idleState{since: r.clock.Now(), limit: r.limits().Header}
+	case http.StateActive:
+		c.activeLimit = r.limits().Idle
 	case http.StateIdle:
 		if !r.taken[c] {
 			c.AwaitRequest()
 		}
-		r.idle[c] = idleState{r.clock.Now(), true}
+		// The client was told one of these with the response.
+		r.idle[c] = idleState{r.clock.Now(), max(r.limits().Idle, c.activeLimit), true}
 	case http.StateHijacked:
 		r.taken[c] = true
 	case http.StateClosed:
@@ -208,9 +216,30 @@
 	}
 }
 
-// Sweep closes the connections that exceed their limit. It should be called about
-// once a second.
-func (r *Reaper) Sweep() { r.closeOver(r.limits()) }
+// Sweep closes the connections that exceed the limit that was in force when they became
+// idle, or else the present one. It should be called about once a second.
+func (r *Reaper) Sweep() {
+	now, limits := r.clock.Now(), r.limits()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c, s := range r.idle {
+		limit := s.limit
+		if limit == 0 {
+			limit = limits.of(s)
+		}
+		if limit > 0 && now.Sub(s.since) > limit {
+			c.closeIdle()
+		}
+	}
+}
+
+// of returns the limit for a connection.
+func (l Limits) of(s idleState) time.Duration {
+	if s.responded {
+		return l.Idle
+	}
+	return l.Header
+}
 
 // closeOver closes the connections that have been idle for longer than a limit.
 func (r *Reaper) closeOver(limits Limits) {
@@ -218,11 +247,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c, s := range r.idle {
-		limit := limits.Header
-		if s.responded {
-			limit = limits.Idle
-		}
-		if limit > 0 && now.Sub(s.since) > limit {
+		if now.Sub(s.since) > limits.of(s) {
 			c.closeIdle()
 		}
 	}
--- a/internal/adapter/idleconns/idleconns_test.go
+++ b/internal/adapter/idleconns/idleconns_test.go
@@ -140,3 +140,30 @@
 	begun.closed()
 	is.NoErr(<-stopped)
 }
+
+// TestShorterLimit guards against a connection that is closed by a limit that came into force
+// after its client was told a longer one.
+func TestShorterLimit(t *testing.T) {
+	var offset, idle atomic.Int64 // offset of the fake clock and the limit, in nanoseconds
+	idle.Store(int64(15 * time.Second))
+	r := idleconns.New(
+		port.ClockFunc(func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }),
+		func() idleconns.Limits { return idleconns.Limits{Idle: time.Duration(idle.Load())} },
+	)
+	server := startServer(r, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	c := dial(t, server)
+	c.send(requestStart + requestEnd)
+	c.answered()
+	idle.Store(int64(5 * time.Second))
+	offset.Store(int64(14 * time.Second))
+	r.Sweep()
+	time.Sleep(50 * time.Millisecond) // the reader would close the connection
+	c.send(requestStart + requestEnd)
+	c.answered()
+	c.send(requestStart + requestEnd) // received under the shorter limit
+	c.answered()
+	offset.Add(int64(6 * time.Second))
+	r.Sweep()
+	c.closed()
+}
--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -408,6 +408,7 @@
 // isn't read. The server would read it, for as long as it takes.
 func CloseAfter(w http.ResponseWriter, respond func()) {
 	w.Header().Set("Connection", "close")
+	w.Header().Del("Keep-Alive")
 	respond()
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
--- a/internal/adapter/pipelinehttp/handler.go
+++ b/internal/adapter/pipelinehttp/handler.go
@@ -41,7 +41,7 @@
 	Drop()
 }
 
-// Options sets up a Handler. All fields but RequestID and Budget are needed.
+// Options sets up a Handler. All fields but ClientIdleTimeout, RequestID and Budget are needed.
 type Options struct {
 	Clock  port.Clock
 	Logger *slog.Logger
@@ -53,6 +53,10 @@
 	HeaderBytes   int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	// ClientIdleTimeout returns how long clients may keep a connection without a request, which
+	// responses state in whole seconds. It may be nil: they don't state it. Connections must be
+	// kept open for longer, since the last request may take a while to arrive.
+	ClientIdleTimeout func() time.Duration
 	// RequestID returns the ID of a request for logs. It may be nil.
 	RequestID func(*http.Request) string
 	// Budget bounds the memory of all requests that are read ahead; nil means no bound.
@@ -68,6 +72,7 @@
 	taken      atomic.Int64
 	takeovers  limitedEvent
 	cutRecords limitedEvent
+	keepAlive  atomic.Pointer[keepAliveValue]
 }
 
 // New returns a Handler.
@@ -79,8 +84,11 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	stopping := h.service.Stopping()
-	if stopping {
+	switch {
+	case stopping:
 		w.Header().Set("Connection", "close")
+	case !isFinal(r):
+		h.setKeepAlive(w.Header())
 	}
 	// The last response on the connection may have left a limit.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
--- a/internal/adapter/pipelinehttp/response.go
+++ b/internal/adapter/pipelinehttp/response.go
@@ -128,6 +128,10 @@
 // setConnection sets the header Connection.
 func (w *response) setConnection() {
 	w.header.Del("Connection")
+	w.header.Del(headerKeepAlive)
+	if !w.closes && w.request.ProtoAtLeast(1, 1) {
+		w.loop.handler.setKeepAlive(w.header)
+	}
 	switch {
 	case w.closes && w.request.ProtoAtLeast(1, 1):
 		w.header.Set("Connection", "close")
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -154,6 +154,8 @@
 	listener net.Listener
 	reads    teststall.Listener
 	idle     atomic.Int64 // limit of idle connections in nanoseconds
+	// told is how long clients may keep a connection, in nanoseconds.
+	told atomic.Int64
 	// cuts holds "ID by why" of each request that was recorded as cut off.
 	cuts []string
 	// panics counts the records of panics.
@@ -179,7 +181,8 @@
 	s.handler = pipelinehttp.New(s.service, pipelinehttp.Options{
 		Clock: port.ClockFunc(time.Now), Logger: logger, Meter: metrics.New(), ConnState: s.reaper.ConnState, Budget: budget,
 		HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		RequestID: func(r *http.Request) string { return r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:] },
+		ClientIdleTimeout: func() time.Duration { return time.Duration(s.told.Load()) },
+		RequestID:         func(r *http.Request) string { return r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:] },
 	})
 	s.server = &http.Server{
 		Handler: s.handler, ConnState: s.reaper.ConnState, ConnContext: s.handler.ConnContext,
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -261,11 +261,12 @@
 }
 
 // newClients returns the handler of clients that may send further requests before the
-// first one has been answered. connState is called as by http.Server.
-func newClients(p *vmProcess, clients platform.Clients, connState func(net.Conn, http.ConnState)) *pipelinehttp.Handler {
+// first one has been answered. connState is called as by http.Server; idleTimeout returns how
+// long clients may keep a connection without a request.
+func newClients(p *vmProcess, clients platform.Clients, connState func(net.Conn, http.ConnState), idleTimeout func() time.Duration) *pipelinehttp.Handler {
 	return pipelinehttp.New(clients, pipelinehttp.Options{
 		Clock: p.clock, Logger: p.logger, Meter: p.meter, ConnState: connState, Budget: p.memory,
-		RequestID:   platform.RequestID,
+		RequestID: platform.RequestID, ClientIdleTimeout: idleTimeout,
 		HeaderBytes: clientHeaderBytes, HeaderTimeout: clientHeaderTimeout, IdleTimeout: clientIdleTimeout,
 	})
 }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -14,6 +14,7 @@
 	"sassafrasreach/internal/adapter/pacedconn"
 	"sassafrasreach/internal/adapter/pipelinehttp"
 	"sassafrasreach/internal/app/gateway"
+	"sassafrasreach/internal/core/fleet"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/wait"
@@ -30,8 +31,19 @@
 	stopMargin = 300 * time.Millisecond
 	// drainPollInterval is the time between two checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
+	// idleSlack is how much longer a gateway keeps an idle connection than its clients may use
+	// it: a request that is sent just before that may wait on a busy link.
+	idleSlack = 2 * time.Second
 )
 
+// idleTimeout returns how long clients may keep a connection without a request.
+func idleTimeout(limits fleet.Limits) time.Duration {
+	if limits.IdleTimeout <= 0 {
+		return clientIdleTimeout
+	}
+	return limits.IdleTimeout
+}
+
 // runGateway runs a gateway until its planned stop is complete.
 func runGateway(_ context.Context, args []string, stdout, stderr io.Writer) int {
 	return withVM("gateway", args, stdout, stderr, func(*flag.FlagSet) {}, serveGateway)
@@ -41,7 +53,7 @@
 	g, endpoints := newGateway(p)
 	idle := idleconns.New(p.clock, func() idleconns.Limits {
 		limits, _ := g.Limits()
-		return idleconns.Limits{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
+		return idleconns.Limits{Header: limits.HeaderTimeout, Idle: idleTimeout(limits) + idleSlack}
 	})
 	listener, err := listenFor(ctx, "clients", p.settings.ClientListen)
 	if err != nil {
@@ -53,9 +65,13 @@
 		limiter.ConnState(c, s)
 		idle.ConnState(c, s)
 	}
-	pipelines := newClients(p, platform.NewBoundedClients(g, p.clock, bodies, p.refusals), connState)
+	pipelines := newClients(p, platform.NewBoundedClients(g, p.clock, bodies, p.refusals), connState, func() time.Duration {
+		limits, _ := g.Limits()
+		return idleTimeout(limits)
+	})
 	clients := p.newServer(pipelines, clientHeaderBytes)
 	clients.ConnState, clients.ConnContext = connState, pipelines.ConnContext
+	clients.IdleTimeout = 0 // idle closes them
 	p.serveOn(ctx, "clients", idle.Listener(limiter.Listener(p.traffic.Listener(pacedconn.Listener(pipelinehttp.Listener(listener), p.settings.LinkBitsPerSecond, p.clock)))), clients)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
 	go wait.Every(ctx, sweepPeriod, bodies.Sweep)
