Keep the handler of a pipelined connection until its response is written

Cause: the handler of the first request notes its answer and then writes what is ready, unless another goroutine does. If the goroutine of a request behind took the response between the two, the handler returned at once; net/http then cancels the context of the request, within which the rest of a streamed response is read from its endpoint. Responses that were read whole don't depend on that context.

The handler now waits until the response of its request is written or the connection has ended.

--- a/internal/adapter/pipelinehttp/handler.go
+++ b/internal/adapter/pipelinehttp/handler.go
@@ -144,5 +144,8 @@
 	}
 	<-l.hijacked
 	l.finish(l.first)
+	// Another goroutine may write the response. net/http cancels the context of the request,
+	// within which the response may still be read from its endpoint, when the handler returns.
+	<-l.firstEnded
 	complete = true
 }
--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -78,6 +78,8 @@
 	source   source
 	reader   *bufio.Reader
 	writer   *bufio.Writer
+	// firstEnded is closed once the first request has its response or gets none any more.
+	firstEnded chan struct{}
 	// progress holds an element after a response was written.
 	progress chan struct{}
 	// lastMethod is the method of the request that was read last, charged what the budget
@@ -103,7 +105,7 @@
 func newLoop(c *conn, h *Handler, r *http.Request, x Exchange) *loop {
 	l := &loop{
 		handler: h, inner: c, conn: c.server, account: h.opts.Budget.OpenFor(memory.ReadAhead),
-		hijacked: make(chan struct{}), progress: make(chan struct{}, 1), lastMethod: r.Method,
+		hijacked: make(chan struct{}), firstEnded: make(chan struct{}), progress: make(chan struct{}, 1), lastMethod: r.Method,
 	}
 	l.ctx, l.cancel = context.WithCancel(c.context.Context)
 	l.first = &entry{exchange: x, request: r, at: c.journey.at, cancel: func() {}}
@@ -230,6 +232,7 @@
 		e.cancel()
 		if e == l.first {
 			l.first = nil
+			close(l.firstEnded)
 		}
 		if !l.queue.EndWrite() {
 			return
@@ -313,6 +316,9 @@
 	served, ahead := l.served-canceled, l.ahead
 	for _, e := range unanswered {
 		e.cancel()
+		if e == l.first {
+			close(l.firstEnded)
+		}
 	}
 	l.mu.Unlock()
 	l.cancel()
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -31,7 +31,9 @@
 // service runs requests as their targets say: /safe/ID may run concurrently, all others
 // may not. The query gives ms, how long a run takes; wait=1, that it waits for release;
 // close=1, that the response closes the connection; abort=1, that it breaks off; short=1,
-// that it ends early; panic=run or panic=receive, that serving it panics; and bytes, the size of its body, which otherwise is the method, the ID and the request body.
+// that it ends early; stream=1, that it is read from its endpoint for streamTime; panic=run
+// or panic=receive, that serving it panics; and bytes, the size of its body, which otherwise
+// is the method, the ID and the request body.
 type service struct {
 	stopping atomic.Bool
 	release  chan struct{}
@@ -130,6 +132,16 @@
 		text = strings.Repeat("x", n)
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)+len(x.r.FormValue("short"))))
+	if x.r.FormValue("stream") != "" {
+		_, _ = io.WriteString(w, text[:1])
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-x.r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(streamTime):
+		}
+		text = text[1:]
+	}
 	if x.r.FormValue("abort") != "" {
 		_, _ = io.WriteString(w, text[:1])
 		panic(http.ErrAbortHandler)
@@ -164,7 +176,9 @@
 
 const (
 	headerTimeout = 300 * time.Millisecond
-	headerBytes   = 8 << 10
+	// streamTime is how long a streamed response takes.
+	streamTime  = 20 * time.Millisecond
+	headerBytes = 8 << 10
 )
 
 func TestMain(m *testing.M) { testseed.Main(m, testseed.Settings{Seed: 1740, Checks: 60}) }
