--- a/internal/adapter/endpointhttp/stream.go
+++ b/internal/adapter/endpointhttp/stream.go
@@ -259,6 +259,13 @@
 	return n, nil
 }
 
+// Failure returns the error that Read returns at once, nil if none is known yet.
+func (s *stream) Failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
 // Close implements io.Closer. If the endpoint's part isn't complete, its connection is
 // closed.
 func (s *stream) Close() error {
--- a/internal/adapter/endpointhttp/stream_test.go
+++ b/internal/adapter/endpointhttp/stream_test.go
@@ -78,6 +78,9 @@
 		if sent == size && (err != nil || !bytes.Equal(got, body) || <-ended != nil) {
 			r.Fatalf("%d of %d bytes, error %v", len(got), size, err)
 		}
+		if sent < size && !errors.Is(err, response.RestFailure()) || sent == size && response.RestFailure() != nil {
+			r.Fatalf("failure %v after error %v", response.RestFailure(), err)
+		}
 		if sent < size && (verdict.Of(err) != verdict.MayHaveRun || !errors.Is(<-ended, port.ErrConnectionLost) || !bytes.HasPrefix(body, got)) {
 			r.Fatalf("truncated response: error %v", err)
 		}
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -103,6 +103,14 @@
 	Release func()
 }
 
+// RestFailure returns the error with which Rest is known to break off, nil if none is known.
+func (r *Response) RestFailure() error {
+	if rest, ok := r.Rest.(interface{ Failure() error }); ok {
+		return rest.Failure()
+	}
+	return nil
+}
+
 // Done calls Release, if there is one.
 func (r *Response) Done() {
 	if r != nil && r.Release != nil {
