Close a connection whose refused body doesn't arrive whole

What callers saw: a client whose request was refused for its head (401 for a revoked key, 404 for a removed route) while its body was still on its way, and whose body took longer than a second, kept the connection, since the response didn't close it. The rest of the body was then read as a request: a body that looks like a request was run as one, any other was answered with 400 and the connection closed, so that the client's next request was lost or got an answer that wasn't its own.

Cause: writeEarly skips the body in full duplex mode under a read deadline of one second, and ignored the error of the copy. In that mode net/http neither closes the connection after a failed read nor skips the rest of the body; it sets the idle timeout as the next deadline and reads on.

Why the fix works: http.MaxBytesReader marks the response so that net/http doesn't use the connection again and ends the stream before it closes it.

--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -412,3 +413,10 @@
 	respond()
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
+
+// CloseConnection makes net/http close the connection once the handler returns, also if
+// the response has been written without saying so.
+func CloseConnection(w http.ResponseWriter) {
+	// MaxBytesReader tells the server to close the connection when its limit is exceeded.
+	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+}
