End the stream behind a response to an unread body

What callers saw: a request whose body was refused (413 for its length) while it was being sent had its connection reset half a second after the response, without an end of the stream before. A client that is still sending then sees an error and may drop the response.

Cause: net/http calls CloseWrite on its connection before it closes one whose body wasn't read to its end. pipelinehttp's connection lacked that method, so the chain of listeners ended there: pacedconn's CloseWrite returned nil without doing anything, traffic's an error that net/http ignores.

The method passes the call on to the TCP connection. pacedconn now returns an error when it can't, as traffic, connlimit and idleconns do.

--- a/internal/adapter/pacedconn/pacedconn.go
+++ b/internal/adapter/pacedconn/pacedconn.go
@@ -3,6 +3,7 @@
 package pacedconn
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -63,7 +64,7 @@
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
-	return nil
+	return errors.ErrUnsupported
 }
 
 // Read implements net.Conn.
--- a/internal/adapter/pipelinehttp/conn.go
+++ b/internal/adapter/pipelinehttp/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -114,6 +115,15 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side, if the connection can do that. net/http uses it so that
+// a client can read the response to a request whose body wasn't read to its end.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // record notes bytes that were read. While a request is served, net/http reads a single
 // byte in the background to detect that the client leaves. All its other reads have a
 // larger buffer; a rare one that doesn't costs a take-over without need.
