Don't count the wait for a turn on the link against a client

What callers saw: with many large responses at once on a narrow link, a client that reads as fast as it gets anything was cut off in the middle of its response, as one that doesn't read.

Cause: a client has 5 s for each 8 KiB (delivery.Patience), and the deadline is set before pacedconn waits for the turn of each 4 KiB. On a link of 2 Mbit/s a piece takes 19.3 ms at the pacer, and all large responses take turns, so that from 130 of them on the two waits alone take 5 s. The write after that fails at once, whatever the client does.

Evidence: TestDeadlineOfPacedWrite, on the fake clock of synctest, writes 8 KiB to each of 300 clients that read, at 2 Mbit/s. Before, 299 writes ended with "i/o timeout"; now none, and a client that doesn't read is still cut off at its deadline.

Why the fix works: pacedconn keeps the deadline for writing and moves it by the time that a piece has waited. A deadline that had passed before the wait isn't moved, and the time in the write itself counts as before.

--- a/internal/adapter/pacedconn/pacedconn.go
+++ b/internal/adapter/pacedconn/pacedconn.go
@@ -40,12 +40,17 @@
 	return &conn{Conn: c, listener: l}, nil
 }
 
-// await waits until n bytes may be sent.
-func (l *listener) await(n int) {
+// await waits until n bytes may be sent, and returns how long that took.
+func (l *listener) await(n int) time.Duration {
 	l.mu.Lock()
-	wait := l.pacer.Reserve(l.clock.Now(), n)
+	began := l.clock.Now()
+	wait := l.pacer.Reserve(began, n)
 	l.mu.Unlock()
+	if wait <= 0 {
+		return 0
+	}
 	time.Sleep(wait)
+	return l.clock.Now().Sub(began)
 }
 
 // conn paces what is written beyond pacing.SmallBytes since the client last sent something,
@@ -54,6 +59,35 @@
 	net.Conn
 	listener *listener
 	written  atomic.Int64
+
+	mu sync.Mutex
+	// writeDeadline is zero if there is none. Guarded by mu.
+	writeDeadline time.Time
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// postpone moves the deadline for writing by the time that a piece has waited, which isn't
+// the client's. A deadline that had passed before stays.
+func (c *conn) postpone(waited time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if waited <= 0 || c.writeDeadline.IsZero() || c.writeDeadline.Before(c.listener.clock.Now().Add(-waited)) {
+		return nil
+	}
+	c.writeDeadline = c.writeDeadline.Add(waited)
+	return c.Conn.SetWriteDeadline(c.writeDeadline)
 }
 
 // NetConn returns the connection of the underlying listener.
@@ -84,7 +118,9 @@
 	sent := 0
 	for sent < len(p) {
 		piece := p[sent:min(len(p), sent+pacing.PieceBytes)]
-		c.listener.await(len(piece))
+		if err := c.postpone(c.listener.await(len(piece))); err != nil {
+			return sent, err
+		}
 		n, err := c.Conn.Write(piece)
 		sent += n
 		if err != nil {
--- a/internal/adapter/pacedconn/pacedconn_test.go
+++ b/internal/adapter/pacedconn/pacedconn_test.go
@@ -1,8 +1,10 @@
 package pacedconn
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,3 +92,47 @@
 		}
 	})
 }
+
+// TestDeadlineOfPacedWrite guards against a client that reads and is cut off because its
+// response waits for those of many others, and against one that doesn't read and isn't.
+func TestDeadlineOfPacedWrite(t *testing.T) {
+	const (
+		narrowLink = 2e6
+		clients    = 300
+		patience   = 5 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := pipes{accepted: make(chan net.Conn, 1)}
+		l := Listener(p, narrowLink, testClock{})
+		errs := make(chan error, clients)
+		began := time.Now()
+		for range clients {
+			server, client := newConn(l, p)
+			defer client.Close()
+			go func() {
+				_, errSmall := server.Write(make([]byte, pacing.SmallBytes)) // isn't paced
+				errDeadline := server.SetWriteDeadline(time.Now().Add(patience))
+				_, errPaced := server.Write(make([]byte, pacing.SmallBytes))
+				errs <- errors.Join(errSmall, errDeadline, errPaced)
+			}()
+		}
+		var all error
+		for range clients {
+			all = errors.Join(all, <-errs)
+		}
+		is.NoErr(all)
+		is.True(time.Since(began) > 2*patience) // the link was full for that long
+
+		unread, inner := net.Pipe()
+		defer unread.Close()
+		p.accepted <- inner
+		server, err := l.Accept()
+		is.NoErr(err)
+		is.NoErr(server.SetWriteDeadline(time.Now().Add(patience)))
+		began = time.Now()
+		_, err = server.Write(make([]byte, 2*pacing.SmallBytes))
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		is.True(time.Since(began) < patience+time.Second)
+	})
+}
