Don't count an endpoint's pause against the client

What callers saw: a streamed response whose endpoint paused for over 5 s in the middle or before its end was cut off at the next write, although the client had read all there was.

Cause: the deadline for writing is set before each flush. A piece of 4 KiB or less that comes later is written without another deadline, and so is what net/http sends behind the last piece, the last chunk for instance. Both fail at once if the pause was longer than Patience.

Evidence: TestEndpointPauses, on the fake clock of synctest, has an endpoint that pauses for 6 s before each piece and before the end. Before, it failed with "the client doesn't take the response: i/o timeout".

Why the fix works: the client gets Patience from the moment at which a piece or the end has come from the endpoint.

--- a/internal/adapter/delivery/delivery.go
+++ b/internal/adapter/delivery/delivery.go
@@ -41,6 +41,7 @@
 			return err
 		}
 		n, err := response.Rest.Read(piece)
+		client.extend() // the time until then was the endpoint's
 		if errWrite := client.write(piece[:n]); errWrite != nil {
 			return errWrite
 		}
