Read on behind a closing response on connections of net/http

What callers saw: a response that closes its connection broke off, or was followed by a reset, if the client had sent something that wasn't read: its next request in a planned stop, or the rest of a body that was refused.

Cause: net/http closes the connection as soon as the response was written. With unread bytes the kernel then sends a reset and drops what it hasn't sent of the response. net/http sends the end of the stream and waits only where a body is longer than 256 KiB; intake.CloseAfter, which ends the reading of all refused bodies, isn't such a case. The loop for pipelined requests reads on (linger); connections that weren't taken over didn't.

Evidence: before, TestClosingPlainResponse got "connection reset by peer" within the body of a response of 4 MiB, in a stop with two requests behind it and behind a request with "Connection: close", and TestRefusedBodyBehindItsResponse a reset in place of the end behind a 413. That a small response is lost as a whole wasn't seen on loopback, where the client's kernel keeps what came before the reset.

Why the fix works: if the response was written whole and the connection isn't idle, Close ends the stream and reads on until the client closes, for half a second at most, as the loop does. A planned stop waits for such connections. The limit of open connections doesn't count them, so their number is bounded; beyond it they are closed at once, as before. Idle connections and responses that broke off are closed as before.

--- a/internal/adapter/pipelinehttp/close_test.go
+++ b/internal/adapter/pipelinehttp/close_test.go
@@ -42,9 +42,9 @@
 			s := &service{unfinished: make(map[string]bool)}
 			h := pipelinehttp.New(s, pipelinehttp.Options{
 				Clock: clock, Logger: slog.New(slog.DiscardHandler), Meter: metrics.New(), ConnState: connState,
-				HeaderBytes: headerBytes, HeaderTimeout: time.Minute, IdleTimeout: time.Minute,
+				HeaderBytes: headerBytes, HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxLingering: 10,
 			})
-			server := &http.Server{Handler: h, ConnState: connState, ConnContext: h.ConnContext}
+			server := &http.Server{Handler: h, ConnState: h.ConnState, ConnContext: h.ConnContext}
 			chain := pacedconn.Listener(pipelinehttp.Listener(listener), linkBitsPerSecond, clock)
 			go func() { _ = server.Serve(idle.Listener(limiter.Listener((&traffic.Counter{}).Listener(chain)))) }()
 			t.Cleanup(func() { _ = server.Close() })
@@ -60,3 +60,36 @@
 		})
 	}
 }
+
+// TestClosingPlainResponse guards against a response that closes the connection and is lost,
+// in part or whole, because the client had sent something further that isn't read.
+func TestClosingPlainResponse(t *testing.T) {
+	const size = 4 << 20 // more than the buffers of both ends hold
+	large := fmt.Sprintf("?bytes=%d", size)
+	for name, c := range map[string]struct {
+		text     string
+		stopping bool
+		status   int
+		size     int
+	}{
+		"stop":                 {get("/safe/a" + large), true, http.StatusOK, size},
+		"stop, next request":   {get("/safe/a"+large) + get("/safe/b") + post("/once/c", string(make([]byte, 200_000))), true, http.StatusOK, size},
+		"client closes":        {"GET /safe/a" + large + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + post("/once/c", string(make([]byte, 200_000))), false, http.StatusOK, size},
+		"body that is refused": {post("/once/a", string(make([]byte, 200_000))), false, http.StatusRequestEntityTooLarge, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newRig(t, nil)
+			s.stopping.Store(c.stopping)
+			client := s.dial(t)
+			client.send(c.text)
+			s.eventually(10*time.Second, s.has(&s.written, "a"))
+			time.Sleep(100 * time.Millisecond) // the server has closed the connection, or waits for the client to read
+			response, body := client.answer()
+			s.Equal(response.StatusCode, c.status)
+			s.Equal(len(body), c.size)
+			s.True(response.Close)
+			client.ended()
+		})
+	}
+}
--- a/internal/adapter/pipelinehttp/cut.go
+++ b/internal/adapter/pipelinehttp/cut.go
@@ -98,8 +98,9 @@
 	return n, err
 }
 
-// Close implements net.Conn. It records a request that is cut off by it, unless the connection
-// was taken over: the loop does that.
+// Close implements net.Conn. It lets the client read the response behind which net/http closes
+// the connection. It records a request that is cut off by it, unless the connection was taken
+// over: the loop does that.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	first, j, h := !c.journey.closed, c.journey, c.handler
@@ -110,6 +111,10 @@
 	}
 	mine := c.state != takenOver
 	c.mu.Unlock()
+	if first && mine && j.phase == responded && j.peerErr == nil && j.writeErr == nil && h.beginLinger() {
+		go c.linger(h)
+		return nil
+	}
 	if first && mine && h != nil {
 		by, why := j.cause(received)
 		if why == "" && j.peerErr == nil && sockinput.Pending(c.Conn) {
--- a/internal/adapter/pipelinehttp/handler.go
+++ b/internal/adapter/pipelinehttp/handler.go
@@ -57,6 +57,10 @@
 	// responses state in whole seconds. It may be nil: they don't state it. Connections must be
 	// kept open for longer, since the last request may take a while to arrive.
 	ClientIdleTimeout func() time.Duration
+	// MaxLingering bounds the connections that net/http has closed and whose clients may still
+	// read the last response. A limit of open connections doesn't count them. Beyond it,
+	// connections are closed at once.
+	MaxLingering int
 	// RequestID returns the ID of a request for logs. It may be nil.
 	RequestID func(*http.Request) string
 	// Budget bounds the memory of all requests that are read ahead; nil means no bound.
@@ -68,8 +72,10 @@
 type Handler struct {
 	service Service
 	opts    Options
-	// taken counts the open connections that were taken over.
+	// taken counts the open connections that were taken over, lingering those that net/http
+	// has closed and whose clients may still read the last response.
 	taken      atomic.Int64
+	lingering  atomic.Int64
 	takeovers  limitedEvent
 	cutRecords limitedEvent
 	keepAlive  atomic.Pointer[keepAliveValue]
@@ -81,6 +87,14 @@
 // Connections returns the number of open connections that were taken over.
 func (h *Handler) Connections() int64 { return h.taken.Load() }
 
+// ConnState must be set as http.Server.ConnState. It calls that of the Options.
+func (h *Handler) ConnState(nc net.Conn, to http.ConnState) {
+	if to == http.StateIdle {
+		innerConn(nc).setPhase(between) // the connection stays open behind the response
+	}
+	h.opts.ConnState(nc, to)
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	stopping := h.service.Stopping()
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -194,12 +194,12 @@
 	logger := slog.New(records{s})
 	s.handler = pipelinehttp.New(s.service, pipelinehttp.Options{
 		Clock: port.ClockFunc(time.Now), Logger: logger, Meter: metrics.New(), ConnState: s.reaper.ConnState, Budget: budget,
-		HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxLingering: 10,
 		ClientIdleTimeout: func() time.Duration { return time.Duration(s.told.Load()) },
 		RequestID:         func(r *http.Request) string { return r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:] },
 	})
 	s.server = &http.Server{
-		Handler: s.handler, ConnState: s.reaper.ConnState, ConnContext: s.handler.ConnContext,
+		Handler: s.handler, ConnState: s.handler.ConnState, ConnContext: s.handler.ConnContext,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
 	}
 	var err error
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -39,6 +39,9 @@
 	// closed. It is long, so that the idle timeout in the configuration takes effect
 	// first.
 	clientIdleTimeout = 2 * time.Minute
+	// lingerDivisor gives the connections that may linger behind their last response, as a
+	// part of the open ones. Most end when their client has read it.
+	lingerDivisor = 8
 	// clientHeaderTimeout is the maximum time to read the header of a request.
 	clientHeaderTimeout = 10 * time.Second
 	// clientHeaderBytes is the maximum size of a request's header; the
@@ -266,7 +269,7 @@
 func newClients(p *vmProcess, clients platform.Clients, connState func(net.Conn, http.ConnState), idleTimeout func() time.Duration) *pipelinehttp.Handler {
 	return pipelinehttp.New(clients, pipelinehttp.Options{
 		Clock: p.clock, Logger: p.logger, Meter: p.meter, ConnState: connState, Budget: p.memory,
-		RequestID: platform.RequestID, ClientIdleTimeout: idleTimeout,
+		RequestID: platform.RequestID, ClientIdleTimeout: idleTimeout, MaxLingering: p.openConnections(true) / lingerDivisor,
 		HeaderBytes: clientHeaderBytes, HeaderTimeout: clientHeaderTimeout, IdleTimeout: clientIdleTimeout,
 	})
 }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -70,7 +70,7 @@
 		return idleTimeout(limits)
 	})
 	clients := p.newServer(pipelines, clientHeaderBytes)
-	clients.ConnState, clients.ConnContext = connState, pipelines.ConnContext
+	clients.ConnState, clients.ConnContext = pipelines.ConnState, pipelines.ConnContext
 	clients.IdleTimeout = 0 // idle closes them
 	p.serveOn(ctx, "clients", idle.Listener(limiter.Listener(p.traffic.Listener(pacedconn.Listener(pipelinehttp.Listener(listener), p.settings.LinkBitsPerSecond, p.clock)))), clients)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
@@ -92,7 +92,9 @@
 	}
 	stopGateway(ctx, p, g, func(ctx context.Context) error {
 		bodies.Stop()
-		return idle.Shutdown(ctx, clients, listener)
+		err := idle.Shutdown(ctx, clients, listener)
+		pipelines.AwaitClosed(ctx)
+		return err
 	})
 	return nil
 }
