Give a refused body the time of other bodies

What callers saw: a client was refused for the head of its request (401, 404) with a response that keeps the connection, sent the rest of its body and then its next request, and got no answer to that: the connection was closed.

Cause: the body that follows such a response had one second in all (intake.Ignore), also one of 256 KiB, which takes longer at 2 Mbit/s even if nothing else is sent. A process that isn't scheduled for a second loses the connection, too, since a read fails once its deadline has passed, whatever lies in the buffer of the socket. The client isn't told.

Why the fix works: the body is skipped with the limits of a body that is read: 8 KiB in 4 s, the client's deadline, and half a second in the last part of a stop; and a quiet one makes room when connections run out. After that the connection is closed as before.

--- a/internal/adapter/intake/intake.go
+++ b/internal/adapter/intake/intake.go
@@ -169,35 +169,54 @@
 		return &Body{account: (*memory.Budget)(nil).Open()}, nil
 	}
 	if in == nil {
-		in = &Intake{clock: port.ClockFunc(time.Now), unfinished: make(map[*reading]struct{})}
-	}
-	now := in.clock.Now()
-	x := &reading{
-		control: http.NewResponseController(w), account: in.budget.OpenFor(in.kind),
-		began: now, until: now.Add(maxBodyTime), windowBegan: now,
-	}
-	if !deadline.IsZero() && deadline.Before(x.until) {
-		x.until = deadline
+		in = unbounded()
 	}
+	x := in.begin(w, deadline)
 	body, err := in.readAll(x, r, maxBytes)
-	in.mu.Lock()
-	delete(in.unfinished, x)
-	if x.ended != nil {
-		err = x.ended
-	}
-	in.mu.Unlock()
-	if err != nil {
+	if err = in.finish(x, err); err != nil {
 		x.account.Close()
 		return nil, err
 	}
 	return body, nil
 }
 
+// Skip reads the body of a request that was answered without it, so that the next request on
+// the connection is found where it begins. The body has the time that Read gives it. After an
+// error the connection is closed once the handler returns.
+func (in *Intake) Skip(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	if in == nil {
+		in = unbounded()
+	}
+	x := in.begin(w, deadline)
+	defer x.account.Close()
+	_, err := io.Copy(skipped{in, x}, r.Body)
+	if in.finish(x, err) != nil {
+		// net/http would take the rest of the body for the next request.
+		closeConnection(w)
+	}
+}
+
+// skipped counts the bytes of a body that is skipped.
+type skipped struct {
+	intake *Intake
+	body   *reading
+}
+
+// Write implements io.Writer.
+func (s skipped) Write(p []byte) (int, error) {
+	s.intake.arrived(s.body, len(p))
+	return len(p), nil
+}
+
+// unbounded returns an Intake without a budget.
+func unbounded() *Intake {
+	return &Intake{clock: port.ClockFunc(time.Now), unfinished: make(map[*reading]struct{})}
+}
+
 // readAll reads the parts of a body until its end.
 func (in *Intake) readAll(x *reading, r *http.Request, maxBytes int64) (*Body, error) {
 	body := &Body{account: x.account}
 	total := int64(0)
-	in.begin(x)
 	for {
 		part, err := in.newPart(x, total, r.ContentLength)
 		if err != nil {
@@ -230,10 +249,30 @@
 }
 
 // begin makes a body known to Sweep.
-func (in *Intake) begin(x *reading) {
+func (in *Intake) begin(w http.ResponseWriter, deadline time.Time) *reading {
+	now := in.clock.Now()
+	x := &reading{
+		control: http.NewResponseController(w), account: in.budget.OpenFor(in.kind),
+		began: now, until: now.Add(maxBodyTime), windowBegan: now,
+	}
+	if !deadline.IsZero() && deadline.Before(x.until) {
+		x.until = deadline
+	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.unfinished[x] = struct{}{}
+	return x
+}
+
+// finish ends the reading of a body with an error or nil, and returns why it failed.
+func (in *Intake) finish(x *reading, err error) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	delete(in.unfinished, x)
+	if x.ended != nil {
+		return x.ended
+	}
+	return err
 }
 
 // arrived records that bytes have arrived.
@@ -414,9 +453,9 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
 
-// CloseConnection makes net/http close the connection once the handler returns, also if
+// closeConnection makes net/http close the connection once the handler returns, also if
 // the response has been written without saying so.
-func CloseConnection(w http.ResponseWriter) {
+func closeConnection(w http.ResponseWriter) {
 	// MaxBytesReader tells the server to close the connection when its limit is exceeded.
 	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
 }
