Answer operators' requests that have arrived when a control VM stops

What operators saw: a request that reached a control VM as its planned stop began got no answer; the connection ended. ctl sends a change again with the same change ID, and a read to the next VM, so no outcome was wrong; other tools had to find out by themselves.

Cause: the same as for entries, http.Server.Shutdown in the stop.

Change: the operators' interface is served and stopped by callerServer. Its answers during the stop bear "Connection: close", which http.Server.Shutdown saw to before.

--- a/internal/cli/callerserver_test.go
+++ b/internal/cli/callerserver_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"sassafrasreach/internal/adapter/metrics"
+	"sassafrasreach/internal/adapter/settings"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/testlink"
 )
@@ -103,3 +104,34 @@
 		})
 	}
 }
+
+// TestControlStopAnswersArrived guards against a control VM whose planned stop drops a request
+// of an operator that has arrived.
+func TestControlStopAnswersArrived(t *testing.T) {
+	is := is.New(t)
+	config := settings.Control{Name: "c1", DataDir: t.TempDir(), Members: []settings.Member{{Name: "c1", Address: "127.0.0.1:1"}}}
+	logger := slog.New(slog.DiscardHandler)
+	node, err := newNode(config, logger)
+	is.NoErr(err)
+	p := newControlProcess(config, node, logger)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	stall := &testlink.Stall{Listener: listener}
+	p.operators.listener = stall
+	go func() { p.failed <- p.operators.serve() }()
+	stall.Hold()
+	c := dialStalled(t, listener.Addr().String())
+	c.send()
+	stopped := make(chan struct{})
+	go func() {
+		p.stop(t.Context())
+		close(stopped)
+	}()
+	for !stall.Closed() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(time.Second) // longer than the stop waits for a first request
+	stall.Release()
+	is.Equal(c.answered().StatusCode, http.StatusOK)
+	<-stopped
+}
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -81,7 +81,7 @@
 	bodies    *intake.Intake
 	limiter   *connlimit.Limiter
 	peers     *grpc.Server
-	operators *http.Server
+	operators *callerServer
 	metrics   *http.Server
 	failed    chan error
 }
@@ -97,20 +97,15 @@
 	p.peers = grpc.NewServer(slices.Concat(peergrpc.ServerOptions(), registergrpc.ServerOptions(), grpcpanic.Options(logger),
 		[]grpc.ServerOption{grpcmemory.Option(p.memory)})...)
 	node.Register(p.peers)
-	p.operators = &http.Server{
-		Handler: operatorhttp.New(operatorhttp.Options{
-			Store:                node,
-			RecordRefused:        recordRefused(node),
-			BootstrapTokenSHA256: config.BootstrapTokenSHA256,
-			Clock:                clock,
-			Logger:               logger,
-			Bodies:               p.bodies,
-			Refusals:             p.refusals,
-		}),
-		ConnState:         p.limiter.ConnState,
-		IdleTimeout:       callerIdleTimeout,
-		ReadHeaderTimeout: callerHeaderTimeout,
-	}
+	p.operators = newCallerServer(operatorhttp.New(operatorhttp.Options{
+		Store:                node,
+		RecordRefused:        recordRefused(node),
+		BootstrapTokenSHA256: config.BootstrapTokenSHA256,
+		Clock:                clock,
+		Logger:               logger,
+		Bodies:               p.bodies,
+		Refusals:             p.refusals,
+	}), p.limiter, clock)
 	routes := chi.NewRouter()
 	routes.Use(intake.IgnoreBodies)
 	routes.Method(http.MethodGet, "/v1/metrics", meter.Handler(p.gauges("operators", p.limiter)))
@@ -156,8 +151,7 @@
 	if err != nil {
 		return err
 	}
-	operatorListener, err := listenFor(ctx, "operators", config.OperatorListen)
-	if err != nil {
+	if p.operators.listener, err = listenFor(ctx, "operators", config.OperatorListen); err != nil {
 		_ = peerListener.Close()
 		return err
 	}
@@ -165,13 +159,13 @@
 		metricsListener, err := listenFor(ctx, "metrics", config.MetricsListen)
 		if err != nil {
 			_ = peerListener.Close()
-			_ = operatorListener.Close()
+			_ = p.operators.listener.Close()
 			return err
 		}
 		go func() { p.failed <- p.metrics.Serve(p.sideListener("metrics", metricsListener, p.metrics)) }()
 	}
 	go func() { p.failed <- p.peers.Serve(peerListener) }()
-	go func() { p.failed <- p.operators.Serve(p.limiter.Listener(operatorListener)) }()
+	go func() { p.failed <- p.operators.serve() }()
 	return nil
 }
 
@@ -181,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlStopLimit)
 	defer cancel()
 	p.bodies.Stop()
-	_ = p.operators.Shutdown(ctx)
+	_ = p.operators.shutdown(ctx)
 	_ = p.metrics.Close()
 	stopGracefully(ctx, p.peers)
 	p.peers.Stop()
