Don't cut off requests that began during an entry's hand-over

What callers saw: in a planned stop, the connection of a request ended without an answer although most of the drain limit was left; an endpoint was at work on the request.

Cause: Drain waits until no request is in flight, then hands the claims over, which may take up to 5 s, and returned the number in flight after that. serveEntry took any such request for one that outlasted the limit, closed all connections at once and logged a forced stop. Callers that have cached a look-up, and other entries, may send a request in that time.

Change: Drain waits once more after the hand-over; the number that it returns is 0 unless the limit has ended.

TestStopAwaitsRequestsDuringHandOver failed 3 of 3 before ("1 != 0", race detector, fake time) and passes 3 of 3 now.

--- a/internal/app/entry/cluster_test.go
+++ b/internal/app/entry/cluster_test.go
@@ -56,6 +56,8 @@
 	// documents are returned by the peers at these addresses instead of their
 	// own.
 	documents map[string]port.Config
+	// handOver is called before each hand-over; nil does nothing.
+	handOver func()
 }
 
 // newTestCluster must be called in a synctest bubble. It starts no entry.
@@ -267,6 +269,9 @@
 }
 
 func (tc *testCluster) HandOver(_ context.Context, address string, h claims.HandOver) error {
+	if tc.handOver != nil {
+		tc.handOver()
+	}
 	_, err := at(tc, address, func(e *Entry) bool { e.HandleHandOver(h); return true })
 	return err
 }
--- a/internal/app/entry/stop.go
+++ b/internal/app/entry/stop.go
@@ -43,9 +43,9 @@
 // Drain takes the entry out of service without interrupting a request. It waits
 // for a successor, removes the entry from look-ups, and keeps serving until
 // cached look-ups that name it have expired and its requests have ended. Then it
-// hands its claims over to the other entries of its place. When ctx ends, it
-// skips the rest of the waiting. It returns the number of requests still in
-// flight.
+// hands its claims over to the other entries of its place, and waits for requests
+// that came meanwhile. When ctx ends, it skips the rest of the waiting. It returns
+// the number of requests that are then still in flight, 0 if ctx hasn't ended.
 func (e *Entry) Drain(ctx context.Context) int64 {
 	start := e.clock.Now()
 	e.awaitSuccessor(ctx)
@@ -61,8 +61,9 @@
 	}
 	e.claims.seal()
 	e.handOver(ctx)
+	left := e.awaitIdle(ctx)
 	e.meter.RecordDrain(e.clock.Now().Sub(start))
-	return e.inFlight.Load()
+	return left
 }
 
 // awaitSuccessor waits until another entry of the place may own groups, if
@@ -93,10 +94,13 @@
 
 func (e *Entry) mayLeave() bool { return e.members.mayLeave(e.clock.Now()) }
 
-func (e *Entry) awaitIdle(ctx context.Context) {
-	for e.inFlight.Load() > 0 {
-		if !wait.For(ctx, idlePoll) {
-			return
+// awaitIdle waits until no request is in flight or ctx ends, and returns the number
+// of those in flight.
+func (e *Entry) awaitIdle(ctx context.Context) int64 {
+	for {
+		n := e.inFlight.Load()
+		if n == 0 || !wait.For(ctx, idlePoll) {
+			return n
 		}
 	}
 }
--- a/internal/app/entry/stop_test.go
+++ b/internal/app/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
 )
 
 // TestRollingRestart restarts the two entries of a place in turn, each right
@@ -76,3 +78,24 @@
 		is.NoErr(serve(e, short).Err)
 	})
 }
+
+// TestStopAwaitsRequestsDuringHandOver guards against a planned stop that cuts off a request
+// that began while the claims were handed over, long before the end of the stop's time.
+func TestStopAwaitsRequestsDuringHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tc := startTestCluster(t)
+		time.Sleep(settleTime)
+		e := tc.entry("a1")
+		tc.calls.dial = time.Second // of each request
+		answer := make(chan port.Answer, 1)
+		tc.handOver = sync.OnceFunc(func() {
+			tc.running.Go(func() { answer <- serve(e, tc.request()) })
+			time.Sleep(100 * time.Millisecond)
+		})
+		ctx, cancel := context.WithTimeout(tc.ctx, time.Minute)
+		defer cancel()
+		is.Equal(e.Drain(ctx), int64(0)) // else the process closes the connections
+		is.NoErr((<-answer).Err)
+	})
+}
