Release a forwarded response whose head couldn't be sent

What callers saw: an entry that owns a group could lose a slot of an endpoint and the memory of an answer for good, each time the entry that had forwarded the request canceled the call just before the streamed answer began.

Cause: Server.Forward released the response and closed its rest only in sendBody, which isn't reached if sending the head fails. Found while looking for what a planned stop waits for.

Change: both happen whenever there is a response.

TestCanceledForwardReleasesResponse failed 3 of 3 before ("the response wasn't released", race detector) and passes 3 of 3 now.

--- a/internal/adapter/peergrpc/peer_test.go
+++ b/internal/adapter/peergrpc/peer_test.go
@@ -295,3 +295,37 @@
 	is.Equal(verdict.Of(err), verdict.NotRun)
 	is.Equal(verdict.ReasonOf(err), verdict.ReasonBadRequest)
 }
+
+// closeRecorder is an empty body that records that it was closed.
+type closeRecorder struct{ closed chan<- string }
+
+func (c closeRecorder) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c closeRecorder) Close() error {
+	c.closed <- "rest"
+	return nil
+}
+
+// TestCanceledForwardReleasesResponse guards against a response that keeps its endpoint's slot
+// and memory because its head couldn't be sent: the peer had canceled the call.
+func TestCanceledForwardReleasesResponse(t *testing.T) {
+	is := is.New(t)
+	released := make(chan string, 2)
+	ctx, cancel := context.WithCancel(t.Context())
+	link, client := start(t, &fakePeer{forward: func(ctx context.Context, _ port.Forward) (*port.Response, error) {
+		cancel()
+		<-ctx.Done()
+		return &port.Response{
+			Status: 200, Rest: closeRecorder{released}, Release: func() { released <- "memory" },
+		}, nil
+	}})
+	_, err := client.Forward(ctx, link.Addr(), port.Forward{Hop: port.HopOwner, Request: request(true)})
+	is.True(err != nil)
+	for range 2 {
+		select {
+		case <-released:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the response wasn't released")
+		}
+	}
+}
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -90,6 +90,10 @@
 	if err != nil {
 		return stream.Send(failureToProto(err))
 	}
+	defer response.Done()
+	if response.Rest != nil {
+		defer func() { _ = response.Rest.Close() }()
+	}
 	head := &peerv1.ResponseHead{Status: int32(response.Status), Header: headerToProto(response.Header)}
 	if err := stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}}); err != nil {
 		return err
@@ -102,7 +106,6 @@
 
 // sendBody sends the buffered body and then the rest, in chunks.
 func sendBody(stream grpc.ServerStreamingServer[peerv1.ForwardResponse], response *port.Response) error {
-	defer response.Done()
 	for buffered := response.Body; len(buffered) > 0; {
 		n := min(len(buffered), chunkBytes)
 		if err := sendChunk(stream, buffered[:n]); err != nil {
@@ -113,7 +116,6 @@
 	if response.Rest == nil {
 		return nil
 	}
-	defer func() { _ = response.Rest.Close() }()
 	chunk := make([]byte, chunkBytes)
 	for {
 		n, err := response.Rest.Read(chunk)
