Wait for forwarded answers in an entry's planned stop

What callers saw: a large answer through another entry broke off, because the entry that owned the endpoint's group stopped as planned, although its drain limit was far from over.

Cause: a forwarded request counted as in flight until its answer began. Drain didn't wait for the rest that is streamed to the peer, and the stop of the peers' server waits for one second only.

Change: a forwarded request is in flight until the body of its answer is closed.

--- a/internal/app/entry/serve.go
+++ b/internal/app/entry/serve.go
@@ -35,10 +35,21 @@
 	return e.route(ctx, req)
 }
 
-// HandleForward serves a request that another entry forwarded.
+// HandleForward serves a request that another entry forwarded. A streamed answer is in
+// flight until its body is closed: the peer passes it on meanwhile.
 func (e *Entry) HandleForward(ctx context.Context, f port.Forward) (*port.Response, error) {
 	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
+	ended := func() { e.inFlight.Add(-1) }
+	response, err := e.handleForward(ctx, f)
+	if err != nil || response.Rest == nil {
+		ended()
+		return response, err
+	}
+	response.Rest = &closer{ReadCloser: response.Rest, after: ended}
+	return response, nil
+}
+
+func (e *Entry) handleForward(ctx context.Context, f port.Forward) (*port.Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, f.Request.Deadline)
 	defer cancel()
 	if _, err := e.current(); err != nil {
--- a/internal/app/entry/stop_test.go
+++ b/internal/app/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -99,3 +100,33 @@
 		is.NoErr((<-answer).Err)
 	})
 }
+
+// TestStopAwaitsForwardedAnswer guards against a planned stop that cuts off an answer which
+// another entry still receives for its caller.
+func TestStopAwaitsForwardedAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tc := startTestCluster(t)
+		time.Sleep(settleTime)
+		owner, other := tc.owner()
+		body, end := io.Pipe()
+		tc.calls.call = func(int, port.Endpoint) port.Answer {
+			return port.Answer{Response: &port.Response{Status: 200, Rest: body}}
+		}
+		answer := serve(other, tc.request())
+		is.NoErr(answer.Err)
+		drained := make(chan int64, 1)
+		tc.running.Go(func() {
+			ctx, cancel := context.WithTimeout(tc.ctx, time.Minute)
+			defer cancel()
+			drained <- owner.Drain(ctx)
+		})
+		time.Sleep(20 * time.Second)
+		is.Equal(len(drained), 0) // the answer isn't complete
+		tc.running.Go(func() { _ = end.Close() })
+		_, err := io.ReadAll(answer.Response.Rest)
+		is.NoErr(err)
+		is.NoErr(answer.Response.Rest.Close())
+		is.Equal(<-drained, int64(0))
+	})
+}
