--- a/internal/cli/callerserver.go
+++ b/internal/cli/callerserver.go
@@ -25,7 +25,7 @@
 	callerHeaderTimeout = 2 * firstRequestTimeout
 	// lastIdleTimeout is http.Server's own idle timeout, which also closes connections on which
 	// a request has arrived unread. It is so long that a sweep comes first.
-	lastIdleTimeout = 2 * time.Minute
+	lastIdleTimeout = 3 * time.Minute
 )
 
 // callerServer is the HTTP server of callers or operators. Unlike http.Server's own timeout and
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -35,9 +35,8 @@
 )
 
 const (
-	// clientIdleTimeout is the time after which idle connections of clients are
-	// closed. It is long, so that the idle timeout in the configuration takes effect
-	// first.
+	// clientIdleTimeout bounds how long clients may keep an idle connection, whatever the
+	// configuration says. It is less than lastIdleTimeout.
 	clientIdleTimeout = 2 * time.Minute
 	// lingerDivisor gives the connections that may linger behind their last response, as a
 	// part of the open ones. Most end when their client has read it.
@@ -194,7 +193,7 @@
 // newServer returns an HTTP server. A request's header has maxHeaderBytes at most.
 func (p *vmProcess) newServer(h http.Handler, maxHeaderBytes int) *http.Server {
 	return &http.Server{
-		Handler: h, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, IdleTimeout: lastIdleTimeout, ReadHeaderTimeout: clientHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
 	}
 }
@@ -270,7 +269,7 @@
 	return pipelinehttp.New(clients, pipelinehttp.Options{
 		Clock: p.clock, Logger: p.logger, Meter: p.meter, ConnState: connState, Budget: p.memory,
 		RequestID: platform.RequestID, ClientIdleTimeout: idleTimeout, MaxLingering: p.openConnections(true) / lingerDivisor,
-		HeaderBytes: clientHeaderBytes, HeaderTimeout: clientHeaderTimeout, IdleTimeout: clientIdleTimeout,
+		HeaderBytes: clientHeaderBytes, HeaderTimeout: clientHeaderTimeout, IdleTimeout: lastIdleTimeout,
 	})
 }
 
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -41,7 +41,7 @@
 	if limits.IdleTimeout <= 0 {
 		return clientIdleTimeout
 	}
-	return limits.IdleTimeout
+	return min(limits.IdleTimeout, clientIdleTimeout)
 }
 
 // runGateway runs a gateway until its planned stop is complete.
@@ -71,7 +71,6 @@
 	})
 	clients := p.newServer(pipelines, clientHeaderBytes)
 	clients.ConnState, clients.ConnContext = pipelines.ConnState, pipelines.ConnContext
-	clients.IdleTimeout = 0 // idle closes them
 	p.serveOn(ctx, "clients", idle.Listener(limiter.Listener(p.traffic.Listener(pacedconn.Listener(pipelinehttp.Listener(listener), p.settings.LinkBitsPerSecond, p.clock)))), clients)
 	go wait.Every(ctx, sweepPeriod, idle.Sweep)
 	go wait.Every(ctx, sweepPeriod, bodies.Sweep)
