Answer a pipelined request whose body is given up as too slow

What callers saw: on a connection with several requests, a request whose body arrived too slowly, or was given up to make room or at a planned stop, got a closed connection. On a connection without pipelining it gets 408 or 503, which tell that it hasn't run.

Cause: the intake gives a body up by a read deadline in the past. The loop took each error of the connection within a body for that of a client that left. It now leaves deadlines to Receive, whose refusal is written and closes the connection.

--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -266,7 +266,8 @@
 	exchange, accepted := h.service.Receive(e.writer, e.request, at)
 	l.setReadDeadline(time.Time{}) // Receive may have set one
 	e.exchange = exchange
-	if !body.complete && l.source.err != nil {
+	// A deadline is that of Receive, which has given up the body and answers the request.
+	if !body.complete && l.source.err != nil && !errors.Is(l.source.err, os.ErrDeadlineExceeded) {
 		cancel()
 		l.end(reasonClientLeft)
 		return false
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -32,8 +32,8 @@
 // may not. The query gives ms, how long a run takes; wait=1, that it waits for release;
 // close=1, that the response closes the connection; abort=1, that it breaks off; short=1,
 // that it ends early; stream=1, that it is read from its endpoint for streamTime; panic=run
-// or panic=receive, that serving it panics; and bytes, the size of its body, which otherwise
-// is the method, the ID and the request body.
+// or panic=receive, that serving it panics; slow=1, that its body is given up as too slow;
+// and bytes, the size of its body, which otherwise is the method, the ID and the request body.
 type service struct {
 	stopping atomic.Bool
 	release  chan struct{}
@@ -72,6 +72,9 @@
 	if s.received != nil {
 		s.received(x)
 	}
+	if r.FormValue("slow") != "" {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	}
 	x.body, x.err = io.ReadAll(http.MaxBytesReader(w, r.Body, 1000))
 	return x, x.err == nil
 }
