Use one listener of stalled connections in all tests

internal/teststall and testlink.Stall were written side by side for the same purpose. The tests are unchanged but for the names.

--- a/internal/adapter/connlimit/connlimit_test.go
+++ b/internal/adapter/connlimit/connlimit_test.go
@@ -16,7 +16,7 @@
 	"sassafrasreach/internal/adapter/connlimit"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/port"
-	"sassafrasreach/internal/teststall"
+	"sassafrasreach/internal/testlink"
 )
 
 // server is a server with a bound of four connections.
@@ -29,11 +29,11 @@
 }
 
 func startServer(t *testing.T, handler http.HandlerFunc) *server {
-	return startServerOn(t, &teststall.Listener{}, handler)
+	return startServerOn(t, &testlink.Stall{}, handler)
 }
 
 // startServerOn is startServer with connections that the test can stall.
-func startServerOn(t *testing.T, l *teststall.Listener, handler http.HandlerFunc) *server {
+func startServerOn(t *testing.T, l *testlink.Stall, handler http.HandlerFunc) *server {
 	s := &server{budget: memory.NewBudget(2 << 20)}
 	limiter := connlimit.New(connlimit.Options{
 		Max: 4, Budget: s.budget, Clock: port.ClockFunc(time.Now), MakeRoom: func() bool { return false },
@@ -101,17 +101,17 @@
 	for _, first := range []bool{true, false} {
 		t.Run(fmt.Sprint("first ", first), func(t *testing.T) {
 			is := is.New(t)
-			l := &teststall.Listener{}
+			l := &testlink.Stall{}
 			requests := 0
 			s := startServerOn(t, l, func(http.ResponseWriter, *http.Request) {
 				if requests++; requests == 1 && !first {
 					l.AwaitRead()
-					l.Before.Lock()
+					l.Hold()
 				}
 			})
 			used := s.dial(t)
 			if first {
-				l.Before.Lock()
+				l.Hold()
 			} else {
 				is.True(s.get(used))
 			}
@@ -122,7 +122,7 @@
 				s.dial(t)
 			}
 			time.Sleep(50 * time.Millisecond)
-			l.Before.Unlock()
+			l.Release()
 			is.NoErr(used.SetReadDeadline(time.Now().Add(10 * time.Second)))
 			n, err := used.Read(make([]byte, 1000))
 			is.True(n > 0 && err == nil)
--- a/internal/adapter/idleconns/arrived_test.go
+++ b/internal/adapter/idleconns/arrived_test.go
@@ -11,7 +11,7 @@
 
 	"sassafrasreach/internal/adapter/idleconns"
 	"sassafrasreach/internal/port"
-	"sassafrasreach/internal/teststall"
+	"sassafrasreach/internal/testlink"
 )
 
 // TestArrivedRequest guards against a connection that is closed as idle, by its limit or in a
@@ -29,12 +29,12 @@
 					port.ClockFunc(func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }),
 					func() idleconns.Limits { return idleconns.Limits{Idle: 15 * time.Second} },
 				)
-				s := &teststall.Listener{}
+				s := &testlink.Stall{}
 				requests := 0
 				server := startServerOn(r, s, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 					if requests++; requests == 1 && !read {
 						s.AwaitRead()
-						s.Before.Lock() // the read of the next request stands still
+						s.Hold() // the read of the next request stands still
 					}
 				}))
 				defer server.Close()
@@ -43,7 +43,7 @@
 				c.answered()
 				time.Sleep(50 * time.Millisecond) // the server reads on
 				if read {
-					s.After.Lock()
+					s.HoldBehind()
 				}
 				c.send(requestStart + requestEnd)
 				stopped := make(chan error, 1)
@@ -55,9 +55,9 @@
 					r.Sweep()
 				}
 				if read {
-					s.After.Unlock()
+					s.ReleaseBehind()
 				} else {
-					s.Before.Unlock()
+					s.Release()
 				}
 				c.answered()
 				if stopping {
--- a/internal/adapter/idleconns/idleconns_test.go
+++ b/internal/adapter/idleconns/idleconns_test.go
@@ -16,16 +16,16 @@
 
 	"sassafrasreach/internal/adapter/idleconns"
 	"sassafrasreach/internal/port"
-	"sassafrasreach/internal/teststall"
+	"sassafrasreach/internal/testlink"
 )
 
 // startServer starts a server whose idle connections r closes.
 func startServer(r *idleconns.Reaper, h http.Handler) *httptest.Server {
-	return startServerOn(r, &teststall.Listener{}, h)
+	return startServerOn(r, &testlink.Stall{}, h)
 }
 
 // startServerOn is startServer with connections that the test can stall.
-func startServerOn(r *idleconns.Reaper, s *teststall.Listener, h http.Handler) *httptest.Server {
+func startServerOn(r *idleconns.Reaper, s *testlink.Stall, h http.Handler) *httptest.Server {
 	server := httptest.NewUnstartedServer(h)
 	s.Listener = server.Listener
 	server.Listener = r.Listener(s)
--- a/internal/adapter/pipelinehttp/pipeline_test.go
+++ b/internal/adapter/pipelinehttp/pipeline_test.go
@@ -361,7 +361,7 @@
 	s := newIdleRig(t, nil, idleTimeout)
 	s.received = func(x *exchange) {
 		if x.id == "2" {
-			s.reads.Before.Lock() // the read of the next request stands still
+			s.reads.Hold() // the read of the next request stands still
 		}
 	}
 	c := s.dial(t)
@@ -370,7 +370,7 @@
 	c.answered("GET 2 ", false)
 	c.send(get("/safe/3"))
 	time.Sleep(2 * idleTimeout)
-	s.reads.Before.Unlock()
+	s.reads.Release()
 	c.answered("GET 3 ", false)
 }
 
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -24,8 +24,8 @@
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/event"
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/testlink"
 	"sassafrasreach/internal/testseed"
-	"sassafrasreach/internal/teststall"
 )
 
 // service runs requests as their targets say: /safe/ID may run concurrently, all others
@@ -167,7 +167,7 @@
 	reaper   *idleconns.Reaper
 	server   *http.Server
 	listener net.Listener
-	reads    teststall.Listener
+	reads    testlink.Stall
 	idle     atomic.Int64 // limit of idle connections in nanoseconds
 	// told is how long clients may keep a connection, in nanoseconds.
 	told atomic.Int64
--- a/internal/testlink/stall.go
+++ b/internal/testlink/stall.go
@@ -7,12 +7,13 @@
 	"time"
 )
 
-// Stall is a listener whose connections can stand still before they read from the kernel, as
-// when the process isn't scheduled.
+// Stall is a listener whose connections can stand still before they read from the kernel, or
+// behind that, as when the process isn't scheduled.
 type Stall struct {
 	net.Listener
 
-	gate          sync.RWMutex
+	gate, gateBehind sync.RWMutex
+
 	reading, held atomic.Int64
 	closed        atomic.Bool
 
@@ -54,6 +55,20 @@
 // Release undoes Hold.
 func (s *Stall) Release() { s.gate.Unlock() }
 
+// HoldBehind lets reads stand still once they have read from the kernel, until ReleaseBehind.
+func (s *Stall) HoldBehind() { s.gateBehind.Lock() }
+
+// ReleaseBehind undoes HoldBehind.
+func (s *Stall) ReleaseBehind() { s.gateBehind.Unlock() }
+
+// AwaitRead waits until a read waits for input, which Hold doesn't stop. A handler of http.Server
+// calls it before Hold, since the server reads in the background meanwhile.
+func (s *Stall) AwaitRead() {
+	for s.Reading() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Pass lets the read deadlines pass that end within d from now.
 func (s *Stall) Pass(d time.Duration) {
 	s.mu.Lock()
@@ -77,14 +92,24 @@
 // Read implements net.Conn.
 func (c *stalledConn) Read(p []byte) (int, error) {
 	c.stall.held.Add(1)
-	c.stall.gate.RLock()
-	c.stall.gate.RUnlock() //nolint:staticcheck // waits while Hold is in force
+	await(&c.stall.gate)
 	c.stall.held.Add(-1)
 	c.stall.reading.Add(1)
-	defer c.stall.reading.Add(-1)
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.stall.reading.Add(-1)
+	await(&c.stall.gateBehind)
+	return n, err
+}
+
+// await waits while a gate is held.
+func await(gate *sync.RWMutex) {
+	gate.RLock()
+	defer gate.RUnlock()
 }
 
+// CloseWrite closes the sending side.
+func (c *stalledConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
 // SetReadDeadline implements net.Conn.
 func (c *stalledConn) SetReadDeadline(t time.Time) error {
 	c.deadline.Store(&t)
