Close a connection on which a head has stopped

What operators saw: a planned stop of an entry or a control VM lasted until its limit because of a caller that had sent two bytes of a next request; calls in flight between entries then had no time left. At gateways a connection on which one to three bytes had come stayed open for minutes.

Cause: such a connection isn't idle, and http.Server begins its time for a head with the fourth byte. http.Server.Shutdown, which entries used before, closed such connections at once.

The Reaper closes them 10 s after the first byte, in a stop after 1 s, unless more has arrived that is unread.

--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -34,6 +34,11 @@
 	// firstRequestWait is how long a shutdown waits for the first request of a
 	// connection that was just accepted.
 	firstRequestWait = 500 * time.Millisecond
+	// headTime is how long the head of a request may take from its first byte, and
+	// shutdownHeadTime is the same in a shutdown. http.Server's time for a head begins with the
+	// fourth byte only.
+	headTime         = 10 * time.Second
+	shutdownHeadTime = time.Second
 )
 
 // Reaper tracks the idle connections of a server. It is safe for concurrent use.
@@ -65,16 +70,19 @@
 }
 
 // Listener returns the listener that the server must use.
-func (r *Reaper) Listener(l net.Listener) net.Listener { return listener{l} }
+func (r *Reaper) Listener(l net.Listener) net.Listener { return listener{l, r} }
 
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	reaper *Reaper
+}
 
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, clock: l.reaper.clock}, nil
 }
 
 // conn is a connection that is closed as idle only if nothing of a next request has
@@ -84,11 +92,14 @@
 // what the kernel holds, counts, however long ago it arrived.
 type conn struct {
 	net.Conn
+	clock port.Clock
 
 	mu sync.Mutex
 	// received is true once a byte was read since the last response; closed once
 	// the connection was closed as idle. Guarded by mu.
 	received, closed bool
+	// receivedAt is when that byte was read. Guarded by mu.
+	receivedAt time.Time
 	// ending means that closeIdle has ended the read, which may not have returned yet.
 	// Guarded by mu.
 	ending bool
@@ -108,6 +119,7 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if again, closed := c.afterRead(n, err); closed {
+			_ = c.Close()
 			return 0, net.ErrClosed
 		} else if !again {
 			return n, err
@@ -123,7 +135,9 @@
 	if c.closed {
 		return false, true
 	}
-	c.received = c.received || n > 0
+	if n > 0 && !c.received {
+		c.received, c.receivedAt = true, c.clock.Now()
+	}
 	if !c.ending {
 		return false, false
 	}
@@ -136,7 +150,6 @@
 		return true, false
 	}
 	c.closed = true
-	_ = c.Close()
 	return false, true
 }
 
@@ -173,6 +186,18 @@
 	c.received = false
 }
 
+// closeStopped closes the connection if a part of a head was received for longer than a limit
+// ago and nothing more has arrived.
+func (c *conn) closeStopped(now time.Time, limit time.Duration) {
+	c.mu.Lock()
+	stopped := c.received && !c.closed && now.Sub(c.receivedAt) > limit && !sockinput.Pending(c.Conn)
+	c.closed = c.closed || stopped
+	c.mu.Unlock()
+	if stopped {
+		_ = c.Close()
+	}
+}
+
 // closeIdle lets the reader close the connection unless something of a next request has
 // arrived. If nobody reads at the moment, or its owner sets another deadline, a later call does.
 func (c *conn) closeIdle() {
@@ -217,7 +242,7 @@
 }
 
 // Sweep closes the connections that exceed the limit that was in force when they became
-// idle, or else the present one. It should be called about once a second.
+// idle, or else the present one, and those on which a head has stopped. It should be called about once a second.
 func (r *Reaper) Sweep() {
 	now, limits := r.clock.Now(), r.limits()
 	r.mu.Lock()
@@ -230,6 +255,7 @@
 		if limit > 0 && now.Sub(s.since) > limit {
 			c.closeIdle()
 		}
+		c.closeStopped(now, headTime)
 	}
 }
 
@@ -241,7 +267,8 @@
 	return l.Header
 }
 
-// closeOver closes the connections that have been idle for longer than a limit.
+// closeOver closes the connections that have been idle for longer than a limit, or on which a
+// head has stopped.
 func (r *Reaper) closeOver(limits Limits) {
 	now := r.clock.Now()
 	r.mu.Lock()
@@ -250,6 +277,7 @@
 		if now.Sub(s.since) > limits.of(s) {
 			c.closeIdle()
 		}
+		c.closeStopped(now, shutdownHeadTime)
 	}
 }
 
