Count connections for a planned stop from their acceptance on

A planned stop ended although a connection with a request on it had been accepted: connections counted from http.Server's StateNew on, and a process that isn't scheduled between the two missed it.

Connections that wait in the kernel to be accepted are still reset when the listener is closed; their requests haven't been read.

--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -82,6 +82,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// Counted here, since the server may be told of a stop before it reports StateNew.
+	l.reaper.mu.Lock()
+	defer l.reaper.mu.Unlock()
+	l.reaper.open++
 	return &conn{Conn: c, clock: l.reaper.clock}, nil
 }
 
@@ -222,7 +226,6 @@
 	delete(r.idle, c)
 	switch to {
 	case http.StateNew:
-		r.open++
 		r.idle[c] = idleState{since: r.clock.Now(), limit: r.limits().Header}
 	case http.StateActive:
 		c.activeLimit = r.limits().Idle
