Don't close a connection for another one while its head is just being read

A connection with a part of a head may be closed only 500 ms after its first byte, as a new one without any. The first byte is noted right behind the read, without waiting for the lock.

--- a/internal/adapter/connlimit/connlimit.go
+++ b/internal/adapter/connlimit/connlimit.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sassafrasreach/internal/adapter/sockinput"
@@ -18,14 +19,14 @@
 )
 
 const (
-	// headGrace is the time that a new connection has for the head of its first request
-	// before it may be closed for another one.
+	// headGrace is the time that a new connection has for the head of its first request, and
+	// each head from its first byte on, before the connection may be closed for another one.
 	headGrace = 500 * time.Millisecond
 	// closingSlack is how many connections may be open beyond the limit while others are
 	// being closed for them.
 	closingSlack = 16
-	// maxLooked bounds the connections that are looked at to find one that can be closed.
-	maxLooked = 16
+	// maxLookedAt bounds the connections that are looked at to find one that can be closed.
+	maxLookedAt = 16
 	// freeHeadBytes is the part of a head that isn't charged, and parsedHeadCost what a
 	// byte beyond it may take once it is parsed: a head of short lines takes far more
 	// memory than it has bytes.
@@ -118,6 +119,10 @@
 	since time.Time
 	// headBytes is what was read of the next head, and headCharge what was taken for it.
 	headBytes, headCharge int64
+
+	// begunAt is when the first byte of the next head was read, in nanoseconds since 1970; 0
+	// before. It is set at once behind the read, without the mu of the Limiter.
+	begunAt atomic.Int64
 }
 
 // admit returns the connection if there is room for it, or was made.
@@ -164,36 +169,37 @@
 // a request, else the one that has been idle for longest; nil if there is none. Must hold
 // mu.
 func (l *Limiter) leastUseful() *conn {
-	due := l.opts.Clock.Now().Add(-headGrace)
-	if c := firstWithoutInput(l.unserved, func(c *conn) bool { return !c.since.After(due) }); c != nil {
+	now := l.opts.Clock.Now()
+	if c := firstClosable(l.unserved, now, headGrace); c != nil {
 		return c
 	}
-	return firstWithoutInput(l.idle, func(*conn) bool { return true })
+	return firstClosable(l.idle, now, 0)
 }
 
-// firstWithoutInput returns the first connection of a list from which nothing has arrived since
-// its last response, else the first one with a part of a head; nil if there is none among the
-// first maxLooked that are due. A connection with unread input isn't closed: what lies there
-// may be a whole request, which would be lost.
-func firstWithoutInput(in *list.List, due func(*conn) bool) *conn {
-	var begun *conn
-	looked := 0
-	for e := in.Front(); e != nil && looked < maxLooked; e = e.Next() {
+// firstClosable returns the first connection of a list from which nothing has arrived since its
+// last response, else the first one with a part of a head that has stopped; nil if there is none
+// among the first maxLookedAt that were accepted longer ago than grace. Others aren't closed:
+// what has arrived may be a whole request, which would be lost.
+func firstClosable(in *list.List, now time.Time, grace time.Duration) *conn {
+	var stopped *conn
+	lookedAt := 0
+	for e := in.Front(); e != nil && lookedAt < maxLookedAt; e = e.Next() {
 		c := e.Value.(*conn)
-		if !due(c) {
+		if now.Sub(c.since) < grace {
 			break
 		}
-		looked++
+		lookedAt++
+		begun := c.begunAt.Load()
 		switch {
-		case c.headBytes > 0 && begun != nil:
+		case begun != 0 && (stopped != nil || now.Sub(time.Unix(0, begun)) < headGrace):
 		case sockinput.Pending(c.Conn):
-		case c.headBytes > 0:
-			begun = c
+		case begun != 0:
+			stopped = c
 		default:
 			return c
 		}
 	}
-	return begun
+	return stopped
 }
 
 // remove gives back what a connection holds. Must hold mu.
@@ -223,6 +229,7 @@
 		c.wait(l.idle)
 		c.account.Return(c.headCharge)
 		c.headBytes, c.headCharge = 0, 0
+		c.begunAt.Store(0)
 	}
 }
 
@@ -243,6 +250,9 @@
 // Read implements net.Conn. It fails if there is no memory for the head that is read.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begunAt.CompareAndSwap(0, c.limiter.opts.Clock.Now().UnixNano())
+	}
 	if !c.chargeHead(int64(n)) {
 		c.limiter.opts.Refused(reasonHead, c.RemoteAddr().String())
 		_ = c.Close()
