Count accepted connections without the server's reports

A connection that is closed before it is reported no longer counts. The listener of stalled connections allocated at each deadline, which failed TestPlainCost by 5 allocations a request; it no longer does.

--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sassafrasreach/internal/adapter/sockinput"
@@ -54,6 +55,9 @@
 	taken map[*conn]bool
 	// open counts the connections. Guarded by mu.
 	open int
+	// unreported counts the connections that were accepted and that the server hasn't reported
+	// yet. A planned stop must wait for them, too.
+	unreported atomic.Int64
 }
 
 // idleState holds the time since when a connection has been idle, how long it may be,
@@ -82,11 +86,10 @@
 	if err != nil {
 		return nil, err
 	}
-	// Counted here, since the server may be told of a stop before it reports StateNew.
-	l.reaper.mu.Lock()
-	defer l.reaper.mu.Unlock()
-	l.reaper.open++
-	return &conn{Conn: c, clock: l.reaper.clock}, nil
+	l.reaper.unreported.Add(1)
+	out := &conn{Conn: c, reaper: l.reaper}
+	out.unreported.Store(true)
+	return out, nil
 }
 
 // conn is a connection that is closed as idle only if nothing of a next request has
@@ -96,7 +99,9 @@
 // what the kernel holds, counts, however long ago it arrived.
 type conn struct {
 	net.Conn
-	clock port.Clock
+	reaper *Reaper
+	// unreported is true from the acceptance until the server reports StateNew.
+	unreported atomic.Bool
 
 	mu sync.Mutex
 	// received is true once a byte was read since the last response; closed once
@@ -140,7 +145,7 @@
 		return false, true
 	}
 	if n > 0 && !c.received {
-		c.received, c.receivedAt = true, c.clock.Now()
+		c.received, c.receivedAt = true, c.reaper.clock.Now()
 	}
 	if !c.ending {
 		return false, false
@@ -182,6 +187,19 @@
 	return errors.ErrUnsupported
 }
 
+// reported notes that the server has reported the connection or closes it.
+func (c *conn) reported() {
+	if c.unreported.CompareAndSwap(true, false) {
+		c.reaper.unreported.Add(-1)
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.reported()
+	return c.Conn.Close()
+}
+
 // AwaitRequest marks that the next byte begins a request. A handler that has taken the
 // connection over calls it before it reads that byte.
 func (c *conn) AwaitRequest() {
@@ -226,6 +244,8 @@
 	delete(r.idle, c)
 	switch to {
 	case http.StateNew:
+		r.open++
+		c.reported()
 		r.idle[c] = idleState{since: r.clock.Now(), limit: r.limits().Header}
 	case http.StateActive:
 		c.activeLimit = r.limits().Idle
@@ -301,7 +321,7 @@
 	for {
 		r.closeOver(Limits{Header: firstRequestWait, Idle: time.Nanosecond})
 		r.mu.Lock()
-		open := r.open
+		open := r.open + int(r.unreported.Load())
 		r.mu.Unlock()
 		if open == 0 {
 			// Close may find the listener that was closed above.
--- a/internal/testlink/stall.go
+++ b/internal/testlink/stall.go
@@ -74,7 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.conns {
-		if t := c.deadline.Load(); t != nil && !t.IsZero() && time.Until(*t) < d {
+		if n := c.deadline.Load(); n > 0 && time.Until(time.Unix(0, n)) < d {
 			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
@@ -82,8 +82,9 @@
 
 type stalledConn struct {
 	net.Conn
-	stall    *Stall
-	deadline atomic.Pointer[time.Time]
+	stall *Stall
+	// deadline is that of reads, in nanoseconds since 1970; not positive if there is none.
+	deadline atomic.Int64
 }
 
 // NetConn returns the connection of the underlying listener.
@@ -112,6 +113,6 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *stalledConn) SetReadDeadline(t time.Time) error {
-	c.deadline.Store(&t)
+	c.deadline.Store(t.UnixNano())
 	return c.Conn.SetReadDeadline(t)
 }
