Don't record a refused request as cut when its body is read behind the answer

Found by the review: net/http reads a part of a refused body after the handler has returned; that was taken for the next request, and the close for its loss (request-cut, unserved). The state behind a response now ends with http.Server's StateIdle only.

--- a/internal/adapter/pipelinehttp/conn.go
+++ b/internal/adapter/pipelinehttp/conn.go
@@ -95,7 +95,7 @@
 	request  *http.Request
 	exchange Exchange
 	loop     *loop
-	journey  journey
+	current  requestState
 }
 
 // NetConn returns the connection of the underlying listener.
@@ -109,7 +109,7 @@
 	}
 	if err != nil {
 		c.mu.Lock()
-		c.journey.readFailed(err)
+		c.current.readFailed(err)
 		c.mu.Unlock()
 	}
 	return n, err
@@ -135,9 +135,6 @@
 	}
 	c.behind = background
 	if !background {
-		if c.journey.phase == responded {
-			c.journey.phase = between // net/http reads on once the response was sent
-		}
 		c.scan.add(read)
 	}
 	if background && c.state == watched {
--- a/internal/adapter/pipelinehttp/cut.go
+++ b/internal/adapter/pipelinehttp/cut.go
@@ -42,9 +42,9 @@
 	cutUnread   = "input-unread"
 )
 
-// journey is what a connection remembers of its current request, to tell at its end whether
+// requestState is what a connection remembers of its current request, to tell at its end whether
 // that got its whole response. It is guarded by the mu of the conn.
-type journey struct {
+type requestState struct {
 	phase phase
 	// request is the ID, and at when the head had been read.
 	request string
@@ -60,7 +60,7 @@
 
 // readFailed notes an error of a read that this process hasn't caused. Deadlines are set by this
 // process, also to end a read.
-func (j *journey) readFailed(err error) {
+func (j *requestState) readFailed(err error) {
 	if j.peerErr == nil && !j.closed && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		j.peerErr, j.leftAt = err, j.phase
 	}
@@ -69,7 +69,7 @@
 // cause returns who ended the connection before the whole response was written, and why; ""
 // if the response is whole. received is the number of bytes that were read of a request that
 // wasn't served.
-func (j *journey) cause(received int64) (by, why string) {
+func (j *requestState) cause(received int64) (by, why string) {
 	switch {
 	case j.peerErr != nil && j.leftAt == serving:
 		return byClient, cutLeft
@@ -79,7 +79,7 @@
 		return byGateway, cutWrite
 	case j.phase == serving:
 		return byGateway, cutAborted
-	case received > 0:
+	case received > 0 && j.phase == between:
 		return byGateway, cutUnserved
 	default:
 		return "", ""
@@ -91,9 +91,9 @@
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.journey.written += int64(n)
-	if err != nil && c.journey.writeErr == nil && !c.journey.closed {
-		c.journey.writeErr = err
+	c.current.written += int64(n)
+	if err != nil && c.current.writeErr == nil && !c.current.closed {
+		c.current.writeErr = err
 	}
 	return n, err
 }
@@ -103,19 +103,19 @@
 // over: the loop does that.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	first, j, h := !c.journey.closed, c.journey, c.handler
-	c.journey.closed = true
+	first, j, h := !c.current.closed, c.current, c.handler
+	c.current.closed = true
 	received := c.scan.total
 	if c.behind {
 		received++
 	}
-	mine := c.state != takenOver
+	ownedByServer := c.state != takenOver
 	c.mu.Unlock()
-	if first && mine && j.phase == responded && j.peerErr == nil && j.writeErr == nil && h.beginLinger() {
+	if first && ownedByServer && j.phase == responded && j.peerErr == nil && j.writeErr == nil && h.beginLinger() {
 		go c.linger(h)
 		return nil
 	}
-	if first && mine && h != nil {
+	if first && ownedByServer && h != nil {
 		by, why := j.cause(received)
 		if why == "" && j.peerErr == nil && sockinput.Pending(c.Conn) {
 			by, why = byGateway, cutUnread
@@ -140,7 +140,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.journey.phase = p
+	c.current.phase = p
 }
 
 // beginServing notes that the handler has a request. c may be nil.
@@ -151,7 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handler = h
-	c.journey.phase, c.journey.request, c.journey.at, c.journey.written = serving, h.requestID(r), at, 0
+	c.current.phase, c.current.request, c.current.at, c.current.written = serving, h.requestID(r), at, 0
 }
 
 // cut describes a request that didn't get its whole response before its connection ended.
--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -108,7 +108,7 @@
 		hijacked: make(chan struct{}), firstEnded: make(chan struct{}), progress: make(chan struct{}, 1), lastMethod: r.Method,
 	}
 	l.ctx, l.cancel = context.WithCancel(c.context.Context)
-	l.first = &entry{exchange: x, request: r, at: c.journey.at, cancel: func() {}}
+	l.first = &entry{exchange: x, request: r, at: c.current.at, cancel: func() {}}
 	l.first.writer = newResponse(l, l.first)
 	l.queue.AddRunning(l.first)
 	l.served = 1
@@ -345,7 +345,7 @@
 // recordCut records a request that doesn't get its whole response.
 func (l *loop) recordCut(e *entry, why endReason) {
 	l.inner.mu.Lock()
-	j := l.inner.journey
+	j := l.inner.current
 	l.inner.mu.Unlock()
 	by := byGateway
 	if why == reasonClientLeft || j.peerErr != nil {
