Don't report a pipelined connection as idle while its next request is buffered

What callers saw (suspected, not met): a gateway that is short of connections closes an idle one to make room. A connection of a client that sends requests behind one another could be that one although its next request had been read; the request then may still be run, and its answer is lost.

Cause: once a request was queued, nothing counted as being read, although the reader's buffer may hold the next request. If the queued one was answered before the reader went on, the connection was reported as idle. idleconns checks whether something was read, connlimit doesn't.

"reading" now is true while bytes are buffered that belong to no request so far, from the take-over on; if they turn out to be empty lines, the connection is reported as idle then.

--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -111,7 +111,8 @@
 	l.first = &entry{exchange: x, request: r, at: c.current.at, cancel: func() {}}
 	l.first.writer = newResponse(l, l.first)
 	l.queue.AddRunning(l.first)
-	l.served = 1
+	// What arrived behind the first request began the take-over.
+	l.served, l.reading = 1, true
 	return l
 }
 
@@ -166,7 +167,7 @@
 // true. It returns false if the connection takes no more.
 func (l *loop) enqueue(e *entry, answered bool) bool {
 	l.mu.Lock()
-	l.reading = false
+	l.reading = !e.writer.final && l.buffered()
 	ahead, add := l.queue.Len() > 0, l.queue.Add
 	if answered {
 		add = l.queue.AddAnswered
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -125,8 +125,8 @@
 		skippable = 4
 	}
 	for ; ; skippable-- {
-		if c, ok := l.conn.(interface{ AwaitRequest() }); ok && l.reader.Buffered() == 0 && len(l.source.held) == 0 {
-			c.AwaitRequest()
+		if !l.buffered() {
+			l.awaitRequest()
 		}
 		b, err := l.reader.Peek(1)
 		if err != nil || skippable == 0 || b[0] != '\r' && b[0] != '\n' {
@@ -138,6 +138,24 @@
 	}
 }
 
+// buffered reports whether bytes were read that belong to no request so far. Only the reader
+// may call it.
+func (l *loop) buffered() bool { return l.reader.Buffered() > 0 || len(l.source.held) > 0 }
+
+// awaitRequest notes that the next byte begins a request. What was buffered behind the last
+// one may have been empty lines only.
+func (l *loop) awaitRequest() {
+	if c, ok := l.conn.(interface{ AwaitRequest() }); ok {
+		c.AwaitRequest()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reading {
+		l.reading = false
+		l.noteIdle()
+	}
+}
+
 // awaitRoom waits until a further request may be read. It returns false when the
 // connection has ended.
 func (l *loop) awaitRoom() bool {
--- a/internal/adapter/pipelinehttp/rig_test.go
+++ b/internal/adapter/pipelinehttp/rig_test.go
@@ -171,6 +171,8 @@
 	idle     atomic.Int64 // limit of idle connections in nanoseconds
 	// told is how long clients may keep a connection, in nanoseconds.
 	told atomic.Int64
+	// idled counts the reports of a connection as idle.
+	idled atomic.Int64
 	// cuts holds "ID by why" of each request that was recorded as cut off.
 	cuts []string
 	// panics counts the records of panics.
@@ -196,7 +198,7 @@
 	})
 	logger := slog.New(records{s})
 	s.handler = pipelinehttp.New(s.service, pipelinehttp.Options{
-		Clock: port.ClockFunc(time.Now), Logger: logger, Meter: metrics.New(), ConnState: s.reaper.ConnState, Budget: budget,
+		Clock: port.ClockFunc(time.Now), Logger: logger, Meter: metrics.New(), ConnState: s.connState, Budget: budget,
 		HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxLingering: 10,
 		ClientIdleTimeout: func() time.Duration { return time.Duration(s.told.Load()) },
 		RequestID:         func(r *http.Request) string { return r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:] },
@@ -219,6 +221,14 @@
 	return s
 }
 
+// connState is called with the states of all connections.
+func (s *rig) connState(c net.Conn, to http.ConnState) {
+	if to == http.StateIdle {
+		s.idled.Add(1)
+	}
+	s.reaper.ConnState(c, to)
+}
+
 // records is a slog.Handler that keeps what the rig checks.
 type records struct{ *rig }
 
