Read on behind a closing response on connections of callers

Callers of entries and operators of control VMs could get a closing response only in part, with a reset, if they had sent something that was unread, for example their next request in a planned stop.

Cause: http.Server closes a connection behind a closing response at once. With unread input the kernel then resets the connection and drops what the client hasn't received.

The lingering of pipelinehttp is now in package linger, which both use: behind a whole response Close ends the stream and reads on until the client closes, for half a second at most, and for an eighth of the open connections at once. The input is read, so that the final close doesn't reset the connection. Idle connections, those whose handler panicked and those with a failed write are closed at once, as before. A planned stop waits for connections that linger, within its limit.

TestClosingResponseBeforeNextRequest holds the response in the server's send buffer and has the next request arrive before the close.

--- a/internal/adapter/pipelinehttp/cut.go
+++ b/internal/adapter/pipelinehttp/cut.go
@@ -111,8 +111,7 @@
 	}
 	ownedByServer := c.state != takenOver
 	c.mu.Unlock()
-	if first && ownedByServer && j.phase == responded && j.peerErr == nil && j.writeErr == nil && h.beginLinger() {
-		go c.linger(h)
+	if first && ownedByServer && j.phase == responded && j.peerErr == nil && j.writeErr == nil && h.lingering.TryClose(c.Conn) {
 		return nil
 	}
 	if first && ownedByServer && h != nil {
--- a/internal/adapter/pipelinehttp/handler.go
+++ b/internal/adapter/pipelinehttp/handler.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasreach/internal/adapter/linger"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/port"
 )
@@ -72,21 +73,27 @@
 type Handler struct {
 	service Service
 	opts    Options
-	// taken counts the open connections that were taken over, lingering those that net/http
-	// has closed and whose clients may still read the last response.
-	taken      atomic.Int64
-	lingering  atomic.Int64
+	// taken counts the open connections that were taken over.
+	taken atomic.Int64
+	// lingering closes connections of net/http behind a whole response.
+	lingering  *linger.Closer
 	takeovers  limitedEvent
 	cutRecords limitedEvent
 	keepAlive  atomic.Pointer[keepAliveValue]
 }
 
 // New returns a Handler.
-func New(service Service, opts Options) *Handler { return &Handler{service: service, opts: opts} }
+func New(service Service, opts Options) *Handler {
+	return &Handler{service: service, opts: opts, lingering: linger.New(opts.MaxLingering)}
+}
 
 // Connections returns the number of open connections that were taken over.
 func (h *Handler) Connections() int64 { return h.taken.Load() }
 
+// AwaitClosed waits until no connection of net/http lingers, or until ctx ends. A process that ends
+// before that resets them.
+func (h *Handler) AwaitClosed(ctx context.Context) { h.lingering.Wait(ctx) }
+
 // ConnState must be set as http.Server.ConnState. It calls that of the Options.
 func (h *Handler) ConnState(nc net.Conn, to http.ConnState) {
 	if to == http.StateIdle {
--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"sassafrasreach/internal/adapter/linger"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/core/pipeline"
 	"sassafrasreach/internal/event"
@@ -26,12 +27,7 @@
 	// pollInterval is the time between two checks whether the client is still there, and
 	// whether there is room in the budget, while nothing is read.
 	pollInterval = 100 * time.Millisecond
-	// lingerTimeout and lingerBytes bound how long and how much is read after a response
-	// that closes the connection. Without that, what the client sent behind the request
-	// resets the connection before the client has read the response.
-	lingerTimeout = 500 * time.Millisecond
-	lingerBytes   = 4 << 20
-	writeBuffer   = 4 << 10
+	writeBuffer  = 4 << 10
 )
 
 // endReason says why a connection ended.
@@ -312,7 +308,7 @@
 	canceled := inFlight
 	if why == reasonClosed {
 		canceled = len(unanswered)
-		_ = l.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_ = l.conn.SetReadDeadline(time.Now().Add(linger.Timeout))
 	}
 	served, ahead := l.served-canceled, l.ahead
 	for _, e := range unanswered {
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"sassafrasreach/internal/adapter/linger"
 	"sassafrasreach/internal/adapter/sockinput"
 )
 
@@ -342,6 +343,6 @@
 	why := l.ended
 	l.mu.Unlock()
 	if why == reasonClosed {
-		_, _ = io.CopyN(io.Discard, l.conn, lingerBytes)
+		_, _ = io.CopyN(io.Discard, l.conn, linger.MaxBytes)
 	}
 }
--- a/internal/cli/callerserver.go
+++ b/internal/cli/callerserver.go
@@ -10,6 +10,7 @@
 	"sassafrasreach/internal/adapter/callerhttp"
 	"sassafrasreach/internal/adapter/connlimit"
 	"sassafrasreach/internal/adapter/idleconns"
+	"sassafrasreach/internal/adapter/linger"
 	"sassafrasreach/internal/port"
 )
 
@@ -30,25 +31,31 @@
 
 // callerServer is the HTTP server of callers or operators. Unlike http.Server's own timeout and
 // Shutdown, its sweep and its stop never close an idle connection on which a request has
-// arrived, whether that was read or not.
+// arrived, whether that was read or not. A connection that is closed behind a response lingers, so
+// that the caller's next request doesn't reset it before the caller has the response.
 type callerServer struct {
 	http    *http.Server
 	limiter *connlimit.Limiter
 	idle    *idleconns.Reaper
+	// lingering closes connections behind a whole response.
+	lingering *linger.Closer
 	// listener must be set before serve and shutdown.
 	listener net.Listener
 	// stopping is true once shutdown has begun.
 	stopping atomic.Bool
 }
 
-func newCallerServer(h http.Handler, limiter *connlimit.Limiter, clock port.Clock) *callerServer {
-	s := &callerServer{limiter: limiter}
+// newCallerServer returns a server of which at most maxLingering closed connections linger.
+func newCallerServer(h http.Handler, limiter *connlimit.Limiter, maxLingering int, clock port.Clock) *callerServer {
+	s := &callerServer{limiter: limiter, lingering: linger.New(maxLingering)}
 	s.idle = idleconns.New(clock, func() idleconns.Limits {
 		return idleconns.Limits{Header: firstRequestTimeout, Idle: callerIdleTimeout}
 	})
 	s.http = &http.Server{
-		Handler: callerhttp.CloseConnectionsWhen(s.stopping.Load, h),
+		Handler:     linger.Handler(callerhttp.CloseConnectionsWhen(s.stopping.Load, h)),
+		ConnContext: linger.ConnContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
+			linger.ConnState(c, state)
 			limiter.ConnState(c, state)
 			s.idle.ConnState(c, state)
 		},
@@ -60,7 +67,7 @@
 
 // serve serves until shutdown, when it returns http.ErrServerClosed.
 func (s *callerServer) serve() error {
-	err := s.http.Serve(s.idle.Listener(s.limiter.Listener(s.listener)))
+	err := s.http.Serve(s.idle.Listener(s.limiter.Listener(s.lingering.Listener(s.listener))))
 	if s.stopping.Load() {
 		return http.ErrServerClosed // instead of the error of the closed listener
 	}
@@ -71,8 +78,11 @@
 func (s *callerServer) sweep() { s.idle.Sweep() }
 
 // shutdown closes the listener, and each connection once it is idle. It returns when no
-// connection is open; when ctx ends before, it closes the others and returns the error of ctx.
+// connection is open or lingers; when ctx ends before, it closes the open ones and returns the error of
+// ctx.
 func (s *callerServer) shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
-	return s.idle.Shutdown(ctx, s.http, s.listener)
+	err := s.idle.Shutdown(ctx, s.http, s.listener)
+	s.lingering.Wait(ctx)
+	return err
 }
--- a/internal/cli/callerserver_test.go
+++ b/internal/cli/callerserver_test.go
@@ -44,7 +44,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		s.stall.Hold()
-	}), g.newLimiter("callers", 4, nil), clock)
+	}), g.newLimiter("callers", 4, nil), 4, clock)
 	s.listener = s.stall
 	go func() { _ = s.serve() }()
 	t.Cleanup(func() { _ = s.http.Close() })
@@ -59,7 +59,11 @@
 }
 
 func dialStalled(t *testing.T, address string) stalledClient {
-	c, err := net.Dial("tcp", address)
+	return newStalledClient(t, net.Dialer{}, address)
+}
+
+func newStalledClient(t *testing.T, dialer net.Dialer, address string) stalledClient {
+	c, err := dialer.DialContext(t.Context(), "tcp", address)
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = c.Close() })
 	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -106,7 +106,7 @@
 		Logger:               logger,
 		Bodies:               p.bodies,
 		Refusals:             p.refusals,
-	}), p.limiter, clock)
+	}), p.limiter, p.openConnections(false)/lingerDivisor, clock)
 	routes := chi.NewRouter()
 	routes.Use(intake.IgnoreBodies)
 	routes.Method(http.MethodGet, "/v1/metrics", meter.Handler(p.gauges("operators", p.limiter)))
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -141,7 +141,7 @@
 	gauges := meter.Handler(p.gauges("callers", p.limiter))
 	p.callers = newCallerServer(callerhttp.New(callerhttp.Options{
 		Entry: p.entry, Name: name, Clock: p.clock, Bodies: p.bodies, Refusals: p.refusals, Metrics: gauges, Stopping: p.entry.Stopping,
-	}), p.limiter, p.clock)
+	}), p.limiter, p.openConnections(true)/lingerDivisor, p.clock)
 	p.callers.http.ReadTimeout = callerReadTimeout
 	p.metrics = &http.Server{Handler: callerhttp.NewHealth(p.entry, gauges), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
 }
