--- a/internal/adapter/pipelinehttp/cut.go
+++ b/internal/adapter/pipelinehttp/cut.go
@@ -60,26 +60,26 @@
 
 // readFailed notes an error of a read that this process hasn't caused. Deadlines are set by this
 // process, also to end a read.
-func (j *requestState) readFailed(err error) {
-	if j.peerErr == nil && !j.closed && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
-		j.peerErr, j.leftAt = err, j.phase
+func (s *requestState) readFailed(err error) {
+	if s.peerErr == nil && !s.closed && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		s.peerErr, s.leftAt = err, s.phase
 	}
 }
 
 // cause returns who ended the connection before the whole response was written, and why; ""
 // if the response is whole. received is the number of bytes that were read of a request that
 // wasn't served.
-func (j *requestState) cause(received int64) (by, why string) {
+func (s *requestState) cause(received int64) (by, why string) {
 	switch {
-	case j.peerErr != nil && j.leftAt == serving:
+	case s.peerErr != nil && s.leftAt == serving:
 		return byClient, cutLeft
-	case j.peerErr != nil && j.phase != serving:
+	case s.peerErr != nil && s.phase != serving:
 		return "", ""
-	case j.writeErr != nil:
+	case s.writeErr != nil:
 		return byGateway, cutWrite
-	case j.phase == serving:
+	case s.phase == serving:
 		return byGateway, cutAborted
-	case received > 0 && j.phase == between:
+	case received > 0 && s.phase == between:
 		return byGateway, cutUnserved
 	default:
 		return "", ""
@@ -99,11 +99,11 @@
 }
 
 // Close implements net.Conn. It lets the client read the response behind which net/http closes
-// the connection. It records a request that is cut off by it, unless the connection was taken
-// over: the loop does that.
+// the connection. It records a request that is cut off by it; a loop that has taken the
+// connection over records its own.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	first, j, h := !c.current.closed, c.current, c.handler
+	first, state, h := !c.current.closed, c.current, c.handler
 	c.current.closed = true
 	received := c.scan.total
 	if c.behind {
@@ -111,21 +111,21 @@
 	}
 	ownedByServer := c.state != takenOver
 	c.mu.Unlock()
-	if first && ownedByServer && j.phase == responded && j.peerErr == nil && j.writeErr == nil && h.lingering.TryClose(c.Conn) {
+	if first && ownedByServer && state.phase == responded && state.peerErr == nil && state.writeErr == nil && h.lingering.TryClose(c.Conn) {
 		return nil
 	}
 	if first && ownedByServer && h != nil {
-		by, why := j.cause(received)
-		if why == "" && j.peerErr == nil && sockinput.Pending(c.Conn) {
+		by, why := state.cause(received)
+		if why == "" && state.peerErr == nil && sockinput.Pending(c.Conn) {
 			by, why = byGateway, cutUnread
 		}
 		if why == cutUnserved {
-			j.request = "" // that of the one before
+			state.request = "" // that of the one before
 		}
 		if why != "" {
 			h.recordCut(cut{
-				request: j.request, client: c.RemoteAddr(), by: by, why: why, at: j.at, written: j.written, received: received,
-				err: errors.Join(j.peerErr, j.writeErr),
+				request: state.request, client: c.RemoteAddr(), by: by, why: why, at: state.at, written: state.written, received: received,
+				err: errors.Join(state.peerErr, state.writeErr),
 			})
 		}
 	}
--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -342,15 +342,15 @@
 // recordCut records a request that doesn't get its whole response.
 func (l *loop) recordCut(e *entry, why endReason) {
 	l.inner.mu.Lock()
-	j := l.inner.current
+	state := l.inner.current
 	l.inner.mu.Unlock()
 	by := byGateway
-	if why == reasonClientLeft || j.peerErr != nil {
+	if why == reasonClientLeft || state.peerErr != nil {
 		by = byClient
 	}
 	l.handler.recordCut(cut{
 		request: l.handler.requestID(e.request), client: l.conn.RemoteAddr(), by: by, why: string(why), at: e.at,
-		ahead: e.Ahead(), started: e.Started(), err: errors.Join(j.peerErr, j.writeErr),
+		ahead: e.Ahead(), started: e.Started(), err: errors.Join(state.peerErr, state.writeErr),
 	})
 }
 
