--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 # random faults into gateways and controllers, with new seeds on each run.
 soak: build
 	SOAK_SECONDS=90 $(GO) test -v -count=1 -timeout 10m -run TestSoak ./internal/systemtest
-	SOAK_SECONDS=40 SOAK_SEEDS=3 SOAK_FIRST=$$(date +%s) $(GO) test -v -count=1 -timeout 10m -run 'TestFleetSoak$$' ./platform
+	SOAK_SECONDS=40 SOAK_SEEDS=3 SOAK_FIRST=$$(date +%s) $(GO) test -v -count=1 -timeout 10m -run 'TestFleetSoak$$|TestFleetSoakBesideChanges$$' ./platform
 
 # Prints the measurements that the docs cite and writes them to
 # docs/MEASUREMENTS.md.
