--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -35,6 +35,20 @@
 	mu       sync.Mutex
 	sequence int
 	state    string
+	// acknowledged and refused count the heartbeats.
+	acknowledged, refused int
+}
+
+// startAgain starts a worker anew under its id, after close: a new incarnation that knows
+// nothing of before.
+func (w *worker) startAgain(i int) (*worker, error) {
+	next, err := newWorker(w.cluster, i, w.service, w.zone, w.slots)
+	if err != nil {
+		return nil, err
+	}
+	next.id, next.work, next.ran, next.answer = w.id, w.work, w.ran, w.answer
+	next.run()
+	return next, nil
 }
 
 // newWorker starts a worker at an address of its own.
@@ -124,9 +138,44 @@
 	return false
 }
 
+// setState sets the state that the next heartbeats report.
+func (w *worker) setState(state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = state
+}
+
+// deregister sends DELETE /instances/ID, to one controller after the other until one
+// acknowledges it.
+func (w *worker) deregister() bool {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, v := range w.cluster.controllers {
+		request, err := http.NewRequest(http.MethodDelete, "http://"+v.address(portControl)+"/instances/"+w.id, nil)
+		if err != nil {
+			return false
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode/100 == 2 {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		w.announce()
+		acknowledged := w.announce()
+		w.mu.Lock()
+		if acknowledged {
+			w.acknowledged++
+		} else {
+			w.refused++
+		}
+		w.mu.Unlock()
 		select {
 		case <-ctx.Done():
 		case <-time.After(1500 * time.Millisecond):
