--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -51,6 +51,23 @@
 	return next, nil
 }
 
+// startAgainThere is startAgain at the same address, on a machine whose time of day is off by
+// the given time.
+func (w *worker) startAgainThere(i int, off time.Duration) (*worker, error) {
+	next, err := newWorker(w.cluster, i, w.service, w.zone, w.slots)
+	if err != nil {
+		return nil, err
+	}
+	_ = next.listener.Close()
+	if next.listener, err = net.Listen("tcp", w.listener.Addr().String()); err != nil {
+		return nil, err
+	}
+	next.id, next.work, next.ran, next.answer = w.id, w.work, w.ran, w.answer
+	next.born = time.Now().Add(off).UnixMilli()
+	next.run()
+	return next, nil
+}
+
 // newWorker starts a worker at an address of its own.
 func newWorker(c *cluster, i int, service, zone string, slots int) (*worker, error) {
 	w := &worker{
