--- a/review/standin3/restart.go
+++ b/review/standin3/small.go
@@ -5,56 +5,6 @@
 	"time"
 )
 
-func init() { cases["restart"] = restart }
-
-// restartPause is the time between the end of a worker and its next start.
-const restartPause = 300 * time.Millisecond
-
-// restart restarts the three workers of a service one after the other, each under the id that
-// it had. Then clients send requests for a while.
-func restart(p *play) int {
-	c, workers, err := startSmall(p)
-	if err != nil {
-		p.record.logf("%v", err)
-		return failed
-	}
-	defer c.close()
-	for i := range workers {
-		if p.trouble {
-			if workers[i], err = p.restartWorker(workers[i], i); err != nil {
-				p.record.logf("%v", err)
-				return failed
-			}
-		}
-		time.Sleep(time.Second)
-	}
-	time.Sleep(5 * time.Second)
-	served, all := c.askFor(40 * time.Second)
-	for _, w := range workers {
-		w.mu.Lock()
-		p.record.logf("worker %s: ready, %d heartbeats were acknowledged, %d not", w.id, w.acknowledged, w.refused)
-		w.mu.Unlock()
-		w.close()
-	}
-	return verdict(p, served, all)
-}
-
-// restartWorker ends a worker as the pages say: it reports draining, serves on for drainS and a
-// little longer, deregisters and exits. Then it starts it again.
-func (p *play) restartWorker(w *worker, i int) (*worker, error) {
-	w.setState("draining")
-	p.record.logf("worker %s: PUT draining -> acknowledged: %v", w.id, w.announce())
-	time.Sleep(3 * time.Second)
-	p.record.logf("worker %s: DELETE -> acknowledged: %v", w.id, w.deregister())
-	w.close()
-	time.Sleep(restartPause)
-	next, err := w.startAgain(i)
-	if err == nil {
-		p.record.logf("worker %s: ended, and started again under its id, born %d ms after the DELETE at the least", next.id, restartPause.Milliseconds())
-	}
-	return next, err
-}
-
 // startSmall starts three core VMs, three front VMs and three workers, one in each of three
 // regions, and sends the first configuration.
 func startSmall(p *play) (*cluster, []*worker, error) {
@@ -80,7 +30,7 @@
 		workers = append(workers, w)
 	}
 	time.Sleep(4 * time.Second)
-	routes := []route{{"/roster/", "safe", "desk", 2, 2}, {"/filing/", "unsafe", "desk", 2, 2}}
+	routes := []route{{"/roster/", "safe", "desk", 2, 2}, {"/filing/", "unsafe", "desk", 2, 2}, {"/pack/", "download", "desk", 8, 2}}
 	newOperator(c, "A").order(http.MethodPut, "/config", configuration(1, 0, routes, "desk"), 20*time.Second)
 	time.Sleep(3 * time.Second)
 	return c, workers, nil
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -39,20 +39,8 @@
 	acknowledged, refused int
 }
 
-// startAgain starts a worker anew under its id, after close: a new incarnation that knows
-// nothing of before.
-func (w *worker) startAgain(i int) (*worker, error) {
-	next, err := newWorker(w.cluster, i, w.service, w.zone, w.slots)
-	if err != nil {
-		return nil, err
-	}
-	next.id, next.work, next.ran, next.answer = w.id, w.work, w.ran, w.answer
-	next.run()
-	return next, nil
-}
-
-// startAgainThere is startAgain at the same address, on a machine whose time of day is off by
-// the given time.
+// startAgainThere starts a worker anew after close, under its id, at its address, on a machine
+// whose time of day is off by the given time: a new incarnation that knows nothing of before.
 func (w *worker) startAgainThere(i int, off time.Duration) (*worker, error) {
 	next, err := newWorker(w.cluster, i, w.service, w.zone, w.slots)
 	if err != nil {
