--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -42,6 +42,15 @@
 // startAgainThere starts a worker anew after close, under its id, at its address, on a machine
 // whose time of day is off by the given time: a new incarnation that knows nothing of before.
 func (w *worker) startAgainThere(i int, off time.Duration) (*worker, error) {
+	next, err := w.again(i, off)
+	if err == nil {
+		next.run()
+	}
+	return next, err
+}
+
+// again is startAgainThere without the start.
+func (w *worker) again(i int, off time.Duration) (*worker, error) {
 	next, err := newWorker(w.cluster, i, w.service, w.zone, w.slots)
 	if err != nil {
 		return nil, err
@@ -52,7 +61,6 @@
 	}
 	next.id, next.work, next.ran, next.answer = w.id, w.work, w.ran, w.answer
 	next.born = time.Now().Add(off).UnixMilli()
-	next.run()
 	return next, nil
 }
 
