--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -160,13 +160,13 @@
 }
 
 // mayServe reports whether an endpoint may receive requests: its failure
-// domain isn't evacuated. Must hold mu.
+// domain isn't evacuated, and no other endpoint has its address. Must hold mu.
 func (c *Controller) mayServe(e registry.Endpoint) bool {
-	return !slices.Contains(c.state.Evacuated, e.Zone)
+	return !slices.Contains(c.state.Evacuated, e.Zone) && !c.endpoints.Replaced(e.ID)
 }
 
-// refillPools updates all pools for the failure domains that are evacuated
-// now. Must hold mu.
+// refillPools updates all pools for the failure domains that are evacuated and the
+// services that are named now. Must hold mu.
 func (c *Controller) refillPools() {
 	all, _ := c.endpoints.Since(0)
 	for _, e := range all {
@@ -175,7 +175,7 @@
 }
 
 // updatePools adds an endpoint to the pools or updates it there, or removes it
-// if its failure domain is evacuated. Must hold mu.
+// if it may not serve. Must hold mu.
 func (c *Controller) updatePools(e registry.Endpoint) {
 	now := c.ports.Clock.Now()
 	for _, r := range c.regions {
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -96,24 +96,21 @@
 		return false
 	}
 	before, known := c.endpoints.Get(e.ID)
-	var replaced []registry.Endpoint
-	if !known || before.StartedMillis != e.StartedMillis {
-		replaced = c.endpoints.ReplacedBy(e)
-	}
 	if !c.endpoints.Record(e) {
 		return false
 	}
-	for _, old := range replaced {
-		if !old.Leaving {
-			c.suspicions.recordDeath(now, old)
-		}
+	if known && !before.Leaving && !before.Gone && !e.Gone && before.StartedMillis < e.StartedMillis {
+		c.suspicions.recordDeath(now, before)
 	}
+	c.applyReplacements(now)
 	c.countEnded(before, e)
 	if ended := before; known && e.Gone {
 		ended.Gone = true // the incarnation that runs may have started before e's
 		c.suspicions.recordAnnouncement(now, ended)
 	}
-	c.suspicions.recordAnnouncement(now, e)
+	if e.Leaving || e.Gone || !c.endpoints.Replaced(e.ID) {
+		c.suspicions.recordAnnouncement(now, e)
+	}
 	c.updatePools(e)
 	if !known || before.StartedMillis != e.StartedMillis || before.Leaving != e.Leaving || before.Gone != e.Gone {
 		c.logEndpoint(e)
@@ -122,6 +119,26 @@
 	return true
 }
 
+// applyReplacements takes the endpoints whose addresses others have now out of use, and those
+// that turned out to have kept theirs into use again. Must hold mu.
+func (c *Controller) applyReplacements(now time.Time) {
+	for _, r := range c.endpoints.TakeReplacements() {
+		e, replaced := r.Endpoint, r.By.ID != ""
+		if e.Gone {
+			continue
+		}
+		event.Log(context.Background(), c.ports.Logger, event.EndpointReplaced,
+			slog.Bool("replaced", replaced), slog.String("endpoint", e.ID), slog.String("service", e.Service),
+			slog.String("address", e.Address), slog.Int64("born", e.StartedMillis),
+			slog.String("by", r.By.ID), slog.String("by_service", r.By.Service), slog.Int64("by_born", r.By.StartedMillis))
+		if replaced && !e.Leaving {
+			c.suspicions.recordDeath(now, e)
+		}
+		c.updatePools(e)
+		c.notifyChanged()
+	}
+}
+
 // checkEndpoint reports whether an announcement can be passed on; one that can't be is
 // logged and counted.
 func (c *Controller) checkEndpoint(e registry.Endpoint) bool {
@@ -154,6 +171,7 @@
 			}
 		}
 	}
+	c.applyReplacements(now)
 }
 
 // propagate sends an endpoint's state to all live controllers and all voters, and saves
--- a/internal/app/controller/endpoints_test.go
+++ b/internal/app/controller/endpoints_test.go
@@ -107,3 +107,34 @@
 	time.Sleep(time.Second)
 	is.NoErr(c.at("a1:1").controller.Deregister(t.Context(), "e1")) // one that is known isn't refused
 }
+
+// TestUnusableAnnouncementEndsNothing guards against an announcement of a service that the
+// configuration doesn't name which takes a sound endpoint out of use, by its address or its
+// ID, when the pools are filled again: with a change of the configuration, or by another
+// dispatcher. The endpoint's own announcements were acknowledged all the while.
+func TestUnusableAnnouncementEndsNothing(t *testing.T) {
+	sound := announcement("e1")
+	other := sound
+	other.ID, other.Service, other.Sequence, other.StartedMillis = "f1", "x", 1, time.Now().UnixMilli()
+	sameID := other
+	sameID.ID, sameID.Address = sound.ID, "a1:200"
+	leaving := sameID
+	leaving.Leaving = true
+	for name, foreign := range map[string]registry.Endpoint{"address": other, "ID": sameID, "ID, leaving": leaving} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 2*time.Millisecond)
+			is.NoErr(c.order(0, 2))
+			c.settle()
+			is.NoErr(c.at("b1:1").controller.Announce(t.Context(), sound))
+			c.settle()
+			_ = c.at("c1:1").controller.Announce(t.Context(), foreign)
+			is.NoErr(c.order(2, 3))
+			is.Equal(c.maxSlots(500*time.Millisecond), int64(4))
+			c.kill(c.dispatcher(is, ""))
+			time.Sleep(3 * time.Second)
+			is.Equal(c.maxSlots(500*time.Millisecond), int64(4))
+		})
+	}
+}
--- a/internal/app/controller/propose.go
+++ b/internal/app/controller/propose.go
@@ -63,6 +63,8 @@
 		}
 		c.completeConfig(state, chosen.Value.Sequence)
 		c.state = state
+		c.endpoints.SetServices(state.Config.ServiceNames())
+		c.applyReplacements(c.ports.Clock.Now())
 		c.refillPools()
 		c.applyQuotas(state)
 		event.Log(context.Background(), c.ports.Logger, event.StateLearned,
--- a/internal/app/controller/report.go
+++ b/internal/app/controller/report.go
@@ -189,10 +189,11 @@
 
 // passesOn reports whether an announcement that followed before is passed on to the
 // other controllers: what they need to know changed, or it is time to tell them that
-// the endpoint still announces itself. Must hold mu.
+// the endpoint still announces itself. That matters at once if another endpoint has its
+// address. Must hold mu.
 func (c *Controller) passesOn(now time.Time, before, e registry.Endpoint) bool {
 	changed := before.StartedMillis != e.StartedMillis || before.Leaving != e.Leaving || before.Gone != e.Gone ||
 		before.Address != e.Address || before.Service != e.Service || before.Zone != e.Zone || before.Slots != e.Slots ||
 		(now.Before(e.ColdUntil) || now.Before(before.ColdUntil)) && e.ColdUntil.Sub(before.ColdUntil).Abs() > coldTolerance
-	return changed || now.Sub(c.sharedAt[e.ID]) >= beatPeriod || now.Sub(c.suspicions.changedAt) < beatsAfterReset
+	return changed || c.endpoints.Replaced(e.ID) || now.Sub(c.sharedAt[e.ID]) >= beatPeriod || now.Sub(c.suspicions.changedAt) < beatsAfterReset
 }
--- a/internal/core/fleet/config.go
+++ b/internal/core/fleet/config.go
@@ -60,6 +60,15 @@
 	ColdTime time.Duration `json:"ColdTime"`
 }
 
+// ServiceNames returns the names of the services.
+func (c *Config) ServiceNames() []string {
+	names := make([]string, len(c.Services))
+	for i, s := range c.Services {
+		names[i] = s.Name
+	}
+	return names
+}
+
 // Limits are the limits on the requests and connections of clients.
 type Limits struct {
 	HeaderBytes   int64         `json:"HeaderBytes"`
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -5,6 +5,10 @@
 // incarnations of an ID, the sequence orders the announcements within one. An
 // endpoint that announced that it is leaving, or that is gone, takes no new
 // requests for the rest of its incarnation, whatever arrives until it is removed.
+//
+// An endpoint whose address a later one announces is replaced. That is no part of
+// its record: it is derived from the announcements and the configuration in force,
+// since the later announcement may turn out to be of no use or false.
 package registry
 
 import (
@@ -27,7 +31,7 @@
 	// Sequence increases with each announcement of the incarnation.
 	Sequence int64
 	// Leaving says that the endpoint takes no new requests; Gone, that it was
-	// deregistered or that a newer endpoint has its address.
+	// deregistered.
 	Leaving bool
 	Gone    bool
 	// LastSeen is the time of the announcement or deregistration, on this VM's
@@ -69,74 +73,190 @@
 	// retention is how long an endpoint is kept after its last announcement or
 	// deregistration.
 	retention time.Duration
-	endpoints map[string]*Endpoint
+	// services are the services that the configuration in force names; nil while none is
+	// known, which then counts as naming all.
+	services  map[string]bool
+	endpoints map[string]*record
+	// byAddress holds the IDs of the endpoints at each address.
+	byAddress map[string]map[string]bool
+	// replacements are the changes since the last TakeReplacements.
+	replacements []Replacement
 	// revision increases with each change of an endpoint; changedAt holds the
 	// revision of each endpoint's last change.
 	revision  uint64
 	changedAt map[string]uint64
 }
 
+// record is an endpoint with what the registry derives from other endpoints.
+type record struct {
+	Endpoint
+	// firstSeen is when the incarnation was first announced.
+	firstSeen time.Time
+	// announcedStart is the start time that the endpoint announced last; a deregistration
+	// leaves it as it is.
+	announcedStart int64
+	// replacedBy is the ID of the endpoint that has its address; empty if it is in use.
+	replacedBy string
+}
+
 // New returns an empty registry that keeps an endpoint for the retention after its
 // last announcement or deregistration.
 func New(retention time.Duration) *Registry {
 	return &Registry{
 		retention: retention,
-		endpoints: make(map[string]*Endpoint),
+		endpoints: make(map[string]*record),
+		byAddress: make(map[string]map[string]bool),
 		changedAt: make(map[string]uint64),
 	}
 }
 
+// SetServices sets the services that the configuration in force names, and decides again
+// which endpoints are replaced.
+func (r *Registry) SetServices(names []string) {
+	r.services = make(map[string]bool, len(names))
+	for _, name := range names {
+		r.services[name] = true
+	}
+	for address, ids := range r.byAddress {
+		if len(ids) > 1 {
+			r.updateReplaced(address)
+		}
+	}
+}
+
+// names reports whether the configuration in force names a service.
+func (r *Registry) names(service string) bool { return r.services == nil || r.services[service] }
+
 // Record records an announcement that the endpoint sent or another VM
 // forwarded. It returns false, and changes nothing, if the announcement isn't
-// newer than the recorded one or would make a leaving or gone endpoint ready
-// again. That the recorded incarnation leaves or is gone applies whatever the
-// sequence.
+// newer than the recorded one, would make a leaving or gone endpoint ready
+// again, or is refused by Refuses. That the recorded incarnation leaves or is gone
+// applies whatever the sequence.
 func (r *Registry) Record(e Endpoint) bool {
 	old := r.endpoints[e.ID]
+	if old != nil && !r.isNewer(e, old) {
+		return false
+	}
+	next := &record{Endpoint: e, firstSeen: e.LastSeen, announcedStart: e.StartedMillis}
 	if old != nil {
-		switch order := cmp.Or(cmp.Compare(e.StartedMillis, old.StartedMillis), cmp.Compare(e.Sequence, old.Sequence)); {
-		case e.StartedMillis == old.StartedMillis && (old.Gone || old.Leaving) && !e.Leaving:
-			return false
-		case e.StartedMillis == old.StartedMillis && (e.Gone && !old.Gone || e.Leaving && !old.Leaving):
-			// An endpoint doesn't return from leaving, so that it leaves or is gone
-			// is accepted with any sequence.
-		case order <= 0:
-			return false
+		if e.Gone {
+			next.announcedStart = old.announcedStart
+		}
+		if old.announcedStart == next.announcedStart && old.Address == e.Address {
+			next.firstSeen, next.replacedBy = old.firstSeen, old.replacedBy
+		}
+		if old.Address != e.Address {
+			r.removeAddress(old.Address, e.ID)
 		}
 	}
-	r.endReplaced(e)
 	r.revision++
-	r.endpoints[e.ID] = &e
+	r.endpoints[e.ID] = next
 	r.changedAt[e.ID] = r.revision
+	if e.Address != "" {
+		if r.byAddress[e.Address] == nil {
+			r.byAddress[e.Address] = make(map[string]bool)
+		}
+		r.byAddress[e.Address][e.ID] = true
+		r.updateReplaced(e.Address)
+	}
 	return true
 }
 
-// ReplacedBy returns the recorded endpoints that have ended if e's announcement
-// is true: an earlier incarnation of e, and other endpoints at e's address that
-// started before e.
-func (r *Registry) ReplacedBy(e Endpoint) []Endpoint {
-	if e.Gone {
-		return nil
-	}
-	var out []Endpoint
-	for id, other := range r.endpoints {
-		if (id == e.ID || other.Address == e.Address) && !other.Gone && other.StartedMillis < e.StartedMillis {
-			out = append(out, *other)
-		}
+// isNewer reports whether an announcement takes the place of the recorded one of its ID.
+func (r *Registry) isNewer(e Endpoint, old *record) bool {
+	switch order := cmp.Or(cmp.Compare(e.StartedMillis, old.StartedMillis), cmp.Compare(e.Sequence, old.Sequence)); {
+	case r.Refuses(e):
+		return false
+	case r.names(e.Service) && !r.names(old.Service) && !old.Gone:
+		// An announcement of no use doesn't hold the ID.
+		return true
+	case e.StartedMillis == old.StartedMillis && (old.Gone || old.Leaving) && !e.Leaving:
+		return false
+	case e.StartedMillis == old.StartedMillis && (e.Gone && !old.Gone || e.Leaving && !old.Leaving):
+		// An endpoint doesn't return from leaving, so that it leaves or is gone
+		// is accepted with any sequence.
+		return true
+	default:
+		return order > 0
 	}
+}
+
+// Refuses reports whether an announcement is refused because the configuration in force
+// doesn't name its service, while it names that of the recorded endpoint with this ID: an
+// endpoint that can't be used doesn't end one that can. A deregistration is never refused.
+func (r *Registry) Refuses(e Endpoint) bool {
+	old := r.endpoints[e.ID]
+	return old != nil && !e.Gone && !old.Gone && !r.names(e.Service) && r.names(old.Service)
+}
+
+// Replacement is a change in whether another endpoint has an endpoint's address.
+type Replacement struct {
+	Endpoint Endpoint
+	// By is the endpoint that has the address. Its ID is empty if the endpoint is in use
+	// again.
+	By Endpoint
+}
+
+// replacementProof is how long after the first announcement of a later endpoint at its
+// address an endpoint must announce itself to show that it has not ended. Announcements from
+// before its end arrive sooner.
+const replacementProof = 5 * time.Second
+
+// Replaced reports whether another endpoint has the endpoint's address. This follows from the
+// announcements and the configuration in force, so that it may change with either.
+func (r *Registry) Replaced(id string) bool {
+	e := r.endpoints[id]
+	return e != nil && e.replacedBy != ""
+}
+
+// TakeReplacements returns the changes in which endpoints are replaced since its last call.
+func (r *Registry) TakeReplacements() []Replacement {
+	out := r.replacements
+	r.replacements = nil
 	return out
 }
 
-// endReplaced marks the other endpoints at e's address that started before e as
-// gone.
-func (r *Registry) endReplaced(e Endpoint) {
-	for _, other := range r.ReplacedBy(e) {
-		if other.ID != e.ID {
-			ended := r.endpoints[other.ID]
-			ended.Gone, ended.Leaving = true, true
-			r.revision++
-			r.changedAt[other.ID] = r.revision
+// updateReplaced decides which endpoints at an address are replaced.
+func (r *Registry) updateReplaced(address string) {
+	for id := range r.byAddress[address] {
+		e, by := r.endpoints[id], ""
+		for other := range r.byAddress[address] {
+			o := r.endpoints[other]
+			if r.replaces(o, e) && (by == "" || o.announcedStart > r.endpoints[by].announcedStart) {
+				by = other
+			}
+		}
+		if (by == "") != (e.replacedBy == "") {
+			change := Replacement{Endpoint: e.Endpoint}
+			if by != "" {
+				change.By = r.endpoints[by].Endpoint
+			}
+			r.replacements = append(r.replacements, change)
 		}
+		e.replacedBy = by
+	}
+}
+
+// replaces reports whether o, at the same address as e, shows that e has ended: it started
+// later, and e hasn't announced itself since. An endpoint of a service that the
+// configuration doesn't name shows nothing about one that can be used.
+func (r *Registry) replaces(o, e *record) bool {
+	switch {
+	case o.announcedStart <= e.announcedStart || r.names(e.Service) && !r.names(o.Service):
+		return false
+	default:
+		return e.LastSeen.Sub(o.firstSeen) < replacementProof
+	}
+}
+
+// removeAddress removes an endpoint from those at an address.
+func (r *Registry) removeAddress(address, id string) {
+	ids := r.byAddress[address]
+	delete(ids, id)
+	if len(ids) == 0 {
+		delete(r.byAddress, address)
+	} else {
+		r.updateReplaced(address)
 	}
 }
 
@@ -155,7 +275,7 @@
 	var out []Endpoint
 	for _, e := range r.endpoints {
 		if e.Leaving || e.Gone {
-			out = append(out, *e)
+			out = append(out, e.Endpoint)
 		}
 	}
 	return out
@@ -179,7 +299,7 @@
 	if old == nil || old.StartedMillis != startedMillis || old.Leaving {
 		return Endpoint{ID: id}, false
 	}
-	next := *old
+	next := old.Endpoint
 	next.Leaving, next.LastSeen = true, now
 	r.Record(next)
 	return next, true
@@ -191,7 +311,7 @@
 	if e == nil {
 		return Endpoint{}, false
 	}
-	return *e, true
+	return e.Endpoint, true
 }
 
 // Since returns the endpoints that changed after a revision, and the current
@@ -203,7 +323,7 @@
 	var out []Endpoint
 	for id, n := range r.changedAt {
 		if n > after {
-			out = append(out, *r.endpoints[id])
+			out = append(out, r.endpoints[id].Endpoint)
 		}
 	}
 	return out, r.revision
@@ -215,9 +335,10 @@
 	var removed []Endpoint
 	for id, e := range r.endpoints {
 		if now.Sub(e.LastSeen) > r.retention {
-			removed = append(removed, *e)
+			removed = append(removed, e.Endpoint)
 			delete(r.endpoints, id)
 			delete(r.changedAt, id)
+			r.removeAddress(e.Address, id)
 		}
 	}
 	return removed
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -65,18 +65,17 @@
 	}
 }
 
-// TestReusedAddress checks that an endpoint is gone when one that started later
+// TestReusedAddress checks that an endpoint is replaced when one that started later
 // announces the same address.
 func TestReusedAddress(t *testing.T) {
 	is := is.New(t)
 	r := registry.New(time.Minute)
 	r.Record(announced("a", "1:1", 10, 5))
 	r.Record(announced("b", "1:1", 20, 1))
-	a, _ := r.Get("a")
-	is.True(a.Gone)
-	is.True(!r.Record(announced("a", "1:1", 10, 6))) // a delayed announcement
-	b, _ := r.Get("b")
-	is.True(!b.Gone)
+	is.True(r.Replaced("a"))
+	r.Record(announced("a", "1:1", 10, 6)) // a delayed announcement
+	is.True(r.Replaced("a"))
+	is.True(!r.Replaced("b"))
 }
 
 func TestDeregisterAndSweep(t *testing.T) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -89,6 +89,7 @@
 	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once, or once for each receiver that rejects it."}
 	ConfigCompleted       = Event{1622, "config-completed", slog.LevelInfo, "A configuration that a former release had decoded, without the client accounts, was decoded again from its source."}
 	ConfigUndecodable     = Event{1623, "config-undecodable", slog.LevelError, "A configuration that a former release had decoded can't be decoded by this one. It is in force as the former release decoded it, without client accounts; gateways that need these refuse all requests. Send a corrected configuration."}
+	EndpointReplaced      = Event{1624, "endpoint-replaced", slog.LevelWarn, "An endpoint is out of use because one that started later announced its address; or it is in use again, because it has announced itself since or the other one's service isn't named by the configuration any more. Attributes give both."}
 	QuotaExceeded         = Event{1630, "quota-exceeded", slog.LevelInfo, "A client account had requests refused for its quota; attributes count those since the last record of it, and those since the start that got a token, also of the region's floor, and name the region that owns the account's tokens. The accounts with the most refusals are logged every 10 s."}
 	ReportsMistrusted     = Event{1640, "reports-mistrusted", slog.LevelWarn, "The loads that an endpoint reports contradict its run times and are no longer used, or they are used again; an attribute says which. At most once in 30 s and endpoint."}
 	ConcurrencyLimited    = Event{1641, "concurrency-limited", slog.LevelInfo, "The limit that a dispatcher learned for an endpoint fell to three quarters of its slots or below, or rose above; attributes give both. At most once in 30 s and endpoint."}
@@ -127,7 +128,7 @@
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
-	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable, QuotaExceeded,
+	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable, EndpointReplaced, QuotaExceeded,
 	ReportsMistrusted, ConcurrencyLimited,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive, LeaseEnded, LeaseRenewed,
 	LinkUseChanged, ClientRefused, ConnectionTakenOver, PipelineCut, ServingPanicked, RequestCut,
