--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -35,11 +35,22 @@
 // Announce records an endpoint's announcement. An announcement that the
 // endpoint leaves is sent to all live controllers at once, the dispatchers
 // among them. It is acknowledged once all these calls have ended, if a majority
-// of the voters has it on its disk; otherwise the error wraps port.ErrUnconfirmed.
+// of the voters has it on its disk; otherwise the error wraps port.ErrUnconfirmed. So does
+// that of an announcement that isn't recorded and should be: it says that an incarnation
+// leaves of which a later start is known, or it is refused by registry.Refuses.
 func (c *Controller) Announce(ctx context.Context, e registry.Endpoint) error {
 	c.mu.Lock()
 	c.receiveAnnouncement(e)
+	known, _ := c.endpoints.Get(e.ID)
+	covered := c.endpoints.Covers(e)
 	c.mu.Unlock()
+	if !covered {
+		c.ports.Meter.RecordAnnouncement(e.Leaving, false)
+		err := fmt.Errorf("%w: endpoint %q, of service %q and started at %d, isn't recorded beside that of service %q started at %d",
+			port.ErrUnconfirmed, e.ID, e.Service, e.StartedMillis, known.Service, known.StartedMillis)
+		event.Log(ctx, c.ports.Logger, event.AnnouncementRejected, slog.Any("error", err))
+		return err
+	}
 	if !e.Leaving {
 		c.ports.Meter.RecordAnnouncement(false, true)
 		return nil
--- a/internal/app/controller/endpoints_test.go
+++ b/internal/app/controller/endpoints_test.go
@@ -129,7 +129,8 @@
 			c.settle()
 			is.NoErr(c.at("b1:1").controller.Announce(t.Context(), sound))
 			c.settle()
-			_ = c.at("c1:1").controller.Announce(t.Context(), foreign)
+			err := c.at("c1:1").controller.Announce(t.Context(), foreign)
+			is.Equal(err != nil, foreign.ID == sound.ID) // one that isn't recorded isn't acknowledged
 			is.NoErr(c.order(2, 3))
 			is.Equal(c.maxSlots(500*time.Millisecond), int64(4))
 			c.kill(c.dispatcher(is, ""))
@@ -138,3 +139,22 @@
 		})
 	}
 }
+
+// TestUnrecordedLeavingUnacknowledged guards against the acknowledgement of an announcement
+// that an endpoint leaves which binds nobody, since a later start of its ID is known.
+func TestUnrecordedLeavingUnacknowledged(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2*time.Millisecond)
+	is.NoErr(c.order(0, 2))
+	c.settle()
+	c.settle()
+	is.NoErr(c.at("b1:1").controller.Announce(t.Context(), announcement("e1")))
+	c.settle()
+	leaving := announcement("e1")
+	leaving.Leaving, leaving.Sequence, leaving.StartedMillis = true, 9, leaving.StartedMillis-5000
+	is.True(c.at("c1:1").controller.Announce(t.Context(), leaving) != nil)
+	leaving.StartedMillis = announcement("e1").StartedMillis + 1000
+	is.NoErr(c.at("c1:1").controller.Announce(t.Context(), leaving))
+	is.Equal(c.maxSlots(time.Second), int64(0))
+}
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -189,6 +189,20 @@
 	return old != nil && !e.Gone && !old.Gone && !r.names(e.Service) && r.names(old.Service)
 }
 
+// Covers reports whether the registry holds what an announcement says: one that the endpoint
+// leaves or is gone is covered only if its incarnation is out of use.
+func (r *Registry) Covers(e Endpoint) bool {
+	have := r.endpoints[e.ID]
+	switch {
+	case have == nil || r.Refuses(e):
+		return false
+	case e.Leaving || e.Gone:
+		return have.Leaving || have.Gone
+	default:
+		return true
+	}
+}
+
 // Replacement is a change in whether another endpoint has an endpoint's address.
 type Replacement struct {
 	Endpoint Endpoint
--- a/internal/core/registry/replaced_test.go
+++ b/internal/core/registry/replaced_test.go
@@ -53,6 +53,8 @@
 					a, _ := r.Get("a")
 					is.Equal(a, next)
 					is.True(!r.Replaced("a"))
+					is.Equal(r.Covers(other), other.ID != "a")
+					is.True(r.Covers(sound))
 				})
 			}
 		}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -84,7 +84,7 @@
 	LimitChanged          = Event{1616, "limit-changed", slog.LevelInfo, "An endpoint named another limit of its requests per second than before, or none (-1)."}
 	HintsLoaded           = Event{1617, "hints-loaded", slog.LevelInfo, "A controller started with hints of its last run; attributes count the gateways, the endpoints that leave or are gone, and the loads."}
 	HintsRejected         = Event{1618, "hints-rejected", slog.LevelWarn, "The hints on the controller's disk can't be used; it starts without them."}
-	AnnouncementRejected  = Event{1619, "announcement-rejected", slog.LevelWarn, "An endpoint's announcement, sent by another controller or read from the disk, can't be passed on; it is ignored."}
+	AnnouncementRejected  = Event{1619, "announcement-rejected", slog.LevelWarn, "An endpoint's announcement can't be passed on, or isn't recorded beside the one that is known of its ID; it is ignored and not acknowledged."}
 	ExchangeRejected      = Event{1620, "exchange-rejected", slog.LevelWarn, "An exchange with another controller can't be encoded, or the other one fails to handle it; its changes are sent apart, and those that are rejected alone are dropped, with a record for each."}
 	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once, or once for each receiver that rejects it."}
 	ConfigCompleted       = Event{1622, "config-completed", slog.LevelInfo, "A configuration that a former release had decoded, without the client accounts, was decoded again from its source."}
