--- a/internal/adapter/connlimit/connlimit.go
+++ b/internal/adapter/connlimit/connlimit.go
@@ -1,10 +1,12 @@
 // Package connlimit bounds the open connections of an HTTP server and the memory of the
 // heads that are read from them. When there is no room for another connection, it closes
 // one that sends no requests: first those that never sent one, then those that are idle. It
-// doesn't close one whose next request has arrived, read or not.
+// doesn't close one whose next request has arrived, read or not. One whose client hasn't taken
+// the last response is closed only if there is no other.
 package connlimit
 
 import (
+	"cmp"
 	"container/list"
 	"errors"
 	"net"
@@ -13,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"sassafrasreach/internal/adapter/sockinput"
+	"sassafrasreach/internal/adapter/sockqueue"
 	"sassafrasreach/internal/core/memory"
 	"sassafrasreach/internal/port"
 )
@@ -177,11 +179,12 @@
 }
 
 // firstClosable returns the first connection of a list from which nothing has arrived since its
-// last response, else the first one with a part of a head that has stopped; nil if there is none
+// last response, else the first one with a part of a head that has stopped, else the first one
+// whose client hasn't taken the last response; nil if there is none
 // among the first maxLookedAt that were accepted longer ago than grace. Others aren't closed:
 // what has arrived may be a whole request, which would be lost.
 func firstClosable(in *list.List, now time.Time, grace time.Duration) *conn {
-	var stopped *conn
+	var stopped, unread *conn
 	lookedAt := 0
 	for e := in.Front(); e != nil && lookedAt < maxLookedAt; e = e.Next() {
 		c := e.Value.(*conn)
@@ -192,14 +195,16 @@
 		begun := c.begunAt.Load()
 		switch {
 		case begun != 0 && (stopped != nil || now.Sub(time.Unix(0, begun)) < headGrace):
-		case sockinput.Pending(c.Conn):
+		case sockqueue.Pending(c.Conn):
+		case sockqueue.Unsent(c.Conn) > 0:
+			unread = cmp.Or(unread, c)
 		case begun != 0:
 			stopped = c
 		default:
 			return c
 		}
 	}
-	return stopped
+	return cmp.Or(stopped, unread)
 }
 
 // remove gives back what a connection holds. Must hold mu.
--- a/internal/adapter/connlimit/connlimit_test.go
+++ b/internal/adapter/connlimit/connlimit_test.go
@@ -229,3 +229,29 @@
 		_, _ = listener.Accept()
 	}
 }
+
+// TestSlowReader guards against a client that still reads its response and is cut off for another
+// connection, although others are idle.
+func TestSlowReader(t *testing.T) {
+	const size = 256 << 10
+	is := is.New(t)
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, size))
+		}
+	})
+	slow, err := testlink.DialSlow(s.address)
+	is.NoErr(err)
+	defer func() { _ = slow.Close() }()
+	_, err = io.WriteString(slow, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond) // it is idle first
+	for range 4 {
+		is.True(s.get(s.dial(t)))
+	}
+	_, err = io.WriteString(slow, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.CopyN(io.Discard, slow, size)
+	is.NoErr(err)
+}
--- a/internal/adapter/delivery/delivery.go
+++ b/internal/adapter/delivery/delivery.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// Patience is how long a client may take to read pieceBytes of a response. One that
+	// Patience is how long a client may take to read PieceBytes of a response. One that
 	// takes longer is cut off.
-	Patience   = 5 * time.Second
-	pieceBytes = 8 << 10
+	Patience = 5 * time.Second
+	// PieceBytes is the part of a response that a client must read within Patience.
+	PieceBytes = 8 << 10
 	// unboundedWriteBytes is the size of a body up to which no time is set: the server
 	// buffers it.
 	unboundedWriteBytes = 4 << 10
@@ -35,7 +36,7 @@
 	if err := client.write(response.Body); err != nil {
 		return err
 	}
-	piece := make([]byte, pieceBytes)
+	piece := make([]byte, PieceBytes)
 	for {
 		if err := client.flush(); err != nil {
 			return err
@@ -63,7 +64,7 @@
 
 func (w slowWriter) write(body []byte) error {
 	for len(body) > 0 {
-		piece := body[:min(len(body), pieceBytes)]
+		piece := body[:min(len(body), PieceBytes)]
 		body = body[len(piece):]
 		if len(body)+len(piece) > unboundedWriteBytes {
 			w.extend()
--- a/internal/adapter/delivery/delivery_test.go
+++ b/internal/adapter/delivery/delivery_test.go
@@ -57,9 +57,9 @@
 		is := is.New(t)
 		w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
 		err := WriteBody(w, &port.Response{
-			Status: http.StatusOK, Body: make([]byte, pieceBytes), Rest: &pausingRest{Patience + time.Second, []int{4 << 10, 1, pieceBytes}},
+			Status: http.StatusOK, Body: make([]byte, PieceBytes), Rest: &pausingRest{Patience + time.Second, []int{4 << 10, 1, PieceBytes}},
 		})
 		is.NoErr(err)
-		is.Equal(w.Body.Len(), 2*pieceBytes+4<<10+1)
+		is.Equal(w.Body.Len(), 2*PieceBytes+4<<10+1)
 	})
 }
--- a/internal/adapter/idleconns/idleconns.go
+++ b/internal/adapter/idleconns/idleconns.go
@@ -3,7 +3,8 @@
 // http.Server.Shutdown it never closes a connection on which a next request has arrived,
 // whether that was read or not: a process that gets little processor time may read it late.
 //
-// A connection is idle while no request is being received or handled on it.
+// A connection is idle while no request is being received or handled on it, and the client has
+// taken the last response.
 package idleconns
 
 import (
@@ -16,7 +17,8 @@
 	"sync/atomic"
 	"time"
 
-	"sassafrasreach/internal/adapter/sockinput"
+	"sassafrasreach/internal/adapter/linger"
+	"sassafrasreach/internal/adapter/sockqueue"
 	"sassafrasreach/internal/port"
 	"sassafrasreach/internal/wait"
 )
@@ -115,9 +117,10 @@
 	// deadline is that of reads as the owner of the connection has set it. Guarded by mu.
 	deadline time.Time
 
-	// activeLimit is the limit for idle connections when the last request was received.
-	// Guarded by the mu of the Reaper.
+	// activeLimit is the limit for idle connections when the last request was received, and
+	// delivery follows how the client takes the last response. Guarded by the mu of the Reaper.
 	activeLimit time.Duration
+	delivery    linger.Delivery
 }
 
 // NetConn returns the connection of the server's own listener.
@@ -155,7 +158,7 @@
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false, false
 	}
-	if c.received || sockinput.Pending(c.Conn) {
+	if c.received || sockqueue.Pending(c.Conn) {
 		return true, false
 	}
 	c.closed = true
@@ -212,7 +215,7 @@
 // ago and nothing more has arrived.
 func (c *conn) closeStopped(now time.Time, limit time.Duration) {
 	c.mu.Lock()
-	stopped := c.received && !c.closed && now.Sub(c.receivedAt) > limit && !sockinput.Pending(c.Conn)
+	stopped := c.received && !c.closed && now.Sub(c.receivedAt) > limit && !sockqueue.Pending(c.Conn)
 	c.closed = c.closed || stopped
 	c.mu.Unlock()
 	if stopped {
@@ -220,6 +223,27 @@
 	}
 }
 
+// closeOver closes the connection if it has been idle for longer than a limit, or if a head has
+// stopped for longer than headLimit, unless the client still takes the last response. No limit
+// is 0. The caller must hold the mu of the Reaper.
+func (c *conn) closeOver(now time.Time, s idleState, limit, headLimit time.Duration) {
+	idle := limit > 0 && now.Sub(s.since) > limit
+	if !idle && !c.headStopped(now, headLimit) || s.responded && c.delivery.Pending(now, c.Conn) {
+		return
+	}
+	if idle {
+		c.closeIdle()
+	}
+	c.closeStopped(now, headLimit)
+}
+
+// headStopped reports whether a part of a head was received for longer than a limit ago.
+func (c *conn) headStopped(now time.Time, limit time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received && now.Sub(c.receivedAt) > limit
+}
+
 // closeIdle lets the reader close the connection unless something of a next request has
 // arrived. If nobody reads at the moment, or its owner sets another deadline, a later call does.
 func (c *conn) closeIdle() {
@@ -255,6 +279,7 @@
 		}
 		// The client was told one of these with the response.
 		r.idle[c] = idleState{r.clock.Now(), max(r.limits().Idle, c.activeLimit), true}
+		c.delivery = linger.Delivery{}
 	case http.StateHijacked:
 		r.taken[c] = true
 	case http.StateClosed:
@@ -275,10 +300,7 @@
 		if limit == 0 {
 			limit = limits.of(s)
 		}
-		if limit > 0 && now.Sub(s.since) > limit {
-			c.closeIdle()
-		}
-		c.closeStopped(now, headTime)
+		c.closeOver(now, s, limit, headTime)
 	}
 }
 
@@ -297,10 +319,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c, s := range r.idle {
-		if now.Sub(s.since) > limits.of(s) {
-			c.closeIdle()
-		}
-		c.closeStopped(now, shutdownHeadTime)
+		c.closeOver(now, s, limits.of(s), shutdownHeadTime)
 	}
 }
 
--- a/internal/adapter/linger/server.go
+++ b/internal/adapter/linger/server.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"sassafrasreach/internal/adapter/sockqueue"
 )
 
 // Listener returns the listener that an http.Server must use, wrapped or not, whose connections
-// linger behind a whole response. The server also needs Handler, ConnContext and ConnState.
+// linger behind a whole response, and those that were idle as long as their client takes the last
+// one. The server also needs Handler, ConnContext and ConnState.
 func (l *Closer) Listener(inner net.Listener) net.Listener { return listener{inner, l} }
 
 type listener struct {
@@ -29,9 +32,9 @@
 type conn struct {
 	net.Conn
 	closer *Closer
-	// responded is true from the end of a handler until the connection is idle. writeFailed is
-	// true once a write has failed, closed once Close was called.
-	responded, writeFailed, closed atomic.Bool
+	// serving is true while a handler runs, or if it has failed; responded, from its end until the
+	// connection is idle. writeFailed is true once a write has failed, closed once Close was called.
+	serving, responded, writeFailed, closed atomic.Bool
 }
 
 // NetConn returns the connection of the underlying listener.
@@ -54,11 +57,16 @@
 	return n, err
 }
 
-// Close implements net.Conn. An idle connection, or one whose response broke off, is closed at once.
+// Close implements net.Conn. A connection whose response broke off is closed at once, and so is an
+// idle one whose client has all responses.
 func (c *conn) Close() error {
-	first := c.closed.CompareAndSwap(false, true)
-	if first && c.responded.Load() && !c.writeFailed.Load() && c.closer.TryClose(c.Conn) {
-		return nil
+	if c.closed.CompareAndSwap(false, true) && !c.serving.Load() && !c.writeFailed.Load() {
+		switch {
+		case c.responded.Load() && c.closer.TryClose(c.Conn):
+			return nil
+		case !c.responded.Load() && sockqueue.Unsent(c.Conn) > 0 && c.closer.TryDeliver(c.Conn):
+			return nil
+		}
 	}
 	return c.Conn.Close()
 }
@@ -84,8 +92,13 @@
 // Handler returns the handler that the server must use. A response is whole unless h panics.
 func Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if ok {
+			c.serving.Store(true)
+		}
 		h.ServeHTTP(w, r)
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		if ok {
+			c.serving.Store(false)
 			c.responded.Store(true)
 		}
 	})
--- a/internal/adapter/pipelinehttp/cut.go
+++ b/internal/adapter/pipelinehttp/cut.go
@@ -10,7 +10,7 @@
 	"runtime/debug"
 	"time"
 
-	"sassafrasreach/internal/adapter/sockinput"
+	"sassafrasreach/internal/adapter/sockqueue"
 	"sassafrasreach/internal/event"
 )
 
@@ -98,9 +98,9 @@
 	return n, err
 }
 
-// Close implements net.Conn. It lets the client read the response behind which net/http closes
-// the connection. It records a request that is cut off by it; a loop that has taken the
-// connection over records its own.
+// Close implements net.Conn. It lets the client read the response behind which the connection is
+// closed, or a former one that it hasn't read yet. It records a request that is cut off by it; a
+// loop that has taken the connection over records its own.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	first, state, h := !c.current.closed, c.current, c.handler
@@ -111,12 +111,13 @@
 	}
 	ownedByServer := c.state != takenOver
 	c.mu.Unlock()
-	if first && ownedByServer && state.phase == responded && state.peerErr == nil && state.writeErr == nil && h.lingering.TryClose(c.Conn) {
+	whole := first && ownedByServer && h != nil && state.peerErr == nil && state.writeErr == nil
+	if whole && state.phase == responded && h.lingering.TryClose(c.Conn) {
 		return nil
 	}
 	if first && ownedByServer && h != nil {
 		by, why := state.cause(received)
-		if why == "" && state.peerErr == nil && sockinput.Pending(c.Conn) {
+		if why == "" && state.peerErr == nil && sockqueue.Pending(c.Conn) {
 			by, why = byGateway, cutUnread
 		}
 		if why == cutUnserved {
@@ -129,6 +130,9 @@
 			})
 		}
 	}
+	if whole && state.phase == between && sockqueue.Unsent(c.Conn) > 0 && h.lingering.TryDeliver(c.Conn) {
+		return nil
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/adapter/pipelinehttp/loop.go
+++ b/internal/adapter/pipelinehttp/loop.go
@@ -43,6 +43,9 @@
 	reasonTakeover   endReason = "take-over-failed"
 )
 
+// lingers reports whether the client may still read whole responses after such an end.
+func (r endReason) lingers() bool { return r == reasonClosed || r == reasonSlowHead }
+
 // entry is a request that was read and isn't answered.
 type entry struct {
 	pipeline.Progress
@@ -294,8 +297,9 @@
 	return last
 }
 
-// end ends the connection. After a closing response it is half-closed, and the reader
-// closes it; otherwise it is closed at once. All requests that are unanswered are canceled.
+// end ends the connection. If all its responses are whole and it isn't idle, it is half-closed, and
+// the reader closes it when the client has them; otherwise it is closed at once. All requests
+// that are unanswered are canceled.
 func (l *loop) end(why endReason) {
 	l.mu.Lock()
 	inFlight := l.queue.Len()
@@ -306,7 +310,7 @@
 	}
 	l.ended = why
 	canceled := inFlight
-	if why == reasonClosed {
+	if why.lingers() {
 		canceled = len(unanswered)
 		_ = l.conn.SetReadDeadline(time.Now().Add(linger.Timeout))
 	}
@@ -325,9 +329,9 @@
 			e.exchange.Drop()
 		}
 	}
-	if half, ok := l.inner.Conn.(interface{ CloseWrite() error }); why == reasonClosed && ok {
+	if half, ok := l.inner.Conn.(interface{ CloseWrite() error }); why.lingers() && ok {
 		_ = half.CloseWrite()
-	} else if why != reasonClosed {
+	} else if !why.lingers() {
 		_ = l.conn.Close()
 		l.cancelFirst()
 	}
--- a/internal/adapter/pipelinehttp/read.go
+++ b/internal/adapter/pipelinehttp/read.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"sassafrasreach/internal/adapter/linger"
-	"sassafrasreach/internal/adapter/sockinput"
+	"sassafrasreach/internal/adapter/sockqueue"
 )
 
 // headSlop is how many bytes beyond the limit of a head may be read, as in net/http.
@@ -111,7 +111,7 @@
 func (l *loop) hasArrived() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.queue.Ended() || !sockinput.Pending(l.inner.Conn) {
+	if l.queue.Ended() || !sockqueue.Pending(l.inner.Conn) {
 		return false
 	}
 	_ = l.conn.SetReadDeadline(time.Time{})
@@ -207,7 +207,7 @@
 	case <-l.progress:
 	case <-l.ctx.Done():
 	case <-timer.C:
-		if sockinput.PeerClosed(l.inner.Conn) {
+		if sockqueue.PeerClosed(l.inner.Conn) {
 			l.end(reasonClientLeft)
 		}
 	}
@@ -336,13 +336,13 @@
 // Drop implements Exchange.
 func (rejection) Drop() {}
 
-// linger reads what the client sent behind a closing response, so that the connection
+// linger reads what the client sent behind the last response, so that the connection
 // isn't reset before the client has read the response.
 func (l *loop) linger() {
 	l.mu.Lock()
 	why := l.ended
 	l.mu.Unlock()
-	if why == reasonClosed {
-		_, _ = io.CopyN(io.Discard, l.conn, linger.MaxBytes)
+	if why.lingers() {
+		linger.Drain(l.inner.Conn)
 	}
 }
--- a/internal/adapter/sockinput/poll_linux.go
+++ b/internal/adapter/sockqueue/poll_linux.go
@@ -1,4 +1,4 @@
-package sockinput
+package sockqueue
 
 import (
 	"net"
@@ -20,6 +20,28 @@
 	return !ok && socket(c) != nil || events != 0
 }
 
+// Unsent returns the number of bytes that were written and that the peer hasn't acknowledged. It
+// doesn't block. It is 0 for a connection without a socket, or that the peer has reset.
+func Unsent(c net.Conn) int {
+	if events, ok := poll(c, 0); !ok || events&(unix.POLLERR|unix.POLLHUP) != 0 {
+		return 0
+	}
+	raw, err := socket(c).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		if got, errGet := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); errGet == nil {
+			n = got
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // poll returns those of the events that hold, and the errors. ok is false if there is no open
 // socket.
 func poll(c net.Conn, events int16) (revents int16, ok bool) {
--- a/internal/adapter/sockinput/poll_other.go
+++ b/internal/adapter/sockqueue/poll_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package sockinput
+package sockqueue
 
 import "net"
 
@@ -8,6 +8,10 @@
 // stream, and idle connections of peers that left would stay open.
 func Pending(net.Conn) bool { return false }
 
+// Unsent is 0 on this system, where connections are closed as if their peers had taken all
+// that was written.
+func Unsent(net.Conn) int { return 0 }
+
 // PeerClosed is false on this system: without POLLRDHUP, that the peer has closed the connection is
 // known only once all that it sent before is read.
 func PeerClosed(net.Conn) bool { return false }
--- a/internal/cli/linger_test.go
+++ b/internal/cli/linger_test.go
@@ -72,3 +72,36 @@
 	is.Equal(err, io.EOF)
 	is.True(lasted >= lingerTime)
 }
+
+// TestStopWaitsForSlowReader guards against a planned stop that cuts off the response on an idle
+// connection, because the caller still reads it and sends on.
+func TestStopWaitsForSlowReader(t *testing.T) {
+	const size = 256 << 10
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	clock := port.ClockFunc(time.Now)
+	g := newGuard(0, 0, slog.New(slog.DiscardHandler), metrics.New(), clock)
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	}), g.newLimiter("callers", 4, nil), 4, clock)
+	s.listener = listener
+	go func() { _ = s.serve() }()
+	t.Cleanup(func() { _ = s.http.Close() })
+	dialer := net.Dialer{Control: bufferSize(syscall.SO_RCVBUF, 4<<10)}
+	c := newStalledClient(t, dialer, listener.Addr().String())
+	c.send()
+	ended := make(chan error, 1)
+	go func() { ended <- s.shutdown(t.Context()) }()
+	time.Sleep(300 * time.Millisecond)
+	c.send()
+	for range 2 {
+		response, err := http.ReadResponse(c.reader, nil)
+		is.NoErr(err)
+		n, err := io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.Equal(n, int64(size))
+	}
+	is.NoErr(c.Close())
+	is.NoErr(<-ended)
+}
