--- a/internal/adapter/disk/hintstore_test.go
+++ b/internal/adapter/disk/hintstore_test.go
@@ -42,9 +42,9 @@
 			data[len(data)/2]++
 			return os.WriteFile(path, data, 0o600)
 		}, err: disk.ErrCorrupt},
-		{name: "other format", damage: replaceHints(map[string]any{"Format": 2}), err: disk.ErrUnusableHints},
-		{name: "not hints", damage: replaceHints([]int{1}), err: disk.ErrCorrupt},
-		{name: "too large", damage: replaceHints(make([]byte, 8<<20)), err: disk.ErrUnusableHints},
+		{name: "other format", damage: replaceRecord("hints", map[string]any{"Format": 2}), err: disk.ErrUnusable},
+		{name: "not hints", damage: replaceRecord("hints", []int{1}), err: disk.ErrCorrupt},
+		{name: "too large", damage: replaceRecord("hints", make([]byte, 8<<20)), err: disk.ErrUnusable},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -68,8 +68,8 @@
 	}
 }
 
-// replaceHints stores a sound record with other content.
-func replaceHints(content any) func(path string, _ []byte) error {
+// replaceRecord stores a sound record with other content.
+func replaceRecord(name string, content any) func(path string, _ []byte) error {
 	return func(path string, _ []byte) error {
 		payload, err := json.Marshal(content)
 		if err != nil {
@@ -79,9 +79,9 @@
 		if err != nil {
 			return err
 		}
-		if err := folder.Save("hints", payload); err != nil {
+		if err := folder.Save(name, payload); err != nil {
 			return err
 		}
-		return os.Rename(filepath.Join(filepath.Dir(path), "other", "hints"), path)
+		return os.Rename(filepath.Join(filepath.Dir(path), "other", name), path)
 	}
 }
--- a/internal/adapter/fleetgrpc/convert.go
+++ b/internal/adapter/fleetgrpc/convert.go
@@ -248,7 +248,7 @@
 		Grants: r.Grants, Known: convertAll(r.HeldLeases, leaseToProto),
 		Controllers: convertAll(r.Controllers, c.controllerToProto), Endpoints: convertAll(r.Endpoints, c.endpointToProto),
 		Loads: convertAll(r.Loads, loadToProto), Loans: convertAll(r.Loans, loanToProto), Report: r.Report,
-		QuotaGrants: quotaGrantsToProto(r.QuotaGrants),
+		QuotaGrants: quotaGrantsToProto(r.QuotaGrants), Suspicions: convertAll(r.Suspicions, suspicionToProto),
 	}
 }
 
@@ -260,6 +260,7 @@
 		Endpoints:   convertAll(m.GetEndpoints(), c.endpointFromProto),
 		Loads:       convertAll(m.GetLoads(), loadFromProto), Loans: convertAll(m.GetLoans(), loanFromProto),
 		Report: m.GetReport(), QuotaGrants: quotaGrantsFromProto(m.GetQuotaGrants()),
+		Suspicions: convertAll(m.GetSuspicions(), suspicionFromProto),
 	}
 }
 
@@ -324,6 +325,9 @@
 	if r.RunEnd != nil {
 		m.Run = r.RunEnd.String()
 	}
+	if r.Suspicion != nil {
+		m.Suspicion = suspicionToProto(*r.Suspicion)
+	}
 	if !r.AnsweredAt.IsZero() {
 		m.AnswerAgeMs = proto.Int64(c.age(r.AnsweredAt))
 	}
@@ -338,6 +342,10 @@
 	if end, known := quarantine.ParseEnd(m.GetRun()); known {
 		r.RunEnd = &end
 	}
+	if m.GetSuspicion() != nil {
+		suspicion := suspicionFromProto(m.GetSuspicion())
+		r.Suspicion = &suspicion
+	}
 	if m.AnswerAgeMs != nil {
 		r.AnsweredAt = c.timeAt(m.GetAnswerAgeMs())
 	}
--- a/internal/adapter/fleetgrpc/convert_test.go
+++ b/internal/adapter/fleetgrpc/convert_test.go
@@ -25,6 +25,9 @@
 		is.Equal(suspicionFromProto(suspicionToProto(s)), s)
 	}
 	c := codec{now: time.Unix(1_800_000_000, 0)}
+	s := port.Suspicion{Fingerprint: f, Endpoint: "e1", StartedMillis: 1_767_458_710_170}
+	is.Equal(*c.releaseFromProto(c.releaseToProto(port.SlotRelease{Grant: "g", Suspicion: &s})).Suspicion, s)
+	is.Equal(c.exchangeReplyFromProto(c.exchangeReplyToProto(port.ExchangeReply{Suspicions: []port.Suspicion{s}})).Suspicions, []port.Suspicion{s})
 	for _, sent := range []fingerprint.Fingerprint{f, {}} {
 		got := c.slotRequestFromProto(c.slotRequestToProto(port.SlotRequest{SlotRequest: dispatch.SlotRequest{Fingerprint: sent}}))
 		is.Equal(got.Fingerprint, sent)
--- a/internal/adapter/metrics/meter.go
+++ b/internal/adapter/metrics/meter.go
@@ -136,6 +136,9 @@
 	m.count("endpoint.announced." + outcome(accepted))
 }
 
+// RecordEvidenceSave implements port.FleetMeter.
+func (m *Meter) RecordEvidenceSave() { m.count("evidence.saves") }
+
 // RecordStreamed implements port.FleetMeter.
 func (m *Meter) RecordStreamed(service string, complete bool) {
 	if complete {
--- a/internal/app/controller/cluster_test.go
+++ b/internal/app/controller/cluster_test.go
@@ -18,6 +18,7 @@
 	"sassafrasreach/internal/app/controller"
 	"sassafrasreach/internal/core/dispatch"
 	"sassafrasreach/internal/core/fleet"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/quorum"
 	"sassafrasreach/internal/port"
 )
@@ -65,11 +66,34 @@
 	return nil
 }
 
+// evidenceDisk is an in-memory EvidenceStore whose content outlives its controller.
+type evidenceDisk struct {
+	mu  sync.Mutex
+	all []quarantine.Evidence
+	// lag is how long a save takes.
+	lag time.Duration
+}
+
+func (d *evidenceDisk) Load() ([]quarantine.Evidence, int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.all, 0, nil
+}
+
+func (d *evidenceDisk) Save(all []quarantine.Evidence) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	time.Sleep(d.lag)
+	d.all = all
+	return nil
+}
+
 // member is one VM with its disk and controller.
 type member struct {
 	name, zone, region string
 	disk               *disk
 	hints              *hintDisk
+	evidence           *evidenceDisk
 	clock              *suspendedClock
 	controller         *controller.Controller
 	stop               context.CancelFunc
@@ -100,7 +124,7 @@
 		seeds: []string{"a1:1", "b1:1", "c1:1"},
 	}
 	for zone, region := range regions {
-		c.members[zone+":1"] = &member{name: zone, zone: zone, region: region, disk: &disk{}, hints: &hintDisk{}, clock: &suspendedClock{}}
+		c.members[zone+":1"] = &member{name: zone, zone: zone, region: region, disk: &disk{}, hints: &hintDisk{}, evidence: &evidenceDisk{}, clock: &suspendedClock{}}
 	}
 	for address := range c.members {
 		c.start(address, true)
@@ -194,11 +218,11 @@
 		Name: m.name, Address: address, Zone: m.zone, Region: m.region, Zones: regions, Seeds: c.seeds, Bootstrap: bootstrap,
 		Retries: dispatch.RetryBudget{Ratio: 0.2, Extra: 112, Window: 10 * time.Second}, ToleratedLosses: 2,
 	}, controller.Ports{
-		Clock:   m.clock,
-		Logger:  slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
-		Meter:   metrics.New(),
-		Store:   m.disk,
-		Hints:   m.hints,
+		Clock:  m.clock,
+		Logger: slog.New(slog.NewTextHandler(logs, nil)).With("at", address),
+		Meter:  metrics.New(),
+		Store:  m.disk,
+		Hints:  m.hints, Evidence: m.evidence,
 		Decoder: testDecoder{},
 		Dial: func(to string) (port.ControllerPeer, error) {
 			return link{cluster: c, from: address, to: to}, nil
@@ -225,7 +249,8 @@
 
 // wipe replaces a stopped controller's disk by an empty one.
 func (c *cluster) wipe(address string) {
-	c.members[address].disk, c.members[address].hints = &disk{}, &hintDisk{}
+	m := c.members[address]
+	m.disk, m.hints, m.evidence = &disk{}, &hintDisk{}, &evidenceDisk{}
 }
 
 // restartAll kills all controllers at once and starts them again.
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -84,7 +84,9 @@
 	Store  port.VoterStore
 	// Hints stores what the next start begins with; nil stores nothing.
 	Hints port.HintStore
-	Meter port.FleetMeter
+	// Evidence stores what is known of requests that crash endpoints; nil stores nothing.
+	Evidence port.EvidenceStore
+	Meter    port.FleetMeter
 	// Decoder decodes the configurations of former releases again; nil uses them as
 	// they are.
 	Decoder port.ConfigDecoder
@@ -143,6 +145,7 @@
 	// endedCount counts the endpoints that have begun to leave or ended.
 	endedCount uint64
 	hints      *hints
+	evidence   *evidenceSaves
 	quotas     quotas
 	suspicions *suspicions
 	// limits are the limits that endpoints named last, by the endpoint's ID;
@@ -200,6 +203,10 @@
 		c.ports.Hints = noHints{}
 	}
 	c.loadHints(now, c.ports.Hints)
+	if ports.Evidence == nil {
+		c.ports.Evidence = noEvidence{}
+	}
+	c.loadEvidence(now, c.ports.Evidence)
 	return c, nil
 }
 
@@ -224,7 +231,13 @@
 	group.Go(func() { wait.Every(ctx, exchangePeriod, func() { c.catchUp(ctx) }) })
 	group.Go(func() { wait.Every(ctx, tickPeriod, c.tick) })
 	group.Go(func() { wait.EveryOrOn(ctx, exchangePeriod, c.quotas.wake, func() { c.askOwners(ctx) }) })
-	group.Go(func() { wait.Every(ctx, hintPeriod, func() { _ = c.saveHints() }) })
+	group.Go(func() {
+		wait.Every(ctx, hintPeriod, func() {
+			_ = c.saveHints()
+			c.refreshEvidence()
+		})
+	})
+	group.Go(func() { c.runEvidence(ctx) })
 	group.Wait()
 }
 
--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -281,6 +281,8 @@
 
 // Acquire implements port.ControllerLink.
 func (c *Controller) Acquire(ctx context.Context, req port.SlotRequest) (dispatch.Decision, error) {
+	c.learnSuspicions(req)
+	c.awaitDurable(ctx, req.Fingerprint)
 	decision, wait, err := c.acquire(req)
 	if err != nil || wait == nil {
 		c.recordDecision(req, decision, err)
@@ -318,7 +320,6 @@
 	if !c.knowsQuotas(req) {
 		return dispatch.Decision{}, nil, fmt.Errorf("%w: %q, since the quota of account %q isn't known yet", port.ErrNotDispatcher, req.Region, req.Account)
 	}
-	c.learnSuspicions(now, req)
 	token, refusal, ok := c.takeToken(req)
 	if !ok {
 		return refusal, nil, nil
@@ -341,11 +342,14 @@
 const learnsFromGatewaysFor = 10 * time.Second
 
 // learnSuspicions records what the gateway saw of the same content before this
-// controller started. Must hold mu.
-func (c *Controller) learnSuspicions(now time.Time, req port.SlotRequest) {
-	if now.Sub(c.startedAt) > learnsFromGatewaysFor {
+// controller started.
+func (c *Controller) learnSuspicions(req port.SlotRequest) {
+	now := c.ports.Clock.Now()
+	if now.Sub(c.startedAt) > learnsFromGatewaysFor || len(req.Suspicions) == 0 {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, s := range req.Suspicions {
 		if s.Fingerprint == req.Fingerprint {
 			c.suspicions.learn(now, s)
--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -193,6 +193,21 @@
 	ctx, cancel := context.WithTimeout(ctx, propagateTimeout)
 	defer cancel()
 	exchange, targets, epoch := c.propagation(id)
+	count := c.spread(ctx, exchange, targets, epoch, c.saveEnded)
+	confirmed := count >= epoch.Majority() && epoch.Number > 0
+	c.ports.Meter.RecordAnnouncement(true, confirmed)
+	if !confirmed {
+		event.Log(ctx, c.ports.Logger, event.LeavingUnacknowledged, slog.String("endpoint", id),
+			slog.Int("told", count), slog.Int("needed", epoch.Majority()))
+		return fmt.Errorf("%w: %d of %d required voters acknowledged the endpoint's state", port.ErrUnconfirmed, count, epoch.Majority())
+	}
+	return nil
+}
+
+// spread sends a message to the targets and saves its changes here. It returns once each call to
+// a live target has ended and a majority of the voters has the changes on its disk, or once that
+// can't be reached until ctx ends. It returns the number of voters that have them.
+func (c *Controller) spread(ctx context.Context, exchange port.ExchangeRequest, targets []target, epoch quorum.Epoch, save func() error) int {
 	results := make(chan propagated, 2*(len(targets)+1))
 	for _, t := range targets {
 		go t.send(ctx, exchange, results)
@@ -206,7 +221,7 @@
 		}
 		return n
 	}
-	acked[c.config.Address] = c.saveEnded() == nil
+	acked[c.config.Address] = save() == nil
 	waiting, running := 0, len(targets)
 	for _, t := range targets {
 		if t.live {
@@ -223,14 +238,19 @@
 			running--
 		}
 	}
-	confirmed := count() >= epoch.Majority() && epoch.Number > 0
-	c.ports.Meter.RecordAnnouncement(true, confirmed)
-	if !confirmed {
-		event.Log(ctx, c.ports.Logger, event.LeavingUnacknowledged, slog.String("endpoint", id),
-			slog.Int("told", count()), slog.Int("needed", epoch.Majority()))
-		return fmt.Errorf("%w: %d of %d required voters acknowledged the endpoint's state", port.ErrUnconfirmed, count(), epoch.Majority())
+	return count()
+}
+
+// votersAsTargets returns the voters other than this controller as targets none of which is waited
+// for once a majority has answered. Must hold mu.
+func (c *Controller) votersAsTargets() []target {
+	var out []target
+	for _, v := range c.epoch.Voters {
+		if p := c.peers[v.Address]; p != nil {
+			out = append(out, target{address: v.Address, link: p.link, votes: true})
+		}
 	}
-	return nil
+	return out
 }
 
 // propagation returns the message that propagate sends for an endpoint, its targets and
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -370,6 +370,9 @@
 	for _, e := range reply.Endpoints {
 		c.recordShared(e)
 	}
+	for _, x := range reply.Suspicions {
+		c.suspicions.apply(c.ports.Clock.Now(), x)
+	}
 	c.learnReportedState(c.ports.Clock.Now(), reply.Loads, reply.Loans)
 	for name, r := range c.regions {
 		r.candidate.RecordReply(p.Address, sentAt, slices.Contains(reply.Grants, name))
@@ -399,6 +402,11 @@
 			return port.ExchangeReply{}, err
 		}
 	}
+	if m.Durable && len(m.Suspicions) > 0 {
+		if err := c.saveEvidence(); err != nil {
+			return port.ExchangeReply{}, err
+		}
+	}
 	return reply, nil
 }
 
@@ -449,6 +457,9 @@
 		grants := c.quotas.book.Grant(c.bootTime(), ownerID(m.From), *m.Quota, m.QuotaReturns)
 		reply.QuotaGrants = &grants
 	}
+	if m.FullSync || m.EndedSync {
+		reply.Suspicions = c.suspicions.known(now)
+	}
 	switch {
 	case m.FullSync:
 		reply.Endpoints, _ = c.endpoints.Since(0)
--- a/internal/app/controller/suspicions.go
+++ b/internal/app/controller/suspicions.go
@@ -30,17 +30,28 @@
 	unsent bool
 	// changedAt is when a reset was last recorded, here or by another controller.
 	changedAt time.Time
+	// recorded counts the changes of the evidence. undurable holds the evidence recorded here that
+	// isn't durable yet, and released is closed and replaced when some of it became so. wake has an
+	// element when there is new evidence.
+	recorded  uint64
+	undurable map[fingerprint.Fingerprint][]undurable
+	released  chan struct{}
+	wake      chan struct{}
 }
 
 var _ dispatch.RunRecorder = (*suspicions)(nil)
 
 func newSuspicions(logger *slog.Logger) *suspicions {
-	return &suspicions{logger: logger, table: quarantine.NewTable(quarantine.DefaultConfig())}
+	return &suspicions{
+		logger: logger, table: quarantine.NewTable(quarantine.DefaultConfig()),
+		undurable: make(map[fingerprint.Fingerprint][]undurable), released: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
 }
 
-// MayStart implements dispatch.RunRecorder.
+// MayStart implements dispatch.RunRecorder. A request that may have crashed an endpoint doesn't
+// start again before that is durable.
 func (s *suspicions) MayStart(now time.Time, f fingerprint.Fingerprint) bool {
-	return s.table.MayStart(now, f)
+	return s.table.MayStart(now, f) && !s.holds(f)
 }
 
 // Begin implements dispatch.RunRecorder.
@@ -69,6 +80,7 @@
 	}
 	for _, f := range change.Lifted {
 		s.changes.add(port.Suspicion{Fingerprint: f, Cleared: true, Version: s.table.NewLiftVersion(now, f)})
+		s.recorded++
 	}
 	s.log(change)
 }
@@ -77,9 +89,11 @@
 // connection, or may have crashed it.
 func (s *suspicions) shareReset(now time.Time, e registry.Endpoint, f fingerprint.Fingerprint) {
 	s.changedAt = now
-	s.changes.add(port.Suspicion{
+	x := port.Suspicion{
 		Fingerprint: f, Endpoint: e.ID, StartedMillis: e.StartedMillis, Version: s.table.NewChangeVersion(now, f),
-	})
+	}
+	s.changes.add(x)
+	s.noteEvidence(now, x)
 }
 
 // recordAnnouncement records that an endpoint is alive. An endpoint that leaves
@@ -110,6 +124,7 @@
 
 // apply applies a change that another controller made.
 func (s *suspicions) apply(now time.Time, x port.Suspicion) {
+	s.recorded++
 	switch {
 	case x.Fingerprint.IsZero():
 	case x.Cleared:
@@ -139,6 +154,7 @@
 	}
 	x.Version = s.table.NewChangeVersion(now, x.Fingerprint)
 	s.changes.add(x)
+	s.noteEvidence(now, x)
 	s.unsent, s.changedAt = true, now
 }
 
@@ -148,14 +164,10 @@
 // expire removes expired records.
 func (s *suspicions) expire(now time.Time) { s.table.Expire(now) }
 
-// all returns the changes made by this controller and the requests in quarantine,
-// for a controller that has started.
+// all returns what holds against requests and the changes made by this controller, for a
+// controller that has started.
 func (s *suspicions) all(now time.Time) []port.Suspicion {
-	var out []port.Suspicion
-	for _, q := range s.table.List(now) {
-		out = append(out, port.Suspicion{Fingerprint: q.Fingerprint, Quarantined: q.Remaining, Version: q.Version})
-	}
-	return append(out, s.changes.made...)
+	return append(s.known(now), s.changes.made...)
 }
 
 func (s *suspicions) log(change quarantine.Change) {
--- a/internal/app/controller/voters_test.go
+++ b/internal/app/controller/voters_test.go
@@ -50,7 +50,7 @@
 func (c *cluster) join(zone string) {
 	address := zone + ":2"
 	c.mu.Lock()
-	c.members[address] = &member{name: address, zone: zone, region: regions[zone], disk: &disk{}, hints: &hintDisk{}, clock: &suspendedClock{}}
+	c.members[address] = &member{name: address, zone: zone, region: regions[zone], disk: &disk{}, hints: &hintDisk{}, evidence: &evidenceDisk{}, clock: &suspendedClock{}}
 	c.mu.Unlock()
 	c.start(address, false)
 }
--- a/internal/cli/controller.go
+++ b/internal/cli/controller.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := newController(p, store, disk.NewHintStore(disk.OS{}, p.settings.DataDir, p.clock))
+	c, err := newController(p, store, disk.NewHintStore(disk.OS{}, p.settings.DataDir, p.clock), disk.NewEvidenceStore(disk.OS{}, p.settings.DataDir, p.clock))
 	if err != nil {
 		return err
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -274,14 +274,14 @@
 }
 
 // newController returns a controller with the platform's settings.
-func newController(p *vmProcess, store port.VoterStore, hints port.HintStore) (*controller.Controller, error) {
+func newController(p *vmProcess, store port.VoterStore, hints port.HintStore, evidence port.EvidenceStore) (*controller.Controller, error) {
 	return controller.New(controller.Config{
 		Name: p.settings.Name, Address: p.settings.FleetAddress, Zone: p.settings.Zone, Region: p.settings.Region,
 		Zones: p.settings.Zones, Seeds: p.settings.Seeds, Bootstrap: p.settings.Bootstrap, Retries: p.settings.Retries, MaxShift: p.settings.MaxShift,
 		LearnLimits:     p.learnLimits,
 		ToleratedLosses: p.settings.ToleratedLosses, Quotas: p.settings.Quotas, RevocationBound: p.settings.RevocationBound,
 	}, controller.Ports{
-		Clock: p.clock, Boot: p.boot, Logger: p.logger, Store: store, Hints: hints, Meter: p.meter, Decoder: platform.ConfigDecoder{},
+		Clock: p.clock, Boot: p.boot, Logger: p.logger, Store: store, Hints: hints, Evidence: evidence, Meter: p.meter, Decoder: platform.ConfigDecoder{},
 		Dial: func(address string) (port.ControllerPeer, error) { return p.dial(address) },
 	})
 }
--- a/internal/core/quarantine/death.go
+++ b/internal/core/quarantine/death.go
@@ -119,13 +119,18 @@
 func (t *Table) countDeaths(f fingerprint.Fingerprint, r *record) int {
 	n := 0
 	for _, a := range r.deaths {
-		if t.unrelatedDeathsNear(f, a.at) < t.cfg.CorrelatedDeaths {
+		if t.counts(f, a) {
 			n++
 		}
 	}
 	return n
 }
 
+// counts reports whether a death of f isn't part of a correlated failure.
+func (t *Table) counts(f fingerprint.Fingerprint, a attributedDeath) bool {
+	return t.unrelatedDeathsNear(f, a.at) < t.cfg.CorrelatedDeaths
+}
+
 // unrelatedDeathsNear returns the number of deaths around the time at that are
 // explained neither by f nor by another fingerprint with two deaths.
 func (t *Table) unrelatedDeathsNear(f fingerprint.Fingerprint, at time.Time) int {
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -99,18 +99,26 @@
 	}
 	t.dropOldRuns(now, r)
 	r.lastRequested = now
+	unresolved := len(t.unresolvedResets(now, r, f))
+	if t.isProven(now, f) && len(r.deaths) == 0 {
+		return unresolved <= maxDeaths
+	}
+	return t.countDeaths(f, r)+unresolved < maxDeaths
+}
+
+// unresolvedResets returns the endpoints that reset a connection of f and have shown no evidence
+// of liveness since, with the time of the reset. Those of a proven f without deaths that were
+// lost with others are left out.
+func (t *Table) unresolvedResets(now time.Time, r *record, f fingerprint.Fingerprint) map[incarnation]time.Time {
 	proven := t.isProven(now, f) && len(r.deaths) == 0
-	unresolved := make(map[incarnation]bool)
+	out := make(map[incarnation]time.Time)
 	for _, x := range r.runs {
 		if !x.reset || t.endpointAlive(x) || t.lastAnswer[x.on].Sub(x.lost) >= t.cfg.AnswerMargin || proven && t.resetWithOthers(r, x) {
 			continue
 		}
-		unresolved[x.on] = true
+		out[x.on] = x.lost
 	}
-	if proven {
-		return len(unresolved) <= maxDeaths
-	}
-	return t.countDeaths(f, r)+len(unresolved) < maxDeaths
+	return out
 }
 
 // resetWithOthers reports whether CorrelatedDeaths endpoints or more, on which no run of the
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -83,13 +83,15 @@
 	LoansChanged          = Event{1615, "loans-changed", slog.LevelInfo, "The number of endpoints that a region lends to another, or has recalled from it, changed; attributes give the numbers and the load of both regions."}
 	LimitChanged          = Event{1616, "limit-changed", slog.LevelInfo, "An endpoint named another limit of its requests per second than before, or none (-1)."}
 	HintsLoaded           = Event{1617, "hints-loaded", slog.LevelInfo, "A controller started with hints of its last run; attributes count the gateways, the endpoints that leave or are gone, and the loads."}
-	HintsRejected         = Event{1618, "hints-rejected", slog.LevelWarn, "The hints on the controller's disk can't be used; it starts without them."}
+	HintsRejected         = Event{1618, "hints-rejected", slog.LevelWarn, "The hints on the controller's disk, or its record of requests that crash endpoints, can't be used; it starts without them."}
 	AnnouncementRejected  = Event{1619, "announcement-rejected", slog.LevelWarn, "An endpoint's announcement can't be passed on, or isn't recorded beside the one that is known of its ID; it is ignored and not acknowledged."}
 	ExchangeRejected      = Event{1620, "exchange-rejected", slog.LevelWarn, "An exchange with another controller can't be encoded, or the other one fails to handle it; its changes are sent apart, and those that are rejected alone are dropped, with a record for each."}
 	ItemDropped           = Event{1621, "item-dropped", slog.LevelError, "A message between VMs held an item that can't be encoded, or that its receiver rejects; it was left out so that the rest goes on. It is logged once, or once for each receiver that rejects it."}
 	ConfigCompleted       = Event{1622, "config-completed", slog.LevelInfo, "A configuration that a former release had decoded, without the client accounts, was decoded again from its source."}
 	ConfigUndecodable     = Event{1623, "config-undecodable", slog.LevelError, "A configuration that a former release had decoded can't be decoded by this one. It is in force as the former release decoded it, without client accounts; gateways that need these refuse all requests. Send a corrected configuration."}
 	EndpointReplaced      = Event{1624, "endpoint-replaced", slog.LevelWarn, "An endpoint is out of use because one that started later announced its address; or it is in use again, because it has announced itself since or the other one's service isn't named by the configuration any more. Attributes give both."}
+	EvidenceLoaded        = Event{1625, "evidence-loaded", slog.LevelInfo, "A controller started with what its last run knew of requests that crash endpoints; attributes count the items and those that can't be used or are too old."}
+	EvidenceUnconfirmed   = Event{1626, "evidence-unconfirmed", slog.LevelWarn, "What a request did to an endpoint isn't on the disks of a majority of the voters yet; attributes count these requests, which are held back meanwhile, for 5 s at most, and the voters."}
 	QuotaExceeded         = Event{1630, "quota-exceeded", slog.LevelInfo, "A client account had requests refused for its quota; attributes count those since the last record of it, and those since the start that got a token, also of the region's floor, and name the region that owns the account's tokens. The accounts with the most refusals are logged every 10 s."}
 	ReportsMistrusted     = Event{1640, "reports-mistrusted", slog.LevelWarn, "The loads that an endpoint reports contradict its run times and are no longer used, or they are used again; an attribute says which. At most once in 30 s and endpoint."}
 	ConcurrencyLimited    = Event{1641, "concurrency-limited", slog.LevelInfo, "The limit that a dispatcher learned for an endpoint fell to three quarters of its slots or below, or rose above; attributes give both. At most once in 30 s and endpoint."}
@@ -128,7 +130,7 @@
 	VoterStarted, StateLearned, EpochEntered, StateUnreadable, ConfigOrdered, EvacuationOrdered,
 	ControllerLost, ControllerFound, VotersChanged, EndpointChanged, LeavingUnacknowledged,
 	DispatchBegun, DispatchEnded, StoreFailed, OrderNotPassed, LoansChanged, LimitChanged, HintsLoaded, HintsRejected,
-	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable, EndpointReplaced, QuotaExceeded,
+	AnnouncementRejected, ExchangeRejected, ItemDropped, ConfigCompleted, ConfigUndecodable, EndpointReplaced, EvidenceLoaded, EvidenceUnconfirmed, QuotaExceeded,
 	ReportsMistrusted, ConcurrencyLimited,
 	ConfigApplied, WatchLost, WatchBegun, RequestEnded, RecordsDropped, SettingsLoaded, SettingsFailed, ControllerUnresponsive, LeaseEnded, LeaseRenewed,
 	LinkUseChanged, ClientRefused, ConnectionTakenOver, PipelineCut, ServingPanicked, RequestCut,
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -93,7 +93,7 @@
 	// Suspicions are the changes that the receiver hasn't acknowledged.
 	Suspicions []Suspicion
 	// FullSync requests all endpoints that the receiver knows; EndedSync, those that
-	// leave or are gone.
+	// leave or are gone. Both request the suspicions.
 	FullSync, EndedSync bool
 	// EpochNumber is the epoch whose voters the sender knows.
 	EpochNumber uint64
@@ -107,7 +107,7 @@
 	Quota        *quota.Request
 	QuotaReturns []quota.Return
 	// Durable requests that the receiver answers only once the Endpoints that leave
-	// or are gone are on its disk.
+	// or are gone, and the Suspicions, are on its disk.
 	Durable bool
 }
 
@@ -150,6 +150,9 @@
 	Report uint64
 	// QuotaGrants answers ExchangeRequest.Quota; nil from a former release.
 	QuotaGrants *quota.Grants
+	// Suspicions are those that the sender of a full sync, or of one of ended endpoints, must
+	// know before it dispatches.
+	Suspicions []Suspicion
 }
 
 // OrderReply is the answer to an order.
@@ -247,6 +250,9 @@
 	AnsweredAt time.Time
 	// ResponseBytes is the size of the response's body; 0 if it isn't known.
 	ResponseBytes int64
+	// Suspicion follows from a run that ended with a reset connection, for a
+	// controller that doesn't know the grant; nil otherwise.
+	Suspicion *Suspicion
 }
 
 // ControllerLink is a gateway's client of one controller.
--- a/internal/port/hints.go
+++ b/internal/port/hints.go
@@ -2,6 +2,7 @@
 
 import (
 	"sassafrasreach/internal/core/dispatch"
+	"sassafrasreach/internal/core/quarantine"
 	"sassafrasreach/internal/core/registry"
 )
 
@@ -26,3 +27,12 @@
 	// Save returns once the hints are durable.
 	Save(h Hints) error
 }
+
+// EvidenceStore stores the evidence of requests that crash endpoints.
+type EvidenceStore interface {
+	// Load returns the stored evidence, and how much more of it can't be used; none if nothing is
+	// stored. The error says why nothing stored can be used.
+	Load() (all []quarantine.Evidence, dropped int, err error)
+	// Save returns once the evidence is durable.
+	Save(all []quarantine.Evidence) error
+}
--- a/internal/port/meter.go
+++ b/internal/port/meter.go
@@ -57,6 +57,8 @@
 	RecordItemDropped(kind string)
 	// RecordAnnouncement records the outcome of an endpoint's announcement.
 	RecordAnnouncement(leaving, accepted bool)
+	// RecordEvidenceSave records a save of the evidence of requests that crash endpoints.
+	RecordEvidenceSave()
 	// RecordStreamed records a streamed response and whether the endpoint's part of it
 	// was complete.
 	RecordStreamed(service string, complete bool)
