--- a/internal/app/controller/dispatch.go
+++ b/internal/app/controller/dispatch.go
@@ -418,16 +418,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range released {
+		known := false
 		if r := c.regions[s.Region]; r != nil && r.pool != nil {
 			if s.Answered {
 				c.observeSignals(now, r, s)
 			}
 			if s.RunEnd != nil {
-				r.pool.RecordRunEnd(s.Grant, *s.RunEnd)
+				known = r.pool.RecordRunEnd(s.Grant, *s.RunEnd)
 			}
 			r.pool.RecordResponse(s.Grant, s.ResponseBytes)
 			c.deliver(r, r.pool.Release(now, s.Grant, s.Outcome, s.Took))
 		}
+		if !known && s.Suspicion != nil {
+			c.suspicions.learn(now, *s.Suspicion) // of a dispatcher that has ended
+		}
 	}
 	c.sendUnsent()
 	return nil
--- a/internal/app/controller/evidence_test.go
+++ b/internal/app/controller/evidence_test.go
@@ -1,11 +1,15 @@
 package controller_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"sassafrasreach/internal/core/verdict"
+	"sassafrasreach/internal/port"
 )
 
 // TestCrashesOutliveRestarts guards against a request that crashes endpoints again and again because
@@ -18,11 +22,14 @@
 		after, saveTime time.Duration
 		// wiped is the number of disks that are lost with each kill.
 		wiped int
+		// within means that the controllers are killed before the gateway reports the crash.
+		within bool
 		// again is the number of times that the request comes at once between the crash and the kill.
 		again int
 	}{
 		"killed after each crash":          {after: 500 * time.Millisecond},
 		"and a disk is lost":               {after: 500 * time.Millisecond, wiped: 1},
+		"killed within each crash":         {within: true},
 		"slow saves":                       {after: 700 * time.Millisecond, saveTime: 200 * time.Millisecond},
 		"it comes again before the kill":   {after: 500 * time.Millisecond, again: 3},
 		"it comes again beside slow saves": {after: 700 * time.Millisecond, again: 3, saveTime: 200 * time.Millisecond},
@@ -36,15 +43,25 @@
 				m.evidence.lag = x.saveTime
 			}
 			served := 0
+			killAll := func() {
+				for address := range c.members {
+					c.kill(address)
+				}
+			}
+			if x.within {
+				endpoints.crash = func(_ context.Context, end func()) error {
+					end()
+					killAll()
+					return verdict.NewError(verdict.MayHaveRun, verdict.ReasonConnection, port.ErrConnectionLost)
+				}
+			}
 			for i := range rounds {
 				for n := range 1 + x.again {
 					g := c.startGateway(fmt.Sprint("fresh-", i, "-", n), []string{"a", "b", "c"}[(i+n)%3], endpoints)
 					is.True(send(g, fmt.Sprint("crash", i, n), crashTarget).Err != nil)
 				}
 				time.Sleep(x.after)
-				for address := range c.members {
-					c.kill(address)
-				}
+				killAll()
 				for n, address := range []string{"a1:1", "b2:1", "c1:1", "a2:1", "b1:1", "c2:1"} {
 					if lost := (n+i)%len(c.members) < x.wiped; lost {
 						c.wipe(address)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -111,7 +111,9 @@
 	// heardAt is when a controller last answered.
 	heardAt       time.Time
 	releaseQueues map[string]*releaseQueue
-	linkUse       *link.Meter
+	// resetReports counts the resets that are being reported by reportReset.
+	resetReports atomic.Int64
+	linkUse      *link.Meter
 }
 
 // dispatcher is the last known dispatcher of a region and the end of its
--- a/internal/app/gateway/release.go
+++ b/internal/app/gateway/release.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sassafrasreach/internal/port"
+	"sassafrasreach/internal/wait"
 )
 
 const (
@@ -15,6 +16,12 @@
 	// maxReleaseTries bounds the calls for one batch; a grant that isn't
 	// released expires.
 	maxReleaseTries = 2
+	// resetReportTime is how long a reset is reported to other controllers after the dispatcher
+	// couldn't be told, resetReportPeriod the time between two tries, and maxResetReports bounds
+	// the resets that are reported at once.
+	resetReportTime   = 15 * time.Second
+	resetReportPeriod = 250 * time.Millisecond
+	maxResetReports   = 64
 	// maxReleaseCalls bounds the calls at once. With one, a release waits for the reply to
 	// the one before: 60 to 80 ms over a busy link, for which its endpoint stands idle.
 	maxReleaseCalls = 4
@@ -82,4 +89,45 @@
 			return
 		}
 	}
+	g.reportResets(batch)
+}
+
+// reportResets reports the resets among releases that couldn't be sent to their dispatcher, which
+// may have ended: other controllers, or the same one once it has started again, are to know of
+// them before they grant the same content.
+func (g *Gateway) reportResets(batch []port.SlotRelease) {
+	for _, r := range batch {
+		if r.Suspicion == nil {
+			continue
+		}
+		if g.resetReports.Add(1) > maxResetReports {
+			g.resetReports.Add(-1)
+			continue
+		}
+		go func() {
+			defer g.resetReports.Add(-1)
+			g.reportReset(r)
+		}()
+	}
+}
+
+// reportReset sends a release to the controllers that may dispatch its region, until one has it or
+// resetReportTime has passed.
+func (g *Gateway) reportReset(r port.SlotRelease) {
+	ctx, cancel := context.WithTimeout(context.Background(), resetReportTime)
+	defer cancel()
+	for wait.For(ctx, resetReportPeriod) {
+		for _, address := range g.dispatchersOf(r.Region) {
+			link, err := g.link(address)
+			if err != nil {
+				continue
+			}
+			callCtx, cancelCall := context.WithTimeout(ctx, releaseTimeout)
+			err = link.Release(callCtx, []port.SlotRelease{r})
+			cancelCall()
+			if err == nil {
+				return
+			}
+		}
+	}
 }
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -82,9 +82,18 @@
 	g.release(u.address, port.SlotRelease{
 		Region: x.dispatchRegion, Grant: u.slot.Grant, Outcome: u.outcome, RunEnd: &u.end, Took: g.ports.Clock.Now().Sub(u.began),
 		Answered: u.answered, Signals: u.signals, AnsweredAt: u.answeredAt, ResponseBytes: u.responseBytes,
+		Suspicion: x.suspicion(u),
 	})
 }
 
+// suspicion returns what follows from a reset connection; nil if the run ended otherwise.
+func (x *inFlightRequest) suspicion(u *slotUse) *port.Suspicion {
+	if u.end != quarantine.Reset || x.fingerprint.IsZero() {
+		return nil
+	}
+	return &port.Suspicion{Fingerprint: x.fingerprint, Endpoint: u.slot.Endpoint.ID, StartedMillis: u.slot.Endpoint.StartedMillis}
+}
+
 // recordRun records what the end of a run shows about its request and its object.
 func (x *inFlightRequest) recordRun(u *slotUse) {
 	x.gateway.recordRun(x.fingerprint, u.slot.Endpoint, u.end)
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -38,13 +38,15 @@
 	}
 }
 
-// RecordRunEnd records how the run of a grant ended, before the grant is released. An
-// unknown ID changes nothing.
-func (p *Pool) RecordRunEnd(id string, end quarantine.End) {
-	if g, ok := p.grants[id]; ok {
+// RecordRunEnd records how the run of a grant ended, before the grant is released. It returns
+// false, and changes nothing, for an unknown ID.
+func (p *Pool) RecordRunEnd(id string, end quarantine.End) (known bool) {
+	g, known := p.grants[id]
+	if known {
 		g.runEnd, g.runEnded = end, true
 		p.grants[id] = g
 	}
+	return known
 }
 
 // endRun removes a grant and records how its run ended, by RecordRunEnd or else by the
