--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -204,11 +204,11 @@
 	return nil
 }
 
-// spread sends a message to the targets and saves its changes here. It returns once each call to
-// a live target has ended and a majority of the voters has the changes on its disk, or once that
-// can't be reached until ctx ends. It returns the number of voters that have them.
+// spread sends a message to the targets and saves its changes here, which may take long on a disk
+// that stalls. It returns once each call to a live target has ended and a majority of the voters has
+// the changes on its disk, or once ctx has ended. It returns the number of voters that have them.
 func (c *Controller) spread(ctx context.Context, exchange port.ExchangeRequest, targets []target, epoch quorum.Epoch, save func() error) int {
-	results := make(chan propagated, 2*(len(targets)+1))
+	results := make(chan propagated, 2*len(targets)+1)
 	for _, t := range targets {
 		go t.send(ctx, exchange, results)
 	}
@@ -221,15 +221,20 @@
 		}
 		return n
 	}
-	acked[c.config.Address] = save() == nil
-	waiting, running := 0, len(targets)
+	go func() { results <- propagated{from: c.config.Address, acked: save() == nil, last: true} }()
+	waiting, running := 0, len(targets)+1
 	for _, t := range targets {
 		if t.live {
 			waiting++
 		}
 	}
 	for running > 0 && (waiting > 0 || count() < epoch.Majority()) {
-		r := <-results
+		var r propagated
+		select {
+		case r = <-results:
+		case <-ctx.Done():
+			return count()
+		}
 		acked[r.from] = acked[r.from] || r.acked
 		if r.first {
 			waiting--
--- a/internal/app/controller/evidence.go
+++ b/internal/app/controller/evidence.go
@@ -25,7 +25,7 @@
 	// quarantine of a request that keeps coming is extended.
 	evidenceRefreshPeriod = 30 * time.Second
 	// durableRetryPeriod is the time between two attempts to make evidence durable.
-	durableRetryPeriod = 100 * time.Millisecond
+	durableRetryPeriod = exchangePeriod
 )
 
 // evidenceSaves is the state of the saves of the evidence of requests that crash endpoints.
@@ -179,10 +179,10 @@
 
 // noteEvidence notes that there is new evidence against a request, made by this controller. The
 // request is held back until it is durable, unless an answer has shown lately that the request is
-// harmless.
+// harmless, or too many are held back.
 func (s *suspicions) noteEvidence(now time.Time, change port.Suspicion) {
 	s.recorded++
-	if s.table.Harmless(now, change.Fingerprint) {
+	if s.table.Harmless(now, change.Fingerprint) || len(s.undurable) >= quarantine.MaxEvidence {
 		return
 	}
 	s.undurable[change.Fingerprint] = append(s.undurable[change.Fingerprint], undurable{change, s.recorded, now})
--- a/internal/app/controller/peers.go
+++ b/internal/app/controller/peers.go
@@ -427,6 +427,9 @@
 	}
 	for _, s := range m.Suspicions {
 		c.suspicions.apply(now, s)
+		if m.Durable && !s.Cleared {
+			c.suspicions.table.Keep(s.Fingerprint)
+		}
 	}
 	for _, l := range m.Limits {
 		c.recordLimit(now, l)
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -28,7 +28,7 @@
 
 // Evidence returns what holds against requests: all quarantines, and the newest of the endpoints
 // that count in MayStart, up to MaxEvidence. A request that was answered lately and may start has
-// none.
+// none, unless Keep was called for it.
 func (t *Table) Evidence(now time.Time) []Evidence {
 	var out []Evidence
 	for f, r := range t.records {
@@ -37,7 +37,7 @@
 			continue
 		}
 		unresolved := t.unresolvedResets(now, r, f)
-		if t.isProven(now, f) && len(r.deaths) == 0 && len(unresolved) <= maxDeaths {
+		if !r.kept && t.isProven(now, f) && len(r.deaths) == 0 && len(unresolved) <= maxDeaths {
 			continue
 		}
 		for _, d := range r.deaths {
@@ -60,6 +60,14 @@
 	return Evidence{Fingerprint: f, Endpoint: on.endpoint, Incarnation: on.number, Age: max(0, now.Sub(at)), Version: r.changed}
 }
 
+// Keep lets Evidence return what holds against f although f was answered here lately: another VM, which
+// relies on it, knows of no answer.
+func (t *Table) Keep(f fingerprint.Fingerprint) {
+	if r := t.records[f]; r != nil {
+		r.kept = true
+	}
+}
+
 // Harmless reports whether f was answered lately and no death is attributed to it. A reset
 // connection alone says little about it.
 func (t *Table) Harmless(now time.Time, f fingerprint.Fingerprint) bool {
--- a/internal/core/quarantine/evidence_test.go
+++ b/internal/core/quarantine/evidence_test.go
@@ -33,15 +33,16 @@
 		// left is how many more crashes the request may cause.
 		left int
 	}{
-		"nothing":       {play: func(*testTable) {}, left: 2},
-		"one reset":     {play: func(b *testTable) { b.reset("w1") }, left: 1},
-		"two resets":    {play: func(b *testTable) { b.reset("w1"); b.reset("w2") }, left: 0},
-		"one death":     {play: func(b *testTable) { b.reset("w1"); b.RecordDeath(b.now, "w1", 1) }, left: 1},
-		"a quarantine":  {play: func(b *testTable) { b.Add(b.now, poison, time.Minute) }, left: 0},
-		"an old reset":  {play: func(b *testTable) { b.reset("w1") }, after: cfg.Hold, left: 2},
-		"an alive one":  {play: func(b *testTable) { b.reset("w1"); b.advance(cfg.LivenessMargin); b.RecordReport(b.now, "w1", 1) }, left: 2},
-		"an answer":     {play: func(b *testTable) { b.reset("w1"); b.answer("w2") }, left: 2},
-		"after answers": {play: func(b *testTable) { b.answer("w1"); b.reset("w2") }, left: 2},
+		"nothing":             {play: func(*testTable) {}, left: 2},
+		"one reset":           {play: func(b *testTable) { b.reset("w1") }, left: 1},
+		"two resets":          {play: func(b *testTable) { b.reset("w1"); b.reset("w2") }, left: 0},
+		"one death":           {play: func(b *testTable) { b.reset("w1"); b.RecordDeath(b.now, "w1", 1) }, left: 1},
+		"a quarantine":        {play: func(b *testTable) { b.Add(b.now, poison, time.Minute) }, left: 0},
+		"an old reset":        {play: func(b *testTable) { b.reset("w1") }, after: cfg.Hold, left: 2},
+		"an alive one":        {play: func(b *testTable) { b.reset("w1"); b.advance(cfg.LivenessMargin); b.RecordReport(b.now, "w1", 1) }, left: 2},
+		"an answer":           {play: func(b *testTable) { b.reset("w1"); b.answer("w2") }, left: 2},
+		"after answers":       {play: func(b *testTable) { b.answer("w1"); b.reset("w2") }, left: 2},
+		"kept for another VM": {play: func(b *testTable) { b.answer("w1"); b.reset("w2"); b.Keep(poison) }, left: 1},
 		"three after answers": {play: func(b *testTable) {
 			b.answer("w1")
 			b.reset("w2")
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -316,6 +316,7 @@
 		return Change{}
 	}
 	t.markProven(now, f)
+	r.kept = false
 	reset := slices.ContainsFunc(r.runs, func(x run) bool { return x.reset })
 	r.runs = slices.DeleteFunc(r.runs, func(x run) bool { return !x.lost.IsZero() })
 	suspected := len(r.deaths) > 0 || reset
--- a/internal/core/quarantine/types.go
+++ b/internal/core/quarantine/types.go
@@ -147,6 +147,8 @@
 	quarantinedUntil time.Time
 	external         bool
 	suspectedUntil   time.Time
+	// kept is set by Keep, until f is answered again.
+	kept bool
 	changeVersions
 }
 
