--- a/internal/app/controller/endpoints.go
+++ b/internal/app/controller/endpoints.go
@@ -110,8 +110,8 @@
 	if !c.endpoints.Record(e) {
 		return false
 	}
-	if known && !before.Leaving && !before.Gone && !e.Gone && before.StartedMillis < e.StartedMillis {
-		c.suspicions.recordDeath(now, before)
+	if known && !before.Gone && !e.Gone && before.StartedMillis < e.StartedMillis {
+		c.recordDeath(now, before)
 	}
 	c.applyReplacements(now)
 	c.countEnded(before, e)
@@ -142,14 +142,23 @@
 			slog.Bool("replaced", replaced), slog.String("endpoint", e.ID), slog.String("service", e.Service),
 			slog.String("address", e.Address), slog.Int64("born", e.StartedMillis),
 			slog.String("by", r.By.ID), slog.String("by_service", r.By.Service), slog.Int64("by_born", r.By.StartedMillis))
-		if replaced && !e.Leaving {
-			c.suspicions.recordDeath(now, e)
+		if replaced {
+			c.recordDeath(now, e)
 		}
 		c.updatePools(e)
 		c.notifyChanged()
 	}
 }
 
+// recordDeath records that an incarnation has ended without notice. One of a service that the
+// configuration doesn't name ran no requests: its end says nothing about any, nor that others ended
+// for a common cause. Must hold mu.
+func (c *Controller) recordDeath(now time.Time, e registry.Endpoint) {
+	if !e.Leaving && c.endpoints.Names(e.Service) {
+		c.suspicions.recordDeath(now, e)
+	}
+}
+
 // checkEndpoint reports whether an announcement can be passed on; one that can't be is
 // logged and counted.
 func (c *Controller) checkEndpoint(e registry.Endpoint) bool {
--- a/internal/app/controller/endpoints_test.go
+++ b/internal/app/controller/endpoints_test.go
@@ -158,3 +158,24 @@
 	is.NoErr(c.at("c1:1").controller.Announce(t.Context(), leaving))
 	is.Equal(c.maxSlots(time.Second), int64(0))
 }
+
+// TestUnusableEndsHideNoCrash guards against a request that crashes endpoints and isn't stopped,
+// because announcements of a service that the configuration doesn't name, which replace each
+// other, count as endpoints that ended for a common cause.
+func TestUnusableEndsHideNoCrash(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, endpoints, gateways := newServedCluster(t)
+	time.Sleep(8 * time.Second) // controllers that have just started learn from gateways, too
+	for i := range 60 {
+		foreign := announcement(fmt.Sprint("f", i%5))
+		foreign.Service, foreign.Address, foreign.StartedMillis = "x", "a1:300", time.Now().UnixMilli()
+		for _, address := range []string{"a1:1", "b1:1"} {
+			is.NoErr(c.at(address).controller.Announce(t.Context(), foreign))
+		}
+		is.True(send(gateways[i%len(gateways)], fmt.Sprint("crash", i), crashTarget).Err != nil)
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("%d crashes", endpoints.crashCount())
+	is.True(endpoints.crashCount() <= 6)
+}
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -124,8 +124,9 @@
 	}
 }
 
-// names reports whether the configuration in force names a service.
-func (r *Registry) names(service string) bool { return r.services == nil || r.services[service] }
+// Names reports whether the configuration in force names a service, so that its endpoints can be
+// used.
+func (r *Registry) Names(service string) bool { return r.services == nil || r.services[service] }
 
 // Record records an announcement that the endpoint sent or another VM
 // forwarded. It returns false, and changes nothing, if the announcement isn't
@@ -167,7 +168,7 @@
 	switch order := cmp.Or(cmp.Compare(e.StartedMillis, old.StartedMillis), cmp.Compare(e.Sequence, old.Sequence)); {
 	case r.Refuses(e):
 		return false
-	case r.names(e.Service) && !r.names(old.Service) && !old.Gone:
+	case r.Names(e.Service) && !r.Names(old.Service) && !old.Gone:
 		// An announcement of no use doesn't hold the ID.
 		return true
 	case e.StartedMillis == old.StartedMillis && (old.Gone || old.Leaving) && !e.Leaving:
@@ -186,7 +187,7 @@
 // endpoint that can't be used doesn't end one that can. A deregistration is never refused.
 func (r *Registry) Refuses(e Endpoint) bool {
 	old := r.endpoints[e.ID]
-	return old != nil && !e.Gone && !old.Gone && !r.names(e.Service) && r.names(old.Service)
+	return old != nil && !e.Gone && !old.Gone && !r.Names(e.Service) && r.Names(old.Service)
 }
 
 // Covers reports whether the registry holds what an announcement says: one that the endpoint
@@ -256,7 +257,7 @@
 // configuration doesn't name shows nothing about one that can be used.
 func (r *Registry) replaces(o, e *record) bool {
 	switch {
-	case o.announcedStart <= e.announcedStart || r.names(e.Service) && !r.names(o.Service):
+	case o.announcedStart <= e.announcedStart || r.Names(e.Service) && !r.Names(o.Service):
 		return false
 	default:
 		return e.LastSeen.Sub(o.firstSeen) < replacementProof
